--- /dev/null
+++ b/deploy/run.sh
@@ -0,0 +1,147 @@
+#!/usr/bin/env bash
+# Runs a whole deployment on loopback in separate processes.
+#   deploy/run.sh [--smoke] [leabhar|gulf]
+# Without --smoke it stays until Ctrl-C. It leaves nothing behind.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+smoke=no
+name=leabhar
+for arg in "$@"; do
+  case "$arg" in
+    --smoke) smoke=yes ;;
+    *) name=$arg ;;
+  esac
+done
+
+inventory=deploy/$name
+work=$(mktemp -d)
+pids=()
+
+finish() {
+  local code=$?
+  trap - EXIT INT TERM
+  if [ "$code" -ne 0 ] && [ "$code" -ne 130 ]; then
+    echo "failed; last log lines:" >&2
+    tail -n 3 "$work"/*.log >&2 || true
+  fi
+  # Hosts first, and at once; the rest has nothing to finish.
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do
+    for _ in $(seq 100); do kill -0 "$pid" 2>/dev/null || break; sleep 0.05; done
+    kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
+  rm -rf "$work"
+  exit "$code"
+}
+trap finish EXIT
+trap 'exit 130' INT TERM
+
+go build -o "$work/" ./cmd/hyssopspindle ./cmd/standin
+gateway=$work/hyssopspindle
+standin=$work/standin
+
+# field FILE TABLE prints the values of a key of each entry of a table, in order.
+entries() {
+  awk -v want="[[$2]]" -v key="$3" '
+    /^\[\[/ { in_it = ($0 == want) }
+    in_it && $1 == key { gsub(/"/, "", $3); print $3 }' "$inventory/$1"
+}
+
+mapfile -t hosts < <(entries 1-regions.toml hosts name)
+mapfile -t centres < <(entries 1-regions.toml hosts centre)
+mapfile -t callers < <(entries 1-regions.toml hosts callers)
+mapfile -t peers < <(entries 1-regions.toml hosts peers)
+mapfile -t centre_names < <(entries 1-regions.toml centres name)
+mapfile -t centre_regions < <(entries 1-regions.toml centres region)
+mapfile -t endpoints < <(entries 3-endpoints.toml endpoints name)
+mapfile -t services < <(entries 3-endpoints.toml endpoints service)
+
+region_of() {
+  for i in "${!centre_names[@]}"; do
+    if [ "${centre_names[$i]}" = "$1" ]; then echo "${centre_regions[$i]}"; fi
+  done
+}
+
+base=${callers[0]##*:}
+platform=127.0.0.1:$((base - 101))
+admin_key=trial-admin-key-0001
+
+"$standin" platform --listen "$platform" --inventory "$inventory" >"$work/platform.log" 2>&1 &
+pids+=($!)
+for i in "${!endpoints[@]}"; do
+  kind=engine
+  case "${services[$i]}" in rental | portal) kind=plain ;; esac
+  "$standin" $kind --inventory "$inventory" --name "${endpoints[$i]}" >"$work/${endpoints[$i]}.log" 2>&1 &
+  pids+=($!)
+done
+
+"$gateway" keys --out "$work/keys" "${hosts[@]}" >/dev/null
+host_pids=()
+for i in "${!hosts[@]}"; do
+  cat >"$work/${hosts[$i]}.toml" <<SETTINGS
+name = "${hosts[$i]}"
+region = "$(region_of "${centres[$i]}")"
+centre = "${centres[$i]}"
+callers = "${callers[$i]}"
+admin = "127.0.0.1:$((base + 100 + i))"
+peers = "${peers[$i]}"
+platform = "$platform"
+admin_key = "$admin_key"
+keys = "$work/keys/${hosts[$i]}"
+SETTINGS
+  "$gateway" serve --settings "$work/${hosts[$i]}.toml" >"$work/${hosts[$i]}.log" 2>&1 &
+  host_pids+=($!)
+done
+pids=("${host_pids[@]}" "${pids[@]}")
+
+# Ready means that every host sees every other one alive.
+want=$((${#hosts[@]} - 1))
+for i in "${!hosts[@]}"; do
+  for _ in $(seq 300); do
+    seen=$("$gateway" members --settings "$work/${hosts[$i]}.toml" 2>/dev/null | grep -c ' alive ' || true)
+    if [ "$seen" = "$want" ]; then break; fi
+    sleep 0.1
+  done
+  if [ "$seen" != "$want" ]; then
+    echo "host ${hosts[$i]} sees $seen of $want others" >&2
+    exit 1
+  fi
+done
+echo "ready: ${#hosts[@]} hosts, ${#endpoints[@]} endpoints"
+
+if [ "$name" = leabhar ]; then
+  model=advice long=course-packs staff=support-galway plain=rental look=/stock/42 change=/confirm/42
+else
+  model=drafting long=suppliers staff=agents-salalah plain=portal look=/packs/42 change=/order/42
+fi
+
+echo "--- an answer of $model, streamed by way of ${hosts[0]}"
+"$gateway" call --host "${callers[0]}" --key "$long-trial-key" --model $model --prompt 'A reading list of ten books' --tokens 8
+echo "--- a lookup of $plain by way of the last host"
+last=$((${#hosts[@]} - 1))
+"$gateway" call --host "${callers[$last]}" --key "$staff-trial-key" --service $plain --path $look
+echo "--- an operation of $plain that may not be repeated"
+"$gateway" call --host "${callers[$last]}" --key "$staff-trial-key" --service $plain --method POST --path $change --operation
+if [ "$name" = leabhar ]; then
+  # Galway has no rental endpoint, so the two calls above crossed to another region.
+  crossed=$(grep -c '"crossing":"needed"' "$work/${hosts[$last]}.log" "$work/${hosts[$((last - 1))]}.log" | awk -F: '{ n += $2 } END { print n }')
+  echo "--- calls that crossed from galway: $crossed"
+  [ "$crossed" -ge 1 ]
+fi
+
+if [ "$smoke" = yes ]; then
+  echo "smoke: ok"
+  exit 0
+fi
+cat <<NEXT
+
+Try next, in another shell (Ctrl-C here ends everything):
+  $gateway status  --settings $work/${hosts[0]}.toml
+  $gateway members --settings $work/${hosts[0]}.toml
+  $gateway explain --settings $work/${hosts[0]}.toml --caller $long --service $model
+  $gateway call --host ${callers[0]} --key $long-trial-key --model $model --prompt 'Another list'
+  $standin fault --address $platform --fault '{"down":true}'
+NEXT
+while true; do sleep 1; done
--- /dev/null
+++ b/internal/base/fault/fault.go
@@ -0,0 +1,146 @@
+// Package fault defines the typed refusals that callers and peers receive.
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Ran states whether the operation behind a request was run.
+type Ran string
+
+// The values of Ran. RanNo is used only where it is certain for every attempt
+// that the answering host is responsible for.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Worse returns the less certain of two answers about the same operation.
+func (r Ran) Worse(other Ran) Ran {
+	if r == RanUnknown || other == RanUnknown {
+		return RanUnknown
+	}
+	if r == RanYes || other == RanYes {
+		return RanYes
+	}
+	return RanNo
+}
+
+// Code identifies the reason of a refusal.
+type Code string
+
+// The complete list of refusal reasons.
+const (
+	BadRequest    Code = "bad_request"
+	BadKey        Code = "bad_key"
+	Forbidden     Code = "forbidden"
+	NoService     Code = "no_service"
+	NoRoute       Code = "no_route"
+	TooLarge      Code = "too_large"
+	RateLimit     Code = "rate_limit"
+	Busy          Code = "busy"
+	QueueFull     Code = "queue_full"
+	Deadline      Code = "deadline"
+	NoRegion      Code = "no_region"
+	NoEndpoint    Code = "no_endpoint"
+	Leaving       Code = "leaving"
+	NotReady      Code = "not_ready"
+	Paused        Code = "paused"
+	EndpointError Code = "endpoint_error"
+	EndpointSlow  Code = "endpoint_silent"
+	Truncated     Code = "truncated"
+	RelayError    Code = "relay_error"
+	KeyMissing    Code = "operation_key_missing"
+	KeyInvalid    Code = "operation_key_invalid"
+	KeyExpired    Code = "operation_key_expired"
+	KeyReused     Code = "operation_key_reused"
+	HomeLost      Code = "home_lost"
+	HomeGone      Code = "home_gone"
+	HomeFull      Code = "home_full"
+	Cancelled     Code = "cancelled"
+)
+
+var statuses = map[Code]int{
+	BadRequest: 400, BadKey: 401, Forbidden: 403, NoService: 404, NoRoute: 404, TooLarge: 413,
+	RateLimit: 429, Busy: 503, QueueFull: 503, Deadline: 504, NoRegion: 503, NoEndpoint: 503,
+	Leaving: 503, NotReady: 503, Paused: 503, EndpointError: 502, EndpointSlow: 504,
+	Truncated: 502, RelayError: 502, KeyMissing: 428, KeyInvalid: 400, KeyExpired: 410,
+	KeyReused: 422, HomeLost: 502, HomeGone: 410, HomeFull: 503, Cancelled: 499,
+}
+
+// Codes returns every refusal reason.
+func Codes() []Code {
+	codes := make([]Code, 0, len(statuses))
+	for c := range statuses {
+		codes = append(codes, c)
+	}
+	return codes
+}
+
+// Status returns the HTTP status of a code, 500 for an unknown one.
+func (c Code) Status() int {
+	if s, ok := statuses[c]; ok {
+		return s
+	}
+	return 500
+}
+
+// Refusal is the one error form that leaves a host.
+type Refusal struct {
+	Code    Code
+	Message string
+	Ran     Ran
+	// RetryAfter is zero where coming back does not help.
+	RetryAfter time.Duration
+	// Cause is kept for logs and never sent.
+	Cause error
+}
+
+// New returns a refusal with a formatted message.
+func New(code Code, ran Ran, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Ran: ran, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if r.Cause != nil {
+		return fmt.Sprintf("%s: %s: %v", r.Code, r.Message, r.Cause)
+	}
+	return fmt.Sprintf("%s: %s", r.Code, r.Message)
+}
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Cause }
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
+	out := *r
+	out.RetryAfter = d
+	return &out
+}
+
+// WithCause returns a copy that wraps err.
+func (r *Refusal) WithCause(err error) *Refusal {
+	out := *r
+	out.Cause = err
+	return &out
+}
+
+// WithRan returns a copy with another statement about the run.
+func (r *Refusal) WithRan(ran Ran) *Refusal {
+	out := *r
+	out.Ran = ran
+	return &out
+}
+
+// From returns the refusal inside err, or an endpoint error whose run is unknown.
+func From(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return New(EndpointError, RanUnknown, "internal error").WithCause(err)
+}
--- /dev/null
+++ b/internal/board/board/board.go
@@ -0,0 +1,135 @@
+// Package board is the blackboard that a host's controllers read and write; they
+// do not call one another. Each table locks itself. Where two are locked
+// together the order is: revisions, endpoints, then the leaves members, zones,
+// pulse, queues.
+package board
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/pulse"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/revis"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/zones"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/limit"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/queue"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+)
+
+// Board holds a host's tables.
+type Board struct {
+	// Name, Region and Centre are this host's.
+	Name   string
+	Region string
+	Centre string
+
+	Revisions *revis.Table
+	Members   *member.Table
+	Endpoints *endpt.Table
+	Zones     *zones.Table
+	Pulse     *pulse.Table
+	Limits    *limit.Table
+	Retries   *retry.Budget
+
+	mu      sync.Mutex
+	lines   map[string]*queue.Line
+	leaving map[string]time.Time
+}
+
+// New returns the board of a host whose process began at now.
+func New(now time.Time, name, region, centre string, openCaller int) *Board {
+	life := uint64(now.UnixMilli())
+	return &Board{
+		Name: name, Region: region, Centre: centre,
+		Revisions: revis.NewTable(),
+		Members:   member.New(name, life, uint64(now.UnixNano())),
+		Endpoints: endpt.NewTable(),
+		Zones:     zones.NewTable(),
+		Pulse:     pulse.NewTable(now),
+		Limits:    limit.NewTable(openCaller),
+		Retries:   retry.NewBudget(),
+		lines:     map[string]*queue.Line{},
+		leaving:   map[string]time.Time{},
+	}
+}
+
+// Line returns the queue of a service.
+func (b *Board) Line(s *invent.Service) *queue.Line {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, ok := b.lines[s.Name]
+	if !ok {
+		l = queue.NewLine(s.QueueLimit)
+		b.lines[s.Name] = l
+	}
+	return l
+}
+
+// Lines calls f for each queue that holds a request.
+func (b *Board) Lines(f func(service string, l *queue.Line)) {
+	b.mu.Lock()
+	busy := map[string]*queue.Line{}
+	for name, l := range b.lines {
+		if l.Len() > 0 {
+			busy[name] = l
+		}
+	}
+	b.mu.Unlock()
+	for name, l := range busy {
+		f(name, l)
+	}
+}
+
+// listedLife is how long a leaving mark of the host list is held after it was
+// last seen, as the list lags and may be down.
+const listedLife = 10 * time.Minute
+
+// SetLeaving notes the endpoints that the host list marks as leaving.
+func (b *Board) SetLeaving(now time.Time, names []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range names {
+		b.leaving[n] = now
+	}
+	for n, at := range b.leaving {
+		if now.Sub(at) > listedLife {
+			delete(b.leaving, n)
+		}
+	}
+}
+
+// ClearLeaving removes marks of endpoints that the host list shows as live.
+func (b *Board) ClearLeaving(names []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range names {
+		delete(b.leaving, n)
+	}
+}
+
+// Leaving reports whether the host list marks an endpoint as leaving.
+func (b *Board) Leaving(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.leaving[name]
+	return ok
+}
+
+// Apply brings the tables in line with an inventory that comes into force.
+func (b *Board) Apply(now time.Time, v *invent.Inventory) {
+	var hosts []member.Candidate
+	for _, h := range v.Hosts() {
+		hosts = append(hosts, member.Candidate{Name: h.Name, Address: h.Peers, Region: v.RegionOf(h.Centre)})
+	}
+	b.Members.SetCandidates(now, hosts)
+	var names []string
+	for _, e := range v.Endpoints() {
+		if v.RegionOf(e.Centre) == b.Region {
+			names = append(names, e.Name)
+		}
+	}
+	b.Endpoints.Sync(now, names)
+}
--- /dev/null
+++ b/internal/board/zones/zones.go
@@ -0,0 +1,151 @@
+// Package zones is the board's table of other regions: what each has free for
+// a service, and how much was sent there.
+package zones
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// trust is the age at which a sum is no longer used.
+	trust = 10 * time.Second
+	// window is the time over which the share of spilled requests is taken.
+	window = 30 * time.Second
+	// rampTime is how long a region that returns is filled slowly.
+	rampTime  = 30 * time.Second
+	rampStart = 0.2
+	// minSample is the number of requests below which no share is taken.
+	minSample = 10
+)
+
+// Key names one service in one region.
+type Key struct {
+	Region  string
+	Service string
+}
+
+// Sum is the state of one service in one region.
+type Sum struct {
+	Slots float64
+	Busy  float64
+	// At is when the sum was true; zero if never heard.
+	At time.Time
+	// sent counts this host's requests there since the sum.
+	sent   float64
+	joined time.Time
+}
+
+// View is a sum as it counts at one time.
+type View struct {
+	Slots float64
+	Busy  float64
+	Known bool
+	Ramp  float64
+	Age   time.Duration
+}
+
+type flow struct {
+	total  float64
+	spills map[string]float64
+	at     time.Time
+}
+
+// Table holds the sums. Its lock is a leaf.
+type Table struct {
+	mu    sync.Mutex
+	sums  map[Key]*Sum
+	flows map[string]*flow
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{sums: map[Key]*Sum{}, flows: map[string]*flow{}} }
+
+// Note takes a sum in; an older one than that held is ignored.
+func (t *Table) Note(k Key, slots, busy float64, at, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.sums[k]
+	if !ok {
+		s = &Sum{}
+		t.sums[k] = s
+	}
+	if !at.After(s.At) {
+		return false
+	}
+	gone := s.Slots == 0 || now.Sub(s.At) > trust
+	if !s.At.IsZero() && gone && slots > 0 {
+		s.joined = now
+	}
+	s.Slots, s.Busy, s.At, s.sent = slots, busy, at, 0
+	return true
+}
+
+// View returns a sum as it counts now.
+func (t *Table) View(k Key, now time.Time) View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.sums[k]
+	if !ok || now.Sub(s.At) > trust {
+		return View{Ramp: 1}
+	}
+	v := View{Slots: s.Slots, Busy: s.Busy + s.sent, Known: true, Ramp: 1, Age: now.Sub(s.At)}
+	if !s.joined.IsZero() {
+		share := float64(now.Sub(s.joined)) / float64(rampTime)
+		v.Ramp = math.Min(1, rampStart+(1-rampStart)*share)
+	}
+	return v
+}
+
+// Sums calls f for each sum held.
+func (t *Table) Sums(f func(k Key, s Sum)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, s := range t.sums {
+		f(k, *s)
+	}
+}
+
+// Count counts one request of a service; region is where it spilled to, or empty.
+func (t *Table) Count(now time.Time, service, region string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.flow(now, service)
+	f.total++
+	if region == "" {
+		return
+	}
+	f.spills[region]++
+	if s, ok := t.sums[Key{region, service}]; ok {
+		s.sent++
+	}
+}
+
+func (t *Table) flow(now time.Time, service string) *flow {
+	f, ok := t.flows[service]
+	if !ok {
+		f = &flow{spills: map[string]float64{}, at: now}
+		t.flows[service] = f
+		return f
+	}
+	keep := math.Exp(-float64(max(0, now.Sub(f.at))) / float64(window))
+	f.total *= keep
+	for r := range f.spills {
+		f.spills[r] *= keep
+	}
+	f.at = now
+	return f
+}
+
+// Open reports whether one more request may spill to a region under a bound on
+// the share of requests, 0 to 1.
+func (t *Table) Open(now time.Time, service, region string, bound float64) bool {
+	if bound <= 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.flow(now, service)
+	return f.spills[region]+1 <= bound*math.Max(minSample, f.total+1)
+}
--- /dev/null
+++ b/internal/cmd/about/about.go
@@ -0,0 +1,24 @@
+// Package about is the command that prints the version.
+package about
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
+)
+
+// New returns the command.
+func New(f *common.Factory) *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(context.Context, *cli.Command) error {
+			fmt.Fprintf(f.Streams.Out, "hyssopspindle %s (%s %s/%s)\n", f.Version, runtime.Version(), runtime.GOOS, runtime.GOARCH)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/cmd/call/call.go
@@ -0,0 +1,158 @@
+// Package call is the command that sends one request as a well-behaved caller.
+package call
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/load/agent"
+)
+
+const (
+	defaultTimeout = time.Minute
+	silence        = 30 * time.Second
+	defaultTries   = 4
+)
+
+// Options are those of the command.
+type Options struct {
+	Factory   *common.Factory
+	Hosts     []string
+	Key       string
+	Service   string
+	Model     string
+	Prompt    string
+	Tokens    int
+	Path      string
+	Method    string
+	Body      string
+	Operation bool
+	Whole     bool
+	JSON      bool
+	Timeout   time.Duration
+	Tries     int
+}
+
+// New returns the command.
+func New(f *common.Factory) *cli.Command {
+	o := &Options{Factory: f}
+	return &cli.Command{
+		Name:  "call",
+		Usage: "send one request as a well-behaved caller",
+		Description: "Asks which hosts to use, honours Retry-After, and keeps the key of an operation\n" +
+			"over its attempts.\n\nExamples:\n" +
+			"  hyssopspindle call --host 127.0.0.1:7101 --key KEY --model advisor --prompt 'A reading list'\n" +
+			"  hyssopspindle call --host 127.0.0.1:7101 --key KEY --service rental --path /stock/9\n" +
+			"  hyssopspindle call --host 127.0.0.1:7101 --key KEY --service rental --method POST --path /confirm/9 --operation",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "host", Usage: "`ADDRESS` of a host to ask first", Required: true, Destination: &o.Hosts},
+			&cli.StringFlag{Name: "key", Usage: "bearer `KEY`", Sources: cli.EnvVars("HYSSOPSPINDLE_KEY"), Required: true, Destination: &o.Key},
+			&cli.StringFlag{Name: "model", Usage: "`NAME` of a model service", Destination: &o.Model},
+			&cli.StringFlag{Name: "prompt", Usage: "prompt `TEXT`", Value: "hello", Destination: &o.Prompt},
+			&cli.IntFlag{Name: "tokens", Usage: "`NUMBER` of tokens to ask for", Value: 16, Destination: &o.Tokens},
+			&cli.BoolFlag{Name: "whole", Usage: "ask for the answer in one piece", Destination: &o.Whole},
+			&cli.StringFlag{Name: "service", Usage: "`NAME` of a plain service", Destination: &o.Service},
+			&cli.StringFlag{Name: "path", Usage: "`PATH` at the plain service", Value: "/", Destination: &o.Path},
+			&cli.StringFlag{Name: "method", Usage: "HTTP `METHOD`", Value: http.MethodGet, Destination: &o.Method},
+			&cli.StringFlag{Name: "body", Usage: "request body `TEXT`", Destination: &o.Body},
+			&cli.BoolFlag{Name: "operation", Usage: "send an operation that may not be repeated", Destination: &o.Operation},
+			&cli.DurationFlag{Name: "timeout", Usage: "`TIME` for the whole answer", Value: defaultTimeout, Destination: &o.Timeout},
+			&cli.IntFlag{Name: "tries", Usage: "`NUMBER` of attempts", Value: defaultTries, Destination: &o.Tries},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &o.JSON},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error { return Run(ctx, o) },
+	}
+}
+
+// Result is what the command prints for programs.
+type Result struct {
+	Status  int    `json:"status"`
+	Host    string `json:"host"`
+	Tries   int    `json:"tries"`
+	Code    string `json:"code,omitempty"`
+	Ran     string `json:"ran,omitempty"`
+	FirstMS int64  `json:"first_ms"`
+	TookMS  int64  `json:"took_ms"`
+	Key     string `json:"key,omitempty"`
+	Answer  string `json:"answer"`
+}
+
+// Run sends the request.
+func Run(ctx context.Context, o *Options) error {
+	r, err := o.request()
+	if err != nil {
+		return err
+	}
+	a := &agent.Agent{Seeds: o.Hosts, Key: o.Key, MaxTries: o.Tries}
+	var answer strings.Builder
+	out := a.Do(ctx, r, func(p []byte) error {
+		answer.Write(p)
+		if o.JSON {
+			return nil
+		}
+		_, err := o.Factory.Streams.Out.Write(p)
+		return err
+	})
+	if o.JSON {
+		err := o.Factory.Streams.PrintJSON(Result{
+			Status: out.Status, Host: out.Host, Tries: out.Tries, Code: string(out.Code), Ran: string(out.Ran),
+			FirstMS: out.First.Milliseconds(), TookMS: out.Took.Milliseconds(), Key: out.Key, Answer: answer.String(),
+		})
+		if err != nil {
+			return err
+		}
+	}
+	switch {
+	case out.Whole && o.JSON:
+		return nil
+	case out.Whole:
+		fmt.Fprintf(o.Factory.Streams.Err, "\nanswered by way of %s in %s, first part after %s\n",
+			out.Host, out.Took.Round(time.Millisecond), out.First.Round(time.Millisecond))
+		return nil
+	case out.Code != "":
+		return fmt.Errorf("refused: %s (status %d, ran: %s, attempts: %d)", out.Code, out.Status, out.Ran, out.Tries)
+	}
+	return fmt.Errorf("no whole answer after %d attempts (ran: %s): %w", out.Tries, out.Ran, out.Err)
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type question struct {
+	Model     string    `json:"model"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+	Messages  []message `json:"messages"`
+}
+
+func (o *Options) request() (agent.Request, error) {
+	r := agent.Request{Deadline: o.Factory.Now().Add(o.Timeout), Silence: silence, Operation: o.Operation}
+	switch {
+	case (o.Model == "") == (o.Service == ""):
+		return r, common.Flagf("one of --model and --service is needed")
+	case o.Model != "":
+		body, err := json.Marshal(question{
+			Model: o.Model, Stream: !o.Whole, MaxTokens: o.Tokens,
+			Messages: []message{{Role: "user", Content: o.Prompt}},
+		})
+		if err != nil {
+			return r, fmt.Errorf("write request: %w", err)
+		}
+		r.Method, r.Path, r.Body = http.MethodPost, "/v1/chat/completions", body
+		r.Fields = []wire.Field{{Name: "Content-Type", Value: "application/json"}}
+		return r, nil
+	}
+	r.Method, r.Path = o.Method, "/v1/call/"+o.Service+"/"+strings.TrimPrefix(o.Path, "/")
+	r.Body = []byte(o.Body)
+	return r, nil
+}
--- /dev/null
+++ b/internal/cmd/member/member.go
@@ -0,0 +1,50 @@
+// Package member is the command that shows what a host believes of the others.
+package member
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/admin"
+)
+
+// Options are those of the command.
+type Options struct {
+	Factory *common.Factory
+	Admin   common.AdminOptions
+}
+
+// New returns the command.
+func New(f *common.Factory) *cli.Command {
+	o := &Options{Factory: f}
+	return &cli.Command{
+		Name:        "members",
+		Usage:       "show what a host believes of the other hosts",
+		Description: "Example:\n  hyssopspindle members --settings dub-1.toml",
+		Flags:       common.AdminFlags(&o.Admin),
+		Action:      func(ctx context.Context, _ *cli.Command) error { return Run(ctx, o) },
+	}
+}
+
+// Run shows the members.
+func Run(ctx context.Context, o *Options) error {
+	var list []admin.Member
+	if err := o.Factory.Ask(ctx, o.Admin, "/admin/members", nil, &list); err != nil {
+		return err
+	}
+	if o.Admin.JSON {
+		return o.Factory.Streams.PrintJSON(list)
+	}
+	rows := [][]string{{"HOST", "REGION", "ADDRESS", "STATE", "REVISION", "OPEN", "HEARD MS", "NOTE"}}
+	for _, m := range list {
+		rows = append(rows, []string{
+			m.Name, m.Region, m.Address, m.State, strconv.FormatUint(m.Revision, 10),
+			strconv.Itoa(m.Open), strconv.FormatInt(m.HeardMS, 10),
+			common.Mark(m.Leaving, "leaving ") + common.Mark(m.Absent, "not in host list"),
+		})
+	}
+	return o.Factory.Streams.Table(rows)
+}
--- /dev/null
+++ b/internal/cmd/serve/serve.go
@@ -0,0 +1,97 @@
+// Package serve is the command that runs a host.
+package serve
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/host"
+)
+
+// Options are those of the command.
+type Options struct {
+	Factory  *common.Factory
+	Settings string
+	// Stop ends the host; a signal does so too.
+	Stop <-chan struct{}
+}
+
+// New returns the command.
+func New(f *common.Factory) *cli.Command {
+	o := &Options{Factory: f}
+	return &cli.Command{
+		Name:      "serve",
+		Usage:     "run a host",
+		UsageText: "hyssopspindle serve --settings FILE",
+		Description: "Runs one host until SIGTERM or SIGINT; it then takes no new requests, ends\n" +
+			"those in flight and exits. A second signal ends it at once.\n\n" +
+			"Example:\n  hyssopspindle serve --settings dub-1.toml",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "settings `FILE`", Required: true, Destination: &o.Settings},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error { return Run(ctx, o) },
+	}
+}
+
+// Run runs the host.
+func Run(ctx context.Context, o *Options) error {
+	s, err := o.Factory.Settings(o.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := logger(o.Factory, s)
+	if err != nil {
+		return err
+	}
+	h, err := host.New(s, log)
+	if err != nil {
+		return fmt.Errorf("make host: %w", err)
+	}
+	if err := h.Start(); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+	case <-o.Stop:
+	case <-ctx.Done():
+	}
+	return end(h, signals, log)
+}
+
+func logger(f *common.Factory, s setup.Settings) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return zerolog.Nop(), fmt.Errorf("log level: %w", err)
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(f.Streams.Err).Level(level).With().Timestamp().Str("host", s.Name).Logger(), nil
+}
+
+// end drains and closes the host; a second signal cuts the drain short.
+func end(h *host.Host, signals <-chan os.Signal, log zerolog.Logger) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if !h.Drain(ctx) {
+		log.Warn().Msg("requests in flight were cut")
+	}
+	return h.Close()
+}
--- /dev/null
+++ b/internal/cmd/status/status.go
@@ -0,0 +1,77 @@
+// Package status is the command that shows the state of a host.
+package status
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/admin"
+)
+
+// Options are those of the command.
+type Options struct {
+	Factory *common.Factory
+	Admin   common.AdminOptions
+}
+
+// New returns the command.
+func New(f *common.Factory) *cli.Command {
+	o := &Options{Factory: f}
+	return &cli.Command{
+		Name:        "status",
+		Usage:       "show the state of a host",
+		Description: "Example:\n  hyssopspindle status --settings dub-1.toml",
+		Flags:       common.AdminFlags(&o.Admin),
+		Action:      func(ctx context.Context, _ *cli.Command) error { return Run(ctx, o) },
+	}
+}
+
+// View is what the command prints for programs.
+type View struct {
+	State     admin.State      `json:"state"`
+	Endpoints []admin.Endpoint `json:"endpoints"`
+}
+
+// Run shows the state.
+func Run(ctx context.Context, o *Options) error {
+	var v View
+	if err := o.Factory.Ask(ctx, o.Admin, "/admin/state", nil, &v.State); err != nil {
+		return err
+	}
+	if err := o.Factory.Ask(ctx, o.Admin, "/admin/endpoints", nil, &v.Endpoints); err != nil {
+		return err
+	}
+	if o.Admin.JSON {
+		return o.Factory.Streams.PrintJSON(v)
+	}
+	s := v.State
+	err := o.Factory.Streams.Table([][]string{
+		{"host", s.Host},
+		{"place", s.Region + " / " + s.Centre},
+		{"ready", strconv.FormatBool(s.Ready)},
+		{"leaving", strconv.FormatBool(s.Leaving)},
+		{"open requests", strconv.Itoa(s.Open)},
+		{"operations", strconv.Itoa(s.Operations)},
+		{"pauses", strconv.FormatUint(s.Pauses, 10)},
+		{"revision", strconv.FormatUint(s.Revision, 10)},
+		{"uptime", (time.Duration(s.UptimeMS) * time.Millisecond).Round(time.Second).String()},
+		{},
+	})
+	if err != nil {
+		return err
+	}
+	rows := [][]string{{"ENDPOINT", "SERVICE", "CENTRE", "SLOTS", "LOAD", "OWN", "REPORT AGE", "NOTE"}}
+	for _, e := range v.Endpoints {
+		rows = append(rows, []string{
+			e.Name, e.Service, e.Centre, strconv.Itoa(e.Slots),
+			strconv.FormatFloat(e.Load, 'f', 1, 64), strconv.Itoa(e.Own),
+			(time.Duration(e.AgeMS) * time.Millisecond).String(),
+			common.Mark(e.Ejected, "ejected ") + common.Mark(e.Leaving, "leaving"),
+		})
+	}
+	return o.Factory.Streams.Table(rows)
+}
--- /dev/null
+++ b/internal/fleet/link/link.go
@@ -0,0 +1,332 @@
+// Package link carries messages between hosts: QUIC streams with mutual TLS,
+// one a request, and sealed datagrams on the same socket.
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/samber/oops"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+)
+
+const (
+	protocol      = "hyssopspindle/1"
+	dialTimeout   = 2 * time.Second
+	idleTimeout   = 20 * time.Second
+	keepAlive     = 5 * time.Second
+	maxStreams    = 8192
+	packetBuffer  = 2048
+	socketBuffer  = 4 << 20
+	closeNormal   = 0
+	streamRefused = 1
+)
+
+// Handlers are what a link does with what it receives.
+type Handlers struct {
+	// Stream serves one request of the named host; it owns the stream.
+	Stream func(ctx context.Context, peer string, s *Stream)
+	// Packet takes one datagram.
+	Packet func(p wire.Packet, from net.Addr)
+	// Dropped counts a datagram that was refused.
+	Dropped func(err error)
+}
+
+// Link is the end of a host's connections to other hosts.
+type Link struct {
+	set       *certs.Set
+	sealer    *certs.Sealer
+	transport *quic.Transport
+	listener  *quic.Listener
+	handlers  Handlers
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[string]*peerConn
+}
+
+type peerConn struct {
+	address string
+	conn    *quic.Conn
+}
+
+// New opens the socket; Serve starts the receivers.
+func New(address string, set *certs.Set) (*Link, error) {
+	sealer, err := certs.NewSealer(set.Fleet)
+	if err != nil {
+		return nil, fmt.Errorf("link: %w", err)
+	}
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, oops.In("link").Wrapf(err, "resolve %s", address)
+	}
+	socket, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return nil, oops.In("link").Wrapf(err, "listen on %s", address)
+	}
+	// Best effort: the kernel may cap the buffers.
+	_ = socket.SetReadBuffer(socketBuffer)
+	_ = socket.SetWriteBuffer(socketBuffer)
+	l := &Link{set: set, sealer: sealer, conns: map[string]*peerConn{}}
+	l.transport = &quic.Transport{Conn: socket}
+	l.listener, err = l.transport.Listen(l.serverTLS(), quicConfig())
+	if err != nil {
+		_ = l.transport.Close()
+		_ = socket.Close()
+		return nil, oops.In("link").Wrapf(err, "listen for streams")
+	}
+	return l, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: dialTimeout,
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlive,
+		MaxIncomingStreams:   maxStreams,
+	}
+}
+
+func (l *Link) serverTLS() *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{l.set.Cert},
+		ClientCAs:    l.set.CA,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		NextProtos:   []string{protocol},
+		MinVersion:   tls.VersionTLS13,
+	}
+}
+
+// clientTLS verifies that the certificate names the host that was meant.
+func (l *Link) clientTLS(host string) *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{l.set.Cert},
+		RootCAs:      l.set.CA,
+		ServerName:   host,
+		NextProtos:   []string{protocol},
+		MinVersion:   tls.VersionTLS13,
+	}
+}
+
+// Serve starts the receivers; Close ends them.
+func (l *Link) Serve(h Handlers) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	l.handlers = h
+	l.wait.Go(func() { l.accept(ctx) })
+	l.wait.Go(func() { l.receive(ctx) })
+}
+
+func (l *Link) accept(ctx context.Context) {
+	for {
+		conn, err := l.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		l.wait.Go(func() { l.serveConn(ctx, conn) })
+	}
+}
+
+func (l *Link) serveConn(ctx context.Context, conn *quic.Conn) {
+	peer := certs.PeerName(conn.ConnectionState().TLS.PeerCertificates)
+	for {
+		s, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		l.wait.Go(func() {
+			st := &Stream{s: s}
+			l.handlers.Stream(s.Context(), peer, st)
+			st.Close()
+		})
+	}
+}
+
+func (l *Link) receive(ctx context.Context) {
+	buf := make([]byte, packetBuffer)
+	for {
+		n, from, err := l.transport.ReadNonQUICPacket(ctx, buf)
+		if err != nil {
+			return
+		}
+		p, err := l.open(buf[:n])
+		if err != nil {
+			l.handlers.Dropped(err)
+			continue
+		}
+		l.handlers.Packet(p, from)
+	}
+}
+
+func (l *Link) open(datagram []byte) (wire.Packet, error) {
+	var p wire.Packet
+	data, err := l.sealer.Open(datagram)
+	if err != nil {
+		return p, fmt.Errorf("open datagram: %w", err)
+	}
+	if err := wire.Decode(data, &p); err != nil {
+		return p, fmt.Errorf("read datagram: %w", err)
+	}
+	return p, nil
+}
+
+// Send sends one datagram; nothing says whether it arrives. It returns the
+// number of bytes sent.
+func (l *Link) Send(address string, p wire.Packet) (int, error) {
+	data, err := wire.Encode(p)
+	if err != nil {
+		return 0, fmt.Errorf("send datagram: %w", err)
+	}
+	sealed, err := l.sealer.Seal(data)
+	if err != nil {
+		return 0, fmt.Errorf("send datagram: %w", err)
+	}
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return 0, fmt.Errorf("send datagram: %w", err)
+	}
+	n, err := l.transport.WriteTo(sealed, to)
+	if err != nil {
+		return n, fmt.Errorf("send datagram: %w", err)
+	}
+	return n, nil
+}
+
+// ErrNotSent marks a stream on which certainly nothing reached the peer's handler.
+var ErrNotSent = errors.New("no connection to host")
+
+// Open begins a stream to a host. Its error wraps ErrNotSent.
+func (l *Link) Open(ctx context.Context, host, address string) (*Stream, error) {
+	conn, err := l.connect(ctx, host, address)
+	if err != nil {
+		return nil, fmt.Errorf("%w %s: %w", ErrNotSent, host, err)
+	}
+	s, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		l.Drop(host)
+		return nil, fmt.Errorf("%w %s: %w", ErrNotSent, host, err)
+	}
+	return &Stream{s: s}, nil
+}
+
+func (l *Link) connect(ctx context.Context, host, address string) (*quic.Conn, error) {
+	if c := l.usable(host, address); c != nil {
+		return c, nil
+	}
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("resolve %s: %w", address, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := l.transport.Dial(ctx, to, l.clientTLS(host), quicConfig())
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	return l.keep(host, address, conn), nil
+}
+
+// usable returns a usable connection to host at address, or nil.
+func (l *Link) usable(host, address string) *quic.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.conns[host]
+	if !ok || p.address != address || p.conn.Context().Err() != nil {
+		return nil
+	}
+	return p.conn
+}
+
+// keep stores a new connection; where another dial was first, that one is used.
+func (l *Link) keep(host, address string, conn *quic.Conn) *quic.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.conns[host]
+	if ok && p.address == address && p.conn.Context().Err() == nil {
+		_ = conn.CloseWithError(closeNormal, "")
+		return p.conn
+	}
+	l.conns[host] = &peerConn{address: address, conn: conn}
+	return conn
+}
+
+// Drop forgets the connection to a host, so that the next stream opens a new
+// one. Streams on the old connection go on.
+func (l *Link) Drop(host string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, host)
+}
+
+// Address returns the address of the socket.
+func (l *Link) Address() string { return l.transport.Conn.LocalAddr().String() }
+
+// Close ends the socket and waits for the receivers and stream handlers.
+func (l *Link) Close() error {
+	if l.cancel != nil {
+		l.cancel()
+	}
+	l.mu.Lock()
+	for _, p := range l.conns {
+		_ = p.conn.CloseWithError(closeNormal, "closing")
+	}
+	l.mu.Unlock()
+	_ = l.listener.Close()
+	err := l.transport.Close()
+	_ = l.transport.Conn.Close()
+	l.wait.Wait()
+	if err != nil {
+		return fmt.Errorf("close link: %w", err)
+	}
+	return nil
+}
+
+// Stream is one request and its answer.
+type Stream struct{ s *quic.Stream }
+
+// Write sends one frame; it fails where the peer takes nothing until the deadline.
+func (s *Stream) Write(f wire.Frame, deadline time.Time) error {
+	if err := s.s.SetWriteDeadline(deadline); err != nil {
+		return fmt.Errorf("set write deadline: %w", err)
+	}
+	if err := wire.Write(s.s, f); err != nil {
+		return fmt.Errorf("stream: %w", err)
+	}
+	return nil
+}
+
+// Read receives one frame; it fails where none arrives until the deadline.
+func (s *Stream) Read(limit int, deadline time.Time) (wire.Frame, error) {
+	if err := s.s.SetReadDeadline(deadline); err != nil {
+		return wire.Frame{}, fmt.Errorf("set read deadline: %w", err)
+	}
+	f, err := wire.Read(s.s, limit)
+	if err != nil {
+		return f, fmt.Errorf("stream: %w", err)
+	}
+	return f, nil
+}
+
+// Finish says that this side sends no more frames.
+func (s *Stream) Finish() { _ = s.s.Close() }
+
+// Close ends both directions; what was written before Finish still arrives.
+func (s *Stream) Close() {
+	s.s.CancelRead(streamRefused)
+	_ = s.s.Close()
+}
+
+// Abort ends both directions at once; the peer's context is cancelled.
+func (s *Stream) Abort() {
+	s.s.CancelRead(streamRefused)
+	s.s.CancelWrite(streamRefused)
+}
--- /dev/null
+++ b/internal/fleet/wire/packet.go
@@ -0,0 +1,100 @@
+package wire
+
+// State is what a host believes of another one.
+type State uint8
+
+// The states, from the weakest claim to the strongest within one incarnation.
+const (
+	Alive   State = 1
+	Suspect State = 2
+	Dead    State = 3
+	Left    State = 4
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	case Left:
+		return "left"
+	}
+	return "unknown"
+}
+
+// Update is one claim about a host.
+type Update struct {
+	_    struct{} `cbor:",toarray"`
+	Host string
+	// Life is the start of the host's process, in milliseconds since 1970.
+	Life uint64
+	// Count is raised by the host itself to refute a suspicion.
+	Count uint32
+	State State
+}
+
+// Kind tells heartbeats apart.
+type Kind uint8
+
+// The kinds of packet.
+const (
+	Ping     Kind = 1
+	Ack      Kind = 2
+	PingReq  Kind = 3
+	Announce Kind = 4
+)
+
+// Packet is one datagram between hosts.
+type Packet struct {
+	Kind Kind   `cbor:"1,keyasint"`
+	Seq  uint64 `cbor:"2,keyasint,omitempty"`
+	From string `cbor:"3,keyasint"`
+	// Life is the start of the sender's process, in milliseconds since 1970.
+	Life uint64 `cbor:"4,keyasint"`
+	// Target is the host that a PingReq asks to probe, or that an Ack speaks for.
+	Target string `cbor:"5,keyasint,omitempty"`
+	// Revision and Sum mark the configuration in force at the sender.
+	Revision uint64       `cbor:"6,keyasint,omitempty"`
+	Sum      uint32       `cbor:"12,keyasint,omitempty"`
+	Updates  []Update     `cbor:"7,keyasint,omitempty"`
+	Loads    []Load       `cbor:"8,keyasint,omitempty"`
+	Regions  []RegionLoad `cbor:"9,keyasint,omitempty"`
+	// Open is the number of requests in flight at the sender.
+	Open int `cbor:"10,keyasint,omitempty"`
+	// Leaving says that the sender takes no new requests.
+	Leaving bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Load is an endpoint's report as it is known at the sender.
+type Load struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	// AgeMS is the age of the report, in milliseconds.
+	AgeMS   uint32
+	Running uint32
+	Queued  uint32
+	Flags   uint8
+}
+
+// The flags of a Load.
+const (
+	FlagLeaving uint8 = 1
+	FlagFailing uint8 = 2
+)
+
+// RegionLoad sums up one service in one region.
+type RegionLoad struct {
+	_       struct{} `cbor:",toarray"`
+	Region  string
+	Service string
+	// AgeMS is the age of the sum, in milliseconds.
+	AgeMS uint32
+	// Slots counts those of endpoints that take work.
+	Slots uint32
+	// Busy counts requests running or queued.
+	Busy uint32
+}
--- /dev/null
+++ b/internal/route/place/place.go
@@ -0,0 +1,360 @@
+// Package place decides where a request goes. Everything in it is a function of
+// its arguments.
+package place
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
+)
+
+// Candidate is an endpoint of this host's region, as it is believed to be.
+type Candidate struct {
+	Name string
+	// Slots is the number of requests it works on at once.
+	Slots int
+	// Load is the estimate of requests running or queued there.
+	Load float64
+	// Work is the expected time of one answer, First that before the first
+	// token or byte once a slot is free.
+	Work  time.Duration
+	First time.Duration
+	// Network is the one-way time to the endpoint.
+	Network time.Duration
+	// Share of its slots that may be used, below 1 while its cache is cold.
+	Ramp float64
+	// Ejected, Leaving and Tried say why it may not be chosen.
+	Ejected bool
+	Leaving bool
+	Tried   bool
+}
+
+// Remote is another region, as it is believed to be.
+type Remote struct {
+	Region string
+	// Slots and Busy sum up the service's endpoints there.
+	Slots float64
+	Busy  float64
+	// Known is false where no recent sum is held.
+	Known bool
+	// Hosts says that a host of the region can be reached.
+	Hosts bool
+	// Latency is the one-way time to the region, and Cost the price of crossing.
+	Latency time.Duration
+	Cost    float64
+	// Open says that the bound on spilled requests is not reached.
+	Open bool
+	// Ramp is the share of its slots that may be used.
+	Ramp  float64
+	Tried bool
+}
+
+// Ask is what a request needs.
+type Ask struct {
+	Service *invent.Service
+	// Prefix is the hash of the prompt's beginning; 0 is none.
+	Prefix uint64
+	// Left is the time before the deadline.
+	Left time.Duration
+	// Local says that this region may serve the request.
+	Local bool
+	// Cross says that the request may go to another region.
+	Cross bool
+	// Queued is the number of requests that wait before this one.
+	Queued int
+	// Turn counts a baseline's decisions.
+	Turn uint64
+}
+
+// Kind is what to do with a request.
+type Kind int
+
+// The kinds of decision.
+const (
+	// Refuse means that no place can finish the request in time.
+	Refuse Kind = iota
+	// Wait means that a place here frees up in time.
+	Wait
+	// Here means an endpoint of this region.
+	Here
+	// There means another region.
+	There
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	return [...]string{"refuse", "wait", "here", "there"}[k]
+}
+
+// Reason says why a request is refused, or a candidate passed over.
+type Reason string
+
+// The reasons.
+const (
+	NoRegion   Reason = "no allowed region can be reached"
+	NoEndpoint Reason = "no endpoint takes work"
+	Late       Reason = "cannot be done before the deadline"
+	Full       Reason = "every place is full"
+)
+
+// Decision is where a request goes.
+type Decision struct {
+	Kind Kind
+	// Index is that of the chosen candidate or remote.
+	Index int
+	// Expect is the expected time to the first token.
+	Expect time.Duration
+	// Reason explains a refusal.
+	Reason Reason
+	// Retry is when to come back after a refusal.
+	Retry time.Duration
+	// Spill says that the request crosses although its region may serve it.
+	Spill bool
+}
+
+const (
+	// over is the number of requests beyond its slots that an endpoint is given,
+	// so that it does not idle while reports travel.
+	over = 0.5
+	// hitShare is the share of the first-token time that remains with a warm prefix.
+	hitShare = 0.25
+	// nearShare and nearTime say which scores count as equal.
+	nearShare = 0.15
+	nearTime  = 2 * time.Millisecond
+	// unknownLoad is the assumed load of a region without a recent sum, as a
+	// share of its slots.
+	unknownLoad = 0.8
+	minRetry    = 200 * time.Millisecond
+	maxRetry    = 30 * time.Second
+)
+
+// Decide chooses a place by the service's policy.
+func Decide(ask Ask, list []Candidate, remotes []Remote, rnd *rand.Rand) Decision {
+	if ask.Service.Policy != invent.Product {
+		return baseline(ask, list, remotes, rnd)
+	}
+	local := best{index: -1}
+	if ask.Local {
+		local = bestLocal(ask, list, rnd)
+	}
+	remote := best{index: -1}
+	if ask.Cross {
+		remote = bestRemote(ask, remotes, local.alive > 0)
+	}
+	return weigh(ask, local, remote)
+}
+
+// best is the outcome of a search among candidates.
+type best struct {
+	index int
+	score time.Duration
+	// alive counts the candidates that take work, slots is their sum.
+	alive int
+	slots float64
+	// excess is the load beyond the slots, work the mean time of an answer.
+	excess float64
+	work   time.Duration
+}
+
+// wait is the expected time until a slot frees up for a new request.
+func (b best) wait(queued int) time.Duration {
+	if b.slots == 0 {
+		return 0
+	}
+	ahead := math.Max(0, b.excess) + float64(queued) + 1
+	return time.Duration(ahead / b.slots * float64(b.work))
+}
+
+func usable(c *Candidate) bool { return !c.Ejected && !c.Leaving && !c.Tried }
+
+// room returns the number of requests that the candidate may hold.
+func room(c *Candidate) float64 {
+	return math.Max(1, float64(c.Slots)*c.Ramp) + over
+}
+
+// bestLocal scores the endpoints by expected time to the first token. Among
+// near equals it takes two at random and the less loaded of them, as reports
+// lag and several hosts decide at once.
+func bestLocal(ask Ask, list []Candidate, rnd *rand.Rand) best {
+	out := best{index: -1}
+	warm := preferred(ask.Prefix, list)
+	lowest := time.Duration(math.MaxInt64)
+	var work float64
+	for i := range list {
+		c := &list[i]
+		if !usable(c) {
+			continue
+		}
+		out.alive++
+		out.slots += float64(c.Slots)
+		out.excess += c.Load - float64(c.Slots)
+		work += float64(c.Work)
+		if c.Load+1 > room(c) {
+			continue
+		}
+		lowest = min(lowest, score(c, i == warm))
+	}
+	if out.alive > 0 {
+		out.work = time.Duration(work / float64(out.alive))
+	}
+	if lowest == math.MaxInt64 {
+		return out
+	}
+	limit := lowest + max(nearTime, time.Duration(nearShare*float64(lowest)))
+	out.index = pickNear(list, warm, limit, rnd)
+	out.score = score(&list[out.index], out.index == warm)
+	return out
+}
+
+// pickNear chooses the less loaded of two random candidates within the limit.
+func pickNear(list []Candidate, warm int, limit time.Duration, rnd *rand.Rand) int {
+	first, second, seen := -1, -1, 0
+	for i := range list {
+		c := &list[i]
+		if !usable(c) || c.Load+1 > room(c) || score(c, i == warm) > limit {
+			continue
+		}
+		if i == warm {
+			return i
+		}
+		seen++
+		switch {
+		case seen <= 1:
+			first = i
+		case seen == 2:
+			second = i
+		default:
+			if j := rnd.IntN(seen); j == 0 {
+				first = i
+			} else if j == 1 {
+				second = i
+			}
+		}
+	}
+	if second >= 0 && fill(&list[second]) < fill(&list[first]) {
+		return second
+	}
+	return first
+}
+
+func fill(c *Candidate) float64 { return c.Load / float64(c.Slots) }
+
+func score(c *Candidate, warm bool) time.Duration {
+	first := float64(c.First)
+	if warm {
+		first *= hitShare
+	}
+	beyond := math.Max(0, c.Load+1-float64(c.Slots)*c.Ramp)
+	wait := beyond / float64(c.Slots) * float64(c.Work)
+	return time.Duration(first+wait) + 2*c.Network
+}
+
+// preferred returns the candidate that a prefix belongs to, by rendezvous
+// hashing: hosts agree on it without talking, and the loss of an endpoint moves
+// only its own prefixes. It is -1 where there is none.
+func preferred(prefix uint64, list []Candidate) int {
+	if prefix == 0 {
+		return -1
+	}
+	at, top := -1, uint64(0)
+	for i := range list {
+		if !usable(&list[i]) {
+			continue
+		}
+		if w := Weight(prefix, list[i].Name); at < 0 || w > top {
+			at, top = i, w
+		}
+	}
+	return at
+}
+
+// Weight is the rendezvous weight of a name for a key.
+func Weight(key uint64, name string) uint64 {
+	h := xxhash.Sum64String(name) ^ key
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	h ^= h >> 33
+	return h
+}
+
+// bestRemote scores the other regions. alive says that endpoints here take
+// work: only then do the bounds on spilled requests hold.
+func bestRemote(ask Ask, list []Remote, alive bool) best {
+	out := best{index: -1}
+	for i := range list {
+		r := &list[i]
+		if !r.Hosts || r.Tried || (alive && !r.Open) {
+			continue
+		}
+		if r.Known && r.Slots <= 0 {
+			continue
+		}
+		s := remoteScore(ask, r)
+		if out.index < 0 || s < out.score {
+			out.index, out.score = i, s
+			out.slots, out.excess = r.Slots, r.Busy-r.Slots
+			out.work = workTime(ask)
+		}
+		out.alive++
+	}
+	return out
+}
+
+func workTime(ask Ask) time.Duration {
+	return time.Duration(ask.Service.WorkMS * float64(time.Millisecond))
+}
+
+func remoteScore(ask Ask, r *Remote) time.Duration {
+	first := time.Duration(ask.Service.PrefillMS * float64(time.Millisecond))
+	slots, busy := r.Slots, r.Busy
+	if !r.Known {
+		slots, busy = 1, unknownLoad
+	}
+	beyond := math.Max(0, busy+1-slots*r.Ramp)
+	wait := time.Duration(beyond / math.Max(1, slots) * float64(workTime(ask)))
+	return first + wait + 2*r.Latency
+}
+
+// weigh compares this region with the best other one.
+func weigh(ask Ask, local, remote best) Decision {
+	cross := time.Duration(ask.Service.CrossMS * float64(time.Millisecond))
+	wait := local.wait(ask.Queued)
+	switch {
+	case local.alive == 0 && remote.index < 0:
+		return refuse(ask, local)
+	case local.alive == 0:
+		return Decision{Kind: There, Index: remote.index, Expect: remote.score}
+	case local.index >= 0:
+		if remote.index >= 0 && remote.score+cross < local.score {
+			return Decision{Kind: There, Index: remote.index, Expect: remote.score, Spill: true}
+		}
+		return Decision{Kind: Here, Index: local.index, Expect: local.score}
+	case remote.index >= 0 && remote.score+cross < wait:
+		return Decision{Kind: There, Index: remote.index, Expect: remote.score, Spill: true}
+	case wait+local.work > ask.Left:
+		if remote.index >= 0 && remote.score+workTime(ask) < ask.Left {
+			return Decision{Kind: There, Index: remote.index, Expect: remote.score, Spill: true}
+		}
+		return Decision{Kind: Refuse, Reason: Late, Retry: retryAfter(wait)}
+	}
+	return Decision{Kind: Wait, Expect: wait, Reason: Full}
+}
+
+func refuse(ask Ask, local best) Decision {
+	reason := NoEndpoint
+	if !ask.Local {
+		reason = NoRegion
+	}
+	return Decision{Kind: Refuse, Reason: reason, Retry: retryAfter(max(time.Second, local.work))}
+}
+
+func retryAfter(d time.Duration) time.Duration { return min(max(d, minRetry), maxRetry) }
+
+// RetryAfter returns when a caller may come back to a queue with so much before it.
+func RetryAfter(wait time.Duration) time.Duration { return retryAfter(wait) }
--- /dev/null
+++ b/internal/serve/flow/explain.go
@@ -0,0 +1,83 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/place"
+)
+
+// Row is one place that a request might go to.
+type Row struct {
+	Place string  `json:"place"`
+	Kind  string  `json:"kind"`
+	Load  float64 `json:"load"`
+	Slots float64 `json:"slots"`
+	// Note says why it may not be chosen; empty where it may.
+	Note string `json:"note,omitempty"`
+}
+
+// Explanation says where a request would go now, and why.
+type Explanation struct {
+	Decision string `json:"decision"`
+	Place    string `json:"place,omitempty"`
+	Reason   string `json:"reason,omitempty"`
+	ExpectMS int64  `json:"expect_ms"`
+	Rows     []Row  `json:"rows"`
+}
+
+// Explain decides on a request without a prompt and sends nothing.
+func (f *Flow) Explain(now time.Time, c *invent.Caller, s *invent.Service) Explanation {
+	inv := f.board.Revisions.Inventory()
+	t := &trip{
+		Request: Request{Caller: c, Service: s, Deadline: now.Add(s.Timeout()), From: f.board.Region},
+		cross:   true, start: now, tried: map[string]bool{},
+	}
+	sc := &scratch{}
+	f.mu.Lock()
+	ask := f.ask(now, inv, t)
+	f.fill(now, inv, t, sc)
+	d := place.Decide(ask, sc.candidates, sc.remotes, f.rand)
+	f.mu.Unlock()
+	out := Explanation{Decision: d.Kind.String(), Reason: string(d.Reason), ExpectMS: d.Expect.Milliseconds(), Rows: []Row{}}
+	for i := range sc.candidates {
+		out.Rows = append(out.Rows, candidateRow(ask, &sc.candidates[i]))
+	}
+	for i := range sc.remotes {
+		out.Rows = append(out.Rows, remoteRow(&sc.remotes[i]))
+	}
+	switch d.Kind {
+	case place.Here:
+		out.Place = sc.candidates[d.Index].Name
+	case place.There:
+		out.Place = sc.remotes[d.Index].Region
+	case place.Wait, place.Refuse:
+	}
+	return out
+}
+
+func candidateRow(ask place.Ask, c *place.Candidate) Row {
+	r := Row{Place: c.Name, Kind: "endpoint", Load: c.Load, Slots: float64(c.Slots)}
+	switch {
+	case !ask.Local:
+		r.Note = "region not allowed"
+	case c.Ejected:
+		r.Note = "ejected"
+	case c.Leaving:
+		r.Note = "leaving"
+	}
+	return r
+}
+
+func remoteRow(m *place.Remote) Row {
+	r := Row{Place: m.Region, Kind: "region", Load: m.Busy, Slots: m.Slots}
+	switch {
+	case !m.Hosts:
+		r.Note = "no host can be reached"
+	case !m.Known:
+		r.Note = "no recent load"
+	case !m.Open:
+		r.Note = "spill bound reached"
+	}
+	return r
+}
--- /dev/null
+++ b/internal/serve/host/host.go
@@ -0,0 +1,272 @@
+// Package host assembles one host process: the board, its controllers and the
+// listeners.
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/spread"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/admin"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/watch"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/front"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/once"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/relay"
+)
+
+const (
+	workers     = 64
+	relayIdle   = 30 * time.Second
+	beatPeriod  = 100 * time.Millisecond
+	bootPeriod  = 100 * time.Millisecond
+	drainPeriod = 20 * time.Millisecond
+	// leaveNotice is how long a leaving host still takes requests that were sent
+	// before others heard of it.
+	leaveNotice = time.Second
+)
+
+// Host is one host process.
+type Host struct {
+	settings setup.Settings
+	log      zerolog.Logger
+	board    *board.Board
+	meter    *meter.Meter
+	link     *link.Link
+	flow     *flow.Flow
+	syncer   *spread.Syncer
+	front    *front.Front
+	admin    *admin.Admin
+	home     *once.Home
+	runner   *ctrl.Runner
+	relays   *ants.Pool
+	platform watch.Platform
+	now      func() time.Time
+
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+	polls   polls
+	started time.Time
+}
+
+// New makes a host; Start lets it serve.
+func New(s setup.Settings, log zerolog.Logger) (*Host, error) {
+	set, err := certs.Load(s.Keys)
+	if err != nil {
+		return nil, fmt.Errorf("host %s: %w", s.Name, err)
+	}
+	l, err := link.New(s.Peers, set)
+	if err != nil {
+		return nil, fmt.Errorf("host %s: %w", s.Name, err)
+	}
+	h := &Host{
+		settings: s, log: log, link: l, meter: meter.New(), now: time.Now, started: time.Now(),
+		platform: watch.Platform{Address: s.Platform},
+	}
+	h.board = board.New(h.started, s.Name, s.Region, s.Centre, s.Limits.OpenCaller)
+	h.flow = flow.New(h.board, h.meter, l, flow.WithMaxAnswer(s.Limits.Answer))
+	h.home = once.NewHome(s.Limits.Operations)
+	if err := h.assemble(set); err != nil {
+		_ = l.Close()
+		return nil, fmt.Errorf("host %s: %w", s.Name, err)
+	}
+	return h, nil
+}
+
+func (h *Host) assemble(set *certs.Set) error {
+	var err error
+	if h.runner, err = ctrl.New(workers, h.log); err != nil {
+		return err
+	}
+	h.relays, err = ants.NewPool(h.settings.Limits.Open, ants.WithNonblocking(true), ants.WithExpiryDuration(relayIdle))
+	if err != nil {
+		return fmt.Errorf("relay pool: %w", err)
+	}
+	signer := once.NewSigner(set.Fleet)
+	h.syncer = &spread.Syncer{
+		Board: h.board, Link: h.link, Meter: h.meter, Platform: h.platform, Log: h.log, Now: h.now,
+		Changed: h.changed,
+	}
+	handler := &relay.Handler{
+		Board: h.board, Flow: h.flow, Guard: &once.Guard{Home: h.home, Now: h.now}, Signer: signer,
+		Meter: h.meter, Log: h.log, Pool: h.relays, MaxBody: h.settings.Limits.Body, Now: h.now,
+		Behind: func(string) { h.runner.Kick(syncName) },
+	}
+	h.front = &front.Front{
+		Board: h.board, Flow: h.flow, Relay: handler, Signer: signer, Meter: h.meter, Log: h.log,
+		Settings: h.settings, Now: h.now,
+	}
+	h.admin = &admin.Admin{
+		Board: h.board, Flow: h.flow, Home: h.home, Meter: h.meter, Log: h.log,
+		Address: h.settings.Admin, Key: h.settings.AdminKey, Started: h.started, Now: h.now,
+	}
+	h.link.Serve(link.Handlers{
+		Stream: handler.Stream,
+		Packet: h.packet,
+		Dropped: func(err error) {
+			h.log.Debug().Err(err).Msg("datagram dropped")
+		},
+	})
+	return nil
+}
+
+// Start begins to serve. The host is ready once it has a configuration.
+func (h *Host) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.controllers()
+	h.runner.Start()
+	h.wait.Go(func() { h.beat(ctx) })
+	h.wait.Go(func() { h.boot(ctx) })
+	h.admin.Start()
+	if err := h.front.Start(); err != nil {
+		return fmt.Errorf("start host %s: %w", h.settings.Name, err)
+	}
+	h.log.Info().Str("host", h.settings.Name).Str("callers", h.settings.Callers).
+		Str("admin", h.settings.Admin).Str("peers", h.settings.Peers).Msg("host started")
+	return nil
+}
+
+// Board returns the host's blackboard.
+func (h *Host) Board() *board.Board { return h.board }
+
+// beat notices pauses of the process. It has no other work, so that it is late
+// only where the process is.
+func (h *Host) beat(ctx context.Context) {
+	tick := time.NewTicker(beatPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if h.board.Pulse.Beat(h.now()) {
+				h.woken()
+			}
+		}
+	}
+}
+
+// woken makes beliefs from before a pause suspect and asks for fresh ones.
+func (h *Host) woken() {
+	h.meter.Pauses.Inc()
+	h.log.Warn().Msg("process was paused; beliefs are refreshed")
+	h.board.Endpoints.Doubt()
+	h.runner.Kick(refreshName)
+}
+
+// boot gets the first configuration, from the platform or a neighbour.
+func (h *Host) boot(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, err := h.syncer.FromPlatform(ctx, 0, 0); err != nil {
+			h.log.Warn().Err(err).Msg("configuration service did not answer")
+		}
+		for _, n := range h.settings.Neighbours {
+			if _, err := h.syncer.FromPeer(ctx, n.Name, n.Address); err != nil {
+				h.log.Warn().Err(err).Str("neighbour", n.Name).Msg("neighbour did not answer")
+			}
+		}
+		if h.board.Revisions.Inventory() != nil {
+			break
+		}
+		sleep(ctx, bootPeriod)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	h.askNeighbours(ctx)
+	h.board.Pulse.SetReady()
+	h.log.Info().Uint64("revision", h.board.Revisions.Revision()).Msg("host ready")
+	h.watch(ctx)
+}
+
+// askNeighbours asks a few other hosts before the host is ready, as the
+// configuration service may be stale.
+func (h *Host) askNeighbours(ctx context.Context) {
+	const ask = 3
+	inv := h.board.Revisions.Inventory()
+	var names []string
+	for _, o := range inv.Hosts() {
+		if o.Name != h.board.Name {
+			names = append(names, o.Name)
+		}
+	}
+	var wait sync.WaitGroup
+	for _, name := range spread.Holders(h.board.Name, names, ask) {
+		o, _ := inv.Host(name)
+		wait.Go(func() {
+			if _, err := h.syncer.FromPeer(ctx, o.Name, o.Peers); err != nil {
+				h.log.Debug().Err(err).Str("neighbour", o.Name).Msg("neighbour did not answer")
+			}
+		})
+	}
+	wait.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// packet takes one datagram of another host in.
+func (h *Host) packet(p wire.Packet, _ net.Addr) {
+	now := h.now()
+	h.send(h.board.Members.Receive(now, p))
+	h.takeLoads(now, p)
+	if h.behind(p) {
+		h.runner.Kick(syncName)
+	}
+}
+
+// Drain lets the host leave: it takes no new requests and ends those in flight.
+// It returns false where the time is up first.
+func (h *Host) Drain(ctx context.Context) bool {
+	h.board.Pulse.Leave()
+	h.setSelf()
+	h.send(h.board.Members.Announce(true))
+	h.log.Info().Int("open", h.board.Pulse.Open()).Msg("host is leaving")
+	ctx, cancel := context.WithTimeout(ctx, h.settings.Limits.Drain())
+	defer cancel()
+	sleep(ctx, leaveNotice)
+	for h.board.Pulse.Open() > 0 {
+		if ctx.Err() != nil {
+			return false
+		}
+		sleep(ctx, drainPeriod)
+	}
+	return true
+}
+
+// Close ends the host and waits for everything that it started.
+func (h *Host) Close() error {
+	err := h.front.Close()
+	err = errors.Join(err, h.admin.Close())
+	h.cancel()
+	h.wait.Wait()
+	h.runner.Close()
+	err = errors.Join(err, h.link.Close())
+	h.relays.Release()
+	if err != nil {
+		return fmt.Errorf("close host %s: %w", h.settings.Name, err)
+	}
+	h.log.Info().Msg("host closed")
+	return nil
+}
--- /dev/null
+++ b/internal/serve/host/tasks.go
@@ -0,0 +1,423 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/zones"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/spread"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/watch"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+)
+
+// The names of controllers that others may ask to run.
+const (
+	syncName    = "sync"
+	refreshName = "refresh"
+)
+
+const (
+	memberPeriod = 100 * time.Millisecond
+	loadPeriod   = 500 * time.Millisecond
+	pollPeriod   = 500 * time.Millisecond
+	pollTimeout  = time.Second
+	zonePeriod   = time.Second
+	wakePeriod   = 50 * time.Millisecond
+	rosterPeriod = time.Second
+	syncPeriod   = time.Second
+	never        = 24 * time.Hour
+
+	// pollers is the number of hosts that poll each endpoint, watchers that of
+	// hosts of a data centre that hold the watch.
+	pollers  = 2
+	watchers = 2
+
+	watchWait = 10 * time.Second
+	slowPoll  = 60 * time.Second
+	failWait  = time.Second
+
+	loadTo       = 3
+	loadsPacket  = 24
+	zonesPacket  = 16
+	maxReportAge = 5 * time.Second
+	reportBytes  = 64 << 10
+)
+
+func (h *Host) controllers() {
+	add := func(name string, period time.Duration, step func(context.Context, time.Time)) {
+		h.runner.Add(ctrl.Controller{Name: name, Period: period, Step: step})
+	}
+	add("members", memberPeriod, func(_ context.Context, now time.Time) {
+		h.setSelf()
+		h.send(h.board.Members.Tick(now))
+	})
+	add("loads", loadPeriod, h.shareLoads)
+	add("polls", pollPeriod, h.poll)
+	add("zones", zonePeriod, h.shareZones)
+	add("queues", wakePeriod, func(context.Context, time.Time) { h.flow.WakeAll() })
+	add("roster", rosterPeriod, h.roster)
+	add(syncName, syncPeriod, h.sync)
+	add(refreshName, never, h.refresh)
+}
+
+func (h *Host) setSelf() {
+	open := h.board.Pulse.Open()
+	h.meter.Open.Set(float64(open))
+	h.board.Members.SetSelf(member.Self{
+		Mark: h.board.Revisions.Mark(), Open: open, Leaving: h.board.Pulse.Leaving(),
+	})
+}
+
+func (h *Host) send(list []member.Out) {
+	for _, o := range list {
+		n, err := h.link.Send(o.Address, o.Packet)
+		if err != nil {
+			h.log.Debug().Err(err).Str("host", o.Host).Msg("datagram not sent")
+			continue
+		}
+		h.meter.Sent(n)
+	}
+}
+
+// changed tells a few hosts at once that a configuration came into force here.
+func (h *Host) changed() {
+	h.setSelf()
+	h.send(h.board.Members.Announce(false))
+}
+
+func (h *Host) behind(p wire.Packet) bool {
+	return invent.Mark{Revision: p.Revision, Sum: p.Sum}.Above(h.board.Revisions.Mark())
+}
+
+// sync fetches the configuration of a host that has a higher one.
+func (h *Host) sync(ctx context.Context, _ time.Time) {
+	own := h.board.Revisions.Mark()
+	ahead := h.board.Members.Random(2, func(m member.Member) bool { return m.Mark.Above(own) })
+	for _, m := range ahead {
+		done, err := h.syncer.FromPeer(ctx, m.Name, m.Address)
+		if err != nil {
+			h.log.Debug().Err(err).Str("host", m.Name).Msg("configuration not fetched")
+		}
+		if done {
+			return
+		}
+	}
+}
+
+// refresh gets a fresh view after a pause: one other host or the platform
+// has to answer.
+func (h *Host) refresh(ctx context.Context, _ time.Time) {
+	if h.board.Revisions.Inventory() == nil {
+		return
+	}
+	for _, m := range h.board.Members.Random(3, func(member.Member) bool { return true }) {
+		if _, err := h.syncer.FromPeer(ctx, m.Name, m.Address); err == nil {
+			h.poll(ctx, h.now())
+			h.board.Pulse.Refreshed()
+			return
+		}
+	}
+	if _, err := h.syncer.FromPlatform(ctx, 0, 0); err == nil {
+		h.poll(ctx, h.now())
+		h.board.Pulse.Refreshed()
+	}
+}
+
+// peersOf returns the usable hosts of a region or a data centre, this one included.
+func (h *Host) peersOf(inv *invent.Inventory, match func(invent.Host) bool) []string {
+	names := []string{h.board.Name}
+	for _, m := range h.board.Members.Members() {
+		host, ok := inv.Host(m.Name)
+		if ok && m.Sound() && match(host) {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+func (h *Host) inCentre(c string) func(invent.Host) bool {
+	return func(o invent.Host) bool { return o.Centre == c }
+}
+
+func (h *Host) inRegion(inv *invent.Inventory) func(invent.Host) bool {
+	return func(o invent.Host) bool { return inv.RegionOf(o.Centre) == h.board.Region }
+}
+
+// holdsWatch reports whether this host is one of those of its data centre that
+// watch the platform.
+func (h *Host) holdsWatch() bool {
+	inv := h.board.Revisions.Inventory()
+	if inv == nil {
+		return true
+	}
+	hosts := h.peersOf(inv, h.inCentre(h.board.Centre))
+	return slices.Contains(spread.Holders("watch/"+h.board.Centre, hosts, watchers), h.board.Name)
+}
+
+// watch follows the configuration service: with a held watch where this host is
+// one of its data centre's watchers, else with a slow poll.
+func (h *Host) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := time.Duration(0)
+		if h.holdsWatch() {
+			wait = watchWait
+		}
+		_, err := h.syncer.FromPlatform(ctx, h.board.Revisions.Revision(), wait)
+		switch {
+		case err != nil && ctx.Err() == nil:
+			h.log.Warn().Err(err).Msg("configuration service")
+			sleep(ctx, jitter(failWait))
+		case wait == 0:
+			h.idle(ctx)
+		}
+	}
+}
+
+// idle waits for the next slow poll, or until the host becomes a watcher.
+func (h *Host) idle(ctx context.Context) {
+	until := h.now().Add(jitter(slowPoll))
+	for ctx.Err() == nil && h.now().Before(until) && !h.holdsWatch() {
+		sleep(ctx, failWait)
+	}
+}
+
+// jitter returns a time between half and one and a half of d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+// roster reads the host list, on the watchers only; marks reach the other hosts
+// of the region with the loads.
+func (h *Host) roster(ctx context.Context, now time.Time) {
+	if h.board.Revisions.Inventory() == nil || !h.holdsWatch() {
+		return
+	}
+	list, err := h.platform.Hosts(ctx)
+	if err != nil {
+		h.log.Debug().Err(err).Msg("host list")
+		return
+	}
+	listed, leaving := map[string]bool{}, map[string]bool{}
+	var gone, back []string
+	for _, e := range list.Hosts {
+		listed[e.Name] = true
+		if e.State == watch.Leaving {
+			leaving[e.Name] = true
+			gone = append(gone, e.Name)
+			continue
+		}
+		back = append(back, e.Name)
+	}
+	h.board.Members.SetAbsent(listed, leaving)
+	h.board.SetLeaving(now, gone)
+	h.board.ClearLeaving(back)
+}
+
+// polls remembers failed polls in a row.
+type polls struct {
+	mu    sync.Mutex
+	fails map[string]int
+}
+
+// failedPolls is the number of polls in a row after which an endpoint counts as failing.
+const failedPolls = 2
+
+func (p *polls) result(name string, ok bool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fails == nil {
+		p.fails = map[string]int{}
+	}
+	if ok {
+		p.fails[name] = 0
+	} else {
+		p.fails[name]++
+	}
+	return p.fails[name]
+}
+
+// poll asks the endpoints that fall to this host for their load. Each endpoint
+// falls to a fixed few hosts of its region.
+func (h *Host) poll(ctx context.Context, _ time.Time) {
+	inv := h.board.Revisions.Inventory()
+	if inv == nil {
+		return
+	}
+	hosts := h.peersOf(inv, h.inRegion(inv))
+	var wait sync.WaitGroup
+	for _, e := range inv.Endpoints() {
+		if inv.RegionOf(e.Centre) != h.board.Region {
+			continue
+		}
+		if !slices.Contains(spread.Holders("poll/"+e.Name, hosts, pollers), h.board.Name) {
+			continue
+		}
+		wait.Go(func() { h.pollOne(ctx, e) })
+	}
+	wait.Wait()
+}
+
+// report is an endpoint's answer to a poll.
+type report struct {
+	Running int   `json:"running"`
+	Queued  int   `json:"queued"`
+	AgeMS   int64 `json:"age_ms"`
+	Leaving bool  `json:"leaving"`
+}
+
+func (h *Host) pollOne(ctx context.Context, e invent.Endpoint) {
+	var r report
+	status, body, err := client.Get(ctx, e.Address, "/load", reportBytes, pollTimeout)
+	now := h.now()
+	ok := err == nil && status == http.StatusOK && json.Unmarshal(body, &r) == nil
+	if fails := h.polls.result(e.Name, ok); !ok {
+		if fails >= failedPolls && ctx.Err() == nil {
+			h.board.Endpoints.Note(e.Name, endpt.Report{At: now, Failing: true})
+		}
+		return
+	}
+	h.board.Endpoints.Note(e.Name, endpt.Report{
+		Running: r.Running, Queued: r.Queued, Leaving: r.Leaving,
+		At: now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
+	})
+}
+
+// shareLoads sends what is known of the region's endpoints to a few of its hosts.
+func (h *Host) shareLoads(_ context.Context, now time.Time) {
+	inv := h.board.Revisions.Inventory()
+	if inv == nil {
+		return
+	}
+	loads := h.freshLoads(inv, now)
+	sums := h.someSums(now)
+	if len(loads) == 0 && len(sums) == 0 {
+		return
+	}
+	to := h.board.Members.Random(loadTo, func(m member.Member) bool { return m.Region == h.board.Region })
+	for _, m := range to {
+		for chunk := range slices.Chunk(loads, loadsPacket) {
+			h.sendLoads(m, wire.Packet{Loads: chunk})
+		}
+		if len(sums) > 0 {
+			h.sendLoads(m, wire.Packet{Regions: sums})
+		}
+	}
+}
+
+func (h *Host) sendLoads(m member.Member, p wire.Packet) {
+	mark := h.board.Revisions.Mark()
+	p.Kind, p.From, p.Life = wire.Announce, h.board.Name, h.board.Members.Life()
+	p.Revision, p.Sum, p.Open, p.Leaving = mark.Revision, mark.Sum, h.board.Pulse.Open(), h.board.Pulse.Leaving()
+	h.send([]member.Out{{Host: m.Name, Address: m.Address, Packet: p}})
+}
+
+func (h *Host) freshLoads(inv *invent.Inventory, now time.Time) []wire.Load {
+	var out []wire.Load
+	for _, e := range inv.Endpoints() {
+		if inv.RegionOf(e.Centre) != h.board.Region {
+			continue
+		}
+		st := h.board.Endpoints.Get(e.Name)
+		listed := h.board.Leaving(e.Name)
+		age := now.Sub(st.Report.At)
+		if st.Report.At.IsZero() || age > maxReportAge {
+			continue
+		}
+		l := wire.Load{
+			Endpoint: e.Name, AgeMS: uint32(max(0, age.Milliseconds())),
+			Running: uint32(max(0, st.Report.Running)), Queued: uint32(max(0, st.Report.Queued)),
+		}
+		if st.Report.Leaving || listed {
+			l.Flags |= wire.FlagLeaving
+		}
+		if st.Report.Failing {
+			l.Flags |= wire.FlagFailing
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+func (h *Host) someSums(now time.Time) []wire.RegionLoad {
+	var out []wire.RegionLoad
+	h.board.Zones.Sums(func(k zones.Key, s zones.Sum) {
+		if age := now.Sub(s.At); age < maxReportAge && len(out) < zonesPacket {
+			out = append(out, wire.RegionLoad{
+				Region: k.Region, Service: k.Service, AgeMS: uint32(max(0, age.Milliseconds())),
+				Slots: uint32(s.Slots), Busy: uint32(s.Busy),
+			})
+		}
+	})
+	return out
+}
+
+// takeLoads takes loads of endpoints and sums of regions in.
+func (h *Host) takeLoads(now time.Time, p wire.Packet) {
+	for _, l := range p.Loads {
+		h.board.Endpoints.Note(l.Endpoint, endpt.Report{
+			Running: int(l.Running), Queued: int(l.Queued),
+			At:      now.Add(-time.Duration(l.AgeMS) * time.Millisecond),
+			Leaving: l.Flags&wire.FlagLeaving != 0, Failing: l.Flags&wire.FlagFailing != 0,
+		})
+	}
+	for _, r := range p.Regions {
+		if r.Region == h.board.Region {
+			continue
+		}
+		at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
+		h.board.Zones.Note(zones.Key{Region: r.Region, Service: r.Service}, float64(r.Slots), float64(r.Busy), at, now)
+	}
+}
+
+// shareZones sums up this region's services and tells one host of each other region.
+func (h *Host) shareZones(_ context.Context, now time.Time) {
+	inv := h.board.Revisions.Inventory()
+	if inv == nil {
+		return
+	}
+	sums := h.ownSums(inv, now)
+	for _, r := range inv.Regions() {
+		if r.Name == h.board.Region {
+			continue
+		}
+		for _, m := range h.board.Members.Random(1, func(m member.Member) bool { return m.Region == r.Name }) {
+			for chunk := range slices.Chunk(sums, zonesPacket) {
+				h.sendLoads(m, wire.Packet{Regions: chunk})
+			}
+		}
+	}
+}
+
+func (h *Host) ownSums(inv *invent.Inventory, now time.Time) []wire.RegionLoad {
+	var out []wire.RegionLoad
+	for _, s := range inv.Services() {
+		sum := wire.RegionLoad{Region: h.board.Region, Service: s.Name}
+		has := false
+		for _, e := range inv.EndpointsOf(s.Name) {
+			if inv.RegionOf(e.Centre) != h.board.Region {
+				continue
+			}
+			has = true
+			st := h.board.Endpoints.Get(e.Name)
+			if e.Leaving || st.Report.Leaving || st.Report.Failing || st.Ejected(now) || h.board.Leaving(e.Name) {
+				continue
+			}
+			sum.Slots += uint32(e.Slots)
+			sum.Busy += uint32(st.Load(now))
+		}
+		if has {
+			out = append(out, sum)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/serve/once/key.go
@@ -0,0 +1,108 @@
+// Package once makes operations that may not be repeated run at most once. An
+// operation key names its home, the one process that numbers and remembers it.
+package once
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+)
+
+const (
+	macBytes = 16
+	// MaxOwn bounds the caller's own part of a key, in bytes.
+	MaxOwn = 128
+	// MaxKey bounds a whole key, in bytes.
+	MaxKey = 512
+)
+
+// Prefix is the part of an operation key that a host signs.
+type Prefix struct {
+	_    struct{} `cbor:",toarray"`
+	Host string
+	// Life is the start of the home's process, in milliseconds since 1970.
+	Life   uint64
+	Caller string
+	// Expires is in seconds since 1970.
+	Expires int64
+}
+
+// Key is an operation key that was verified.
+type Key struct {
+	Prefix Prefix
+	Own    string
+	Text   string
+}
+
+// ErrKey is the error of a key that no host of this fleet signed for the caller.
+var ErrKey = errors.New("operation key is not valid")
+
+// Signer makes and verifies prefixes.
+type Signer struct{ secret []byte }
+
+// NewSigner returns a signer for a fleet key.
+func NewSigner(fleet []byte) *Signer {
+	mac := hmac.New(sha256.New, fleet)
+	mac.Write([]byte("operation key"))
+	return &Signer{secret: mac.Sum(nil)}
+}
+
+// Sign returns the text of a prefix. A caller adds a dot and its own part.
+func (s *Signer) Sign(p Prefix) (string, error) {
+	data, err := wire.Encode(p)
+	if err != nil {
+		return "", fmt.Errorf("sign prefix: %w", err)
+	}
+	return encode(data) + "." + encode(s.mac(data)), nil
+}
+
+func (s *Signer) mac(data []byte) []byte {
+	mac := hmac.New(sha256.New, s.secret)
+	mac.Write(data)
+	return mac.Sum(nil)[:macBytes]
+}
+
+func encode(b []byte) string { return base64.RawURLEncoding.EncodeToString(b) }
+
+// Parse verifies a key of a caller; its error wraps ErrKey.
+func (s *Signer) Parse(text, caller string) (Key, error) {
+	var k Key
+	if len(text) > MaxKey {
+		return k, fmt.Errorf("%w: longer than %d bytes", ErrKey, MaxKey)
+	}
+	parts := strings.SplitN(text, ".", 3)
+	if len(parts) != 3 || parts[2] == "" || len(parts[2]) > MaxOwn {
+		return k, fmt.Errorf("%w: want a prefix, a dot and 1 to %d characters", ErrKey, MaxOwn)
+	}
+	data, err := base64.RawURLEncoding.DecodeString(parts[0])
+	if err != nil {
+		return k, fmt.Errorf("%w: %w", ErrKey, err)
+	}
+	sum, err := base64.RawURLEncoding.DecodeString(parts[1])
+	if err != nil {
+		return k, fmt.Errorf("%w: %w", ErrKey, err)
+	}
+	if !hmac.Equal(sum, s.mac(data)) {
+		return k, fmt.Errorf("%w: wrong signature", ErrKey)
+	}
+	if err := wire.Decode(data, &k.Prefix); err != nil {
+		return k, fmt.Errorf("%w: %w", ErrKey, err)
+	}
+	if k.Prefix.Caller != caller {
+		return k, fmt.Errorf("%w: made for another caller", ErrKey)
+	}
+	k.Own, k.Text = parts[2], text
+	return k, nil
+}
+
+// Expired reports whether the home has forgotten, or may forget, the key.
+func (k Key) Expired(now time.Time) bool { return now.Unix() >= k.Prefix.Expires }
+
+// ExpiresAt returns when the key expires.
+func (k Key) ExpiresAt() time.Time { return time.Unix(k.Prefix.Expires, 0) }
--- /dev/null
+++ b/internal/stand/basis/basis.go
@@ -0,0 +1,97 @@
+// Package basis holds what the stand-ins share. They speak HTTP by the standard
+// library, so that the hosts' own library never talks to itself.
+package basis
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	headerTime = 10 * time.Second
+	maxBody    = 16 << 20
+)
+
+// Server is an HTTP server that can be closed.
+type Server struct {
+	server   *http.Server
+	listener net.Listener
+	done     chan struct{}
+}
+
+// Serve listens on an address; port 0 takes a free one.
+func Serve(address string, h http.Handler) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	s := &Server{
+		server: &http.Server{Handler: h, ReadHeaderTimeout: headerTime}, listener: l, done: make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			panic(err)
+		}
+	}()
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the server and its connections at once.
+func (s *Server) Close() error {
+	err := s.server.Close()
+	<-s.done
+	if err != nil {
+		return fmt.Errorf("close server: %w", err)
+	}
+	return nil
+}
+
+// WriteJSON sends v as the answer.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller may have left.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// ReadJSON reads the body into v, or answers 400 and returns false.
+func ReadJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// Cut closes the connection of an exchange without an answer.
+func Cut(w http.ResponseWriter) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := h.Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// Sleep waits for a time; it reports false where ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
