Make spills, leaving marks and links hold up when the other side is silent

Now: the serving host acknowledges at once and a region that did not is passed over; marks of the two sources are kept apart; rules are looked up again at each decision; each outgoing connection has a port of its own; a rejected revision counts as seen.

--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -83,26 +83,21 @@
 	}
 }
 
-// listedLife is how long a leaving mark of the host list is held after it was
-// last seen, as the list lags and may be down.
-const listedLife = 10 * time.Minute
+// markLife is how long a mark of the host list holds after a watcher last
+// renewed it.
+const markLife = time.Minute
 
-// SetLeaving notes the endpoints that the host list marks as leaving.
-func (b *Board) SetLeaving(now time.Time, names []string) {
+// Mark notes that the host list marked an endpoint as leaving at a time.
+func (b *Board) Mark(name string, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, n := range names {
-		b.leaving[n] = now
-	}
-	for n, at := range b.leaving {
-		if now.Sub(at) > listedLife {
-			delete(b.leaving, n)
-		}
+	if at.After(b.leaving[name]) {
+		b.leaving[name] = at
 	}
 }
 
-// ClearLeaving removes marks of endpoints that the host list shows as live.
-func (b *Board) ClearLeaving(names []string) {
+// Unmark removes the marks of endpoints that the host list shows as live.
+func (b *Board) Unmark(names []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, n := range names {
@@ -110,11 +105,29 @@
 	}
 }
 
-// Leaving reports whether the host list marks an endpoint as leaving.
-func (b *Board) Leaving(name string) bool {
+// RenewMarks keeps the marks while the host list cannot be read.
+func (b *Board) RenewMarks(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, ok := b.leaving[name]
+	for n := range b.leaving {
+		b.leaving[n] = now
+	}
+}
+
+// Marked returns the age of the host list's mark of an endpoint.
+func (b *Board) Marked(name string, now time.Time) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at, ok := b.leaving[name]
+	if !ok || now.Sub(at) > markLife {
+		return 0, false
+	}
+	return now.Sub(at), true
+}
+
+// Leaving reports whether the host list marks an endpoint as leaving.
+func (b *Board) Leaving(name string, now time.Time) bool {
+	_, ok := b.Marked(name, now)
 	return ok
 }
 
--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -43,6 +43,8 @@
 	work    average
 	record  eject.Record
 	joined  time.Time
+	// left is when the endpoint last said that it takes no more work.
+	left time.Time
 }
 
 type average struct {
@@ -85,6 +87,9 @@
 	return s.work.toward(usual, now)
 }
 
+// Leaving reports whether the endpoint said that it takes no more work.
+func (s *State) Leaving() bool { return !s.left.IsZero() }
+
 // Ejected reports whether the endpoint gets no work for its failures.
 func (s *State) Ejected(now time.Time) bool { return s.record.Out(now) }
 
@@ -154,10 +159,23 @@
 		return false
 	}
 	s.Report = r
+	if r.Leaving {
+		s.left = r.At
+	} else if r.At.After(s.left) {
+		s.left = time.Time{}
+	}
 	s.ownThen = min(s.Own, r.Running+r.Queued)
 	return true
 }
 
+// Left notes that an endpoint said in an answer that it takes no more work. Only
+// a later report of its own takes that back.
+func (t *Table) Left(now time.Time, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state(name).left = now
+}
+
 // Start counts a request of this host in.
 func (t *Table) Start(name string) {
 	t.mu.Lock()
--- a/internal/board/zones/zones.go
+++ b/internal/board/zones/zones.go
@@ -16,6 +16,11 @@
 	// rampTime is how long a region that returns is filled slowly.
 	rampTime  = 30 * time.Second
 	rampStart = 0.2
+	// silence is how long a region that did not answer gets no spilled requests,
+	// unless it is heard of again.
+	silence = 5 * time.Second
+	// spillAge is the age of the newest sum from which a region counts as silent.
+	spillAge = 4 * time.Second
 	// minSample is the number of requests below which no share is taken.
 	minSample = 10
 )
@@ -57,10 +62,18 @@
 	mu    sync.Mutex
 	sums  map[Key]*Sum
 	flows map[string]*flow
+	// failed and heard are when a region last did not answer and was last heard of.
+	failed map[string]time.Time
+	heard  map[string]time.Time
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{sums: map[Key]*Sum{}, flows: map[string]*flow{}} }
+func NewTable() *Table {
+	return &Table{
+		sums: map[Key]*Sum{}, flows: map[string]*flow{},
+		failed: map[string]time.Time{}, heard: map[string]time.Time{},
+	}
+}
 
 // Note takes a sum in; an older one than that held is ignored.
 func (t *Table) Note(k Key, slots, busy float64, at, now time.Time) bool {
@@ -74,6 +87,9 @@
 	if !at.After(s.At) {
 		return false
 	}
+	if at.After(t.heard[k.Region]) {
+		t.heard[k.Region] = at
+	}
 	gone := s.Slots == 0 || now.Sub(s.At) > trust
 	if !s.At.IsZero() && gone && slots > 0 {
 		s.joined = now
@@ -82,6 +98,24 @@
 	return true
 }
 
+// Failed notes that a region did not answer.
+func (t *Table) Failed(now time.Time, region string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failed[region] = now
+}
+
+// Silent reports whether a region did not answer lately, or was not heard of.
+func (t *Table) Silent(now time.Time, region string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	heard, failed := t.heard[region], t.failed[region]
+	if now.Sub(heard) > spillAge {
+		return true
+	}
+	return !failed.IsZero() && now.Sub(failed) < silence && !heard.After(failed)
+}
+
 // View returns a sum as it counts now.
 func (t *Table) View(k Key, now time.Time) View {
 	t.mu.Lock()
--- a/internal/conf/invent/accept.go
+++ b/internal/conf/invent/accept.go
@@ -300,13 +300,13 @@
 func (a *acceptor) buildCallers() {
 	v := a.out
 	v.callers = make(map[string]*Caller, len(v.doc.Callers))
-	names := map[string]bool{}
+	v.byName = make(map[string]*Caller, len(v.doc.Callers))
 	for i := range v.doc.Callers {
 		c := &v.doc.Callers[i]
-		if names[c.Name] {
+		if v.byName[c.Name] != nil {
 			a.at("callers", i, "name", "caller %q is listed twice", c.Name)
 		}
-		names[c.Name] = true
+		v.byName[c.Name] = c
 		hash := strings.ToLower(c.KeyHash)
 		if _, twice := v.callers[hash]; twice {
 			a.at("callers", i, "key_hash", "another caller has the same key")
--- a/internal/conf/invent/model.go
+++ b/internal/conf/invent/model.go
@@ -163,6 +163,7 @@
 	endpoints map[string]Endpoint
 	byService map[string][]Endpoint
 	callers   map[string]*Caller
+	byName    map[string]*Caller
 	links     map[linkKey]Link
 }
 
@@ -221,12 +222,8 @@
 
 // CallerByName returns a caller by name.
 func (v *Inventory) CallerByName(name string) (*Caller, bool) {
-	for i := range v.doc.Callers {
-		if v.doc.Callers[i].Name == name {
-			return &v.doc.Callers[i], true
-		}
-	}
-	return nil, false
+	c, ok := v.byName[name]
+	return c, ok
 }
 
 // Link returns the link between two regions; a missing one has zero values
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -21,8 +21,7 @@
 const (
 	protocol      = "hyssopspindle/1"
 	dialTimeout   = 2 * time.Second
-	idleTimeout   = 20 * time.Second
-	keepAlive     = 5 * time.Second
+	idleTimeout   = 60 * time.Second
 	maxStreams    = 8192
 	packetBuffer  = 2048
 	socketBuffer  = 4 << 20
@@ -54,9 +53,14 @@
 	conns map[string]*peerConn
 }
 
+// peerConn is an outgoing connection. Each has a socket and so a port of its
+// own: something between the hosts that lost track of the old one does not know
+// the new one.
 type peerConn struct {
 	address string
 	conn    *quic.Conn
+	streams int
+	dropped bool
 }
 
 // New opens the socket; Serve starts the receivers.
@@ -91,7 +95,6 @@
 	return &quic.Config{
 		HandshakeIdleTimeout: dialTimeout,
 		MaxIdleTimeout:       idleTimeout,
-		KeepAlivePeriod:      keepAlive,
 		MaxIncomingStreams:   maxStreams,
 	}
 }
@@ -206,29 +209,27 @@
 
 // Open begins a stream to a host. Its error wraps ErrNotSent.
 func (l *Link) Open(ctx context.Context, host, address string) (*Stream, error) {
-	conn, err := l.connect(ctx, host, address)
+	p, err := l.connect(ctx, host, address)
 	if err != nil {
 		return nil, fmt.Errorf("%w %s: %w", ErrNotSent, host, err)
 	}
-	s, err := conn.OpenStreamSync(ctx)
+	s, err := p.conn.OpenStreamSync(ctx)
 	if err != nil {
 		l.Drop(host)
+		l.release(p)
 		return nil, fmt.Errorf("%w %s: %w", ErrNotSent, host, err)
 	}
-	return &Stream{s: s}, nil
+	return &Stream{s: s, release: sync.OnceFunc(func() { l.release(p) })}, nil
 }
 
-func (l *Link) connect(ctx context.Context, host, address string) (*quic.Conn, error) {
-	if c := l.usable(host, address); c != nil {
-		return c, nil
-	}
-	to, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return nil, fmt.Errorf("resolve %s: %w", address, err)
+// connect returns a connection on which the caller holds one stream.
+func (l *Link) connect(ctx context.Context, host, address string) (*peerConn, error) {
+	if p := l.usable(host, address); p != nil {
+		return p, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := l.transport.Dial(ctx, to, l.clientTLS(host), quicConfig())
+	conn, err := quic.DialAddr(ctx, address, l.clientTLS(host), quicConfig())
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
@@ -236,27 +237,48 @@
 }
 
 // usable returns a usable connection to host at address, or nil.
-func (l *Link) usable(host, address string) *quic.Conn {
+func (l *Link) usable(host, address string) *peerConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, ok := l.conns[host]
 	if !ok || p.address != address || p.conn.Context().Err() != nil {
 		return nil
 	}
-	return p.conn
+	p.streams++
+	return p
 }
 
 // keep stores a new connection; where another dial was first, that one is used.
-func (l *Link) keep(host, address string, conn *quic.Conn) *quic.Conn {
+func (l *Link) keep(host, address string, conn *quic.Conn) *peerConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, ok := l.conns[host]
 	if ok && p.address == address && p.conn.Context().Err() == nil {
 		_ = conn.CloseWithError(closeNormal, "")
-		return p.conn
+		p.streams++
+		return p
+	}
+	if ok {
+		p.dropped = true
+		p.closeUnused()
+	}
+	p = &peerConn{address: address, conn: conn, streams: 1}
+	l.conns[host] = p
+	return p
+}
+
+func (l *Link) release(p *peerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.streams--
+	p.closeUnused()
+}
+
+// closeUnused closes a dropped connection once its last stream has ended.
+func (p *peerConn) closeUnused() {
+	if p.dropped && p.streams == 0 {
+		_ = p.conn.CloseWithError(closeNormal, "")
 	}
-	l.conns[host] = &peerConn{address: address, conn: conn}
-	return conn
 }
 
 // Drop forgets the connection to a host, so that the next stream opens a new
@@ -264,7 +286,13 @@
 func (l *Link) Drop(host string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	p, ok := l.conns[host]
+	if !ok {
+		return
+	}
 	delete(l.conns, host)
+	p.dropped = true
+	p.closeUnused()
 }
 
 // Address returns the address of the socket.
@@ -291,7 +319,11 @@
 }
 
 // Stream is one request and its answer.
-type Stream struct{ s *quic.Stream }
+type Stream struct {
+	s *quic.Stream
+	// release gives an outgoing stream's connection back.
+	release func()
+}
 
 // Write sends one frame; it fails where the peer takes nothing until the deadline.
 func (s *Stream) Write(f wire.Frame, deadline time.Time) error {
@@ -323,10 +355,18 @@
 func (s *Stream) Close() {
 	s.s.CancelRead(streamRefused)
 	_ = s.s.Close()
+	s.released()
+}
+
+func (s *Stream) released() {
+	if s.release != nil {
+		s.release()
+	}
 }
 
 // Abort ends both directions at once; the peer's context is cancelled.
 func (s *Stream) Abort() {
 	s.s.CancelRead(streamRefused)
 	s.s.CancelWrite(streamRefused)
+	s.released()
 }
--- a/internal/fleet/spread/spread.go
+++ b/internal/fleet/spread/spread.go
@@ -219,6 +219,22 @@
 	return func(m member.Member) bool { return m.Region == region }
 }
 
+// Holds reports whether a host is among the Holders of a task.
+func Holds(task string, hosts []string, self string, n int) bool {
+	key := place.Weight(0, task)
+	own := place.Weight(key, self)
+	for _, h := range hosts {
+		w := place.Weight(key, h)
+		if w > own || (w == own && h < self) {
+			n--
+		}
+		if n <= 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Holders returns which of the hosts hold a task of a place: the first n by
 // rendezvous hashing, so that all hosts agree and a loss moves little.
 func Holders(task string, hosts []string, n int) []string {
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -78,12 +78,18 @@
 	Running uint32
 	Queued  uint32
 	Flags   uint8
+	// MarkMS is the age of the host list's mark, with FlagListed, in milliseconds.
+	MarkMS uint32
 }
 
 // The flags of a Load.
 const (
 	FlagLeaving uint8 = 1
 	FlagFailing uint8 = 2
+	// FlagListed is set where the host list marks the endpoint as leaving.
+	FlagListed uint8 = 4
+	// FlagReport is set where the load is a report and not only a mark.
+	FlagReport uint8 = 8
 )
 
 // RegionLoad sums up one service in one region.
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -218,7 +218,7 @@
 		row := Endpoint{
 			Name: e.Name, Service: e.Service, Centre: e.Centre, Slots: e.Slots, Load: st.Load(now), Own: st.Own,
 			AgeMS: -1, Ejected: st.Ejected(now) || st.Report.Failing,
-			Leaving: e.Leaving || st.Report.Leaving || a.Board.Leaving(e.Name),
+			Leaving: e.Leaving || st.Leaving() || a.Board.Leaving(e.Name, now),
 		}
 		if !st.Report.At.IsZero() {
 			row.AgeMS = now.Sub(st.Report.At).Milliseconds()
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -43,6 +43,9 @@
 	Known bool
 	// Hosts says that a host of the region can be reached.
 	Hosts bool
+	// Silent says that the region did not answer lately; it gets no spilled
+	// requests, and others only where nothing else is left.
+	Silent bool
 	// Latency is the one-way time to the region, and Cost the price of crossing.
 	Latency time.Duration
 	Cost    float64
@@ -128,8 +131,10 @@
 	// unknownLoad is the assumed load of a region without a recent sum, as a
 	// share of its slots.
 	unknownLoad = 0.8
-	minRetry    = 200 * time.Millisecond
-	maxRetry    = 30 * time.Second
+	// silentPenalty puts a silent region behind every other one.
+	silentPenalty = time.Minute
+	minRetry      = 200 * time.Millisecond
+	maxRetry      = 30 * time.Second
 )
 
 // Decide chooses a place by the service's policy.
@@ -289,13 +294,16 @@
 	out := best{index: -1}
 	for i := range list {
 		r := &list[i]
-		if !r.Hosts || r.Tried || (alive && !r.Open) {
+		if !r.Hosts || r.Tried || (alive && (!r.Open || r.Silent || !r.Known)) {
 			continue
 		}
 		if r.Known && r.Slots <= 0 {
 			continue
 		}
 		s := remoteScore(ask, r)
+		if r.Silent {
+			s += silentPenalty
+		}
 		if out.index < 0 || s < out.score {
 			out.index, out.score = i, s
 			out.slots, out.excess = r.Slots, r.Busy-r.Slots
--- a/internal/serve/client/client.go
+++ b/internal/serve/client/client.go
@@ -254,6 +254,9 @@
 		return
 	}
 	r.id = e.resp.Header.Get(StreamID)
+	if r.id != "" {
+		r.split.Numbered()
+	}
 	r.pass(e)
 }
 
@@ -403,27 +406,29 @@
 func (r *run) passChunk(e *exchange, p []byte, begin func() error) bool {
 	r.mark(e)
 	r.size += len(p)
-	events, err := r.split.Add(p)
-	if err == nil && r.size > r.a.MaxAnswer {
-		err = fmt.Errorf("answer exceeds %d bytes", r.a.MaxAnswer)
+	events, broken := r.split.Add(p)
+	if len(events) > 0 {
+		err := begin()
+		if err == nil {
+			err = r.sink.Data(events)
+		}
+		if err != nil {
+			r.left(err)
+			return false
+		}
 	}
-	if err != nil {
-		r.failure(e, err)
-		r.id = ""
-		return false
+	if broken == nil && r.size > r.a.MaxAnswer {
+		broken = fmt.Errorf("answer exceeds %d bytes", r.a.MaxAnswer)
 	}
-	if len(events) == 0 {
+	if broken == nil {
 		return true
 	}
-	err = begin()
-	if err == nil {
-		err = r.sink.Data(events)
-	}
-	if err != nil {
-		r.left(err)
-		return false
+	r.failure(e, broken)
+	if !errors.Is(broken, stream.ErrGap) {
+		// It would break off at the same place again.
+		r.id = ""
 	}
-	return true
+	return false
 }
 
 // resumable reports whether the broken stream can go on from its last event.
--- a/internal/serve/flow/choose.go
+++ b/internal/serve/flow/choose.go
@@ -43,9 +43,8 @@
 	defer f.pool.Put(s)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	inv := f.board.Revisions.Inventory()
-	ask := f.ask(now, inv, t)
-	f.fill(now, inv, t, s)
+	ask := f.ask(now, t)
+	f.fill(now, t, s)
 	d := place.Decide(ask, s.candidates, s.remotes, f.rand)
 	out := decision{kind: d.Kind, expect: d.Expect, reason: d.Reason, retry: d.Retry}
 	switch d.Kind {
@@ -71,7 +70,7 @@
 	f.board.Zones.Count(now, t.Service.Name, spilledTo)
 }
 
-func (f *Flow) ask(now time.Time, inv *invent.Inventory, t *trip) place.Ask {
+func (f *Flow) ask(now time.Time, t *trip) place.Ask {
 	queued := f.board.Line(t.Service).Ahead(now, t.Service.Priority)
 	if !t.joined.IsZero() {
 		// It was woken as the first in line.
@@ -79,7 +78,7 @@
 	}
 	return place.Ask{
 		Service: t.Service, Prefix: t.Prefix, Left: t.Deadline.Sub(now),
-		Local:  invent.Allowed(t.Caller, t.Service, f.board.Region) && inv != nil,
+		Local:  invent.Allowed(t.Caller, t.Service, f.board.Region),
 		Cross:  t.cross,
 		Queued: queued,
 		Turn:   f.turn.Add(1),
@@ -87,7 +86,8 @@
 }
 
 // fill describes the places that the request may go to.
-func (f *Flow) fill(now time.Time, inv *invent.Inventory, t *trip, s *scratch) {
+func (f *Flow) fill(now time.Time, t *trip, s *scratch) {
+	inv := t.inv
 	s.names, s.endpoints = s.names[:0], s.endpoints[:0]
 	s.candidates, s.remotes = s.candidates[:0], s.remotes[:0]
 	for _, e := range inv.EndpointsOf(t.Service.Name) {
@@ -104,16 +104,16 @@
 			Work: st.Work(now, work), First: st.First(now, first), Ramp: st.Ramp(now),
 			Network: f.network(e.Centre), Tried: t.tried[e.Name],
 			Ejected: st.Ejected(now) || st.Report.Failing,
-			Leaving: e.Leaving || st.Report.Leaving,
+			Leaving: e.Leaving || st.Leaving(),
 		})
 	})
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		c.Leaving = c.Leaving || f.board.Leaving(c.Name)
+		c.Leaving = c.Leaving || f.board.Leaving(c.Name, now)
 	}
 	keepFloor(s.candidates)
 	if t.cross {
-		f.fillRemotes(now, inv, t, s)
+		f.fillRemotes(now, t, s)
 	}
 }
 
@@ -144,7 +144,8 @@
 	}
 }
 
-func (f *Flow) fillRemotes(now time.Time, inv *invent.Inventory, t *trip, s *scratch) {
+func (f *Flow) fillRemotes(now time.Time, t *trip, s *scratch) {
+	inv := t.inv
 	for _, r := range inv.Regions() {
 		if r.Name == f.board.Region || !invent.Allowed(t.Caller, t.Service, r.Name) {
 			continue
@@ -154,6 +155,7 @@
 		s.remotes = append(s.remotes, place.Remote{
 			Region: r.Name, Slots: v.Slots, Busy: v.Busy, Known: v.Known, Ramp: v.Ramp,
 			Hosts:   f.board.Members.Usable(r.Name) > 0 && runs(inv, t.Service.Name, r.Name),
+			Silent:  f.board.Zones.Silent(now, r.Name),
 			Latency: time.Duration(l.LatencyMS * float64(time.Millisecond)), Cost: l.Cost,
 			Open:  f.board.Zones.Open(now, t.Service.Name, r.Name, l.Spill),
 			Tried: t.tried[regionMark+r.Name],
--- a/internal/serve/flow/explain.go
+++ b/internal/serve/flow/explain.go
@@ -28,15 +28,14 @@
 
 // Explain decides on a request without a prompt and sends nothing.
 func (f *Flow) Explain(now time.Time, c *invent.Caller, s *invent.Service) Explanation {
-	inv := f.board.Revisions.Inventory()
 	t := &trip{
 		Request: Request{Caller: c, Service: s, Deadline: now.Add(s.Timeout()), From: f.board.Region},
-		cross:   true, start: now, tried: map[string]bool{},
+		cross:   true, start: now, inv: f.board.Revisions.Inventory(), tried: map[string]bool{},
 	}
 	sc := &scratch{}
 	f.mu.Lock()
-	ask := f.ask(now, inv, t)
-	f.fill(now, inv, t, sc)
+	ask := f.ask(now, t)
+	f.fill(now, t, sc)
 	d := place.Decide(ask, sc.candidates, sc.remotes, f.rand)
 	f.mu.Unlock()
 	out := Explanation{Decision: d.Kind.String(), Reason: string(d.Reason), ExpectMS: d.Expect.Milliseconds(), Rows: []Row{}}
@@ -74,6 +73,8 @@
 	switch {
 	case !m.Hosts:
 		r.Note = "no host can be reached"
+	case m.Silent:
+		r.Note = "silent"
 	case !m.Known:
 		r.Note = "no recent load"
 	case !m.Open:
--- a/internal/serve/flow/flow.go
+++ b/internal/serve/flow/flow.go
@@ -117,6 +117,8 @@
 // trip is the state of one request on its way.
 type trip struct {
 	Request
+	// inv is the configuration that the next decision goes by.
+	inv    *invent.Inventory
 	cross  bool
 	start  time.Time
 	tried  map[string]bool
@@ -152,6 +154,9 @@
 		if r := f.Gate(ctx, t.Deadline); r != nil {
 			return r
 		}
+		if r := f.renew(t); r != nil {
+			return r
+		}
 		d := f.choose(t)
 		switch d.kind {
 		case place.Refuse:
@@ -175,6 +180,25 @@
 	}
 }
 
+// renew brings the request's caller and service in line with the configuration
+// in force, which may have changed while it waited.
+func (f *Flow) renew(t *trip) *fault.Refusal {
+	inv := f.board.Revisions.Inventory()
+	if inv == nil {
+		return fault.New(fault.NotReady, fault.RanNo, "host has no configuration").WithRetryAfter(time.Second)
+	}
+	c, ok := inv.CallerByName(t.Caller.Name)
+	if !ok {
+		return fault.New(fault.Forbidden, fault.RanNo, "caller %s is no longer listed", t.Caller.Name)
+	}
+	s, ok := inv.Service(t.Service.Name)
+	if !ok || !c.May(s.Name) {
+		return fault.New(fault.NoService, fault.RanNo, "service %s is no longer offered", t.Service.Name)
+	}
+	t.Caller, t.Service, t.inv = c, s, inv
+	return nil
+}
+
 // result is how one attempt, here or in another region, ended.
 type result struct {
 	whole  bool
--- a/internal/serve/flow/here.go
+++ b/internal/serve/flow/here.go
@@ -84,7 +84,7 @@
 	}
 	f.board.Endpoints.Done(now, endpoint, res)
 	if out.Leaving {
-		f.board.SetLeaving(now, []string{endpoint})
+		f.board.Endpoints.Left(now, endpoint)
 	}
 }
 
--- a/internal/serve/flow/there.go
+++ b/internal/serve/flow/there.go
@@ -13,11 +13,14 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 )
 
-// linkSilence bounds the time without a frame on a stream between hosts; the
+// LinkSilence bounds the time without a frame on a stream between hosts; the
 // serving host sends one every AliveEvery even while the request waits.
 const (
-	linkSilence = 3 * time.Second
+	LinkSilence = 3 * time.Second
 	AliveEvery  = time.Second
+	// ackBase and ackTrips, in one-way times, bound the time to the first frame.
+	ackBase  = 150 * time.Millisecond
+	ackTrips = 6
 )
 
 // there makes an attempt through a host of another region.
@@ -32,10 +35,24 @@
 	open := OpenOf(t.Request, wire.Relay, f.now(), f.board.Revisions.Revision())
 	end, err := f.Exchange(ctx, m.Name, m.Address, open, f.watched(t, Sink(sink, func(h wire.Head) {
 		t.report.Endpoint, t.report.Status = h.Endpoint, h.Status
-	})))
+	})), f.ackWait(t, d.region))
+	if err != nil && !errors.Is(err, errSink) {
+		f.board.Zones.Failed(f.now(), d.region)
+	}
 	return f.relayResult(t, end, err)
 }
 
+// ackWait is how long the other host may take to say that it has the request. A
+// repeatable request goes elsewhere soon; another one waits, as nothing else can
+// be done with it.
+func (f *Flow) ackWait(t *trip, region string) time.Duration {
+	if !t.Repeatable {
+		return LinkSilence
+	}
+	latency := t.inv.Link(f.board.Region, region).LatencyMS
+	return ackBase + time.Duration(ackTrips*latency*float64(time.Millisecond))
+}
+
 // Sink returns a sink that shows each head to see first.
 func Sink(s client.Sink, see func(wire.Head)) client.Sink {
 	return client.Sink{
@@ -109,7 +126,7 @@
 // without progress for the time of silence is given up, and the next one to the
 // host is sent on a new connection.
 func (f *Flow) Exchange(
-	ctx context.Context, host, address string, open wire.Open, sink client.Sink,
+	ctx context.Context, host, address string, open wire.Open, sink client.Sink, ack time.Duration,
 ) (*wire.End, error) {
 	s, err := f.link.Open(ctx, host, address)
 	if err != nil {
@@ -118,17 +135,19 @@
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
-	if err := s.Write(wire.Frame{Open: &open}, time.Now().Add(linkSilence)); err != nil {
+	if err := s.Write(wire.Frame{Open: &open}, time.Now().Add(LinkSilence)); err != nil {
 		f.link.Drop(host)
 		return nil, fmt.Errorf("send request to %s: %w", host, err)
 	}
 	s.Finish()
+	wait := ack
 	for {
-		fr, err := s.Read(wire.MaxFrame, time.Now().Add(linkSilence))
+		fr, err := s.Read(wire.MaxFrame, time.Now().Add(wait))
 		if err != nil {
 			f.link.Drop(host)
 			return nil, fmt.Errorf("read answer of %s: %w", host, err)
 		}
+		wait = LinkSilence
 		if fr.End != nil {
 			return fr.End, nil
 		}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -49,7 +49,7 @@
 	readTimeout  = 30 * time.Second
 	idleTimeout  = 75 * time.Second
 	writeTimeout = 30 * time.Second
-	closeWait    = 100 * time.Millisecond
+	closeWait    = 500 * time.Millisecond
 	maxID        = 128
 )
 
@@ -163,6 +163,9 @@
 // refuse sends a refusal as the whole answer.
 func (f *Front) refuse(c *app.RequestContext, r *fault.Refusal) {
 	f.Meter.Refusal(r)
+	if f.Board.Pulse.Leaving() {
+		c.SetConnectionClose()
+	}
 	if r.RetryAfter > 0 {
 		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 		c.Header("Retry-After-Ms", strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
--- a/internal/serve/front/operate.go
+++ b/internal/serve/front/operate.go
@@ -90,7 +90,7 @@
 	open.Key, open.First = key.Text, first
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	end, err := f.Flow.Exchange(ctx, host.Name, host.Peers, open, a.sink())
+	end, err := f.Flow.Exchange(ctx, host.Name, host.Peers, open, a.sink(), flow.LinkSilence)
 	switch {
 	case errors.Is(err, link.ErrNotSent):
 		return fault.New(fault.HomeLost, lostRan(first), "host %s cannot be reached", host.Name).
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -38,6 +38,8 @@
 	// leaveNotice is how long a leaving host still takes requests that were sent
 	// before others heard of it.
 	leaveNotice = time.Second
+	// settle lets the last answers reach their callers before connections close.
+	settle = 500 * time.Millisecond
 )
 
 // Host is one host process.
@@ -102,7 +104,8 @@
 		Changed: h.changed,
 	}
 	handler := &relay.Handler{
-		Board: h.board, Flow: h.flow, Guard: &once.Guard{Home: h.home, Now: h.now}, Signer: signer,
+		Board: h.board, Flow: h.flow, Signer: signer,
+		Guard: &once.Guard{Home: h.home, Now: h.now, Enter: h.board.Pulse.Enter, Exit: h.board.Pulse.Exit},
 		Meter: h.meter, Log: h.log, Pool: h.relays, MaxBody: h.settings.Limits.Body, Now: h.now,
 		Behind: func(string) { h.runner.Kick(syncName) },
 	}
@@ -252,6 +255,7 @@
 		}
 		sleep(ctx, drainPeriod)
 	}
+	sleep(ctx, settle)
 	return true
 }
 
--- a/internal/serve/host/tasks.go
+++ b/internal/serve/host/tasks.go
@@ -161,7 +161,7 @@
 		return true
 	}
 	hosts := h.peersOf(inv, h.inCentre(h.board.Centre))
-	return slices.Contains(spread.Holders("watch/"+h.board.Centre, hosts, watchers), h.board.Name)
+	return spread.Holds("watch/"+h.board.Centre, hosts, h.board.Name, watchers)
 }
 
 // watch follows the configuration service: with a held watch where this host is
@@ -172,7 +172,7 @@
 		if h.holdsWatch() {
 			wait = watchWait
 		}
-		_, err := h.syncer.FromPlatform(ctx, h.board.Revisions.Revision(), wait)
+		_, err := h.syncer.FromPlatform(ctx, h.seen(), wait)
 		switch {
 		case err != nil && ctx.Err() == nil:
 			h.log.Warn().Err(err).Msg("configuration service")
@@ -183,6 +183,15 @@
 	}
 }
 
+// seen returns the highest revision that needs no further look.
+func (h *Host) seen() uint64 {
+	seen := h.board.Revisions.Revision()
+	if r := h.board.Revisions.Rejected(); r != nil {
+		seen = max(seen, r.Revision)
+	}
+	return seen
+}
+
 // idle waits for the next slow poll, or until the host becomes a watcher.
 func (h *Host) idle(ctx context.Context) {
 	until := h.now().Add(jitter(slowPoll))
@@ -205,22 +214,22 @@
 	list, err := h.platform.Hosts(ctx)
 	if err != nil {
 		h.log.Debug().Err(err).Msg("host list")
+		h.board.RenewMarks(now)
 		return
 	}
 	listed, leaving := map[string]bool{}, map[string]bool{}
-	var gone, back []string
+	var back []string
 	for _, e := range list.Hosts {
 		listed[e.Name] = true
 		if e.State == watch.Leaving {
 			leaving[e.Name] = true
-			gone = append(gone, e.Name)
+			h.board.Mark(e.Name, now)
 			continue
 		}
 		back = append(back, e.Name)
 	}
 	h.board.Members.SetAbsent(listed, leaving)
-	h.board.SetLeaving(now, gone)
-	h.board.ClearLeaving(back)
+	h.board.Unmark(back)
 }
 
 // polls remembers failed polls in a row.
@@ -259,7 +268,7 @@
 		if inv.RegionOf(e.Centre) != h.board.Region {
 			continue
 		}
-		if !slices.Contains(spread.Holders("poll/"+e.Name, hosts, pollers), h.board.Name) {
+		if !spread.Holds("poll/"+e.Name, hosts, h.board.Name, pollers) {
 			continue
 		}
 		wait.Go(func() { h.pollOne(ctx, e) })
@@ -327,33 +336,45 @@
 		if inv.RegionOf(e.Centre) != h.board.Region {
 			continue
 		}
-		st := h.board.Endpoints.Get(e.Name)
-		listed := h.board.Leaving(e.Name)
-		age := now.Sub(st.Report.At)
-		if st.Report.At.IsZero() || age > maxReportAge {
-			continue
-		}
-		l := wire.Load{
-			Endpoint: e.Name, AgeMS: uint32(max(0, age.Milliseconds())),
-			Running: uint32(max(0, st.Report.Running)), Queued: uint32(max(0, st.Report.Queued)),
+		if l := h.loadOf(e.Name, now); l.Flags != 0 {
+			out = append(out, l)
 		}
-		if st.Report.Leaving || listed {
-			l.Flags |= wire.FlagLeaving
-		}
-		if st.Report.Failing {
-			l.Flags |= wire.FlagFailing
-		}
-		out = append(out, l)
 	}
 	return out
 }
 
+// loadOf returns what is known of an endpoint; without flags where that is nothing.
+func (h *Host) loadOf(name string, now time.Time) wire.Load {
+	l := wire.Load{Endpoint: name}
+	if age, ok := h.board.Marked(name, now); ok {
+		l.Flags |= wire.FlagListed
+		l.MarkMS = millis(age)
+	}
+	st := h.board.Endpoints.Get(name)
+	age := now.Sub(st.Report.At)
+	if st.Report.At.IsZero() || age > maxReportAge {
+		return l
+	}
+	l.Flags |= wire.FlagReport
+	l.AgeMS, l.Running, l.Queued = millis(age), uint32(max(0, st.Report.Running)), uint32(max(0, st.Report.Queued))
+	if st.Report.Leaving {
+		l.Flags |= wire.FlagLeaving
+	}
+	if st.Report.Failing {
+		l.Flags |= wire.FlagFailing
+	}
+	return l
+}
+
+// millis returns a time in whole milliseconds, 0 for a negative one.
+func millis(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
+
 func (h *Host) someSums(now time.Time) []wire.RegionLoad {
 	var out []wire.RegionLoad
 	h.board.Zones.Sums(func(k zones.Key, s zones.Sum) {
 		if age := now.Sub(s.At); age < maxReportAge && len(out) < zonesPacket {
 			out = append(out, wire.RegionLoad{
-				Region: k.Region, Service: k.Service, AgeMS: uint32(max(0, age.Milliseconds())),
+				Region: k.Region, Service: k.Service, AgeMS: millis(age),
 				Slots: uint32(s.Slots), Busy: uint32(s.Busy),
 			})
 		}
@@ -364,6 +385,12 @@
 // takeLoads takes loads of endpoints and sums of regions in.
 func (h *Host) takeLoads(now time.Time, p wire.Packet) {
 	for _, l := range p.Loads {
+		if l.Flags&wire.FlagListed != 0 {
+			h.board.Mark(l.Endpoint, now.Add(-time.Duration(l.MarkMS)*time.Millisecond))
+		}
+		if l.Flags&wire.FlagReport == 0 {
+			continue
+		}
 		h.board.Endpoints.Note(l.Endpoint, endpt.Report{
 			Running: int(l.Running), Queued: int(l.Queued),
 			At:      now.Add(-time.Duration(l.AgeMS) * time.Millisecond),
@@ -409,7 +436,7 @@
 			}
 			has = true
 			st := h.board.Endpoints.Get(e.Name)
-			if e.Leaving || st.Report.Leaving || st.Report.Failing || st.Ejected(now) || h.board.Leaving(e.Name) {
+			if e.Leaving || st.Leaving() || st.Report.Failing || st.Ejected(now) || h.board.Leaving(e.Name, now) {
 				continue
 			}
 			sum.Slots += uint32(e.Slots)
--- a/internal/serve/once/guard.go
+++ b/internal/serve/once/guard.go
@@ -17,6 +17,9 @@
 type Guard struct {
 	Home *Home
 	Now  func() time.Time
+	// Enter and Exit count operations that run, also those whose caller has left.
+	Enter func() int
+	Exit  func()
 }
 
 // Do runs an operation, or waits for its earlier run, and passes the outcome
@@ -33,7 +36,9 @@
 		return g.Home.Wait(ctx, op)
 	}
 	done := make(chan Outcome, 1)
+	g.Enter()
 	go func() {
+		defer g.Exit()
 		own, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 		defer cancel()
 		out := collect(own, run)
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -105,7 +105,10 @@
 		Head: func(hd wire.Head) error { return a.write(wire.Frame{Head: &hd}) },
 		Data: func(p []byte) error { return a.write(wire.Frame{Data: p}) },
 	}
-	refusal := h.handle(ctx, peer, o, sink)
+	refusal := fault.New(fault.Cancelled, fault.RanNo, "sender has left")
+	if a.write(wire.Frame{Alive: true}) == nil {
+		refusal = h.handle(ctx, peer, o, sink)
+	}
 	stop()
 	if refusal != nil {
 		h.Meter.Refusal(refusal)
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -11,6 +11,9 @@
 // MaxEvent bounds one event, in bytes.
 const MaxEvent = 1 << 20
 
+// ErrGap is the error of a stream that left an event out.
+var ErrGap = errors.New("stream left an event out")
+
 // ErrTooLong is the error of an event that exceeds MaxEvent.
 var ErrTooLong = errors.New("event is too long")
 
@@ -28,11 +31,17 @@
 	buf  []byte
 	last int
 	done bool
+	// numbered says that ids are consecutive numbers.
+	numbered bool
 }
 
 // NewSplitter returns a splitter at the beginning of a stream.
 func NewSplitter() *Splitter { return &Splitter{last: NoID} }
 
+// Numbered says that the stream's ids are consecutive numbers from 0, so that a
+// gap is found.
+func (s *Splitter) Numbered() { s.numbered = true }
+
 // Add takes bytes in and returns the whole events that they complete, which are
 // valid until the next call. Events up to the last id seen are left out, so
 // that a resumed stream repeats nothing.
@@ -44,7 +53,11 @@
 		if n < 0 {
 			break
 		}
-		if s.take(s.buf[:n]) {
+		fresh, err := s.take(s.buf[:n])
+		if err != nil {
+			return out, err
+		}
+		if fresh {
 			out = append(out, s.buf[:n]...)
 		}
 		s.buf = s.buf[n:]
@@ -69,7 +82,7 @@
 }
 
 // take reads one event's fields and reports whether it is new.
-func (s *Splitter) take(event []byte) bool {
+func (s *Splitter) take(event []byte) (bool, error) {
 	id, data := NoID, []byte(nil)
 	for line := range bytes.Lines(event) {
 		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
@@ -85,22 +98,22 @@
 	}
 	if id != NoID {
 		if id <= s.last {
-			return false
+			return false, nil
+		}
+		if s.numbered && id != s.last+1 {
+			return false, ErrGap
 		}
 		s.last = id
 	}
 	if bytes.Equal(data, doneData) {
 		if s.done {
-			return false
+			return false, nil
 		}
 		s.done = true
 	}
-	return true
+	return true, nil
 }
 
-// Gap reports whether an event with id next would leave one out.
-func (s *Splitter) Gap(next int) bool { return next > s.last+1 }
-
 // Last returns the id of the last event, NoID if none had one.
 func (s *Splitter) Last() int { return s.last }
 
