--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -15,6 +15,8 @@
 	trust = 4 * time.Second
 	// learn is the weight of one new answer in the averages.
 	learn = 0.2
+	// fullTime is how long an endpoint that refused a request counts as full.
+	fullTime = 300 * time.Millisecond
 	// forget is the time in which an average falls half way back to the usual one.
 	forget = 15 * time.Second
 	// rampTime is how long an endpoint that returns is filled slowly.
@@ -43,6 +45,8 @@
 	work    average
 	record  eject.Record
 	joined  time.Time
+	// refused is when the endpoint last refused a request as it was full.
+	refused time.Time
 	// left is when the endpoint last said that it takes no more work.
 	left time.Time
 }
@@ -77,6 +81,15 @@
 	return float64(s.Own) + others*math.Exp2(-age/float64(trust))
 }
 
+// Excess returns what is added to the load of an endpoint of so many slots that
+// just refused a request, whatever its reports say.
+func (s *State) Excess(now time.Time, slots int) float64 {
+	if now.Sub(s.refused) < fullTime {
+		return float64(slots)
+	}
+	return 0
+}
+
 // First returns the expected time before the first token once a slot is free.
 func (s *State) First(now time.Time, usual time.Duration) time.Duration {
 	return s.first.toward(usual, now)
@@ -188,6 +201,8 @@
 	Whole bool
 	// Failed says that the endpoint, not the caller, was the cause.
 	Failed bool
+	// Full says that the endpoint refused the request.
+	Full bool
 	// First and Work are zero where not known.
 	First time.Duration
 	Work  time.Duration
@@ -202,6 +217,9 @@
 	defer t.mu.Unlock()
 	s := t.state(name)
 	s.Own = max(0, s.Own-1)
+	if r.Full {
+		s.refused = now
+	}
 	if r.First > 0 {
 		s.first = s.first.with(now, r.First, r.UsualFirst)
 	}
--- a/internal/board/zones/zones.go
+++ b/internal/board/zones/zones.go
@@ -98,6 +98,15 @@
 	return true
 }
 
+// Heard notes that a region was heard of.
+func (t *Table) Heard(at time.Time, region string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.heard[region]) {
+		t.heard[region] = at
+	}
+}
+
 // Failed notes that a region did not answer.
 func (t *Table) Failed(now time.Time, region string) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/conf/invent/invent_test.go
@@ -0,0 +1,199 @@
+package invent
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const base = `
+[[regions]]
+name = "north"
+[[regions]]
+name = "south"
+
+[[centres]]
+name = "n1"
+region = "north"
+[[centres]]
+name = "s1"
+region = "south"
+
+[[hosts]]
+name = "h1"
+centre = "n1"
+callers = "127.0.0.1:1001"
+peers = "127.0.0.1:1002"
+
+[[links]]
+from = "north"
+to = "south"
+latency_ms = 20.0
+spill = 0.5
+
+[[services]]
+name = "chat"
+kind = "model"
+repeatable = true
+
+[[services]]
+name = "shop"
+kind = "plain"
+regions = ["north"]
+[[services.calls]]
+method = "GET"
+path = "/stock"
+repeatable = true
+
+[[endpoints]]
+name = "e1"
+service = "chat"
+centre = "n1"
+address = "127.0.0.1:1003"
+slots = 4
+
+[[callers]]
+name = "app"
+key_hash = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+region = "north"
+services = ["chat"]
+residency = ["north"]
+`
+
+func accept(text string) (*Inventory, error) {
+	return Accept(1, []Source{{Name: "doc", Data: []byte(text)}})
+}
+
+func TestAccepted(t *testing.T) {
+	v, err := accept(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, _ := v.CallerByName("app")
+	chat, _ := v.Service("chat")
+	shop, _ := v.Service("shop")
+	if !Allowed(c, chat, "north") || Allowed(c, chat, "south") || Allowed(&Caller{}, shop, "south") {
+		t.Error("residency is wrong")
+	}
+	if !shop.MayRepeat("GET", "/stock/1") || shop.MayRepeat("POST", "/stock/1") || shop.MayRepeat("GET", "/x") || !chat.MayRepeat("POST", "/") {
+		t.Error("repeatability is wrong")
+	}
+	if v.Link("south", "north").LatencyMS != 20 || v.HostRegion("h1") != "north" || chat.TimeoutMS == 0 {
+		t.Error("links, hosts or defaults are wrong")
+	}
+	again, err := accept(base)
+	if err != nil || again.Digest != v.Digest {
+		t.Error("the verdict is not a function of the documents")
+	}
+}
+
+// TestRejected has a row for each kind of fault: what is changed, and the line
+// and key that the fault must name.
+func TestRejected(t *testing.T) {
+	tests := []struct{ name, old, new, key, text string }{
+		{"syntax", `name = "h1"`, `name = `, "", ""},
+		{"type", `slots = 4`, `slots = "four"`, "endpoints.slots", ""},
+		{"unknown key", `slots = 4`, "slots = 4\ncolour = 1", "endpoints.colour", "unknown key"},
+		{"unknown table", "[[regions]]\nname = \"north\"", "[[planets]]\nname = \"x\"\n[[regions]]\nname = \"north\"", "planets", "unknown key"},
+		{"missing", `address = "127.0.0.1:1003"`, ``, "endpoints[0].address", "required"},
+		{"range", `slots = 4`, `slots = 0`, "endpoints[0].slots", "gte"},
+		{"share", `spill = 0.5`, `spill = 1.5`, "links[0].spill", "lte"},
+		{"kind", `kind = "plain"`, `kind = "magic"`, "services[1].kind", "oneof"},
+		{"host name in address", `callers = "127.0.0.1:1001"`, `callers = "localhost:1001"`, "hosts[0].callers", "hostport"},
+		{"port", `callers = "127.0.0.1:1001"`, `callers = "127.0.0.1:99999"`, "hosts[0].callers", "hostport"},
+		{"call path", `path = "/stock"`, `path = "stock"`, "services[1].calls[0].path", "startswith"},
+		{"region of centre", `region = "south"`, `region = "west"`, "centres[1].region", "not listed"},
+		{"centre of host", "centre = \"n1\"\ncallers", "centre = \"zz\"\ncallers", "hosts[0].centre", "not listed"},
+		{"service of endpoint", `service = "chat"`, `service = "talk"`, "endpoints[0].service", "not listed"},
+		{"service outside its regions", "service = \"chat\"\ncentre = \"n1\"", "service = \"shop\"\ncentre = \"s1\"", "endpoints[0].centre", "outside"},
+		{"region of caller", "region = \"north\"\nservices", "region = \"west\"\nservices", "callers[0].region", "not listed"},
+		{"residency", `residency = ["north"]`, `residency = ["west"]`, "callers[0].residency", "not listed"},
+		{"service of caller", `services = ["chat"]`, `services = ["talk"]`, "callers[0].services", "not listed"},
+		{"key hash", `key_hash = "aaaa`, `key_hash = "zzzz`, "callers[0].key_hash", "hexadecimal"},
+		{"region twice", `name = "south"`, `name = "north"`, "regions[1].name", "twice"},
+		{"service twice", `name = "shop"`, `name = "chat"`, "services[1].name", "twice"},
+		{"link to itself", `to = "south"`, `to = "north"`, "links[0].from", "two listed regions"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if !strings.Contains(base, tt.old) {
+				t.Fatalf("base has no %q", tt.old)
+			}
+			_, err := accept(strings.Replace(base, tt.old, tt.new, 1))
+			var rejected *Rejected
+			if !errors.As(err, &rejected) {
+				t.Fatalf("accepted, or another error: %v", err)
+			}
+			at := slices.IndexFunc(rejected.Faults, func(f Fault) bool {
+				return (f.Key == tt.key || tt.key == "") && strings.Contains(f.Text, tt.text)
+			})
+			if at < 0 {
+				t.Fatalf("no fault %q %q in %v", tt.key, tt.text, rejected.Faults)
+			}
+			if f := rejected.Faults[at]; f.File != "doc" || f.Line == 0 {
+				t.Errorf("fault has no place: %+v", f)
+			}
+		})
+	}
+}
+
+func TestAddressOfTwoHosts(t *testing.T) {
+	_, err := accept(base + "[[hosts]]\nname = \"h2\"\ncentre = \"n1\"\ncallers = \"127.0.0.1:1001\"\npeers = \"127.0.0.1:1009\"\n")
+	if err == nil || !strings.Contains(err.Error(), "belongs to host") {
+		t.Fatalf("err = %v", err)
+	}
+}
+
+func TestLinesAcrossParts(t *testing.T) {
+	_, err := Accept(1, []Source{
+		{Name: "one", Data: []byte(base)},
+		{Name: "two", Data: []byte("# comment\n\n[[endpoints]]\nname = \"e2\"\nservice = \"none\"\ncentre = \"n1\"\naddress = \"127.0.0.1:1\"\nslots = 1\n")},
+	})
+	var rejected *Rejected
+	if !errors.As(err, &rejected) || len(rejected.Faults) != 1 {
+		t.Fatalf("err = %v", err)
+	}
+	if f := rejected.Faults[0]; f.File != "two" || f.Line != 5 {
+		t.Errorf("fault at %s:%d, want two:5", f.File, f.Line)
+	}
+}
+
+func TestPartTooLarge(t *testing.T) {
+	big := base + strings.Repeat("#"+strings.Repeat("x", 1000)+"\n", 1100)
+	if _, err := accept(big); err == nil || !strings.Contains(err.Error(), "exceed") {
+		t.Fatalf("err = %v", err)
+	}
+	whole := base + strings.Repeat("#", MaxPart-len(base)-1) + "\n"
+	if _, err := accept(whole); err != nil {
+		t.Fatalf("a part of exactly the limit: %v", err)
+	}
+}
+
+func TestParseHead(t *testing.T) {
+	good, err := Bundle(3, []Source{{Name: "doc", Data: []byte(base)}}).Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := ParseHead(good)
+	if err != nil || h.Revision != 3 || h.Parts[0].Hash != Hash([]byte(base)) {
+		t.Fatalf("ParseHead = %+v, %v", h, err)
+	}
+	for _, bad := range []string{"", "revision = 0", "revision = 1", "revision = 1\n[[parts]]\nname = \"x\"\nhash = \"y\"", "=", "revision = -1"} {
+		if _, err := ParseHead([]byte(bad)); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
+
+func FuzzAccept(f *testing.F) {
+	f.Add([]byte(base))
+	f.Add([]byte("[[hosts]]\nname = 1"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		v, err := Accept(1, []Source{{Name: "doc", Data: data}})
+		var rejected *Rejected
+		if err == nil && v == nil || err != nil && !errors.As(err, &rejected) {
+			t.Errorf("no verdict: %v", err)
+		}
+	})
+}
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -229,13 +229,36 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := quic.DialAddr(ctx, address, l.clientTLS(host), quicConfig())
+	conn, err := l.dial(ctx, host, address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
 	return l.keep(host, address, conn), nil
 }
 
+// dial opens a connection from a socket of its own, at this host's own IP number.
+func (l *Link) dial(ctx context.Context, host, address string) (*quic.Conn, error) {
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("resolve: %w", err)
+	}
+	from := &net.UDPAddr{}
+	if own, ok := l.transport.Conn.LocalAddr().(*net.UDPAddr); ok {
+		from.IP = own.IP
+	}
+	socket, err := net.ListenUDP("udp", from)
+	if err != nil {
+		return nil, fmt.Errorf("open socket: %w", err)
+	}
+	conn, err := quic.Dial(ctx, socket, to, l.clientTLS(host), quicConfig())
+	if err != nil {
+		_ = socket.Close()
+		return nil, fmt.Errorf("handshake: %w", err)
+	}
+	context.AfterFunc(conn.Context(), func() { _ = socket.Close() })
+	return conn, nil
+}
+
 // usable returns a usable connection to host at address, or nil.
 func (l *Link) usable(host, address string) *peerConn {
 	l.mu.Lock()
--- a/internal/route/eject/eject.go
+++ b/internal/route/eject/eject.go
@@ -49,5 +49,5 @@
 // Returned is when the last ejection ended; zero if there was none.
 func (r Record) Returned() time.Time { return r.until }
 
-// Floor returns how many of n endpoints may be out at once: fewer than half.
-func Floor(n int) int { return max(0, (n-1)/2) }
+// Most returns how many of n endpoints may be out at once: half of them.
+func Most(n int) int { return n / 2 }
--- /dev/null
+++ b/internal/route/eject/eject_test.go
@@ -0,0 +1,51 @@
+package eject
+
+import (
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func fail(r Record, now time.Time) Record {
+	for range failLimit {
+		r = r.WithFailure(now)
+	}
+	return r
+}
+
+func TestEjectionGrowsAndEnds(t *testing.T) {
+	var r Record
+	now := epoch
+	want := shortest
+	for range 8 {
+		r = fail(r, now)
+		if !r.Out(now.Add(want-1)) || r.Out(now.Add(want)) {
+			t.Fatalf("ejection does not last %v", want)
+		}
+		now = now.Add(want)
+		want = min(2*want, longest)
+	}
+	now = now.Add(calm + 1)
+	if r = fail(r, now); r.Out(now.Add(shortest)) {
+		t.Error("ejection is long after a calm time")
+	}
+}
+
+func TestSuccessResets(t *testing.T) {
+	r := Record{}.WithFailure(epoch).WithFailure(epoch).WithSuccess().WithFailure(epoch).WithFailure(epoch)
+	if r.Out(epoch) {
+		t.Error("failures were counted over a success")
+	}
+	if fail(r, epoch).WithSuccess().Out(epoch) {
+		t.Error("a success does not end the ejection")
+	}
+}
+
+func TestMost(t *testing.T) {
+	for n, want := range []int{0, 0, 1, 1, 2, 2, 3, 3} {
+		if got := Most(n); got != want {
+			t.Errorf("Most(%d) = %d, want %d", n, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/limit/limit_test.go
@@ -0,0 +1,66 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/seeds"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
+)
+
+func init() { seeds.Fix() }
+
+var epoch = time.Unix(1_000_000, 0)
+
+func TestConcurrent(t *testing.T) {
+	l := NewTable(100)
+	c := &invent.Caller{Name: "c", Concurrent: 2}
+	for i := range 2 {
+		if r := l.Admit(epoch, c, 1); r != nil {
+			t.Fatalf("request %d: %v", i, r)
+		}
+	}
+	r := l.Admit(epoch, c, 1)
+	if r == nil || r.RetryAfter <= 0 || r.Ran != "no" {
+		t.Fatalf("third request: %+v", r)
+	}
+	l.Done("c")
+	if r := l.Admit(epoch, c, 1); r != nil {
+		t.Fatalf("after one ended: %v", r)
+	}
+}
+
+func TestCap(t *testing.T) {
+	l := NewTable(1)
+	c := &invent.Caller{Name: "c"}
+	if l.Admit(epoch, c, 1) != nil || l.Admit(epoch, c, 1) == nil {
+		t.Fatal("the host's own bound does not hold")
+	}
+}
+
+// TestRate: over any time, no more than the rate and a burst is admitted.
+func TestRate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := rapid.Float64Range(1, 50).Draw(rt, "rate")
+		hosts := rapid.IntRange(1, 10).Draw(rt, "hosts")
+		l := NewTable(1000)
+		c := &invent.Caller{Name: "c", Rate: rate}
+		now, admitted := epoch, 0
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(rt, "ms")) * time.Millisecond)
+			if r := l.Admit(now, c, hosts); r == nil {
+				admitted++
+				l.Done("c")
+			} else if r.RetryAfter < minRetry {
+				rt.Fatalf("retry after %v", r.RetryAfter)
+			}
+		}
+		share := Share(rate, hosts)
+		if most := share*(now.Sub(epoch).Seconds()+burstSeconds) + 2; float64(admitted) > most {
+			rt.Fatalf("admitted %d, want at most %.1f", admitted, most)
+		}
+	})
+}
--- /dev/null
+++ b/internal/route/retry/retry_test.go
@@ -0,0 +1,76 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/seeds"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+)
+
+func init() { seeds.Fix() }
+
+var now = time.Unix(1_000_000, 0)
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name       string
+		repeatable bool
+		deadline   time.Time
+		f          Failure
+		want       bool
+	}{
+		{"not run", false, now.Add(1), Failure{Ran: fault.RanNo, Tries: 1}, true},
+		{"repeatable and in doubt", true, now.Add(1), Failure{Ran: fault.RanUnknown, Tries: 1}, true},
+		{"not repeatable and in doubt", false, now.Add(1), Failure{Ran: fault.RanUnknown, Tries: 1}, false},
+		{"not repeatable and run", false, now.Add(1), Failure{Ran: fault.RanYes, Tries: 1}, false},
+		{"begun", true, now.Add(1), Failure{Ran: fault.RanNo, Begun: true, Tries: 1}, false},
+		{"late", true, now, Failure{Ran: fault.RanNo, Tries: 1}, false},
+		{"tries used up", true, now.Add(1), Failure{Ran: fault.RanNo, Tries: MaxTries}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := Decide(now, tt.deadline, tt.repeatable, tt.f); got.Again != tt.want || (got.Why == "") != tt.want {
+				t.Errorf("Decide = %+v, want again %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestNeverAgainOnDoubt holds for any failure of what may not be repeated.
+func TestNeverAgainOnDoubt(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := Failure{
+			Reason: rapid.SampledFrom(Reasons()).Draw(rt, "reason"),
+			Ran:    rapid.SampledFrom([]fault.Ran{fault.RanNo, fault.RanYes, fault.RanUnknown}).Draw(rt, "ran"),
+			Begun:  rapid.Bool().Draw(rt, "begun"), Tries: rapid.IntRange(1, 5).Draw(rt, "tries"),
+		}
+		deadline := now.Add(time.Duration(rapid.Int64Range(-10, 10).Draw(rt, "left")))
+		if Decide(now, deadline, false, f).Again && (f.Ran != fault.RanNo || f.Begun || !now.Before(deadline)) {
+			rt.Fatalf("%+v is tried again", f)
+		}
+	})
+}
+
+// TestBudget: over any run of requests, retries stay within a tenth and a burst.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := NewBudget()
+		requests, spent := 0, 0
+		for range rapid.IntRange(0, 300).Draw(rt, "steps") {
+			if rapid.Bool().Draw(rt, "request") {
+				b.Earn("s")
+				requests++
+			}
+			if b.Spend("s") {
+				spent++
+			}
+		}
+		if limit := float64(requests)*earn + burst; float64(spent) > limit {
+			rt.Fatalf("%d retries for %d requests", spent, requests)
+		}
+	})
+}
--- a/internal/serve/flow/choose.go
+++ b/internal/serve/flow/choose.go
@@ -100,7 +100,7 @@
 	f.board.Endpoints.Each(s.names, func(i int, st *endpt.State) {
 		e := s.endpoints[i]
 		s.candidates = append(s.candidates, place.Candidate{
-			Name: e.Name, Slots: e.Slots, Load: st.Load(now),
+			Name: e.Name, Slots: e.Slots, Load: st.Load(now) + st.Excess(now, e.Slots),
 			Work: st.Work(now, work), First: st.First(now, first), Ramp: st.Ramp(now),
 			Network: f.network(e.Centre), Tried: t.tried[e.Name],
 			Ejected: st.Ejected(now) || st.Report.Failing,
@@ -134,7 +134,7 @@
 		}
 	}
 	for i := range list {
-		if out <= eject.Floor(len(list)) {
+		if out <= eject.Most(len(list)) {
 			return
 		}
 		if list[i].Ejected {
--- a/internal/serve/flow/here.go
+++ b/internal/serve/flow/here.go
@@ -77,6 +77,7 @@
 	now := f.now()
 	res := endpt.Result{
 		Whole: out.Whole, First: out.First, UsualFirst: first, UsualWork: work,
+		Full:   out.Reason == retry.Refused,
 		Failed: !out.Whole && !out.CallerLeft && out.Reason != retry.Refused,
 	}
 	if out.Whole {
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -57,6 +57,7 @@
 	runner   *ctrl.Runner
 	relays   *ants.Pool
 	platform watch.Platform
+	handlers link.Handlers
 	now      func() time.Time
 
 	cancel  context.CancelFunc
@@ -117,13 +118,13 @@
 		Board: h.board, Flow: h.flow, Home: h.home, Meter: h.meter, Log: h.log,
 		Address: h.settings.Admin, Key: h.settings.AdminKey, Started: h.started, Now: h.now,
 	}
-	h.link.Serve(link.Handlers{
+	h.handlers = link.Handlers{
 		Stream: handler.Stream,
 		Packet: h.packet,
 		Dropped: func(err error) {
 			h.log.Debug().Err(err).Msg("datagram dropped")
 		},
-	})
+	}
 	return nil
 }
 
@@ -133,6 +134,7 @@
 	h.cancel = cancel
 	h.controllers()
 	h.runner.Start()
+	h.link.Serve(h.handlers)
 	h.wait.Go(func() { h.beat(ctx) })
 	h.wait.Go(func() { h.boot(ctx) })
 	h.admin.Start()
@@ -233,6 +235,9 @@
 func (h *Host) packet(p wire.Packet, _ net.Addr) {
 	now := h.now()
 	h.send(h.board.Members.Receive(now, p))
+	if m, ok := h.board.Members.Member(p.From); ok {
+		h.board.Zones.Heard(now, m.Region)
+	}
 	h.takeLoads(now, p)
 	if h.behind(p) {
 		h.runner.Kick(syncName)
--- a/internal/serve/host/tasks.go
+++ b/internal/serve/host/tasks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -17,6 +18,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/spread"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/watch"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/eject"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 )
 
@@ -418,7 +420,9 @@
 			continue
 		}
 		for _, m := range h.board.Members.Random(1, func(m member.Member) bool { return m.Region == r.Name }) {
-			for chunk := range slices.Chunk(sums, zonesPacket) {
+			// Without any sum the packet still says that this region is there.
+			h.sendLoads(m, wire.Packet{Regions: sums[:min(zonesPacket, len(sums))]})
+			for chunk := range slices.Chunk(sums[min(zonesPacket, len(sums)):], zonesPacket) {
 				h.sendLoads(m, wire.Packet{Regions: chunk})
 			}
 		}
@@ -428,23 +432,35 @@
 func (h *Host) ownSums(inv *invent.Inventory, now time.Time) []wire.RegionLoad {
 	var out []wire.RegionLoad
 	for _, s := range inv.Services() {
-		sum := wire.RegionLoad{Region: h.board.Region, Service: s.Name}
-		has := false
-		for _, e := range inv.EndpointsOf(s.Name) {
-			if inv.RegionOf(e.Centre) != h.board.Region {
-				continue
-			}
-			has = true
-			st := h.board.Endpoints.Get(e.Name)
-			if e.Leaving || st.Leaving() || st.Report.Failing || st.Ejected(now) || h.board.Leaving(e.Name, now) {
-				continue
-			}
-			sum.Slots += uint32(e.Slots)
-			sum.Busy += uint32(st.Load(now))
-		}
-		if has {
+		if sum, ok := h.sumOf(inv, s.Name, now); ok {
 			out = append(out, sum)
 		}
 	}
 	return out
 }
+
+// sumOf sums up a service's endpoints of this region. As in a decision here, no
+// more than a part of them counts as out for its failures.
+func (h *Host) sumOf(inv *invent.Inventory, service string, now time.Time) (wire.RegionLoad, bool) {
+	sum := wire.RegionLoad{Region: h.board.Region, Service: service}
+	var here []invent.Endpoint
+	for _, e := range inv.EndpointsOf(service) {
+		if inv.RegionOf(e.Centre) == h.board.Region {
+			here = append(here, e)
+		}
+	}
+	out := 0
+	for _, e := range here {
+		st := h.board.Endpoints.Get(e.Name)
+		if e.Leaving || st.Leaving() || h.board.Leaving(e.Name, now) {
+			continue
+		}
+		if (st.Report.Failing || st.Ejected(now)) && out < eject.Most(len(here)) {
+			out++
+			continue
+		}
+		sum.Slots += uint32(e.Slots)
+		sum.Busy += uint32(math.Ceil(st.Load(now)))
+	}
+	return sum, len(here) > 0
+}
--- /dev/null
+++ b/internal/serve/stream/stream_test.go
@@ -0,0 +1,78 @@
+package stream
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/seeds"
+)
+
+func init() { seeds.Fix() }
+
+func event(i int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i) }
+
+// TestAnyCutAndResume: however a stream is cut into reads, broken and resumed,
+// with repeats, what is passed on is the whole stream, each event once.
+func TestAnyCutAndResume(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(rt, "events")
+		var whole strings.Builder
+		for i := range n {
+			whole.WriteString(event(i))
+		}
+		whole.WriteString("data: [DONE]\n\n")
+		s := NewSplitter()
+		s.Numbered()
+		var got strings.Builder
+		for !s.Done() {
+			from := rapid.IntRange(0, max(0, s.Last()+1)).Draw(rt, "from")
+			text := whole.String()[strings.Index(whole.String()+"id: "+fmt.Sprint(from), fmt.Sprintf("id: %d\n", min(from, n-1))):]
+			cut := rapid.IntRange(0, len(text)).Draw(rt, "cut")
+			if rapid.Bool().Draw(rt, "all") {
+				cut = len(text)
+			}
+			for text = text[:cut]; text != ""; {
+				k := rapid.IntRange(1, len(text)).Draw(rt, "read")
+				out, err := s.Add([]byte(text[:k]))
+				if err != nil {
+					rt.Fatal(err)
+				}
+				got.Write(out)
+				text = text[k:]
+			}
+			s.Restart()
+		}
+		if got.String() != whole.String() {
+			rt.Fatalf("got %q, want %q", got.String(), whole.String())
+		}
+	})
+}
+
+func TestGapIsFound(t *testing.T) {
+	s := NewSplitter()
+	s.Numbered()
+	out, err := s.Add([]byte(event(0) + event(2) + "data: [DONE]\n\n"))
+	if !errors.Is(err, ErrGap) || string(out) != event(0) || s.Done() {
+		t.Fatalf("Add = %q, %v, done %v", out, err, s.Done())
+	}
+}
+
+func TestTooLong(t *testing.T) {
+	if _, err := NewSplitter().Add(make([]byte, MaxEvent+1)); !errors.Is(err, ErrTooLong) {
+		t.Fatalf("Add: %v", err)
+	}
+}
+
+func TestForms(t *testing.T) {
+	for _, text := range []string{"data: [DONE]\n\n", "data:[DONE]\r\n\r\n", ": hint\n\ndata: [DONE]\n\n"} {
+		s := NewSplitter()
+		out, err := s.Add([]byte(text))
+		if err != nil || string(out) != text || !s.Done() {
+			t.Errorf("%q: %q, %v, done %v", text, out, err, s.Done())
+		}
+	}
+}
