--- a/internal/serve/host/fleet_test.go
+++ b/internal/serve/host/fleet_test.go
@@ -60,8 +60,10 @@
 	order    []string
 	revision uint64
 
-	mu  sync.Mutex
-	cut func(from, to string) bool
+	mu sync.Mutex
+	// owner is the host at an IP number.
+	owner map[string]string
+	cut   func(from, to string) bool
 	// until is when packet flows that began before it were lost for good.
 	deaf map[string]time.Time
 }
@@ -90,7 +92,7 @@
 	f := &fleet{
 		t: t, plan: p, ip: ownIP(), port: 20000, folder: t.TempDir(), engines: map[string]*engine.Engine{},
 		plains: map[string]*plain.Service{}, hosts: map[string]*Host{}, set: map[string]setup.Settings{},
-		deaf: map[string]time.Time{}, cut: func(string, string) bool { return false },
+		deaf: map[string]time.Time{}, owner: map[string]string{}, cut: func(string, string) bool { return false },
 	}
 	var err error
 	if f.keys, err = certs.NewAuthority(time.Now(), time.Hour); err != nil {
@@ -167,6 +169,9 @@
 	s.LogLevel, s.Limits.DrainSeconds = "debug", 60
 	f.set[name] = s
 	f.order = append(f.order, name)
+	f.mu.Lock()
+	f.owner[own] = name
+	f.mu.Unlock()
 	f.relay(name, own)
 }
 
@@ -225,12 +230,9 @@
 
 func (f *fleet) sender(from net.Addr) string {
 	ip, _, _ := strings.Cut(from.String(), ":")
-	for name, s := range f.set {
-		if strings.HasPrefix(s.Peers, ip+":") {
-			return name
-		}
-	}
-	return ""
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.owner[ip]
 }
 
 func (f *fleet) lost(from, to string, began time.Time) bool {
