--- a/internal/load/agent/agent.go
+++ b/internal/load/agent/agent.go
@@ -63,6 +63,8 @@
 	Whole bool
 	Host  string
 	Tries int
+	// Served is the host of another region that carried the request out.
+	Served string
 	// Code and Ran are those of a refusal.
 	Code  fault.Code
 	Ran   fault.Ran
@@ -277,6 +279,7 @@
 		Head: func(h wire.Head) error {
 			out.Status = h.Status
 			rep.after = afterOf(h)
+			out.Served = valueOf(h, "X-Served-By")
 			return nil
 		},
 		Data: func(p []byte) error {
@@ -310,14 +313,19 @@
 	return rep
 }
 
-func afterOf(h wire.Head) time.Duration {
+func valueOf(h wire.Head, name string) string {
 	for _, f := range h.Fields {
-		if f.Name == "Retry-After-Ms" {
-			n, err := strconv.ParseInt(f.Value, 10, 64)
-			if err == nil && n > 0 {
-				return time.Duration(n) * time.Millisecond
-			}
+		if f.Name == name {
+			return f.Value
 		}
 	}
-	return 0
+	return ""
+}
+
+func afterOf(h wire.Head) time.Duration {
+	n, err := strconv.ParseInt(valueOf(h, "Retry-After-Ms"), 10, 64)
+	if err != nil || n <= 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
 }
--- /dev/null
+++ b/internal/load/report/page.go
@@ -0,0 +1,125 @@
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"io"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/load/drive"
+)
+
+// The size of a plot, in points.
+const (
+	plotWidth  vg.Length = 510
+	plotHeight vg.Length = 255
+)
+
+type page struct {
+	Report Report
+	Plots  []template.HTML
+}
+
+var text = template.Must(template.New("report").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Report.Name}}</title>
+<style>body{font-family:sans-serif;margin:2em;max-width:70em}table{border-collapse:collapse}
+td,th{border:1px solid #999;padding:.3em .6em;text-align:right}th{background:#eee}</style></head><body>
+<h1>{{.Report.Name}}</h1>
+<p>Seed {{.Report.Seed}}, {{printf "%.1f" .Report.Seconds}} s, {{.Report.Total.Sent}} requests. Times count from when a
+request was due, in milliseconds.</p>
+<table><tr><th>service</th><th>sent</th><th>whole</th><th>in time</th><th>away</th><th>cost</th><th>repeats</th>
+<th>first p50</th><th>p95</th><th>p99</th><th>took p50</th><th>p99</th><th>gap p99</th><th>refusals</th></tr>
+{{range .Report.Services}}<tr><td>{{.Name}}</td><td>{{.Sent}}</td><td>{{.Whole}}</td><td>{{.InTime}}</td>
+<td>{{.Away}}</td><td>{{printf "%.0f" .Cost}}</td><td>{{.Repeats}}</td><td>{{printf "%.0f" .First.P50}}</td>
+<td>{{printf "%.0f" .First.P95}}</td><td>{{printf "%.0f" .First.P99}}</td><td>{{printf "%.0f" .Took.P50}}</td>
+<td>{{printf "%.0f" .Took.P99}}</td><td>{{printf "%.0f" .Gap.P99}}</td><td>{{.Refusals}}</td></tr>
+{{end}}</table>
+{{range .Plots}}<p>{{.}}</p>{{end}}
+</body></html>
+`))
+
+// Page writes a report as one page that needs nothing else.
+func Page(w io.Writer, r Report, samples []drive.Sample) error {
+	p := page{Report: r}
+	for _, draw := range []func([]drive.Sample) (*plot.Plot, error){firstPlot, ratePlot} {
+		svg, err := render(draw, samples)
+		if err != nil {
+			return fmt.Errorf("plot: %w", err)
+		}
+		p.Plots = append(p.Plots, svg)
+	}
+	if err := text.Execute(w, p); err != nil {
+		return fmt.Errorf("write page: %w", err)
+	}
+	return nil
+}
+
+func render(build func([]drive.Sample) (*plot.Plot, error), samples []drive.Sample) (template.HTML, error) {
+	p, err := build(samples)
+	if err != nil {
+		return "", err
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", fmt.Errorf("render: %w", err)
+	}
+	// The picture is made here, from numbers and names of the inventory.
+	return template.HTML(b.String()), nil
+}
+
+func firstPlot(samples []drive.Sample) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = "time to the first part"
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "ms"
+	by := map[string]plotter.XYs{}
+	for _, s := range samples {
+		if s.Outcome.Whole {
+			by[s.Item.Service] = append(by[s.Item.Service], plotter.XY{
+				X: s.Item.At().Seconds(), Y: float64(s.First) / float64(time.Millisecond),
+			})
+		}
+	}
+	var args []any
+	for name, points := range by {
+		args = append(args, name, points)
+	}
+	if err := plotutil.AddScatters(p, args...); err != nil {
+		return nil, fmt.Errorf("first parts: %w", err)
+	}
+	return p, nil
+}
+
+func ratePlot(samples []drive.Sample) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = "requests and whole answers a second"
+	p.X.Label.Text = "seconds"
+	var sent, whole plotter.XYs
+	count := func(list plotter.XYs, at time.Duration) plotter.XYs {
+		for len(list) <= int(at.Seconds()) {
+			list = append(list, plotter.XY{X: float64(len(list))})
+		}
+		list[int(at.Seconds())].Y++
+		return list
+	}
+	for _, s := range samples {
+		sent = count(sent, s.Item.At())
+		if s.Outcome.Whole {
+			whole = count(whole, s.Item.At()+s.Took)
+		}
+	}
+	if err := plotutil.AddLines(p, "sent", sent, "whole", whole); err != nil {
+		return nil, fmt.Errorf("rates: %w", err)
+	}
+	return p, nil
+}
--- a/internal/serve/host/config_test.go
+++ b/internal/serve/host/config_test.go
@@ -32,16 +32,15 @@
 	})
 }
 
-// watcherOf returns whether a host holds the watch.
-func (f *fleet) watchers() (watching, others []string) {
+// watchers returns the hosts that hold the watch.
+func (f *fleet) watchers() []string {
+	var out []string
 	for _, name := range f.order {
 		if f.hosts[name].holdsWatch() {
-			watching = append(watching, name)
-			continue
+			out = append(out, name)
 		}
-		others = append(others, name)
 	}
-	return watching, others
+	return out
 }
 
 // TestServiceDownAfterPublishing: one host that read a revision is enough.
@@ -224,7 +223,7 @@
 		hosts: map[string]string{"a1": "a", "a2": "a", "a3": "a", "a4": "a", "a5": "a", "b1": "b", "b2": "b", "b3": "b"},
 	})
 	f.eventually("two hosts of each data centre watch", func() bool {
-		watching, _ := f.watchers()
+		watching := f.watchers()
 		inA := 0
 		for _, name := range watching {
 			if f.plan.hosts[name] == "a" {
@@ -233,10 +232,10 @@
 		}
 		return len(watching) == 4 && inA == 2
 	})
-	watching, _ := f.watchers()
+	watching := f.watchers()
 	f.stop(watching[0])
 	f.eventually("another host takes the watch over", func() bool {
-		now, _ := 0, 0
+		now := 0
 		for name, h := range f.hosts {
 			if f.plan.hosts[name] == f.plan.hosts[watching[0]] && h.holdsWatch() {
 				now++
--- a/internal/serve/host/fleet_test.go
+++ b/internal/serve/host/fleet_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,6 +18,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/cable"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/engine"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/plain"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/platf"
@@ -180,67 +180,25 @@
 
 // relay passes datagrams to a host on from its listed address.
 func (f *fleet) relay(name, own string) {
-	front, err := net.ListenPacket("udp", own+":7302")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	to, err := net.ResolveUDPAddr("udp", own+":7301")
+	c, err := cable.Start(own+":7302", own+":7301", cable.Rules{
+		Delay: func(string) time.Duration { return 0 },
+		Lost: func(peer string, toHost bool, began time.Time) bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if toHost {
+				return f.lost(f.owner[peer], name, began)
+			}
+			return f.lost(name, f.owner[peer], began)
+		},
+	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	flows := map[string]*net.UDPConn{}
-	began := map[string]time.Time{}
-	f.t.Cleanup(func() { _ = front.Close() })
-	go func() {
-		defer func() {
-			for _, c := range flows {
-				_ = c.Close()
-			}
-		}()
-		buf := make([]byte, 65536)
-		for {
-			n, from, err := front.ReadFrom(buf)
-			if err != nil {
-				return
-			}
-			back, ok := flows[from.String()]
-			if !ok {
-				if back, err = net.DialUDP("udp", nil, to); err != nil {
-					return
-				}
-				flows[from.String()], began[from.String()] = back, time.Now()
-				go f.back(front, back, from, name, began[from.String()])
-			}
-			if !f.lost(f.sender(from), name, began[from.String()]) {
-				_, _ = back.Write(buf[:n])
-			}
-		}
-	}()
-}
-
-func (f *fleet) back(front net.PacketConn, back *net.UDPConn, from net.Addr, name string, began time.Time) {
-	buf := make([]byte, 65536)
-	for {
-		n, err := back.Read(buf)
-		if err != nil {
-			return
-		}
-		if !f.lost(name, f.sender(from), began) {
-			_, _ = front.WriteTo(buf[:n], from)
-		}
-	}
-}
-
-func (f *fleet) sender(from net.Addr) string {
-	ip, _, _ := strings.Cut(from.String(), ":")
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.owner[ip]
+	f.t.Cleanup(func() { _ = c.Close() })
 }
 
+// lost decides on one datagram; mu is held.
 func (f *fleet) lost(from, to string, began time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	return f.cut(from, to) || began.Before(f.deaf[from]) || began.Before(f.deaf[to])
 }
 
--- a/internal/serve/host/process_test.go
+++ b/internal/serve/host/process_test.go
@@ -105,7 +105,7 @@
 func (f *fleet) kill(name string) {
 	f.t.Helper()
 	f.signal(name, syscall.SIGKILL)
-	<-f.procs[name].done
+	f.t.Logf("%s ended: %v", name, <-f.procs[name].done)
 	delete(f.procs, name)
 }
 
