--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -13,10 +13,14 @@
 const (
 	// trust is the age at which a report counts half.
 	trust = 4 * time.Second
+	// memory is how long earlier numbers of own requests are remembered.
+	memory = 5 * time.Second
 	// learn is the weight of one new answer in the averages.
 	learn = 0.2
 	// fullTime is how long an endpoint that refused a request counts as full.
 	fullTime = 300 * time.Millisecond
+	// mostRatio bounds how much one answer counts.
+	mostRatio = 50.0
 	// forget is the time in which an average falls half way back to the usual one.
 	forget = 15 * time.Second
 	// rampTime is how long an endpoint that returns is filled slowly.
@@ -39,6 +43,8 @@
 	Report Report
 	// Own is the number of this host's requests in flight there.
 	Own int
+	// past holds earlier values of Own, oldest first.
+	past []change
 	// ownThen is Own at the time of the report.
 	ownThen int
 	first   average
@@ -51,23 +57,54 @@
 	left time.Time
 }
 
+// change is a value of Own from a time on.
+type change struct {
+	at  time.Time
+	own int
+}
+
+// setOwn changes Own and remembers the change for as long as reports may lag.
+func (s *State) setOwn(now time.Time, own int) {
+	for len(s.past) > 1 && now.Sub(s.past[1].at) > memory {
+		s.past = s.past[1:]
+	}
+	s.Own = own
+	s.past = append(s.past, change{at: now, own: own})
+}
+
+// ownAt returns Own at an earlier time, as far as it is remembered.
+func (s *State) ownAt(at time.Time) int {
+	own := 0
+	for _, c := range s.past {
+		if c.at.After(at) {
+			break
+		}
+		own = c.own
+	}
+	return own
+}
+
+// average is a running mean of how many times longer something took than usual.
 type average struct {
-	value time.Duration
+	ratio float64
 	at    time.Time
 }
 
-// toward returns the average, drawn back to the usual value as it ages.
-func (a average) toward(usual time.Duration, now time.Time) time.Duration {
+// now returns the ratio, drawn back to 1 as it ages.
+func (a average) now(now time.Time) float64 {
 	if a.at.IsZero() {
-		return usual
+		return 1
 	}
-	keep := math.Exp2(-float64(now.Sub(a.at)) / float64(forget))
-	return usual + time.Duration(float64(a.value-usual)*keep)
+	return 1 + (a.ratio-1)*math.Exp2(-float64(now.Sub(a.at))/float64(forget))
 }
 
 func (a average) with(now time.Time, sample, usual time.Duration) average {
-	old := a.toward(usual, now)
-	return average{value: old + time.Duration(learn*float64(sample-old)), at: now}
+	if usual <= 0 {
+		return a
+	}
+	ratio := math.Min(mostRatio, math.Max(1/mostRatio, float64(sample)/float64(usual)))
+	old := a.now(now)
+	return average{ratio: old + learn*(ratio-old), at: now}
 }
 
 // Load estimates the requests at the endpoint: those of other hosts by the
@@ -92,12 +129,12 @@
 
 // First returns the expected time before the first token once a slot is free.
 func (s *State) First(now time.Time, usual time.Duration) time.Duration {
-	return s.first.toward(usual, now)
+	return time.Duration(s.first.now(now) * float64(usual))
 }
 
 // Work returns the expected time of a whole answer.
 func (s *State) Work(now time.Time, usual time.Duration) time.Duration {
-	return s.work.toward(usual, now)
+	return time.Duration(s.work.now(now) * float64(usual))
 }
 
 // Leaving reports whether the endpoint said that it takes no more work.
@@ -177,7 +214,7 @@
 	} else if r.At.After(s.left) {
 		s.left = time.Time{}
 	}
-	s.ownThen = min(s.Own, r.Running+r.Queued)
+	s.ownThen = min(s.ownAt(r.At), r.Running+r.Queued)
 	return true
 }
 
@@ -190,10 +227,11 @@
 }
 
 // Start counts a request of this host in.
-func (t *Table) Start(name string) {
+func (t *Table) Start(now time.Time, name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state(name).Own++
+	s := t.state(name)
+	s.setOwn(now, s.Own+1)
 }
 
 // Result is how an attempt at an endpoint ended.
@@ -206,7 +244,8 @@
 	// First and Work are zero where not known.
 	First time.Duration
 	Work  time.Duration
-	// UsualFirst and UsualWork are the service's.
+	// UsualFirst and UsualWork are what was expected, the first with the cache's
+	// part taken off.
 	UsualFirst time.Duration
 	UsualWork  time.Duration
 }
@@ -216,7 +255,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(name)
-	s.Own = max(0, s.Own-1)
+	s.setOwn(now, max(0, s.Own-1))
 	if r.Full {
 		s.refused = now
 	}
--- a/internal/cmd/stand/stand.go
+++ b/internal/cmd/stand/stand.go
@@ -13,6 +13,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/cmd/bench"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/check"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
@@ -46,7 +47,7 @@
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return &common.FlagError{Err: err}
 		},
-		Commands: []*cli.Command{newEngine(f), newPlain(f), newPlatform(f), newPublish(f), newFault()},
+		Commands: []*cli.Command{newEngine(f), newPlain(f), newPlatform(f), newPublish(f), newFault(), bench.New(f)},
 	}
 }
 
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -115,16 +115,19 @@
 	Reason Reason
 	// Retry is when to come back after a refusal.
 	Retry time.Duration
+	// Warm says that the endpoint is taken to hold the prompt's beginning.
+	Warm bool
 	// Spill says that the request crosses although its region may serve it.
 	Spill bool
 }
 
 const (
-	// over is the number of requests beyond its slots that an endpoint is given,
-	// so that it does not idle while reports travel.
-	over = 0.5
-	// hitShare is the share of the first-token time that remains with a warm prefix.
-	hitShare = 0.25
+	// overShare and overLeast say how many requests beyond its slots an endpoint
+	// is given, so that it does not idle while reports travel.
+	overShare = 0.25
+	overLeast = 1.0
+	// HitShare is the share of the first-token time that remains with a warm prefix.
+	HitShare = 0.25
 	// nearShare and nearTime say which scores count as equal.
 	nearShare = 0.15
 	nearTime  = 2 * time.Millisecond
@@ -156,6 +159,7 @@
 // best is the outcome of a search among candidates.
 type best struct {
 	index int
+	warm  bool
 	score time.Duration
 	// alive counts the candidates that take work, slots is their sum.
 	alive int
@@ -178,7 +182,8 @@
 
 // room returns the number of requests that the candidate may hold.
 func room(c *Candidate) float64 {
-	return math.Max(1, float64(c.Slots)*c.Ramp) + over
+	slots := math.Max(1, float64(c.Slots)*c.Ramp)
+	return slots + math.Max(overLeast, overShare*slots)
 }
 
 // bestLocal scores the endpoints by expected time to the first token. Among
@@ -211,7 +216,8 @@
 	}
 	limit := lowest + max(nearTime, time.Duration(nearShare*float64(lowest)))
 	out.index = pickNear(list, warm, limit, rnd)
-	out.score = score(&list[out.index], out.index == warm)
+	out.warm = out.index == warm
+	out.score = score(&list[out.index], out.warm)
 	return out
 }
 
@@ -251,11 +257,18 @@
 func score(c *Candidate, warm bool) time.Duration {
 	first := float64(c.First)
 	if warm {
-		first *= hitShare
+		first *= HitShare
 	}
-	beyond := math.Max(0, c.Load+1-float64(c.Slots)*c.Ramp)
-	wait := beyond / float64(c.Slots) * float64(c.Work)
-	return time.Duration(first+wait) + 2*c.Network
+	return time.Duration(first+waitAt(c.Load, float64(c.Slots)*c.Ramp)*float64(c.Work)) + 2*c.Network
+}
+
+// waitAt is the expected wait for a slot, in answers' times. It grows before the
+// slots are full, as reports lag and other hosts decide at the same time.
+func waitAt(load, slots float64) float64 {
+	slots = math.Max(1, slots)
+	filled := math.Min(1, (load+1)/slots)
+	beyond := math.Max(0, load+1-slots)
+	return (filled*filled*filled*filled + beyond) / slots
 }
 
 // preferred returns the candidate that a prefix belongs to, by rendezvous
@@ -324,8 +337,7 @@
 	if !r.Known {
 		slots, busy = 1, unknownLoad
 	}
-	beyond := math.Max(0, busy+1-slots*r.Ramp)
-	wait := time.Duration(beyond / math.Max(1, slots) * float64(workTime(ask)))
+	wait := time.Duration(waitAt(busy, slots*r.Ramp) * float64(workTime(ask)))
 	return first + wait + 2*r.Latency
 }
 
@@ -342,7 +354,7 @@
 		if remote.index >= 0 && remote.score+cross < local.score {
 			return Decision{Kind: There, Index: remote.index, Expect: remote.score, Spill: true}
 		}
-		return Decision{Kind: Here, Index: local.index, Expect: local.score}
+		return Decision{Kind: Here, Index: local.index, Expect: local.score, Warm: local.warm}
 	case remote.index >= 0 && remote.score+cross < wait:
 		return Decision{Kind: There, Index: remote.index, Expect: remote.score, Spill: true}
 	case wait+local.work > ask.Left:
--- a/internal/serve/flow/choose.go
+++ b/internal/serve/flow/choose.go
@@ -20,6 +20,7 @@
 	expect   time.Duration
 	reason   place.Reason
 	retry    time.Duration
+	warm     bool
 }
 
 // scratch is the memory of one decision, used again by the next.
@@ -46,11 +47,11 @@
 	ask := f.ask(now, t)
 	f.fill(now, t, s)
 	d := place.Decide(ask, s.candidates, s.remotes, f.rand)
-	out := decision{kind: d.Kind, expect: d.Expect, reason: d.Reason, retry: d.Retry}
+	out := decision{kind: d.Kind, expect: d.Expect, reason: d.Reason, retry: d.Retry, warm: d.Warm}
 	switch d.Kind {
 	case place.Here:
 		out.endpoint = s.endpoints[d.Index]
-		f.board.Endpoints.Start(out.endpoint.Name)
+		f.board.Endpoints.Start(now, out.endpoint.Name)
 		f.board.Zones.Count(now, t.Service.Name, "")
 	case place.There:
 		out.region = s.remotes[d.Index].Region
--- a/internal/serve/flow/here.go
+++ b/internal/serve/flow/here.go
@@ -10,6 +10,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/place"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
@@ -36,7 +37,7 @@
 	}
 	started := f.now()
 	out := client.Do(ctx, a, f.watched(t, sink))
-	f.learn(t, e.Name, out, started)
+	f.learn(t, d, out, started)
 	f.board.Line(t.Service).Wake(1)
 	t.report.Status, t.report.Resumes = out.Status, out.Resumes
 	for range out.Resumes {
@@ -78,8 +79,12 @@
 	}
 }
 
-func (f *Flow) learn(t *trip, endpoint string, out client.Result, started time.Time) {
+func (f *Flow) learn(t *trip, d decision, out client.Result, started time.Time) {
+	endpoint := d.endpoint.Name
 	first, work := t.usual()
+	if d.warm {
+		first = time.Duration(place.HitShare * float64(first))
+	}
 	now := f.now()
 	res := endpt.Result{
 		Whole: out.Whole, First: out.First, UsualFirst: first, UsualWork: work,
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -600,3 +600,10 @@
 	*q = old[:len(old)-1]
 	return j
 }
+
+// Empty forgets the prefix cache, as after a restart.
+func (e *Engine) Empty() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache = newPrefixes(e.conf.Cache)
+}
