--- a/internal/conf/invent/model.go
+++ b/internal/conf/invent/model.go
@@ -144,9 +144,11 @@
 	Services []string `toml:"services"`
 	// Residency lists the regions that may serve the caller; empty means all.
 	Residency []string `toml:"residency"`
-	// Concurrent bounds the requests in flight over the whole fleet; 0 is no bound.
+	// Concurrent bounds the requests to one service in flight over the whole fleet;
+	// 0 is no bound.
 	Concurrent int `toml:"concurrent" validate:"gte=0"`
-	// Rate bounds the requests a second over the whole fleet; 0 is no bound.
+	// Rate bounds the requests a second to one service over the whole fleet; 0 is
+	// no bound.
 	Rate float64 `toml:"rate" validate:"gte=0"`
 }
 
--- a/internal/route/eject/eject.go
+++ b/internal/route/eject/eject.go
@@ -49,5 +49,6 @@
 // Returned is when the last ejection ended; zero if there was none.
 func (r Record) Returned() time.Time { return r.until }
 
-// Most returns how many of n endpoints may be out at once: half of them.
-func Most(n int) int { return n / 2 }
+// Most returns how many of n endpoints may be out at once: half of them, or the
+// only one, as a decision takes what is out where nothing else is left.
+func Most(n int) int { return max(min(n, 1), n/2) }
--- a/internal/route/limit/limit.go
+++ b/internal/route/limit/limit.go
@@ -26,16 +26,20 @@
 	at     time.Time
 }
 
-// Table counts the usage of each caller at this host.
+// key names a caller's use of one service: a service that is slow must not use
+// up what its caller may have in flight elsewhere.
+type key struct{ caller, service string }
+
+// Table counts the usage of each caller and service at this host.
 type Table struct {
 	mu   sync.Mutex
-	used map[string]*usage
+	used map[key]*usage
 	cap  int
 }
 
-// NewTable returns a table that lets no caller have more than open requests in
-// flight, whatever the inventory says.
-func NewTable(open int) *Table { return &Table{used: map[string]*usage{}, cap: open} }
+// NewTable returns a table that lets no caller have more than open requests to a
+// service in flight, whatever the inventory says.
+func NewTable(open int) *Table { return &Table{used: map[key]*usage{}, cap: open} }
 
 // Share returns a host's part of a fleet-wide bound, at least 1.
 func Share(bound float64, hosts int) float64 {
@@ -47,16 +51,17 @@
 
 // Admit counts one request in, or refuses it. hosts is the number of hosts
 // that the caller's requests spread over. An admitted request ends with Done.
-func (t *Table) Admit(now time.Time, c *invent.Caller, hosts int) *fault.Refusal {
+func (t *Table) Admit(now time.Time, c *invent.Caller, service string, hosts int) *fault.Refusal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u, ok := t.used[c.Name]
+	k := key{c.Name, service}
+	u, ok := t.used[k]
 	if !ok {
 		u = &usage{tokens: math.Inf(1), at: now}
-		t.used[c.Name] = u
+		t.used[k] = u
 	}
 	if u.open >= t.cap || (c.Concurrent > 0 && float64(u.open) >= Share(float64(c.Concurrent), hosts)) {
-		return fault.New(fault.RateLimit, fault.RanNo, "caller %s has %d requests in flight", c.Name, u.open).
+		return fault.New(fault.RateLimit, fault.RanNo, "caller %s has %d requests to %s in flight", c.Name, u.open, service).
 			WithRetryAfter(time.Second)
 	}
 	if c.Rate > 0 {
@@ -80,10 +85,10 @@
 }
 
 // Done counts one request out.
-func (t *Table) Done(caller string) {
+func (t *Table) Done(caller, service string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if u, ok := t.used[caller]; ok && u.open > 0 {
+	if u, ok := t.used[key{caller, service}]; ok && u.open > 0 {
 		u.open--
 	}
 }
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -27,8 +27,11 @@
 	Network time.Duration
 	// Share of its slots that may be used, below 1 while its cache is cold.
 	Ramp float64
-	// Ejected, Leaving and Tried say why it may not be chosen.
+	// Ejected, Failing, Leaving and Tried say why it may not be chosen: its
+	// requests failed, its load reports fail, it takes no more work, and this
+	// request was there.
 	Ejected bool
+	Failing bool
 	Leaving bool
 	Tried   bool
 }
@@ -115,6 +118,8 @@
 	Reason Reason
 	// Retry is when to come back after a refusal.
 	Retry time.Duration
+	// Queue is the part of Expect that is the wait for a slot.
+	Queue time.Duration
 	// Warm says that the endpoint is taken to hold the prompt's beginning.
 	Warm bool
 	// Spill says that the request crosses although its region may serve it.
@@ -136,8 +141,12 @@
 	unknownLoad = 0.8
 	// silentPenalty puts a silent region behind every other one.
 	silentPenalty = time.Minute
-	minRetry      = 200 * time.Millisecond
-	maxRetry      = 30 * time.Second
+	// impairedLatency and impairedCost say how many times longer than usual a
+	// region answers when its bounds on spilled requests stop to hold.
+	impairedLatency = 1.5
+	impairedCost    = 4.0
+	minRetry        = 200 * time.Millisecond
+	maxRetry        = 30 * time.Second
 )
 
 // Decide chooses a place by the service's policy.
@@ -145,21 +154,49 @@
 	if ask.Service.Policy != invent.Product {
 		return baseline(ask, list, remotes, rnd)
 	}
+	d := product(ask, list, remotes, rnd, false)
+	if d.Kind == Refuse && d.Reason != Late {
+		// What failed lately may have recovered, and nothing else is left.
+		d = product(ask, list, remotes, rnd, true)
+	}
+	return d
+}
+
+// product is the gateway's own policy; last lets places in that failed lately.
+func product(ask Ask, list []Candidate, remotes []Remote, rnd *rand.Rand, last bool) Decision {
 	local := best{index: -1}
 	if ask.Local {
-		local = bestLocal(ask, list, rnd)
+		local = bestLocal(ask, list, rnd, last)
 	}
 	remote := best{index: -1}
 	if ask.Cross {
-		remote = bestRemote(ask, remotes, local.alive > 0)
+		remote = bestRemote(ask, remotes, bounds{
+			heard: local.alive > 0, share: local.alive > 0 && !impaired(ask, local),
+		}, last)
 	}
 	return weigh(ask, local, remote)
 }
 
+// impaired reports whether this region would answer so late that its bounds on
+// spilled requests do not hold, as for a region that has lost its endpoints.
+func impaired(ask Ask, local best) bool {
+	expect := local.score
+	if local.index < 0 {
+		expect = local.wait(ask.Queued)
+	}
+	factor := impairedLatency
+	if ask.Service.Objective == invent.Cost {
+		factor = impairedCost
+	}
+	usual := ask.Service.PrefillMS + ask.Service.WorkMS
+	return expect > time.Duration(factor*usual*float64(time.Millisecond)) || expect+local.work > ask.Left
+}
+
 // best is the outcome of a search among candidates.
 type best struct {
 	index int
 	warm  bool
+	queue time.Duration
 	score time.Duration
 	// alive counts the candidates that take work, slots is their sum.
 	alive int
@@ -178,7 +215,12 @@
 	return time.Duration(ahead / b.slots * float64(b.work))
 }
 
-func usable(c *Candidate) bool { return !c.Ejected && !c.Leaving && !c.Tried }
+func usable(c *Candidate) bool { return !c.Ejected && !c.Failing && !c.Leaving && !c.Tried }
+
+// eligible is usable, or in the last resort what takes work but failed lately.
+func eligible(c *Candidate, last bool) bool {
+	return !c.Leaving && !c.Tried && (last || usable(c))
+}
 
 // room returns the number of requests that the candidate may hold.
 func room(c *Candidate) float64 {
@@ -189,14 +231,14 @@
 // bestLocal scores the endpoints by expected time to the first token. Among
 // near equals it takes two at random and the less loaded of them, as reports
 // lag and several hosts decide at once.
-func bestLocal(ask Ask, list []Candidate, rnd *rand.Rand) best {
+func bestLocal(ask Ask, list []Candidate, rnd *rand.Rand, last bool) best {
 	out := best{index: -1}
 	warm := preferred(ask.Prefix, list)
 	lowest := time.Duration(math.MaxInt64)
 	var work float64
 	for i := range list {
 		c := &list[i]
-		if !usable(c) {
+		if !eligible(c, last) {
 			continue
 		}
 		out.alive++
@@ -215,18 +257,19 @@
 		return out
 	}
 	limit := lowest + max(nearTime, time.Duration(nearShare*float64(lowest)))
-	out.index = pickNear(list, warm, limit, rnd)
+	out.index = pickNear(list, warm, limit, rnd, last)
 	out.warm = out.index == warm
 	out.score = score(&list[out.index], out.warm)
+	out.queue = queueTime(&list[out.index])
 	return out
 }
 
 // pickNear chooses the less loaded of two random candidates within the limit.
-func pickNear(list []Candidate, warm int, limit time.Duration, rnd *rand.Rand) int {
+func pickNear(list []Candidate, warm int, limit time.Duration, rnd *rand.Rand, last bool) int {
 	first, second, seen := -1, -1, 0
 	for i := range list {
 		c := &list[i]
-		if !usable(c) || c.Load+1 > room(c) || score(c, i == warm) > limit {
+		if !eligible(c, last) || c.Load+1 > room(c) || score(c, i == warm) > limit {
 			continue
 		}
 		if i == warm {
@@ -259,7 +302,12 @@
 	if warm {
 		first *= HitShare
 	}
-	return time.Duration(first+waitAt(c.Load, float64(c.Slots)*c.Ramp)*float64(c.Work)) + 2*c.Network
+	return time.Duration(first) + queueTime(c) + 2*c.Network
+}
+
+// queueTime is the expected wait for a slot of a candidate.
+func queueTime(c *Candidate) time.Duration {
+	return time.Duration(waitAt(c.Load, float64(c.Slots)*c.Ramp) * float64(c.Work))
 }
 
 // waitAt is the expected wait for a slot, in answers' times. It grows before the
@@ -301,16 +349,25 @@
 	return h
 }
 
-// bestRemote scores the other regions. alive says that endpoints here take
-// work: only then do the bounds on spilled requests hold.
-func bestRemote(ask Ask, list []Remote, alive bool) best {
+// bounds say what holds for regions that a request may spill to.
+type bounds struct {
+	// heard asks for a region that was heard of lately; it holds while endpoints
+	// here take work.
+	heard bool
+	// share asks for the bound on the share of spilled requests to hold; it does
+	// so while this region does well.
+	share bool
+}
+
+// bestRemote scores the other regions.
+func bestRemote(ask Ask, list []Remote, b bounds, last bool) best {
 	out := best{index: -1}
 	for i := range list {
 		r := &list[i]
-		if !r.Hosts || r.Tried || (alive && (!r.Open || r.Silent || !r.Known)) {
+		if !r.Hosts || r.Tried || (b.heard && (r.Silent || !r.Known)) || (b.share && !r.Open) {
 			continue
 		}
-		if r.Known && r.Slots <= 0 {
+		if r.Known && r.Slots <= 0 && !last {
 			continue
 		}
 		s := remoteScore(ask, r)
@@ -354,7 +411,7 @@
 		if remote.index >= 0 && remote.score+cross < local.score {
 			return Decision{Kind: There, Index: remote.index, Expect: remote.score, Spill: true}
 		}
-		return Decision{Kind: Here, Index: local.index, Expect: local.score, Warm: local.warm}
+		return Decision{Kind: Here, Index: local.index, Expect: local.score, Queue: local.queue, Warm: local.warm}
 	case remote.index >= 0 && remote.score+cross < wait:
 		return Decision{Kind: There, Index: remote.index, Expect: remote.score, Spill: true}
 	case wait+local.work > ask.Left:
--- a/internal/serve/flow/explain.go
+++ b/internal/serve/flow/explain.go
@@ -60,6 +60,8 @@
 	switch {
 	case !ask.Local:
 		r.Note = "region not allowed"
+	case c.Failing:
+		r.Note = "failing"
 	case c.Ejected:
 		r.Note = "ejected"
 	case c.Leaving:
--- a/internal/serve/flow/here.go
+++ b/internal/serve/flow/here.go
@@ -87,13 +87,15 @@
 		first = time.Duration(place.HitShare * float64(first))
 	}
 	now := f.now()
+	// What is learned is the endpoint's own speed, without the wait for a slot.
+	own := max(out.First-d.queue, min(out.First, first))
 	res := endpt.Result{
-		Whole: out.Whole, First: out.First, UsualFirst: first, UsualWork: work,
+		Whole: out.Whole, First: own, UsualFirst: first, UsualWork: work,
 		Full:   out.Reason == retry.Refused,
 		Failed: !out.Whole && !out.CallerLeft && out.Reason != retry.Refused,
 	}
 	if out.Whole {
-		res.Work = now.Sub(started)
+		res.Work = now.Sub(started) - out.First + own
 	}
 	f.board.Endpoints.Done(now, endpoint, res)
 	if out.Leaving {
--- a/internal/serve/front/serve.go
+++ b/internal/serve/front/serve.go
@@ -99,7 +99,7 @@
 		f.note(id, r, flow.Report{Refusal: refusal}, start)
 		return
 	}
-	defer f.Board.Limits.Done(r.Caller.Name)
+	defer f.Board.Limits.Done(r.Caller.Name, r.Service.Name)
 	r.ID = id
 	a := &answer{c: c}
 	report := f.run(ctx, c, r, a)
@@ -138,7 +138,7 @@
 	r.Repeatable = r.Service.MayRepeat(r.Method, r.Path)
 	r.From = f.Board.Region
 	hosts := 1 + f.Board.Members.Usable(f.Board.Region)
-	return r, f.Board.Limits.Admit(now, caller, hosts)
+	return r, f.Board.Limits.Admit(now, caller, r.Service.Name, hosts)
 }
 
 func timeoutOf(c *app.RequestContext, s *invent.Service) (time.Duration, *fault.Refusal) {
