--- a/internal/board/zones/zones.go
+++ b/internal/board/zones/zones.go
@@ -141,13 +141,14 @@
 	return v
 }
 
-// Sums calls f for each sum held.
-func (t *Table) Sums(f func(k Key, s Sum)) {
+// Get returns a sum as it was heard.
+func (t *Table) Get(k Key) (Sum, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for k, s := range t.sums {
-		f(k, *s)
+	if s, ok := t.sums[k]; ok {
+		return *s, true
 	}
+	return Sum{}, false
 }
 
 // Count counts one request of a service; region is where it spilled to, or empty.
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -71,8 +71,9 @@
 
 // Load is an endpoint's report as it is known at the sender.
 type Load struct {
-	_        struct{} `cbor:",toarray"`
-	Endpoint string
+	_ struct{} `cbor:",toarray"`
+	// Endpoint is the place in the inventory that the packet's mark names.
+	Endpoint uint32
 	// AgeMS is the age of the report, in milliseconds.
 	AgeMS   uint32
 	Running uint32
@@ -94,9 +95,10 @@
 
 // RegionLoad sums up one service in one region.
 type RegionLoad struct {
-	_       struct{} `cbor:",toarray"`
-	Region  string
-	Service string
+	_ struct{} `cbor:",toarray"`
+	// Region and Service are places in the inventory that the packet's mark names.
+	Region  uint32
+	Service uint32
 	// AgeMS is the age of the sum, in milliseconds.
 	AgeMS uint32
 	// Slots counts those of endpoints that take work.
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -75,7 +75,7 @@
 }
 
 func FuzzPacket(f *testing.F) {
-	data, err := Encode(Packet{Kind: Ping, From: "h", Life: 1, Updates: []Update{{Host: "x", State: Dead}}, Loads: []Load{{Endpoint: "e"}}})
+	data, err := Encode(Packet{Kind: Ping, From: "h", Life: 1, Updates: []Update{{Host: "x", State: Dead}}, Loads: []Load{{Endpoint: 1}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/serve/host/tasks.go
+++ b/internal/serve/host/tasks.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math"
@@ -51,9 +52,10 @@
 	// packetOverhead is the size of the IP and UDP headers, in bytes.
 	packetOverhead = 28
 
-	loadTo       = 3
-	loadsPacket  = 24
-	zonesPacket  = 16
+	loadTo = 3
+	// loadsPacket and zonesPacket are what one packet holds.
+	loadsPacket  = 64
+	zonesPacket  = 60
 	maxReportAge = 5 * time.Second
 	reportBytes  = 64 << 10
 )
@@ -307,30 +309,31 @@
 	})
 }
 
-// shareLoads sends what is known of the region's endpoints to a few of its hosts.
+// shareLoads sends what is known of the region's endpoints, the freshest first,
+// and of other regions to a few of its hosts: one packet of each, so that the
+// cost does not grow with the region.
 func (h *Host) shareLoads(_ context.Context, now time.Time) {
 	inv := h.board.Revisions.Inventory()
 	if inv == nil {
 		return
 	}
 	loads := h.freshLoads(inv, now)
-	sums := h.someSums(now)
+	sums := h.someSums(inv, now)
 	if len(loads) == 0 && len(sums) == 0 {
 		return
 	}
 	to := h.board.Members.Random(loadTo, func(m member.Member) bool { return m.Region == h.board.Region })
 	for _, m := range to {
-		for chunk := range slices.Chunk(loads, loadsPacket) {
-			h.sendLoads(m, wire.Packet{Loads: chunk})
-		}
+		h.sendLoads(inv, m, wire.Packet{Loads: loads})
 		if len(sums) > 0 {
-			h.sendLoads(m, wire.Packet{Regions: sums})
+			h.sendLoads(inv, m, wire.Packet{Regions: sums})
 		}
 	}
 }
 
-func (h *Host) sendLoads(m member.Member, p wire.Packet) {
-	mark := h.board.Revisions.Mark()
+// sendLoads sends a packet whose loads name places in inv.
+func (h *Host) sendLoads(inv *invent.Inventory, m member.Member, p wire.Packet) {
+	mark := inv.Mark()
 	p.Kind, p.From, p.Life = wire.Announce, h.board.Name, h.board.Members.Life()
 	p.Revision, p.Sum, p.Open, p.Leaving = mark.Revision, mark.Sum, h.board.Pulse.Open(), h.board.Pulse.Leaving()
 	h.send([]member.Out{{Host: m.Name, Address: m.Address, Packet: p}})
@@ -338,20 +341,22 @@
 
 func (h *Host) freshLoads(inv *invent.Inventory, now time.Time) []wire.Load {
 	var out []wire.Load
-	for _, e := range inv.Endpoints() {
+	for i, e := range inv.Endpoints() {
 		if inv.RegionOf(e.Centre) != h.board.Region {
 			continue
 		}
 		if l := h.loadOf(e.Name, now); l.Flags != 0 {
+			l.Endpoint = uint32(i)
 			out = append(out, l)
 		}
 	}
-	return out
+	slices.SortFunc(out, func(a, b wire.Load) int { return cmp.Compare(a.AgeMS, b.AgeMS) })
+	return out[:min(len(out), loadsPacket)]
 }
 
 // loadOf returns what is known of an endpoint; without flags where that is nothing.
 func (h *Host) loadOf(name string, now time.Time) wire.Load {
-	l := wire.Load{Endpoint: name}
+	var l wire.Load
 	if age, ok := h.board.Marked(name, now); ok {
 		l.Flags |= wire.FlagListed
 		l.MarkMS = millis(age)
@@ -375,41 +380,61 @@
 // millis returns a time in whole milliseconds, 0 for a negative one.
 func millis(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
 
-func (h *Host) someSums(now time.Time) []wire.RegionLoad {
+func (h *Host) someSums(inv *invent.Inventory, now time.Time) []wire.RegionLoad {
 	var out []wire.RegionLoad
-	h.board.Zones.Sums(func(k zones.Key, s zones.Sum) {
-		if age := now.Sub(s.At); age < maxReportAge && len(out) < zonesPacket {
-			out = append(out, wire.RegionLoad{
-				Region: k.Region, Service: k.Service, AgeMS: millis(age),
-				Slots: uint32(s.Slots), Busy: uint32(s.Busy),
-			})
+	for i, r := range inv.Regions() {
+		if r.Name == h.board.Region {
+			continue
 		}
-	})
-	return out
+		for j := range inv.Services() {
+			s, ok := h.board.Zones.Get(zones.Key{Region: r.Name, Service: inv.Services()[j].Name})
+			if age := now.Sub(s.At); ok && age < maxReportAge {
+				out = append(out, wire.RegionLoad{
+					Region: uint32(i), Service: uint32(j), AgeMS: millis(age), Slots: uint32(s.Slots), Busy: uint32(s.Busy),
+				})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b wire.RegionLoad) int { return cmp.Compare(a.AgeMS, b.AgeMS) })
+	return out[:min(len(out), zonesPacket)]
 }
 
-// takeLoads takes loads of endpoints and sums of regions in.
+// takeLoads takes loads of endpoints and sums of regions in. Their places are
+// those of the sender's configuration; with another one they mean nothing here.
 func (h *Host) takeLoads(now time.Time, p wire.Packet) {
+	inv := h.board.Revisions.Inventory()
+	if inv == nil || inv.Mark() != (invent.Mark{Revision: p.Revision, Sum: p.Sum}) {
+		return
+	}
 	for _, l := range p.Loads {
-		if l.Flags&wire.FlagListed != 0 {
-			h.board.Mark(l.Endpoint, now.Add(-time.Duration(l.MarkMS)*time.Millisecond))
+		if int64(l.Endpoint) < int64(len(inv.Endpoints())) {
+			h.takeLoad(now, inv.Endpoints()[l.Endpoint].Name, l)
 		}
-		if l.Flags&wire.FlagReport == 0 {
-			continue
-		}
-		h.board.Endpoints.Note(l.Endpoint, endpt.Report{
-			Running: int(l.Running), Queued: int(l.Queued),
-			At:      now.Add(-time.Duration(l.AgeMS) * time.Millisecond),
-			Leaving: l.Flags&wire.FlagLeaving != 0, Failing: l.Flags&wire.FlagFailing != 0,
-		})
 	}
 	for _, r := range p.Regions {
-		if r.Region == h.board.Region {
+		if int64(r.Region) >= int64(len(inv.Regions())) || int64(r.Service) >= int64(len(inv.Services())) {
 			continue
 		}
-		at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
-		h.board.Zones.Note(zones.Key{Region: r.Region, Service: r.Service}, float64(r.Slots), float64(r.Busy), at, now)
+		k := zones.Key{Region: inv.Regions()[r.Region].Name, Service: inv.Services()[r.Service].Name}
+		if k.Region != h.board.Region {
+			at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
+			h.board.Zones.Note(k, float64(r.Slots), float64(r.Busy), at, now)
+		}
+	}
+}
+
+func (h *Host) takeLoad(now time.Time, endpoint string, l wire.Load) {
+	if l.Flags&wire.FlagListed != 0 {
+		h.board.Mark(endpoint, now.Add(-time.Duration(l.MarkMS)*time.Millisecond))
+	}
+	if l.Flags&wire.FlagReport == 0 {
+		return
 	}
+	h.board.Endpoints.Note(endpoint, endpt.Report{
+		Running: int(l.Running), Queued: int(l.Queued),
+		At:      now.Add(-time.Duration(l.AgeMS) * time.Millisecond),
+		Leaving: l.Flags&wire.FlagLeaving != 0, Failing: l.Flags&wire.FlagFailing != 0,
+	})
 }
 
 // shareZones sums up this region's services and tells one host of each other region.
@@ -425,28 +450,29 @@
 		}
 		for _, m := range h.board.Members.Random(1, func(m member.Member) bool { return m.Region == r.Name }) {
 			// Without any sum the packet still says that this region is there.
-			h.sendLoads(m, wire.Packet{Regions: sums[:min(zonesPacket, len(sums))]})
-			for chunk := range slices.Chunk(sums[min(zonesPacket, len(sums)):], zonesPacket) {
-				h.sendLoads(m, wire.Packet{Regions: chunk})
-			}
+			h.sendLoads(inv, m, wire.Packet{Regions: sums})
 		}
 	}
 }
 
+// ownSums sums up the services of this region. Where there are more than one
+// packet holds, a random part is told each time.
 func (h *Host) ownSums(inv *invent.Inventory, now time.Time) []wire.RegionLoad {
 	var out []wire.RegionLoad
-	for _, s := range inv.Services() {
-		if sum, ok := h.sumOf(inv, s.Name, now); ok {
+	for j := range inv.Services() {
+		if sum, ok := h.sumOf(inv, inv.Services()[j].Name, now); ok {
+			sum.Service = uint32(j)
 			out = append(out, sum)
 		}
 	}
-	return out
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), zonesPacket)]
 }
 
 // sumOf sums up a service's endpoints of this region. As in a decision here, no
 // more than a part of them counts as out for its failures.
 func (h *Host) sumOf(inv *invent.Inventory, service string, now time.Time) (wire.RegionLoad, bool) {
-	sum := wire.RegionLoad{Region: h.board.Region, Service: service}
+	sum := wire.RegionLoad{Region: uint32(slices.Index(inv.Regions(), invent.Region{Name: h.board.Region}))}
 	var here []invent.Endpoint
 	for _, e := range inv.EndpointsOf(service) {
 		if inv.RegionOf(e.Centre) == h.board.Region {
