Split the large files, share what stood twice, remove what nothing calls

The counters of operation repeats and of received bytes are now counted.

Found while at it, red first (endpt TestLeaving; TestRelayedIsNotRelayed, once): a failed poll took back that an endpoint had said it leaves, as its empty report was newer. Only a report of the endpoint's own does so now.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs a whole deployment on loopback in separate processes.
-#   deploy/run.sh [--smoke] [leabhar|gulf]
-# Without --smoke it stays until Ctrl-C. It leaves nothing behind.
+#   deploy/run.sh [--smoke|--replay] [leabhar|gulf]
+# Without an option it stays until Ctrl-C; --smoke ends after one request of each
+# kind, --replay after a trace with its stated outcomes. It leaves nothing behind.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -10,6 +11,7 @@
 for arg in "$@"; do
   case "$arg" in
     --smoke) smoke=yes ;;
+    --replay) smoke=replay ;;
     *) name=$arg ;;
   esac
 done
@@ -131,6 +133,11 @@
   [ "$crossed" -ge 1 ]
 fi
 
+if [ "$smoke" = replay ]; then
+  "$gateway" replay --inventory "$inventory" --trace "$inventory/day.jsonl" --expect "$inventory/day.expect"
+  echo "replay: every stated outcome is met"
+  exit 0
+fi
 if [ "$smoke" = yes ]; then
   echo "smoke: ok"
   exit 0
--- /dev/null
+++ b/internal/base/ctrl/every.go
@@ -0,0 +1,31 @@
+package ctrl
+
+import (
+	"sync"
+	"time"
+)
+
+// Every calls step once a period until it returns false or the returned function
+// is called, which waits for the last call.
+func Every(period time.Duration, step func() bool) (stop func()) {
+	quit := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		tick := time.NewTicker(period)
+		defer tick.Stop()
+		for {
+			select {
+			case <-quit:
+				return
+			case <-tick.C:
+				if !step() {
+					return
+				}
+			}
+		}
+	})
+	return func() {
+		close(quit)
+		wait.Wait()
+	}
+}
--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -48,7 +48,6 @@
 	NoEndpoint    Code = "no_endpoint"
 	Leaving       Code = "leaving"
 	NotReady      Code = "not_ready"
-	Paused        Code = "paused"
 	EndpointError Code = "endpoint_error"
 	EndpointSlow  Code = "endpoint_silent"
 	Truncated     Code = "truncated"
@@ -66,7 +65,7 @@
 var statuses = map[Code]int{
 	BadRequest: 400, BadKey: 401, Forbidden: 403, NoService: 404, NoRoute: 404, TooLarge: 413,
 	RateLimit: 429, Busy: 503, QueueFull: 503, Deadline: 504, NoRegion: 503, NoEndpoint: 503,
-	Leaving: 503, NotReady: 503, Paused: 503, EndpointError: 502, EndpointSlow: 504,
+	Leaving: 503, NotReady: 503, EndpointError: 502, EndpointSlow: 504,
 	Truncated: 502, RelayError: 502, KeyMissing: 428, KeyInvalid: 400, KeyExpired: 410,
 	KeyReused: 422, HomeLost: 502, HomeGone: 410, HomeFull: 503, Cancelled: 499,
 }
--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -211,7 +211,7 @@
 	s.Report = r
 	if r.Leaving {
 		s.left = r.At
-	} else if r.At.After(s.left) {
+	} else if !r.Failing && r.At.After(s.left) {
 		s.left = time.Time{}
 	}
 	s.ownThen = min(s.ownAt(r.At), r.Running+r.Queued)
--- a/internal/board/endpt/endpt_test.go
+++ b/internal/board/endpt/endpt_test.go
@@ -46,6 +46,10 @@
 	if s := tab.Get("e"); !s.Leaving() {
 		t.Error("an earlier report took it back")
 	}
+	tab.Note("e", Report{At: at(120), Failing: true})
+	if s := tab.Get("e"); !s.Leaving() {
+		t.Error("a failed poll, which is not the endpoint's word, took it back")
+	}
 	tab.Note("e", Report{At: at(150)})
 	if s := tab.Get("e"); s.Leaving() {
 		t.Error("a later report does not take it back")
--- a/internal/cmd/call/call.go
+++ b/internal/cmd/call/call.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -123,28 +122,13 @@
 	return fmt.Errorf("no whole answer after %d attempts (ran: %s): %w", out.Tries, out.Ran, out.Err)
 }
 
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-type question struct {
-	Model     string    `json:"model"`
-	Stream    bool      `json:"stream"`
-	MaxTokens int       `json:"max_tokens"`
-	Messages  []message `json:"messages"`
-}
-
 func (o *Options) request() (agent.Request, error) {
 	r := agent.Request{Deadline: o.Factory.Now().Add(o.Timeout), Silence: silence, Operation: o.Operation}
 	switch {
 	case (o.Model == "") == (o.Service == ""):
 		return r, common.Flagf("one of --model and --service is needed")
 	case o.Model != "":
-		body, err := json.Marshal(question{
-			Model: o.Model, Stream: !o.Whole, MaxTokens: o.Tokens,
-			Messages: []message{{Role: "user", Content: o.Prompt}},
-		})
+		body, err := agent.Chat(o.Model, o.Prompt, o.Tokens, !o.Whole)
 		if err != nil {
 			return r, fmt.Errorf("write request: %w", err)
 		}
--- a/internal/cmd/common/common.go
+++ b/internal/cmd/common/common.go
@@ -147,6 +147,21 @@
 	}
 }
 
+// ViewOptions are those of a command that shows something of one host.
+type ViewOptions struct {
+	Factory *Factory
+	Admin   AdminOptions
+}
+
+// NewView returns a command that shows something of one host.
+func NewView(f *Factory, name, usage, example string, run func(context.Context, *ViewOptions) error) *cli.Command {
+	o := &ViewOptions{Factory: f}
+	return &cli.Command{
+		Name: name, Usage: usage, Description: "Example:\n  " + example, Flags: AdminFlags(&o.Admin),
+		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, o) },
+	}
+}
+
 type problem struct {
 	Error string `json:"error"`
 }
--- a/internal/cmd/config/config.go
+++ b/internal/cmd/config/config.go
@@ -12,26 +12,14 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/admin"
 )
 
-// Options are those of the command.
-type Options struct {
-	Factory *common.Factory
-	Admin   common.AdminOptions
-}
-
 // New returns the command.
 func New(f *common.Factory) *cli.Command {
-	o := &Options{Factory: f}
-	return &cli.Command{
-		Name:        "config",
-		Usage:       "show the configuration in force at a host",
-		Description: "Example:\n  hyssopspindle config --settings dub-1.toml --json",
-		Flags:       common.AdminFlags(&o.Admin),
-		Action:      func(ctx context.Context, _ *cli.Command) error { return Run(ctx, o) },
-	}
+	return common.NewView(f, "config", "show the configuration in force at a host",
+		"hyssopspindle config --settings dub-1.toml --json", Run)
 }
 
 // Run shows the configuration.
-func Run(ctx context.Context, o *Options) error {
+func Run(ctx context.Context, o *common.ViewOptions) error {
 	var c admin.Config
 	if err := o.Factory.Ask(ctx, o.Admin, "/admin/config", nil, &c); err != nil {
 		return err
--- a/internal/cmd/member/member.go
+++ b/internal/cmd/member/member.go
@@ -11,26 +11,14 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/admin"
 )
 
-// Options are those of the command.
-type Options struct {
-	Factory *common.Factory
-	Admin   common.AdminOptions
-}
-
 // New returns the command.
 func New(f *common.Factory) *cli.Command {
-	o := &Options{Factory: f}
-	return &cli.Command{
-		Name:        "members",
-		Usage:       "show what a host believes of the other hosts",
-		Description: "Example:\n  hyssopspindle members --settings dub-1.toml",
-		Flags:       common.AdminFlags(&o.Admin),
-		Action:      func(ctx context.Context, _ *cli.Command) error { return Run(ctx, o) },
-	}
+	return common.NewView(f, "members", "show what a host believes of the other hosts",
+		"hyssopspindle members --settings dub-1.toml", Run)
 }
 
 // Run shows the members.
-func Run(ctx context.Context, o *Options) error {
+func Run(ctx context.Context, o *common.ViewOptions) error {
 	var list []admin.Member
 	if err := o.Factory.Ask(ctx, o.Admin, "/admin/members", nil, &list); err != nil {
 		return err
--- a/internal/cmd/stand/stand.go
+++ b/internal/cmd/stand/stand.go
@@ -76,7 +76,7 @@
 		Description: "Example:\n  standin engine --inventory deploy/leabhar --name advisor-1",
 		Flags: append(endpointFlags(o),
 			&cli.DurationFlag{Name: "lag", Usage: "`AGE` of load reports", Value: 500 * time.Millisecond, Destination: &o.Lag},
-			&cli.DurationFlag{Name: "decode", Usage: "`TIME` per token", Value: 20 * time.Millisecond, Destination: &o.Decode},
+			&cli.DurationFlag{Name: "decode", Usage: "`TIME` per token", Value: 10 * time.Millisecond, Destination: &o.Decode},
 			&cli.DurationFlag{Name: "prefill", Usage: "`TIME` per 1000 prompt tokens", Value: 200 * time.Millisecond, Destination: &o.Prefill},
 			&cli.IntFlag{Name: "cache", Usage: "prefix cache, in `TOKENS`", Value: defaultCache, Destination: &o.Cache}),
 		Action: func(ctx context.Context, _ *cli.Command) error {
--- a/internal/cmd/status/status.go
+++ b/internal/cmd/status/status.go
@@ -12,22 +12,10 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/admin"
 )
 
-// Options are those of the command.
-type Options struct {
-	Factory *common.Factory
-	Admin   common.AdminOptions
-}
-
 // New returns the command.
 func New(f *common.Factory) *cli.Command {
-	o := &Options{Factory: f}
-	return &cli.Command{
-		Name:        "status",
-		Usage:       "show the state of a host",
-		Description: "Example:\n  hyssopspindle status --settings dub-1.toml",
-		Flags:       common.AdminFlags(&o.Admin),
-		Action:      func(ctx context.Context, _ *cli.Command) error { return Run(ctx, o) },
-	}
+	return common.NewView(f, "status", "show the state of a host",
+		"hyssopspindle status --settings dub-1.toml", Run)
 }
 
 // View is what the command prints for programs.
@@ -37,7 +25,7 @@
 }
 
 // Run shows the state.
-func Run(ctx context.Context, o *Options) error {
+func Run(ctx context.Context, o *common.ViewOptions) error {
 	var v View
 	if err := o.Factory.Ask(ctx, o.Admin, "/admin/state", nil, &v.State); err != nil {
 		return err
--- a/internal/conf/invent/model.go
+++ b/internal/conf/invent/model.go
@@ -186,9 +186,6 @@
 // Regions returns the regions in published order.
 func (v *Inventory) Regions() []Region { return v.doc.Regions }
 
-// Centres returns the data centres in published order.
-func (v *Inventory) Centres() []Centre { return v.doc.Centres }
-
 // Hosts returns the hosts in published order.
 func (v *Inventory) Hosts() []Host { return v.doc.Hosts }
 
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -7,7 +7,6 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -35,8 +34,8 @@
 type Handlers struct {
 	// Stream serves one request of the named host; it owns the stream.
 	Stream func(ctx context.Context, peer string, s *Stream)
-	// Packet takes one datagram.
-	Packet func(p wire.Packet, from net.Addr)
+	// Packet takes one datagram of a size in bytes.
+	Packet func(p wire.Packet, size int)
 	// Dropped counts a datagram that was refused.
 	Dropped func(err error)
 }
@@ -55,16 +54,6 @@
 	conns map[string]*peerConn
 }
 
-// peerConn is an outgoing connection. Each has a socket and so a port of its
-// own: something between the hosts that lost track of the old one does not know
-// the new one.
-type peerConn struct {
-	address string
-	conn    *quic.Conn
-	streams int
-	dropped bool
-}
-
 // New opens the socket; Serve starts the receivers.
 func New(address string, set *certs.Set) (*Link, error) {
 	sealer, err := certs.NewSealer(set.Fleet)
@@ -173,7 +162,7 @@
 func (l *Link) receive(ctx context.Context) {
 	buf := make([]byte, packetBuffer)
 	for {
-		n, from, err := l.transport.ReadNonQUICPacket(ctx, buf)
+		n, _, err := l.transport.ReadNonQUICPacket(ctx, buf)
 		if err != nil {
 			return
 		}
@@ -182,7 +171,7 @@
 			l.handlers.Dropped(err)
 			continue
 		}
-		l.handlers.Packet(p, from)
+		l.handlers.Packet(p, n)
 	}
 }
 
@@ -220,123 +209,6 @@
 	return n, nil
 }
 
-// ErrNotSent marks a stream on which certainly nothing reached the peer's handler.
-var ErrNotSent = errors.New("no connection to host")
-
-// Open begins a stream to a host. Its error wraps ErrNotSent.
-func (l *Link) Open(ctx context.Context, host, address string) (*Stream, error) {
-	p, err := l.connect(ctx, host, address)
-	if err != nil {
-		return nil, fmt.Errorf("%w %s: %w", ErrNotSent, host, err)
-	}
-	s, err := p.conn.OpenStreamSync(ctx)
-	if err != nil {
-		l.Drop(host)
-		l.release(p)
-		return nil, fmt.Errorf("%w %s: %w", ErrNotSent, host, err)
-	}
-	return &Stream{s: s, release: sync.OnceFunc(func() { l.release(p) })}, nil
-}
-
-// connect returns a connection on which the caller holds one stream.
-func (l *Link) connect(ctx context.Context, host, address string) (*peerConn, error) {
-	if p := l.usable(host, address); p != nil {
-		return p, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := l.dial(ctx, host, address)
-	if err != nil {
-		return nil, fmt.Errorf("dial %s: %w", address, err)
-	}
-	return l.keep(host, address, conn), nil
-}
-
-// dial opens a connection from a socket of its own, at this host's own IP number.
-func (l *Link) dial(ctx context.Context, host, address string) (*quic.Conn, error) {
-	to, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return nil, fmt.Errorf("resolve: %w", err)
-	}
-	from := &net.UDPAddr{}
-	if own, ok := l.transport.Conn.LocalAddr().(*net.UDPAddr); ok {
-		from.IP = own.IP
-	}
-	socket, err := net.ListenUDP("udp", from)
-	if err != nil {
-		return nil, fmt.Errorf("open socket: %w", err)
-	}
-	conn, err := quic.Dial(ctx, socket, to, l.clientTLS(host), quicConfig())
-	if err != nil {
-		_ = socket.Close()
-		return nil, fmt.Errorf("handshake: %w", err)
-	}
-	context.AfterFunc(conn.Context(), func() { _ = socket.Close() })
-	return conn, nil
-}
-
-// usable returns a usable connection to host at address, or nil.
-func (l *Link) usable(host, address string) *peerConn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p, ok := l.conns[host]
-	if !ok || p.address != address || p.conn.Context().Err() != nil {
-		return nil
-	}
-	p.streams++
-	return p
-}
-
-// keep stores a new connection; where another dial was first, that one is used.
-func (l *Link) keep(host, address string, conn *quic.Conn) *peerConn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p, ok := l.conns[host]
-	if ok && p.address == address && p.conn.Context().Err() == nil {
-		_ = conn.CloseWithError(closeNormal, "")
-		p.streams++
-		return p
-	}
-	if ok {
-		p.dropped = true
-		p.closeUnused()
-	}
-	p = &peerConn{address: address, conn: conn, streams: 1}
-	l.conns[host] = p
-	return p
-}
-
-func (l *Link) release(p *peerConn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p.streams--
-	p.closeUnused()
-}
-
-// closeUnused closes a dropped connection once its last stream has ended.
-func (p *peerConn) closeUnused() {
-	if p.dropped && p.streams == 0 {
-		_ = p.conn.CloseWithError(closeNormal, "")
-	}
-}
-
-// Drop forgets the connection to a host, so that the next stream opens a new
-// one. Streams on the old connection go on.
-func (l *Link) Drop(host string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p, ok := l.conns[host]
-	if !ok {
-		return
-	}
-	delete(l.conns, host)
-	p.dropped = true
-	p.closeUnused()
-}
-
-// Address returns the address of the socket.
-func (l *Link) Address() string { return l.transport.Conn.LocalAddr().String() }
-
 // Close ends the socket and waits for the receivers and stream handlers.
 func (l *Link) Close() error {
 	if l.cancel != nil {
@@ -356,56 +228,3 @@
 	}
 	return nil
 }
-
-// Stream is one request and its answer.
-type Stream struct {
-	s *quic.Stream
-	// release gives an outgoing stream's connection back.
-	release func()
-}
-
-// Write sends one frame; it fails where the peer takes nothing until the deadline.
-func (s *Stream) Write(f wire.Frame, deadline time.Time) error {
-	if err := s.s.SetWriteDeadline(deadline); err != nil {
-		return fmt.Errorf("set write deadline: %w", err)
-	}
-	if err := wire.Write(s.s, f); err != nil {
-		return fmt.Errorf("stream: %w", err)
-	}
-	return nil
-}
-
-// Read receives one frame; it fails where none arrives until the deadline.
-func (s *Stream) Read(limit int, deadline time.Time) (wire.Frame, error) {
-	if err := s.s.SetReadDeadline(deadline); err != nil {
-		return wire.Frame{}, fmt.Errorf("set read deadline: %w", err)
-	}
-	f, err := wire.Read(s.s, limit)
-	if err != nil {
-		return f, fmt.Errorf("stream: %w", err)
-	}
-	return f, nil
-}
-
-// Finish says that this side sends no more frames.
-func (s *Stream) Finish() { _ = s.s.Close() }
-
-// Close ends both directions; what was written before Finish still arrives.
-func (s *Stream) Close() {
-	s.s.CancelRead(streamRefused)
-	_ = s.s.Close()
-	s.released()
-}
-
-func (s *Stream) released() {
-	if s.release != nil {
-		s.release()
-	}
-}
-
-// Abort ends both directions at once; the peer's context is cancelled.
-func (s *Stream) Abort() {
-	s.s.CancelRead(streamRefused)
-	s.s.CancelWrite(streamRefused)
-	s.released()
-}
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -135,6 +135,22 @@
 	}
 }
 
+// TestGoneIsTold: a host that ends is known to have left at once, not suspected,
+// and its next process is taken in.
+func TestGoneIsTold(t *testing.T) {
+	w := newNetwork(5)
+	w.run(10 * time.Second)
+	w.tables["h2"].SetSelf(Self{Leaving: true, Gone: true})
+	w.queue = append(w.queue, w.tables["h2"].Announce(true)...)
+	w.run(step)
+	delete(w.tables, "h2")
+	w.run(2 * step)
+	w.all(t, wire.Left, "h2")
+	w.start("h2", 50, 5)
+	w.run(15 * time.Second)
+	w.all(t, wire.Alive, "h2")
+}
+
 func TestOldLifeIsIgnored(t *testing.T) {
 	w := newNetwork(2)
 	w.run(5 * time.Second)
--- a/internal/load/agent/agent.go
+++ b/internal/load/agent/agent.go
@@ -160,6 +160,29 @@
 	return answer.Home + "." + uuid.NewString(), nil
 }
 
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type question struct {
+	Model     string    `json:"model"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+	Messages  []message `json:"messages"`
+}
+
+// Chat returns the body of an inference request.
+func Chat(model, prompt string, tokens int, stream bool) ([]byte, error) {
+	body, err := json.Marshal(question{
+		Model: model, Stream: stream, MaxTokens: tokens, Messages: []message{{Role: "user", Content: prompt}},
+	})
+	if err != nil {
+		return nil, fmt.Errorf("write request: %w", err)
+	}
+	return body, nil
+}
+
 // Do sends a request, again where that is safe and helps, and passes the answer
 // to data as it arrives.
 func (a *Agent) Do(ctx context.Context, r Request, data func([]byte) error) Outcome {
--- a/internal/load/drive/drive.go
+++ b/internal/load/drive/drive.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/load/agent"
 	"github.com/hyssopspindle/hyssopspindle/internal/load/trace"
@@ -89,27 +89,13 @@
 	if d.options.Progress == nil {
 		return func() {}
 	}
-	quit := make(chan struct{})
-	var wait sync.WaitGroup
-	wait.Go(func() {
-		tick := time.NewTicker(time.Second)
-		defer tick.Stop()
-		for {
-			select {
-			case <-quit:
-				return
-			case <-tick.C:
-				d.mu.Lock()
-				sent, done := d.sent, d.done
-				d.mu.Unlock()
-				d.options.Progress(sent, done)
-			}
-		}
+	return ctrl.Every(time.Second, func() bool {
+		d.mu.Lock()
+		sent, done := d.sent, d.done
+		d.mu.Unlock()
+		d.options.Progress(sent, done)
+		return true
 	})
-	return func() {
-		close(quit)
-		wait.Wait()
-	}
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
@@ -142,18 +128,6 @@
 	return a
 }
 
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-type question struct {
-	Model     string    `json:"model"`
-	Stream    bool      `json:"stream"`
-	MaxTokens int       `json:"max_tokens"`
-	Messages  []message `json:"messages"`
-}
-
 // bytesPerToken is what the stand-in engine counts.
 const bytesPerToken = 4
 
@@ -178,10 +152,7 @@
 		Deadline: due.Add(it.Deadline()), Silence: silence,
 	}
 	if it.Path == "" {
-		body, err := json.Marshal(question{
-			Model: it.Service, Stream: true, MaxTokens: max(1, it.Tokens),
-			Messages: []message{{Role: "user", Content: prompt(it, n)}},
-		})
+		body, err := agent.Chat(it.Service, prompt(it, n), max(1, it.Tokens), true)
 		if err != nil {
 			return Sample{Item: it, Outcome: agent.Outcome{Err: err}}
 		}
--- a/internal/load/trial/cases.go
+++ b/internal/load/trial/cases.go
@@ -61,6 +61,7 @@
 		{Name: "steady", Load: 0.7},
 		{Name: "peak", Load: 0.6, Peak: 3},
 		{Name: "region", Load: 0.5, Events: []Event{{0.3, loseLast}, {0.6, returnLast}}},
+		{Name: "cut", Load: 0.5, Events: []Event{{0.3, cutLast}, {0.7, heal}}},
 		{Name: "slow", Load: 0.5, Events: []Event{{0.2, slowFirst}}},
 		{Name: "late", Load: 0.7, Lag: lateLag},
 		{Name: "greedy", Load: 0.6, Greedy: 10},
@@ -104,6 +105,14 @@
 	}
 }
 
+// cutLast isolates the last region from the others, heal ends that.
+func cutLast(d *Deployment) {
+	regions := d.Inventory.Regions()
+	d.Cut(regions[len(regions)-1].Name)
+}
+
+func heal(d *Deployment) { d.Cut("") }
+
 // slowFirst makes one engine of each model service slow.
 func slowFirst(d *Deployment) {
 	for _, s := range d.Inventory.Services() {
--- a/internal/load/trial/trial.go
+++ b/internal/load/trial/trial.go
@@ -4,11 +4,9 @@
 package trial
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -296,32 +294,8 @@
 	_ = os.RemoveAll(d.folder)
 }
 
-// Drain lets the hosts end what they have in flight.
-func (d *Deployment) Drain(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, drainTime)
-	defer cancel()
-	for _, h := range d.hosts {
-		if !h.Drain(ctx) {
-			return false
-		}
-	}
-	return true
-}
-
 // HashOf returns the key hash of a caller's trial key, in hexadecimal.
 func HashOf(caller string) string {
 	sum := sha256.Sum256([]byte(Key(caller)))
 	return hex.EncodeToString(sum[:])
 }
-
-// Free reports whether nothing listens at the hosts' addresses.
-func Free(inv *invent.Inventory) bool {
-	for _, h := range inv.Hosts() {
-		l, err := net.Listen("tcp", h.Callers)
-		if err != nil {
-			return false
-		}
-		_ = l.Close()
-	}
-	return true
-}
--- a/internal/serve/client/client.go
+++ b/internal/serve/client/client.go
@@ -5,22 +5,12 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
-	hclient "github.com/cloudwego/hertz/pkg/protocol/client"
-	"github.com/cloudwego/hertz/pkg/protocol/http1"
-
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
@@ -119,100 +109,6 @@
 	size  int
 }
 
-// exchange is one HTTP exchange on a connection of its own.
-type exchange struct {
-	req    *protocol.Request
-	resp   *protocol.Response
-	host   *http1.HostClient
-	dialer *dialer
-	watch  *watchdog
-	stop   func() bool
-}
-
-// dialer remembers its connection so that it can be closed from outside.
-type dialer struct {
-	network.Dialer
-	mu     sync.Mutex
-	conn   network.Conn
-	closed bool
-	// made says that a connection was made.
-	made atomic.Bool
-}
-
-// DialConnection implements network.Dialer.
-func (d *dialer) DialConnection(n, address string, timeout time.Duration, conf *tls.Config) (network.Conn, error) {
-	conn, err := d.Dialer.DialConnection(n, address, timeout, conf)
-	if err != nil {
-		return nil, fmt.Errorf("dial endpoint: %w", err)
-	}
-	d.made.Store(true)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.conn = conn
-	if d.closed {
-		_ = conn.Close()
-	}
-	return conn, nil
-}
-
-func (d *dialer) close() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.closed = true
-	if d.conn != nil {
-		_ = d.conn.Close()
-	}
-}
-
-// watchdog closes the connection after a time without progress.
-type watchdog struct {
-	timer   *time.Timer
-	silence time.Duration
-	fired   atomic.Bool
-}
-
-func newWatchdog(silence time.Duration, f func()) *watchdog {
-	w := &watchdog{silence: silence}
-	w.timer = time.AfterFunc(silence, func() {
-		w.fired.Store(true)
-		f()
-	})
-	return w
-}
-
-func (w *watchdog) progress() { w.timer.Reset(w.silence) }
-
-func (w *watchdog) stop() { w.timer.Stop() }
-
-func newExchange(ctx context.Context, address string, deadline time.Time, silence time.Duration) *exchange {
-	e := &exchange{
-		req: protocol.AcquireRequest(), resp: protocol.AcquireResponse(),
-		dialer: &dialer{Dialer: standard.NewDialer()},
-	}
-	hc, _ := http1.NewHostClient(&http1.ClientOptions{
-		Dialer: e.dialer, DialTimeout: dialTimeout, ResponseBodyStream: true,
-		MaxConns: 1, MaxIdleConnDuration: idleConn, NoDefaultUserAgentHeader: true,
-		DisablePathNormalizing: true,
-		RetryIfFunc:            func(*protocol.Request, *protocol.Response, error) bool { return false },
-	}).(*http1.HostClient)
-	hc.SetDynamicConfig(&hclient.DynamicConfig{Addr: address})
-	e.host = hc
-	e.req.SetConnectionClose()
-	e.watch = newWatchdog(min(silence, max(0, time.Until(deadline))), e.dialer.close)
-	e.watch.silence = silence
-	e.stop = context.AfterFunc(ctx, e.dialer.close)
-	return e
-}
-
-func (e *exchange) close() {
-	e.watch.stop()
-	e.stop()
-	e.dialer.close()
-	_ = e.resp.CloseBodyStream()
-	protocol.ReleaseRequest(e.req)
-	protocol.ReleaseResponse(e.resp)
-}
-
 // failure tells the reason of a failed exchange.
 func (r *run) failure(e *exchange, err error) {
 	r.out.Err = err
@@ -473,49 +369,3 @@
 	e.req.SetRequestURI("http://" + r.a.Address + cancelPath + "?stream=" + r.id)
 	_ = e.host.Do(ctx, e.req, e.resp)
 }
-
-// Get fetches a small document from an endpoint or the platform.
-func Get(ctx context.Context, address, path string, limit int, timeout time.Duration) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	e := newExchange(ctx, address, time.Now().Add(timeout), timeout)
-	defer e.close()
-	e.req.SetMethod("GET")
-	e.req.SetRequestURI("http://" + address + path)
-	if err := e.host.Do(ctx, e.req, e.resp); err != nil {
-		return 0, nil, fmt.Errorf("get %s: %w", path, err)
-	}
-	r := &run{ctx: ctx, a: Attempt{MaxAnswer: limit}}
-	body, err := r.readAll(e)
-	if err != nil {
-		return 0, nil, fmt.Errorf("get %s: %w", path, err)
-	}
-	if want := e.resp.Header.ContentLength(); want >= 0 && len(body) != want {
-		return 0, nil, fmt.Errorf("get %s: %w", path, io.ErrUnexpectedEOF)
-	}
-	return e.resp.StatusCode(), body, nil
-}
-
-// Collect returns a sink that keeps an answer.
-func Collect(status *int, body *[]byte) Sink {
-	return Sink{
-		Head: func(h wire.Head) error {
-			*status = h.Status
-			return nil
-		},
-		Data: func(p []byte) error {
-			*body = append(*body, p...)
-			return nil
-		},
-	}
-}
-
-// Listening reports whether something accepts connections at the address.
-func Listening(address string, timeout time.Duration) bool {
-	c, err := net.DialTimeout("tcp", address, timeout)
-	if err != nil {
-		return false
-	}
-	_ = c.Close()
-	return true
-}
--- /dev/null
+++ b/internal/serve/client/get.go
@@ -0,0 +1,46 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+)
+
+// Get fetches a small document from an endpoint or the platform.
+func Get(ctx context.Context, address, path string, limit int, timeout time.Duration) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	e := newExchange(ctx, address, time.Now().Add(timeout), timeout)
+	defer e.close()
+	e.req.SetMethod("GET")
+	e.req.SetRequestURI("http://" + address + path)
+	if err := e.host.Do(ctx, e.req, e.resp); err != nil {
+		return 0, nil, fmt.Errorf("get %s: %w", path, err)
+	}
+	r := &run{ctx: ctx, a: Attempt{MaxAnswer: limit}}
+	body, err := r.readAll(e)
+	if err != nil {
+		return 0, nil, fmt.Errorf("get %s: %w", path, err)
+	}
+	if want := e.resp.Header.ContentLength(); want >= 0 && len(body) != want {
+		return 0, nil, fmt.Errorf("get %s: %w", path, io.ErrUnexpectedEOF)
+	}
+	return e.resp.StatusCode(), body, nil
+}
+
+// Collect returns a sink that keeps an answer.
+func Collect(status *int, body *[]byte) Sink {
+	return Sink{
+		Head: func(h wire.Head) error {
+			*status = h.Status
+			return nil
+		},
+		Data: func(p []byte) error {
+			*body = append(*body, p...)
+			return nil
+		},
+	}
+}
--- a/internal/serve/flow/flow.go
+++ b/internal/serve/flow/flow.go
@@ -81,11 +81,6 @@
 // WithNow sets the clock.
 func WithNow(now func() time.Time) Option { return func(f *Flow) { f.now = now } }
 
-// WithSeed makes random choices repeatable.
-func WithSeed(seed uint64) Option {
-	return func(f *Flow) { f.rand = rand.New(rand.NewPCG(seed, seed)) }
-}
-
 // WithMaxAnswer bounds an answer, in bytes.
 func WithMaxAnswer(n int) Option { return func(f *Flow) { f.maxAnswer = n } }
 
--- a/internal/serve/host/fleet_test.go
+++ b/internal/serve/host/fleet_test.go
@@ -48,7 +48,7 @@
 // fleet is a few hosts in one process, with a relay before each of them that
 // can lose packets.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	plan     plan
 	ip       string
 	port     int
@@ -90,7 +90,7 @@
 	return fmt.Sprintf("%s:%d", f.ip, f.port)
 }
 
-func newFleet(t *testing.T, p plan) *fleet {
+func newFleet(t testing.TB, p plan) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, plan: p, ip: ownIP(), port: 20000, folder: t.TempDir(), engines: map[string]*engine.Engine{},
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/spread"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/admin"
@@ -83,7 +83,7 @@
 		platform: watch.Platform{Address: s.Platform},
 	}
 	h.board = board.New(h.started, s.Name, s.Region, s.Centre, s.Limits.OpenCaller)
-	h.flow = flow.New(h.board, h.meter, l, flow.WithMaxAnswer(s.Limits.Answer))
+	h.flow = flow.New(h.board, h.meter, l, flow.WithMaxAnswer(s.Limits.Answer), flow.WithNow(h.now))
 	h.home = once.NewHome(s.Limits.Operations)
 	if err := h.assemble(set); err != nil {
 		_ = l.Close()
@@ -108,7 +108,9 @@
 	}
 	handler := &relay.Handler{
 		Board: h.board, Flow: h.flow, Signer: signer,
-		Guard: &once.Guard{Home: h.home, Now: h.now, Enter: h.board.Pulse.Enter, Exit: h.board.Pulse.Exit},
+		Guard: &once.Guard{
+			Home: h.home, Now: h.now, Enter: h.board.Pulse.Enter, Exit: h.board.Pulse.Exit, Repeated: h.meter.Repeats.Inc,
+		},
 		Meter: h.meter, Log: h.log, Pool: h.relays, MaxBody: h.settings.Limits.Body, Now: h.now,
 		Behind: func(string) { h.runner.Kick(syncName) },
 	}
@@ -237,7 +239,8 @@
 }
 
 // packet takes one datagram of another host in.
-func (h *Host) packet(p wire.Packet, _ net.Addr) {
+func (h *Host) packet(p wire.Packet, size int) {
+	h.meter.Received(size)
 	now := h.now()
 	h.send(h.board.Members.Receive(now, p))
 	if m, ok := h.board.Members.Member(p.From); ok {
@@ -276,6 +279,8 @@
 	h.cancel()
 	h.wait.Wait()
 	h.runner.Close()
+	h.board.Members.SetSelf(member.Self{Mark: h.board.Revisions.Mark(), Leaving: true, Gone: true})
+	h.send(h.board.Members.Announce(true))
 	err = errors.Join(err, h.link.Close())
 	h.relays.Release()
 	if err != nil {
--- a/internal/serve/host/process_test.go
+++ b/internal/serve/host/process_test.go
@@ -41,7 +41,7 @@
 }
 
 // build builds the program once for all tests.
-func build(t *testing.T) string {
+func build(t testing.TB) string {
 	t.Helper()
 	program.once.Do(func() {
 		folder, err := os.MkdirTemp("", "hyssopspindle")
--- a/internal/serve/host/serve_test.go
+++ b/internal/serve/host/serve_test.go
@@ -33,7 +33,7 @@
 }
 
 // contents returns the text of a streamed answer.
-func contents(t *testing.T, body string) string {
+func contents(t testing.TB, body string) string {
 	t.Helper()
 	var b strings.Builder
 	for line := range strings.Lines(body) {
--- a/internal/serve/once/guard.go
+++ b/internal/serve/once/guard.go
@@ -20,6 +20,8 @@
 	// Enter and Exit count operations that run, also those whose caller has left.
 	Enter func() int
 	Exit  func()
+	// Repeated is called for each attempt at an operation that was begun before.
+	Repeated func()
 }
 
 // Do runs an operation, or waits for its earlier run, and passes the outcome
@@ -33,6 +35,7 @@
 		return Outcome{Refusal: refusal}
 	}
 	if !first {
+		g.Repeated()
 		return g.Home.Wait(ctx, op)
 	}
 	done := make(chan Outcome, 1)
--- a/internal/serve/once/home.go
+++ b/internal/serve/once/home.go
@@ -35,11 +35,10 @@
 
 // Home remembers the operations of one process. Its lock is a leaf.
 type Home struct {
-	mu      sync.Mutex
-	limit   int
-	ops     map[string]*Op
-	expiry  expiry
-	repeats uint64
+	mu     sync.Mutex
+	limit  int
+	ops    map[string]*Op
+	expiry expiry
 }
 
 // NewHome returns a home that remembers at most limit operations.
@@ -66,7 +65,6 @@
 		if op.digest != digest {
 			return nil, false, fault.New(fault.KeyReused, fault.RanNo, "operation key was used for another request")
 		}
-		h.repeats++
 		return op, false, nil
 	}
 	if k.Expired(now) {
@@ -121,13 +119,6 @@
 	return ok
 }
 
-// Repeats returns how many requests were repeats of a remembered operation.
-func (h *Home) Repeats() uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.repeats
-}
-
 // Len returns the number of remembered operations.
 func (h *Home) Len() int {
 	h.mu.Lock()
--- a/internal/serve/once/once_test.go
+++ b/internal/serve/once/once_test.go
@@ -92,7 +92,7 @@
 }
 
 func guard(limit int) *Guard {
-	return &Guard{Home: NewHome(limit), Now: func() time.Time { return epoch }, Enter: func() int { return 0 }, Exit: func() {}}
+	return &Guard{Home: NewHome(limit), Now: func() time.Time { return epoch }, Enter: func() int { return 0 }, Exit: func() {}, Repeated: func() {}}
 }
 
 func answered(_ context.Context, sink client.Sink) *fault.Refusal {
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/revis"
@@ -100,7 +101,8 @@
 	h.Board.Pulse.Enter()
 	defer h.Board.Pulse.Exit()
 	a := &answer{s: s}
-	stop := keepAlive(a)
+	// The sender tells a dead link by the lack of these frames.
+	stop := ctrl.Every(flow.AliveEvery, func() bool { return a.write(wire.Frame{Alive: true}) == nil })
 	sink := client.Sink{
 		Head: func(hd wire.Head) error { return a.write(wire.Frame{Head: &hd}) },
 		Data: func(p []byte) error { return a.write(wire.Frame{Data: p}) },
@@ -116,31 +118,6 @@
 	_ = a.write(wire.Frame{End: flow.EndOf(refusal)})
 }
 
-// keepAlive sends frames while the request is worked on; the returned function
-// ends it and waits.
-func keepAlive(a *answer) func() {
-	quit := make(chan struct{})
-	var wait sync.WaitGroup
-	wait.Go(func() {
-		tick := time.NewTicker(flow.AliveEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-quit:
-				return
-			case <-tick.C:
-				if a.write(wire.Frame{Alive: true}) != nil {
-					return
-				}
-			}
-		}
-	})
-	return func() {
-		close(quit)
-		wait.Wait()
-	}
-}
-
 func (h *Handler) handle(ctx context.Context, peer string, o *wire.Open, sink client.Sink) *fault.Refusal {
 	r, refusal := h.check(peer, o)
 	if refusal != nil {
