--- a/internal/serve/host/serve_test.go
+++ b/internal/serve/host/serve_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/engine"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/plain"
@@ -345,3 +347,53 @@
 	}
 	return prefix
 }
+
+// TestRelayChecksResidency: a host carries out nothing that its region may not
+// serve, whoever asks.
+func TestRelayChecksResidency(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, plan{
+		hosts:   map[string]string{"a1": "a", "b1": "b"},
+		engines: map[string]string{"ea": "a", "eb": "b"}, plains: map[string]string{"pa": "a"},
+		residency: `residency = ["b"]`,
+	})
+	key := f.key("a1") + ".k"
+	for _, role := range []wire.Role{wire.Relay, wire.Home} {
+		o := wire.Open{
+			Role: role, ID: "x", Caller: "app", Service: "chat", Method: "POST", Path: chatPath, Key: key,
+			Body: []byte(chat(1, false)), LeftMS: 5000, From: "b", Revision: 1,
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		end, err := f.hosts["b1"].flow.Exchange(ctx, "a1", f.set["a1"].Peers, o, discard(), patience)
+		if err != nil || end.Code != fault.NoRegion || end.Ran != fault.RanNo {
+			t.Errorf("role %d: %+v, %v", role, end, err)
+		}
+	}
+	if n := len(f.engines["ea"].Records()); n != 0 {
+		t.Errorf("%d requests ran outside the allowed region", n)
+	}
+}
+
+// TestRanSpeaksOfAllAttempts: "no" is not said where an earlier attempt of the
+// same request is in doubt.
+func TestRanSpeaksOfAllAttempts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, plan{hosts: map[string]string{"a1": "a"}, engines: map[string]string{"e1": "a", "e2": "a"}})
+	f.engines["e1"].SetFault(engine.Fault{CutAfter: 1, Forget: true})
+	f.engines["e2"].SetFault(engine.Fault{Refuse: true})
+	told := map[string]string{}
+	for i := range 8 {
+		id := fmt.Sprint("r", i)
+		body := fmt.Sprintf(`{"model":"chat","max_tokens":3,"prompt":"%d"}`, i)
+		told[id] = f.send(context.Background(), "a1", "POST", chatPath, body, field("X-Request-Id", id)).problem(t).Error.Ran
+	}
+	for _, r := range f.engines["e1"].Records() {
+		if told[r.Request] == "no" {
+			t.Errorf("%s ran at e1, and the caller was told that it did not", r.Request)
+		}
+	}
+	if len(f.engines["e1"].Records()) == 0 {
+		t.Error("no request was tried at e1")
+	}
+}
