--- a/internal/load/trial/cases.go
+++ b/internal/load/trial/cases.go
@@ -45,6 +45,8 @@
 	Lag  time.Duration
 	// Greedy is the factor by which one caller's rate exceeds its share.
 	Greedy float64
+	// Callers says that the report is by caller as well.
+	Callers bool
 	// Events happen at shares of the whole time.
 	Events []Event
 }
@@ -61,10 +63,11 @@
 		{Name: "steady", Load: 0.7},
 		{Name: "peak", Load: 0.6, Peak: 3},
 		{Name: "region", Load: 0.5, Events: []Event{{0.3, loseLast}, {0.6, returnLast}}},
-		{Name: "cut", Load: 0.5, Events: []Event{{0.3, cutLast}, {0.7, heal}}},
+		{Name: "calm", Load: 0.5, Callers: true},
+		{Name: "cut", Load: 0.5, Callers: true, Events: []Event{{0.3, cutLast}, {0.7, heal}}},
 		{Name: "slow", Load: 0.5, Events: []Event{{0.2, slowFirst}}},
 		{Name: "late", Load: 0.7, Lag: lateLag},
-		{Name: "greedy", Load: 0.6, Greedy: 10},
+		{Name: "greedy", Load: 0.6, Greedy: 10, Callers: true},
 		{Name: "overload", Load: 0.5, Peak: 6},
 	}
 }
--- a/internal/serve/flow/choose.go
+++ b/internal/serve/flow/choose.go
@@ -181,19 +181,22 @@
 }
 
 // pickHost chooses a host of a region that was not tried: of two at random, the
-// one with fewer requests in flight. Suspected hosts come last.
+// one with fewer requests in flight. Suspected hosts come last, and then those
+// that did not answer, as they may do so on a new connection.
 func (f *Flow) pickHost(t *trip, region string) (member.Member, bool) {
-	list := f.board.Members.Random(2, func(m member.Member) bool {
-		return m.Region == region && !m.Absent && !t.tried[m.Name] && m.Sound()
-	})
-	if len(list) == 0 {
-		list = f.board.Members.Random(2, func(m member.Member) bool {
-			return m.Region == region && !t.tried[m.Name]
-		})
-	}
-	if len(list) == 0 {
-		// One that did not answer may do so on a new connection.
-		list = f.board.Members.Random(2, func(m member.Member) bool { return m.Region == region && m.Sound() })
+	in := func(m member.Member) bool {
+		h, _ := t.inv.Host(m.Name)
+		return m.Region == region && !h.Leaving
+	}
+	var list []member.Member
+	for _, match := range []func(member.Member) bool{
+		func(m member.Member) bool { return in(m) && !m.Absent && !t.tried[m.Name] && m.Sound() },
+		func(m member.Member) bool { return in(m) && !t.tried[m.Name] },
+		func(m member.Member) bool { return in(m) && m.Sound() },
+	} {
+		if list = f.board.Members.Random(2, match); len(list) > 0 {
+			break
+		}
 	}
 	if len(list) == 0 {
 		return member.Member{}, false
--- a/internal/serve/host/tasks.go
+++ b/internal/serve/host/tasks.go
@@ -83,8 +83,23 @@
 	}
 }
 
+// compare warns where the inventory does not list this host as its settings say:
+// the others would then take nothing from it.
+func (h *Host) compare() {
+	inv := h.board.Revisions.Inventory()
+	o, ok := inv.Host(h.settings.Name)
+	switch {
+	case !ok:
+		h.log.Error().Msg("inventory does not list this host")
+	case o.Centre != h.settings.Centre || inv.RegionOf(o.Centre) != h.settings.Region:
+		h.log.Error().Str("centre", o.Centre).Str("region", inv.RegionOf(o.Centre)).
+			Msg("inventory lists this host at another place than its settings")
+	}
+}
+
 // changed tells a few hosts at once that a configuration came into force here.
 func (h *Host) changed() {
+	h.compare()
 	h.setSelf()
 	h.send(h.board.Members.Announce(false))
 }
--- a/internal/stand/engine/answer.go
+++ b/internal/stand/engine/answer.go
@@ -107,6 +107,9 @@
 			basis.Cut(w)
 			return
 		}
+		if f.EndAfter > 0 && i >= f.EndAfter {
+			return
+		}
 		if f.SilentAfter > 0 && i >= f.SilentAfter {
 			<-r.Context().Done()
 			return
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -41,6 +41,8 @@
 	// CutAfter cuts, SilentAfter silences a stream after so many tokens; 0 is off.
 	CutAfter    int `json:"cut_after"`
 	SilentAfter int `json:"silent_after"`
+	// EndAfter ends a stream in form after so many tokens, without its closing event.
+	EndAfter int `json:"end_after"`
 	// Freeze accepts requests and never answers them.
 	Freeze bool `json:"freeze"`
 	// Refuse answers 429 without running the request.
