--- a/internal/serve/host/config_test.go
+++ b/internal/serve/host/config_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/platf"
@@ -252,7 +251,6 @@
 	f := newFleet(t, plan{hosts: map[string]string{"a1": "a"}})
 	f.platform.SetFault(platf.Fault{Frozen: true})
 	want := f.publish("# one\n")
-	time.Sleep(50 * time.Millisecond)
 	f.platform.SetFault(platf.Fault{})
 	f.inForce(want)
 }
--- a/internal/stand/platf/platf.go
+++ b/internal/stand/platf/platf.go
@@ -222,6 +222,11 @@
 	defer timer.Stop()
 	for {
 		revision, head, changed := p.current()
+		if p.frozen() {
+			// A held watch freezes too.
+			<-r.Context().Done()
+			return
+		}
 		if head != nil && revision > after {
 			// The caller may have left.
 			_, _ = w.Write(head)
@@ -238,6 +243,12 @@
 	}
 }
 
+func (p *Platform) frozen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault.Frozen
+}
+
 func (p *Platform) part(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	data, ok := p.parts[r.URL.Query().Get("hash")]
