--- a/internal/serve/host/config_test.go
+++ b/internal/serve/host/config_test.go
@@ -249,7 +249,9 @@
 func TestPlatformWatchGoesSilent(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, plan{hosts: map[string]string{"a1": "a"}})
+	// The roster is read as well, so two stuck calls are the watch and that.
 	f.platform.SetFault(platf.Fault{Frozen: true})
+	f.eventually("the watch is stuck", func() bool { return f.platform.Stuck() > 1 })
 	want := f.publish("# one\n")
 	f.platform.SetFault(platf.Fault{})
 	f.inForce(want)
--- a/internal/serve/host/fault_test.go
+++ b/internal/serve/host/fault_test.go
@@ -93,7 +93,7 @@
 		wait.Go(func() {
 			id := fmt.Sprintf("r%d", i)
 			r := f.send(context.Background(), f.order[i%2], "POST", chatPath, chat(8, true), field("X-Request-Id", id))
-			if !r.res.Whole || contents(t, r.body) != engine.Text(id, 8) {
+			if !r.ok() || contents(t, r.body) != engine.Text(id, 8) {
 				t.Errorf("%s: %d %q", id, r.status, r.body)
 			}
 		})
@@ -112,7 +112,7 @@
 		hosts:   map[string]string{"a1": "a", "b1": "b"},
 		engines: map[string]string{"eb": "b"}, engine: engine.Config{Decode: 30 * time.Millisecond},
 	})
-	if r := f.send(context.Background(), "a1", "POST", chatPath, chat(2, true)); !r.res.Whole {
+	if r := f.send(context.Background(), "a1", "POST", chatPath, chat(2, true)); !r.ok() {
 		t.Fatalf("before: %d %q", r.status, r.body)
 	}
 	streaming := make(chan reply)
@@ -125,7 +125,7 @@
 	})
 	f.silence("a1")
 	for i := range 3 {
-		if r := f.send(context.Background(), "a1", "POST", chatPath, chat(2, true)); !r.res.Whole {
+		if r := f.send(context.Background(), "a1", "POST", chatPath, chat(2, true)); !r.ok() {
 			t.Errorf("request %d on the silent link: %d %q", i, r.status, r.body)
 		}
 	}
@@ -180,14 +180,14 @@
 			before := len(f.engines["e1"].Records())
 			for i := range 12 {
 				r := f.send(context.Background(), f.order[i%4], "POST", chatPath, fmt.Sprintf(`{"model":"chat","stream":true,"prompt":"%d"}`, i))
-				if !r.res.Whole {
+				if !r.ok() {
 					t.Errorf("request %d: %d %q", i, r.status, r.body)
 				}
 			}
 			if n := len(f.engines["e1"].Records()) - before; n != 0 {
 				t.Errorf("a leaving endpoint got %d requests", n)
 			}
-			if r := <-long; !r.res.Whole || contents(t, r.body) != engine.Text("long", 300) {
+			if r := <-long; !r.ok() || contents(t, r.body) != engine.Text("long", 300) {
 				t.Errorf("the answer under way was cut: %v", r.res.Err)
 			}
 		})
@@ -218,7 +218,7 @@
 			for n := 0; ctx.Err() == nil; n++ {
 				id := fmt.Sprintf("w%d-%d", i, n)
 				r := f.send(context.Background(), "a1", "POST", chatPath, chat(30, true), field("X-Request-Id", id))
-				if !r.res.Whole || contents(t, r.body) != engine.Text(id, 30) {
+				if !r.ok() || contents(t, r.body) != engine.Text(id, 30) {
 					t.Errorf("%s was cut: %d %q %v", id, r.status, r.body, r.res.Err)
 					return
 				}
@@ -273,7 +273,7 @@
 	if r := f.operate("a2", old); r.status != 200 {
 		t.Errorf("a finished operation of a leaving home: %d %q", r.status, r.body)
 	}
-	if r := <-long; !r.res.Whole || contents(t, r.body) != engine.Text("long", 400) {
+	if r := <-long; !r.ok() || contents(t, r.body) != engine.Text("long", 400) {
 		t.Errorf("the answer under way was cut: %v", r.res.Err)
 	}
 	if !<-drained {
@@ -371,7 +371,7 @@
 		}
 	}
 	for range 3 {
-		if r := f.send(context.Background(), "a1", "POST", chatPath, chat(1, true)); !r.res.Whole {
+		if r := f.send(context.Background(), "a1", "POST", chatPath, chat(1, true)); !r.ok() {
 			t.Fatalf("%d %q", r.status, r.body)
 		}
 	}
--- a/internal/serve/host/fleet_test.go
+++ b/internal/serve/host/fleet_test.go
@@ -394,6 +394,9 @@
 	res    client.Result
 }
 
+// ok reports whether it is a whole answer and no refusal.
+func (r reply) ok() bool { return r.res.Whole && r.status == 200 }
+
 type option func(*client.Attempt)
 
 func field(name, value string) option {
--- a/internal/serve/host/ops_test.go
+++ b/internal/serve/host/ops_test.go
@@ -34,7 +34,7 @@
 func TestAdmin(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, plan{hosts: map[string]string{"a1": "a", "b1": "b"}, engines: map[string]string{"e1": "a"}})
-	if r := f.send(context.Background(), "a1", "POST", chatPath, chat(2, true)); !r.res.Whole {
+	if r := f.send(context.Background(), "a1", "POST", chatPath, chat(2, true)); !r.ok() {
 		t.Fatalf("%d %q", r.status, r.body)
 	}
 	tests := []struct {
--- a/internal/serve/host/process_test.go
+++ b/internal/serve/host/process_test.go
@@ -220,7 +220,7 @@
 			wait.Go(func() {
 				id := fmt.Sprintf("%s-%d", leaving, i)
 				r := f.send(context.Background(), "a1", "POST", chatPath, chat(150, true), field("X-Request-Id", id))
-				if !r.res.Whole || contents(t, r.body) != engine.Text(id, 150) {
+				if !r.ok() || contents(t, r.body) != engine.Text(id, 150) {
 					t.Errorf("%s was cut: %d %v", id, r.status, r.res.Err)
 				}
 			})
--- a/internal/serve/host/serve_test.go
+++ b/internal/serve/host/serve_test.go
@@ -112,7 +112,7 @@
 	})
 	ctx := context.Background()
 	r := f.send(ctx, "a1", "POST", chatPath, chat(20, true), field("X-Request-Id", "one"))
-	if !r.res.Whole || contents(t, r.body) != engine.Text("one", 20) || !strings.HasSuffix(r.body, "data: [DONE]\n\n") {
+	if !r.ok() || contents(t, r.body) != engine.Text("one", 20) || !strings.HasSuffix(r.body, "data: [DONE]\n\n") {
 		t.Fatalf("streamed: %d %q %v", r.status, r.body, r.res.Err)
 	}
 	if r.fields["X-Served-By"] != "b1" {
@@ -174,7 +174,7 @@
 		r := f.send(context.Background(), "a1", "POST", chatPath, chat(12, true), field("X-Request-Id", tt.name))
 		f.engines["e1"].SetFault(engine.Fault{})
 		if tt.whole {
-			if got := contents(t, r.body); !r.res.Whole || got != engine.Text(tt.name, 12) {
+			if got := contents(t, r.body); !r.ok() || got != engine.Text(tt.name, 12) {
 				t.Errorf("%s: %q, %v", tt.name, got, r.res.Err)
 			}
 			continue
@@ -193,10 +193,10 @@
 func TestRetries(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, plan{hosts: map[string]string{"a1": "a"}, engines: map[string]string{"e1": "a", "e2": "a"}})
-	for _, fault := range []engine.Fault{{Refuse: true}, {Status: 503}, {CutAfter: 1, Forget: true}} {
+	for n, fault := range []engine.Fault{{Refuse: true}, {Status: 503}, {CutAfter: 1, Forget: true}} {
 		f.engines["e1"].SetFault(fault)
 		for i := range 6 {
-			id := fmt.Sprintf("%+v %d", fault, i)
+			id := fmt.Sprintf("fault%d-%d", n, i)
 			r := f.send(context.Background(), "a1", "POST", chatPath, chat(4, false), field("X-Request-Id", id))
 			if r.status != 200 || !strings.Contains(r.body, engine.Text(id, 4)) {
 				t.Errorf("%s: %d %q", id, r.status, r.body)
@@ -207,7 +207,7 @@
 	if err := f.engines["e1"].Close(); err != nil {
 		t.Fatal(err)
 	}
-	if r := f.send(context.Background(), "a1", "POST", chatPath, chat(4, true)); !r.res.Whole {
+	if r := f.send(context.Background(), "a1", "POST", chatPath, chat(4, true)); !r.ok() {
 		t.Errorf("after an endpoint is gone: %d %q", r.status, r.body)
 	}
 }
@@ -248,7 +248,7 @@
 		residency: `residency = ["b"]`,
 	})
 	ctx := context.Background()
-	if r := f.send(ctx, "a1", "POST", chatPath, chat(2, true)); !r.res.Whole {
+	if r := f.send(ctx, "a1", "POST", chatPath, chat(2, true)); !r.ok() {
 		t.Fatalf("served by the allowed region: %d %q", r.status, r.body)
 	}
 	f.stop("b1")
--- a/internal/stand/platf/platf.go
+++ b/internal/stand/platf/platf.go
@@ -68,6 +68,7 @@
 	parts     map[string][]byte
 	fault     Fault
 	calls     int
+	stuck     int
 	changed   chan struct{}
 	states    map[string]change
 	listed    []string
@@ -192,7 +193,7 @@
 		case f.Down:
 			basis.Cut(w)
 		case f.Frozen:
-			<-r.Context().Done()
+			p.freeze(r)
 		default:
 			next(w, r)
 		}
@@ -224,7 +225,7 @@
 		revision, head, changed := p.current()
 		if p.frozen() {
 			// A held watch freezes too.
-			<-r.Context().Done()
+			p.freeze(r)
 			return
 		}
 		if head != nil && revision > after {
@@ -243,6 +244,21 @@
 	}
 }
 
+// freeze never answers a call.
+func (p *Platform) freeze(r *http.Request) {
+	p.mu.Lock()
+	p.stuck++
+	p.mu.Unlock()
+	<-r.Context().Done()
+}
+
+// Stuck returns the number of calls that were never answered.
+func (p *Platform) Stuck() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stuck
+}
+
 func (p *Platform) frozen() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
