--- a/internal/conf/invent/accept.go
+++ b/internal/conf/invent/accept.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
@@ -84,7 +85,7 @@
 // place says which entries of the merged document came from which source.
 type place struct {
 	file  string
-	lines *lines
+	lines func() *lines
 	table string
 	first int
 	count int
@@ -102,7 +103,8 @@
 		a.decodeFaults(s.Name, err)
 		return
 	}
-	idx := indexLines(s.Data)
+	// The lines are looked up only where there is a fault to place.
+	idx := sync.OnceValue(func() *lines { return indexLines(s.Data) })
 	out := &a.out.doc
 	a.mark(s.Name, idx, "regions", len(out.Regions), len(doc.Regions))
 	a.mark(s.Name, idx, "centres", len(out.Centres), len(doc.Centres))
@@ -120,7 +122,7 @@
 	out.Callers = append(out.Callers, doc.Callers...)
 }
 
-func (a *acceptor) mark(file string, idx *lines, table string, first, count int) {
+func (a *acceptor) mark(file string, idx func() *lines, table string, first, count int) {
 	a.places = append(a.places, place{file: file, lines: idx, table: table, first: first, count: count})
 }
 
@@ -132,7 +134,7 @@
 	for _, p := range a.places {
 		if p.table == table && i >= p.first && i < p.first+p.count {
 			f.File = p.file
-			f.Line = p.lines.line(table, i-p.first, key)
+			f.Line = p.lines().line(table, i-p.first, key)
 		}
 	}
 	a.add(f)
--- a/internal/route/place/local.go
+++ b/internal/route/place/local.go
@@ -31,6 +31,7 @@
 	var work float64
 	for i := range list {
 		c := &list[i]
+		c.score = noScore
 		if !eligible(c, last) {
 			continue
 		}
@@ -41,7 +42,8 @@
 		if c.Load+1 > room(c) {
 			continue
 		}
-		lowest = min(lowest, score(c, i == warm))
+		c.score = score(c, i == warm)
+		lowest = min(lowest, c.score)
 	}
 	if out.alive > 0 {
 		out.work = time.Duration(work / float64(out.alive))
@@ -50,19 +52,18 @@
 		return out
 	}
 	limit := lowest + max(nearTime, time.Duration(nearShare*float64(lowest)))
-	out.index = pickNear(list, warm, limit, rnd, last)
+	out.index = pickNear(list, warm, limit, rnd)
 	out.warm = out.index == warm
-	out.score = score(&list[out.index], out.warm)
+	out.score = list[out.index].score
 	out.queue = queueTime(&list[out.index])
 	return out
 }
 
 // pickNear chooses the less loaded of two random candidates within the limit.
-func pickNear(list []Candidate, warm int, limit time.Duration, rnd *rand.Rand, last bool) int {
+func pickNear(list []Candidate, warm int, limit time.Duration, rnd *rand.Rand) int {
 	first, second, seen := -1, -1, 0
 	for i := range list {
-		c := &list[i]
-		if !eligible(c, last) || c.Load+1 > room(c) || score(c, i == warm) > limit {
+		if list[i].score > limit {
 			continue
 		}
 		if i == warm {
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -32,8 +32,14 @@
 	Failing bool
 	Leaving bool
 	Tried   bool
+
+	// score is set by a decision; noScore where the candidate has no room.
+	score time.Duration
 }
 
+// noScore is above every score.
+const noScore = time.Duration(math.MaxInt64)
+
 // Remote is another region, as it is believed to be.
 type Remote struct {
 	Region string
