--- a/internal/serve/once/home.go
+++ b/internal/serve/once/home.go
@@ -11,8 +11,12 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 )
 
-// keepBody is the largest answer that is kept for repeats, in bytes.
-const keepBody = 64 << 10
+// keepBody is the largest answer that is kept for repeats, keepTotal bounds all of
+// them, in bytes.
+const (
+	keepBody  = 64 << 10
+	keepTotal = 32 << 20
+)
 
 // Outcome is how an operation ended.
 type Outcome struct {
@@ -39,6 +43,8 @@
 	limit  int
 	ops    map[string]*Op
 	expiry expiry
+	// kept is the size of the answers that are kept, in bytes.
+	kept int
 }
 
 // NewHome returns a home that remembers at most limit operations.
@@ -85,17 +91,18 @@
 func (h *Home) Finish(op *Op, out Outcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	op.out = out
 	op.ended = true
+	if len(out.Body) > keepBody || h.kept+len(out.Body) > keepTotal {
+		// A repeat learns that the operation was run.
+		out = Outcome{Refusal: fault.New(fault.TooLarge, fault.RanYes,
+			"operation was run; its answer of %d bytes is not kept", len(out.Body))}
+	}
+	op.out = out
+	h.kept += len(out.Body)
 	if out.Refusal != nil && out.Refusal.Ran == fault.RanNo {
 		h.remove(op)
 	}
 	close(op.done)
-	if len(out.Body) > keepBody {
-		// A repeat that comes later learns that the operation was run.
-		op.out = Outcome{Refusal: fault.New(fault.TooLarge, fault.RanYes,
-			"operation was run; its answer of %d bytes is no longer kept", len(out.Body))}
-	}
 }
 
 // Wait returns the outcome of an operation that another request began.
@@ -138,6 +145,7 @@
 		return
 	}
 	delete(h.ops, op.key)
+	h.kept -= len(op.out.Body)
 	heap.Remove(&h.expiry, op.index)
 }
 
--- a/internal/serve/once/once_test.go
+++ b/internal/serve/once/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -195,6 +196,33 @@
 	}
 }
 
+// TestKeptBytesAreBounded: a home forgets answers, never operations, when they
+// take too much memory.
+func TestKeptBytesAreBounded(t *testing.T) {
+	h := NewHome(10_000)
+	d := Digest("s", "POST", "/p", nil)
+	body := make([]byte, keepBody)
+	n := keepTotal/keepBody + 5
+	for i := range n {
+		op, _, r := h.Begin(epoch, key(t, fmt.Sprint(i)), d)
+		if r != nil {
+			t.Fatal(r)
+		}
+		h.Finish(op, Outcome{Body: body})
+	}
+	if h.kept > keepTotal || h.Len() != n {
+		t.Errorf("%d bytes kept of %d operations", h.kept, h.Len())
+	}
+	op, first, _ := h.Begin(epoch, key(t, fmt.Sprint(n-1)), d)
+	if out := h.Wait(context.Background(), op); first || out.Refusal == nil || out.Refusal.Ran != fault.RanYes {
+		t.Errorf("an operation whose answer is gone: first %v, %+v", first, out.Refusal)
+	}
+	h.Begin(epoch.Add(time.Hour), key(t, "late"), d)
+	if h.kept != 0 {
+		t.Errorf("%d bytes kept of expired operations", h.kept)
+	}
+}
+
 // TestAtMostOnce drives a home through any order of attempts, ends and time,
 // and counts the runs of each key.
 func TestAtMostOnce(t *testing.T) {
