--- a/internal/serve/once/once_test.go
+++ b/internal/serve/once/once_test.go
@@ -217,7 +217,9 @@
 	if out := h.Wait(context.Background(), op); first || out.Refusal == nil || out.Refusal.Ran != fault.RanYes {
 		t.Errorf("an operation whose answer is gone: first %v, %+v", first, out.Refusal)
 	}
-	h.Begin(epoch.Add(time.Hour), key(t, "late"), d)
+	if _, _, r := h.Begin(epoch.Add(time.Hour), key(t, "late"), d); r == nil {
+		t.Error("an expired key was begun")
+	}
 	if h.kept != 0 {
 		t.Errorf("%d bytes kept of expired operations", h.kept)
 	}
