Date a load report by when it was asked for

Ruled out: gossip (one host a region there). TestReportUnderWayIsOlder is red without the change; the two tests of leaving passed 15 times each with it.

--- a/internal/serve/host/fault_test.go
+++ b/internal/serve/host/fault_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -13,10 +14,12 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/basis"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/engine"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/platf"
 )
@@ -383,3 +386,23 @@
 func discard() client.Sink {
 	return client.Sink{Head: func(wire.Head) error { return nil }, Data: func([]byte) error { return nil }}
 }
+
+// TestReportUnderWayIsOlder: an endpoint that says in an answer that it leaves,
+// while a load report of before is on its way, is held to that.
+func TestReportUnderWayIsOlder(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, plan{hosts: map[string]string{"a1": "a"}})
+	h := f.hosts["a1"]
+	s, err := basis.Serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		h.board.Endpoints.Left(time.Now(), "e")
+		basis.WriteJSON(w, http.StatusOK, report{})
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	h.pollOne(t.Context(), invent.Endpoint{Name: "e", Address: s.Address()})
+	if st := h.board.Endpoints.Get("e"); !st.Leaving() {
+		t.Error("a report that was asked for before took it back")
+	}
+}
--- a/internal/serve/host/loads.go
+++ b/internal/serve/host/loads.go
@@ -72,18 +72,20 @@
 
 func (h *Host) pollOne(ctx context.Context, e invent.Endpoint) {
 	var r report
+	// A report is true no earlier than it was asked for; what the endpoint said in
+	// an answer meanwhile may be newer.
+	asked := h.now()
 	status, body, err := client.Get(ctx, e.Address, "/load", reportBytes, pollTimeout)
-	now := h.now()
 	ok := err == nil && status == http.StatusOK && json.Unmarshal(body, &r) == nil
 	if fails := h.polls.result(e.Name, ok); !ok {
 		if fails >= failedPolls && ctx.Err() == nil {
-			h.board.Endpoints.Note(e.Name, endpt.Report{At: now, Failing: true})
+			h.board.Endpoints.Note(e.Name, endpt.Report{At: h.now(), Failing: true})
 		}
 		return
 	}
 	h.board.Endpoints.Note(e.Name, endpt.Report{
 		Running: r.Running, Queued: r.Queued, Leaving: r.Leaving,
-		At: now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
+		At: asked.Add(-time.Duration(r.AgeMS) * time.Millisecond),
 	})
 }
 
