Send datagrams from a port that changes every five seconds

TestSilentLink asks that the hosts find each other again. go test -race -count=1 ./internal/fleet/link ./internal/serve/host: ok, 19.8 s.

--- a/internal/fleet/link/conns.go
+++ b/internal/fleet/link/conns.go
@@ -58,11 +58,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("resolve: %w", err)
 	}
-	from := &net.UDPAddr{}
-	if own, ok := l.transport.Conn.LocalAddr().(*net.UDPAddr); ok {
-		from.IP = own.IP
-	}
-	socket, err := net.ListenUDP("udp", from)
+	socket, err := net.ListenUDP("udp", l.ownIP())
 	if err != nil {
 		return nil, fmt.Errorf("open socket: %w", err)
 	}
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -20,12 +20,14 @@
 )
 
 const (
-	protocol      = "hyssopspindle/1"
-	dialTimeout   = 2 * time.Second
-	idleTimeout   = 60 * time.Second
-	maxStreams    = 8192
-	packetBuffer  = 2048
-	socketBuffer  = 4 << 20
+	protocol     = "hyssopspindle/1"
+	dialTimeout  = 2 * time.Second
+	idleTimeout  = 60 * time.Second
+	maxStreams   = 8192
+	packetBuffer = 2048
+	socketBuffer = 4 << 20
+	// senderLife is how long datagrams go out from one port.
+	senderLife    = 5 * time.Second
 	closeNormal   = 0
 	streamRefused = 1
 )
@@ -52,6 +54,9 @@
 
 	mu    sync.Mutex
 	conns map[string]*peerConn
+	// out is the socket that datagrams go out from, since outSince.
+	out      *net.UDPConn
+	outSince time.Time
 }
 
 // New opens the socket; Serve starts the receivers.
@@ -202,13 +207,46 @@
 	if err != nil {
 		return 0, fmt.Errorf("send datagram: %w", err)
 	}
-	n, err := l.transport.WriteTo(sealed, to)
+	socket, err := l.sender(time.Now())
+	if err != nil {
+		return 0, fmt.Errorf("send datagram: %w", err)
+	}
+	n, err := socket.WriteTo(sealed, to)
 	if err != nil {
 		return n, fmt.Errorf("send datagram: %w", err)
 	}
 	return n, nil
 }
 
+// sender returns the socket that datagrams go out from. It is changed every
+// senderLife: something between the hosts that lost track of the old port does
+// not know the new one. Answers come to the listed address.
+func (l *Link) sender(now time.Time) (*net.UDPConn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.out != nil && now.Sub(l.outSince) < senderLife {
+		return l.out, nil
+	}
+	socket, err := net.ListenUDP("udp", l.ownIP())
+	if err != nil {
+		return nil, fmt.Errorf("open socket: %w", err)
+	}
+	if l.out != nil {
+		_ = l.out.Close()
+	}
+	l.out, l.outSince = socket, now
+	return socket, nil
+}
+
+// ownIP returns this host's own IP number with no port.
+func (l *Link) ownIP() *net.UDPAddr {
+	from := &net.UDPAddr{}
+	if own, ok := l.transport.Conn.LocalAddr().(*net.UDPAddr); ok {
+		from.IP = own.IP
+	}
+	return from
+}
+
 // Close ends the socket and waits for the receivers and stream handlers.
 func (l *Link) Close() error {
 	if l.cancel != nil {
@@ -222,6 +260,11 @@
 	_ = l.listener.Close()
 	err := l.transport.Close()
 	_ = l.transport.Conn.Close()
+	l.mu.Lock()
+	if l.out != nil {
+		_ = l.out.Close()
+	}
+	l.mu.Unlock()
 	l.wait.Wait()
 	if err != nil {
 		return fmt.Errorf("close link: %w", err)
--- a/internal/serve/host/fault_test.go
+++ b/internal/serve/host/fault_test.go
@@ -132,6 +132,8 @@
 			t.Errorf("request %d on the silent link: %d %q", i, r.status, r.body)
 		}
 	}
+	// Heartbeats are flows too: the hosts find each other again.
+	f.joined()
 	// The stream that was under way ends honestly, soon, and not as if whole.
 	if r := <-streaming; r.res.Whole || strings.Contains(r.body, "[DONE]") || !strings.Contains(r.body, "event: error") {
 		t.Errorf("the stream under way: %q", r.body[max(0, len(r.body)-200):])
