Shut each HTTP listener down once

Close called the HTTP library's Shutdown and then its Close, which shuts the same listener down again; a descriptor closed twice may be another's by then.

--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -131,7 +131,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*closeWait)
 	defer cancel()
 	err := a.server.Shutdown(ctx)
-	_ = a.server.Close()
 	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("close listener for operators: %w", err)
 	}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -130,7 +130,6 @@
 		// Kept-alive connections stay open until their idle time; they carry nothing.
 		err = nil
 	}
-	_ = f.server.Close()
 	if err != nil {
 		return fmt.Errorf("close listener for callers: %w", err)
 	}
