--- a/internal/board/zones/zones.go
+++ b/internal/board/zones/zones.go
@@ -87,9 +87,7 @@
 	if !at.After(s.At) {
 		return false
 	}
-	if at.After(t.heard[k.Region]) {
-		t.heard[k.Region] = at
-	}
+	t.hear(at, k.Region)
 	gone := s.Slots == 0 || now.Sub(s.At) > trust
 	if !s.At.IsZero() && gone && slots > 0 {
 		s.joined = now
@@ -102,6 +100,10 @@
 func (t *Table) Heard(at time.Time, region string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.hear(at, region)
+}
+
+func (t *Table) hear(at time.Time, region string) {
 	if at.After(t.heard[region]) {
 		t.heard[region] = at
 	}
