--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -35,10 +35,17 @@
 	Retries   *retry.Budget
 
 	mu      sync.Mutex
-	lines   map[string]*queue.Line
+	lines   map[lineKey]*queue.Line
 	leaving map[string]time.Time
 }
 
+// lineKey names a queue by its service and rules.
+type lineKey struct {
+	service string
+	limit   int
+	order   invent.Queue
+}
+
 // New returns the board of a host whose process began at now.
 func New(now time.Time, name, region, centre string, openCaller int) *Board {
 	life := uint64(now.UnixMilli())
@@ -51,7 +58,7 @@
 		Pulse:     pulse.NewTable(now),
 		Limits:    limit.NewTable(openCaller),
 		Retries:   retry.NewBudget(),
-		lines:     map[string]*queue.Line{},
+		lines:     map[lineKey]*queue.Line{},
 		leaving:   map[string]time.Time{},
 	}
 }
@@ -60,27 +67,28 @@
 func (b *Board) Line(s *invent.Service) *queue.Line {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l, ok := b.lines[s.Name]
+	// A change of the rules makes a new queue; those in the old one are woken
+	// from there.
+	key := lineKey{service: s.Name, limit: s.QueueLimit, order: s.Queue}
+	l, ok := b.lines[key]
 	if !ok {
-		l = queue.NewLine(s.QueueLimit)
-		b.lines[s.Name] = l
+		l = queue.NewLine(s.QueueLimit, s.Queue == invent.Fair)
+		b.lines[key] = l
 	}
 	return l
 }
 
-// Lines calls f for each queue that holds a request.
-func (b *Board) Lines(f func(service string, l *queue.Line)) {
+// Lines returns the queues that hold a request.
+func (b *Board) Lines() []*queue.Line {
 	b.mu.Lock()
-	busy := map[string]*queue.Line{}
-	for name, l := range b.lines {
+	defer b.mu.Unlock()
+	var out []*queue.Line
+	for _, l := range b.lines {
 		if l.Len() > 0 {
-			busy[name] = l
+			out = append(out, l)
 		}
 	}
-	b.mu.Unlock()
-	for name, l := range busy {
-		f(name, l)
-	}
+	return out
 }
 
 // markLife is how long a mark of the host list holds after a watcher last
--- a/internal/cmd/common/common.go
+++ b/internal/cmd/common/common.go
@@ -75,6 +75,18 @@
 	return &FlagError{Err: fmt.Errorf(format, args...)}
 }
 
+// Usage makes errors in how a command, or one below it, is called flag errors.
+func Usage(c *cli.Command) *cli.Command {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &FlagError{Err: err}
+	}
+	c.HideHelpCommand = true
+	for _, sub := range c.Commands {
+		Usage(sub)
+	}
+	return c
+}
+
 // ErrSilent is the error of a command that has said itself what failed.
 var ErrSilent = errors.New("command failed")
 
--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/config"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/entry"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/keys"
+	"github.com/hyssopspindle/hyssopspindle/internal/cmd/load"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/reason"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/serve"
@@ -21,7 +22,7 @@
 
 // New returns the program's root command.
 func New(f *common.Factory) *cli.Command {
-	return &cli.Command{
+	return common.Usage(&cli.Command{
 		Name:                  "hyssopspindle",
 		Usage:                 "a multi-region inference gateway",
 		Version:               f.Version,
@@ -29,12 +30,9 @@
 		Writer:                f.Streams.Out,
 		ErrWriter:             f.Streams.Err,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &common.FlagError{Err: err}
-		},
 		Commands: []*cli.Command{
 			serve.New(f), check.New(f), status.New(f), member.New(f), config.New(f), reason.New(f),
-			entry.New(f), call.New(f), keys.New(f), about.New(f),
+			entry.New(f), call.New(f), load.New(f), load.NewReplay(f), keys.New(f), about.New(f),
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Present() {
@@ -42,7 +40,7 @@
 			}
 			return cli.ShowAppHelp(c)
 		},
-	}
+	})
 }
 
 // Main runs the program and returns its exit code.
--- /dev/null
+++ b/internal/cmd/slope/slope.go
@@ -0,0 +1,123 @@
+// Package slope is the command that measures what control costs at several
+// sizes of a fleet.
+package slope
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
+	"github.com/hyssopspindle/hyssopspindle/internal/load/size"
+)
+
+const (
+	defaultTime    = 15 * time.Second
+	defaultChanges = 5
+	regions        = 5
+	centres        = 18
+	services       = 26
+)
+
+// Options are those of the command.
+type Options struct {
+	Factory   *common.Factory
+	Hosts     []int64
+	Endpoints int
+	Callers   int
+	Time      time.Duration
+	Changes   int
+	JSON      bool
+}
+
+// New returns the command.
+func New(f *common.Factory) *cli.Command {
+	o := &Options{Factory: f}
+	return &cli.Command{
+		Name:  "slope",
+		Usage: "measure what control costs at several sizes of a fleet",
+		Description: "Runs the hosts as instances in this process, at rest, with stand-ins for endpoints and\n" +
+			"platform, and prints means for each host.\n\n" +
+			"Example:\n  standin slope --hosts 7 --hosts 20 --endpoints 120 --callers 1100",
+		Flags: []cli.Flag{
+			&cli.Int64SliceFlag{Name: "hosts", Usage: "`NUMBER` of hosts; may be given again", Required: true, Destination: &o.Hosts},
+			&cli.IntFlag{Name: "endpoints", Usage: "`NUMBER` of endpoints", Value: 30, Destination: &o.Endpoints},
+			&cli.IntFlag{Name: "callers", Usage: "`NUMBER` of callers", Value: 100, Destination: &o.Callers},
+			&cli.DurationFlag{Name: "time", Usage: "`TIME` to watch each size", Value: defaultTime, Destination: &o.Time},
+			&cli.IntFlag{Name: "changes", Usage: "`NUMBER` of changes of the configuration", Value: defaultChanges, Destination: &o.Changes},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &o.JSON},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error { return Run(ctx, o) },
+	}
+}
+
+// Result is what was measured at one size.
+type Result struct {
+	Shape size.Shape `json:"shape"`
+	Cost  size.Cost  `json:"cost"`
+	// SpreadMS are the times until each change was in force everywhere, sorted.
+	SpreadMS []int64 `json:"spread_ms"`
+}
+
+// Run measures each size in turn.
+func Run(ctx context.Context, o *Options) error {
+	var all []Result
+	for _, n := range o.Hosts {
+		if ctx.Err() != nil {
+			return common.ErrCancel
+		}
+		r, err := measure(o, int(n))
+		if err != nil {
+			return err
+		}
+		all = append(all, r)
+		fmt.Fprintf(o.Factory.Streams.Err, "%d hosts measured\n", n)
+	}
+	if o.JSON {
+		return o.Factory.Streams.PrintJSON(all)
+	}
+	rows := [][]string{{"HOSTS", "ENDPOINTS", "CALLERS", "CORE %", "SENT B/S", "CALLS/S", "HEAP MB", "CHANGE MS (MEDIAN, MAX)"}}
+	for _, r := range all {
+		rows = append(rows, []string{
+			strconv.Itoa(r.Shape.Hosts), strconv.Itoa(r.Shape.Endpoints), strconv.Itoa(r.Shape.Callers),
+			fmt.Sprintf("%.3f", 100*r.Cost.Core), fmt.Sprintf("%.0f", r.Cost.Bytes), fmt.Sprintf("%.1f", r.Cost.Calls),
+			fmt.Sprintf("%.2f", r.Cost.Heap/1e6), spreadOf(r.SpreadMS),
+		})
+	}
+	return o.Factory.Streams.Table(rows)
+}
+
+func spreadOf(ms []int64) string {
+	if len(ms) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d, %d", ms[len(ms)/2], ms[len(ms)-1])
+}
+
+func measure(o *Options, hosts int) (Result, error) {
+	shape := size.Shape{
+		Hosts: hosts, Regions: min(regions, hosts), Centres: max(min(regions, hosts), min(centres, hosts/2)),
+		Endpoints: o.Endpoints, Services: min(services, max(1, o.Endpoints)), Callers: o.Callers,
+	}
+	// A data centre belongs to the region of its own number.
+	shape.Centres -= shape.Centres % shape.Regions
+	f, err := size.Start(shape)
+	if err != nil {
+		return Result{}, err
+	}
+	defer f.Close()
+	r := Result{Shape: shape, Cost: f.Measure(o.Time)}
+	for i := range o.Changes {
+		took, err := f.Spread(fmt.Sprintf("change %d", i))
+		if err != nil {
+			return Result{}, err
+		}
+		r.SpreadMS = append(r.SpreadMS, took.Milliseconds())
+	}
+	slices.Sort(r.SpreadMS)
+	return r, nil
+}
--- a/internal/cmd/stand/stand.go
+++ b/internal/cmd/stand/stand.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/bench"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/check"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
+	"github.com/hyssopspindle/hyssopspindle/internal/cmd/slope"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/engine"
@@ -37,18 +38,15 @@
 
 // New returns the program's root command.
 func New(f *common.Factory) *cli.Command {
-	return &cli.Command{
+	return common.Usage(&cli.Command{
 		Name:           "standin",
 		Usage:          "stand-ins of model engines, plain services and the platform",
 		Version:        f.Version,
 		Writer:         f.Streams.Out,
 		ErrWriter:      f.Streams.Err,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &common.FlagError{Err: err}
-		},
-		Commands: []*cli.Command{newEngine(f), newPlain(f), newPlatform(f), newPublish(f), newFault(), bench.New(f)},
-	}
+		Commands:       []*cli.Command{newEngine(f), newPlain(f), newPlatform(f), newPublish(f), newFault(), bench.New(f), slope.New(f)},
+	})
 }
 
 // EndpointOptions are those of the engine and plain commands.
--- a/internal/conf/invent/accept.go
+++ b/internal/conf/invent/accept.go
@@ -291,6 +291,7 @@
 func fillDefaults(s *Service) {
 	s.Objective = cmp.Or(s.Objective, Latency)
 	s.Policy = cmp.Or(s.Policy, Product)
+	s.Queue = cmp.Or(s.Queue, Fifo)
 	s.TimeoutMS = cmp.Or(s.TimeoutMS, defaultTimeoutMS)
 	s.SilenceMS = cmp.Or(s.SilenceMS, defaultSilenceMS)
 	s.QueueLimit = cmp.Or(s.QueueLimit, defaultQueueLimit)
--- a/internal/conf/invent/model.go
+++ b/internal/conf/invent/model.go
@@ -73,6 +73,15 @@
 	Near    Policy = "near"
 )
 
+// Queue is the order of requests that wait, within a class of priority.
+type Queue string
+
+// The orders.
+const (
+	Fifo Queue = "fifo"
+	Fair Queue = "fair"
+)
+
 // Service is something callers ask for by name.
 type Service struct {
 	Name      string    `toml:"name" validate:"required,max=80"`
@@ -87,6 +96,9 @@
 	TimeoutMS int `toml:"timeout_ms" validate:"gte=0,lte=86400000"`
 	// SilenceMS bounds the time without progress on an answer, in milliseconds.
 	SilenceMS int `toml:"silence_ms" validate:"gte=0,lte=3600000"`
+	// Queue says who is first among those that wait: fifo, or fair, the caller
+	// that got least.
+	Queue Queue `toml:"queue" validate:"omitempty,oneof=fifo fair"`
 	// QueueLimit bounds the requests that wait at one host.
 	QueueLimit int `toml:"queue_limit" validate:"gte=0,lte=100000"`
 	// Repeatable says whether calls that match no rule may be sent again.
--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -65,6 +65,7 @@
 	Policy   string    `json:"policy,omitempty"`
 	Seconds  float64   `json:"seconds"`
 	Services []Service `json:"services"`
+	Callers  []Service `json:"callers"`
 	Total    Service   `json:"total"`
 	// Doubles counts operations that ran twice, False the untrue statements that
 	// one was not run; both are -1 where the endpoints' records are not at hand.
@@ -92,23 +93,34 @@
 // system that stalls is not flattered.
 func Make(name string, seed uint64, samples []drive.Sample, cost Cost) Report {
 	total := newSums("all")
-	by := map[string]*sums{}
+	by, callers := map[string]*sums{}, map[string]*sums{}
 	var end time.Duration
 	for _, s := range samples {
-		b, ok := by[s.Item.Service]
-		if !ok {
-			b = newSums(s.Item.Service)
-			by[s.Item.Service] = b
-		}
-		b.add(s, cost)
+		of(by, s.Item.Service).add(s, cost)
+		of(callers, s.Item.Caller).add(s, cost)
 		total.add(s, cost)
 		end = max(end, s.Item.At()+s.Took)
 	}
 	r := Report{Name: name, Seed: seed, Seconds: end.Seconds(), Total: total.close(), Doubles: -1, False: -1}
+	r.Services, r.Callers = closeAll(by), closeAll(callers)
+	return r
+}
+
+func of(by map[string]*sums, name string) *sums {
+	b, ok := by[name]
+	if !ok {
+		b = newSums(name)
+		by[name] = b
+	}
+	return b
+}
+
+func closeAll(by map[string]*sums) []Service {
+	var out []Service
 	for _, n := range slices.Sorted(maps.Keys(by)) {
-		r.Services = append(r.Services, by[n].close())
+		out = append(out, by[n].close())
 	}
-	return r
+	return out
 }
 
 func (b *sums) add(s drive.Sample, cost Cost) {
--- /dev/null
+++ b/internal/load/trace/trace_test.go
@@ -0,0 +1,36 @@
+package trace
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestRoundTripAndSeed(t *testing.T) {
+	src := []Source{{Item: Item{Caller: "c", Service: "s", Prompt: 100, Tokens: 10, DeadlineMS: 1000}, Rate: 50, Prefixes: 3, Peak: 4}}
+	a, b := Generate(1, 5*time.Second, src), Generate(1, 5*time.Second, src)
+	if !reflect.DeepEqual(a, b) || len(a) == 0 {
+		t.Fatal("a trace is not a function of its seed")
+	}
+	if reflect.DeepEqual(a, Generate(2, 5*time.Second, src)) {
+		t.Error("the seed changes nothing")
+	}
+	var buf bytes.Buffer
+	if err := Write(&buf, a); err != nil {
+		t.Fatal(err)
+	}
+	got, err := Read(&buf)
+	if err != nil || !reflect.DeepEqual(got, a) {
+		t.Errorf("trace changed on its way: %v", err)
+	}
+}
+
+func TestBadLines(t *testing.T) {
+	for _, bad := range []string{"{", `{"service":"s"}`, `{"service":"s","caller":"c","deadline_ms":0}`} {
+		if _, err := Read(strings.NewReader("\n" + bad)); err == nil || !strings.Contains(err.Error(), "line") {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ops/meter/meter_test.go
@@ -0,0 +1,35 @@
+package meter
+
+import (
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+)
+
+// TestReasons holds the typed lists and the metrics together: every reason of a
+// refusal and of a retry has its counter from the beginning, and a status.
+func TestReasons(t *testing.T) {
+	m := New()
+	if got, want := testutil.CollectAndCount(m.refusals), 3*len(fault.Codes()); got != want {
+		t.Errorf("%d refusal counters, want %d", got, want)
+	}
+	if got, want := testutil.CollectAndCount(m.retries), len(retry.Reasons()); got != want {
+		t.Errorf("%d retry counters, want %d", got, want)
+	}
+	for _, c := range fault.Codes() {
+		if s := c.Status(); s < 400 || s == 500 {
+			t.Errorf("%s has status %d", c, s)
+		}
+		m.Refusal(fault.New(c, fault.RanNo, "x"))
+	}
+	for _, r := range retry.Reasons() {
+		m.Retry(r)
+		m.Denied(r)
+	}
+	if got, want := testutil.CollectAndCount(m.refusals), 3*len(fault.Codes()); got != want {
+		t.Errorf("%d refusal counters after use, want %d", got, want)
+	}
+}
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -2,7 +2,7 @@
 package queue
 
 import (
-	"container/heap"
+	"math"
 	"sync"
 	"time"
 )
@@ -11,117 +11,213 @@
 // no class starves.
 const ageStep = 5 * time.Second
 
+// The weights of the service that a caller gets, from the virtual token
+// counters of the supplied paper (Fairness in Serving Large Language Models).
+const (
+	// PromptWeight counts a token of the prompt, OutputWeight one of the answer.
+	PromptWeight = 1.0
+	OutputWeight = 2.0
+)
+
 // Item is a request that waits.
 type Item struct {
-	// Turn is closed when the request may try again.
+	// Turn is closed when the request may try again, or was put out.
 	Turn chan struct{}
 
-	rank  time.Time
-	seq   uint64
-	index int
+	caller string
+	class  int
+	joined time.Time
+	seq    uint64
+	state  state
 }
 
+type state int
+
+const (
+	waiting state = iota
+	woken
+	put
+)
+
 // Line is the queue of one service.
 type Line struct {
 	mu    sync.Mutex
 	limit int
+	fair  bool
 	seq   uint64
-	items items
+	items []*Item
+	// counters hold the service that each caller got, in weighted tokens.
+	counters map[string]float64
+	waiting  map[string]int
 }
 
-// NewLine returns an empty queue of at most limit requests.
-func NewLine(limit int) *Line { return &Line{limit: limit} }
+// NewLine returns an empty queue of at most limit requests. A fair one gives
+// each turn to the caller that got least, within a class of priority.
+func NewLine(limit int, fair bool) *Line {
+	return &Line{limit: limit, fair: fair, counters: map[string]float64{}, waiting: map[string]int{}}
+}
 
-// Join adds a request of a class, 0 first; it returns nil where the queue is full.
-func (l *Line) Join(now time.Time, class int) *Item {
+// Join adds a request of a class, 0 first, that waits since joined. It returns
+// nil where the queue is full. In a fair queue a caller with fewer requests
+// puts the last one of the caller with most out.
+func (l *Line) Join(joined time.Time, class int, caller string) *Item {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.items) >= l.limit {
+	if len(l.items) >= l.limit && !l.makeRoom(caller) {
 		return nil
 	}
+	l.lift(caller)
 	l.seq++
-	it := &Item{
-		Turn: make(chan struct{}), seq: l.seq,
-		// Classes are apart by a fixed time: an older request of a later class
-		// comes before a younger one of an earlier class.
-		rank: now.Add(time.Duration(class) * ageStep),
-	}
-	heap.Push(&l.items, it)
+	it := &Item{Turn: make(chan struct{}), caller: caller, class: class, joined: joined, seq: l.seq}
+	l.items = append(l.items, it)
+	l.waiting[caller]++
 	return it
 }
 
-// Leave removes a request that waits no longer; it reports whether it still waited.
-func (l *Line) Leave(it *Item) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if it.index < 0 {
+// lift keeps a caller that comes back from living on service that it did not
+// ask for: its counter starts at the lowest of those that wait.
+func (l *Line) lift(caller string) {
+	if l.waiting[caller] > 0 {
+		return
+	}
+	lowest := math.Inf(1)
+	for c, n := range l.waiting {
+		if n > 0 {
+			lowest = math.Min(lowest, l.counters[c])
+		}
+	}
+	if !math.IsInf(lowest, 1) {
+		l.counters[caller] = math.Max(l.counters[caller], lowest)
+	}
+}
+
+func (l *Line) makeRoom(caller string) bool {
+	if !l.fair {
+		return false
+	}
+	most := ""
+	for c, n := range l.waiting {
+		if n > l.waiting[most] || (n == l.waiting[most] && c < most) {
+			most = c
+		}
+	}
+	if l.waiting[most] <= l.waiting[caller]+1 {
 		return false
 	}
-	heap.Remove(&l.items, it.index)
-	return true
+	for i := len(l.items) - 1; i >= 0; i-- {
+		if l.items[i].caller == most {
+			l.take(i, put)
+			return true
+		}
+	}
+	return false
 }
 
-// Wake gives up to n requests their turn, in order, and returns how many.
-func (l *Line) Wake(n int) int {
+// take removes an item and ends its wait.
+func (l *Line) take(i int, s state) {
+	it := l.items[i]
+	l.items = append(l.items[:i], l.items[i+1:]...)
+	l.waiting[it.caller]--
+	if l.waiting[it.caller] == 0 {
+		delete(l.waiting, it.caller)
+	}
+	it.state = s
+	if s != waiting {
+		close(it.Turn)
+	}
+}
+
+// Leave removes a request that waits no longer; it reports whether it still waited.
+func (l *Line) Leave(it *Item) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	woken := 0
-	for woken < n && len(l.items) > 0 {
-		it, _ := heap.Pop(&l.items).(*Item)
-		close(it.Turn)
-		woken++
+	for i := range l.items {
+		if l.items[i] == it {
+			l.take(i, waiting)
+			return true
+		}
 	}
-	return woken
+	return false
 }
 
-// Len returns the number of requests that wait.
-func (l *Line) Len() int {
+// PutOut reports whether the request lost its place to another caller's.
+func (l *Line) PutOut(it *Item) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.items)
+	return it.state == put
 }
 
-// Ahead returns how many requests would be before a new one of the class.
-func (l *Line) Ahead(now time.Time, class int) int {
+// Wake gives up to n requests their turn, in order, and returns how many.
+func (l *Line) Wake(now time.Time, n int) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rank := now.Add(time.Duration(class) * ageStep)
-	n := 0
-	for _, it := range l.items {
-		if !it.rank.After(rank) {
-			n++
+	done := 0
+	for done < n && len(l.items) > 0 {
+		first := 0
+		for i := 1; i < len(l.items); i++ {
+			if l.before(now, l.items[i], l.items[first]) {
+				first = i
+			}
 		}
+		l.take(first, woken)
+		done++
 	}
-	return n
+	return done
 }
 
-type items []*Item
-
-func (q items) Len() int { return len(q) }
+// classNow is a request's class after the lift for its wait.
+func classNow(now time.Time, it *Item) int {
+	return max(0, it.class-int(now.Sub(it.joined)/ageStep))
+}
 
-func (q items) Less(i, j int) bool {
-	if !q[i].rank.Equal(q[j].rank) {
-		return q[i].rank.Before(q[j].rank)
+func (l *Line) before(now time.Time, a, b *Item) bool {
+	if ca, cb := classNow(now, a), classNow(now, b); ca != cb {
+		return ca < cb
 	}
-	return q[i].seq < q[j].seq
+	if l.fair && a.caller != b.caller {
+		if sa, sb := l.counters[a.caller], l.counters[b.caller]; sa != sb {
+			return sa < sb
+		}
+	}
+	if !a.joined.Equal(b.joined) {
+		return a.joined.Before(b.joined)
+	}
+	return a.seq < b.seq
 }
 
-func (q items) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
+// Charge counts service that a caller got, in weighted tokens.
+func (l *Line) Charge(caller string, tokens float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counters[caller] += tokens
 }
 
-func (q *items) Push(x any) {
-	it, _ := x.(*Item)
-	it.index = len(*q)
-	*q = append(*q, it)
+// Len returns the number of requests that wait.
+func (l *Line) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.items)
 }
 
-func (q *items) Pop() any {
-	old := *q
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	it.index = -1
-	*q = old[:len(old)-1]
-	return it
+// Ahead returns how many requests would get their turn before a new one. In a
+// fair queue another caller has no more turns before it than its own caller has.
+func (l *Line) Ahead(now time.Time, class int, caller string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	own := l.waiting[caller]
+	seen := map[string]int{}
+	for _, it := range l.items {
+		if classNow(now, it) > class {
+			continue
+		}
+		if l.fair && it.caller != caller {
+			if seen[it.caller] > own {
+				continue
+			}
+			seen[it.caller]++
+		}
+		n++
+	}
+	return n
 }
--- a/internal/serve/flow/choose.go
+++ b/internal/serve/flow/choose.go
@@ -72,7 +72,7 @@
 }
 
 func (f *Flow) ask(now time.Time, t *trip) place.Ask {
-	queued := f.board.Line(t.Service).Ahead(now, t.Service.Priority)
+	queued := f.board.Line(t.Service).Ahead(now, t.Service.Priority, t.Caller.Name)
 	if !t.joined.IsZero() {
 		// It was woken as the first in line.
 		queued = 0
--- a/internal/serve/flow/flow.go
+++ b/internal/serve/flow/flow.go
@@ -114,6 +114,18 @@
 	return f.carry(ctx, r.Request, sink, false)
 }
 
+// bytesPerToken is the usual length of a token of a prompt.
+const bytesPerToken = 4
+
+// charge counts the service that the caller got.
+func (f *Flow) charge(t *trip) {
+	if t.Service.Queue != invent.Fair || t.report.Tries == 0 {
+		return
+	}
+	tokens := queue.PromptWeight*float64(len(t.Body))/bytesPerToken + queue.OutputWeight*float64(t.parts)
+	f.board.Line(t.Service).Charge(t.Caller.Name, tokens)
+}
+
 // trip is the state of one request on its way.
 type trip struct {
 	Request
@@ -124,6 +136,8 @@
 	tried  map[string]bool
 	ran    fault.Ran
 	report Report
+	// parts counts those of the answer, a token each in a streamed one.
+	parts int
 	// closed says that the closing event of a streamed answer was passed on.
 	closed bool
 	// joined is when the request first waited; it keeps its place by it.
@@ -141,6 +155,7 @@
 		refusal = refusal.WithRan(refusal.Ran.Worse(t.ran))
 	}
 	t.report.Refusal = refusal
+	f.charge(t)
 	if t.report.Queued > 0 {
 		f.meter.Queue(r.Service.Name, t.report.Queued)
 	}
@@ -284,7 +299,7 @@
 		t.joined = now
 	}
 	line := f.board.Line(t.Service)
-	it := line.Join(t.joined, t.Service.Priority)
+	it := line.Join(t.joined, t.Service.Priority, t.Caller.Name)
 	if it == nil {
 		return fault.New(fault.QueueFull, fault.RanNo, "%d requests wait for %s", line.Len(), t.Service.Name).
 			WithRetryAfter(place.RetryAfter(d.expect))
@@ -292,11 +307,15 @@
 	defer func() { t.report.Queued += f.now().Sub(now) }()
 	select {
 	case <-it.Turn:
+		if line.PutOut(it) {
+			return fault.New(fault.QueueFull, fault.RanNo, "queue of %s is full", t.Service.Name).
+				WithRetryAfter(place.RetryAfter(d.expect))
+		}
 		return nil
 	case <-ctx.Done():
 		if !line.Leave(it) {
 			// The turn came at the same moment: it goes to the next one.
-			line.Wake(1)
+			line.Wake(f.now(), 1)
 		}
 		return f.ended(ctx)
 	}
@@ -305,7 +324,9 @@
 // WakeAll gives waiting requests of every queue another try, as load elsewhere
 // may have changed.
 func (f *Flow) WakeAll() {
-	f.board.Lines(func(_ string, l *queue.Line) { l.Wake(wakeAtOnce) })
+	for _, l := range f.board.Lines() {
+		l.Wake(f.now(), wakeAtOnce)
+	}
 }
 
 // wakeAtOnce is the number of requests that try again together.
--- a/internal/serve/flow/here.go
+++ b/internal/serve/flow/here.go
@@ -38,7 +38,7 @@
 	started := f.now()
 	out := client.Do(ctx, a, f.watched(t, sink))
 	f.learn(t, d, out, started)
-	f.board.Line(t.Service).Wake(1)
+	f.board.Line(t.Service).Wake(f.now(), 1)
 	t.report.Status, t.report.Resumes = out.Status, out.Resumes
 	for range out.Resumes {
 		f.meter.Retry(retry.Resume)
@@ -70,6 +70,7 @@
 			}
 			last = now
 			t.report.Begun = true
+			t.parts++
 			if err := sink.Data(p); err != nil {
 				return err
 			}
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -63,6 +64,7 @@
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 	polls   polls
+	sent    atomic.Int64
 	started time.Time
 }
 
@@ -146,6 +148,9 @@
 	return nil
 }
 
+// SentBytes returns the bytes of datagrams that the host has sent, headers included.
+func (h *Host) SentBytes() float64 { return float64(h.sent.Load()) }
+
 // Board returns the host's blackboard.
 func (h *Host) Board() *board.Board { return h.board }
 
--- /dev/null
+++ b/internal/serve/host/official_test.go
@@ -0,0 +1,91 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	sdk "github.com/openai/openai-go/v3/option"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/engine"
+)
+
+// TestOfficialClient drives the interface with an official client, unchanged
+// but for its base address: streamed, whole, refused and cancelled.
+func TestOfficialClient(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, plan{
+		hosts:   map[string]string{"a1": "a", "b1": "b"},
+		engines: map[string]string{"e1": "b"}, engine: engine.Config{Decode: 5 * time.Millisecond},
+	})
+	client := openai.NewClient(
+		sdk.WithBaseURL("http://"+f.set["a1"].Callers+"/v1/"), sdk.WithAPIKey(callerKey), sdk.WithMaxRetries(0))
+	ctx := context.Background()
+	params := openai.ChatCompletionNewParams{
+		Model: "chat", MaxTokens: openai.Int(9),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello")},
+	}
+
+	whole, err := client.Chat.Completions.New(ctx, params, sdk.WithHeader("X-Request-Id", "whole"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := whole.Choices[0].Message.Content; got != engine.Text("whole", 9) || whole.Usage.CompletionTokens != 9 || whole.Choices[0].FinishReason != "stop" {
+		t.Errorf("whole: %+v", whole)
+	}
+
+	stream := client.Chat.Completions.NewStreaming(ctx, params, sdk.WithHeader("X-Request-Id", "streamed"))
+	var text strings.Builder
+	for stream.Next() {
+		text.WriteString(stream.Current().Choices[0].Delta.Content)
+	}
+	if stream.Err() != nil || text.String() != engine.Text("streamed", 9) {
+		t.Errorf("streamed: %q, %v", text.String(), stream.Err())
+	}
+
+	models, err := client.Models.List(ctx)
+	if err != nil || len(models.Data) != 1 || models.Data[0].ID != "chat" {
+		t.Errorf("models: %+v, %v", models, err)
+	}
+
+	params.Model = "none"
+	_, err = client.Chat.Completions.New(ctx, params)
+	var refused *openai.Error
+	if !errors.As(err, &refused) || refused.StatusCode != 404 || refused.Code != "no_service" {
+		t.Errorf("refused: %v", err)
+	}
+
+	params.Model, params.MaxTokens = "chat", openai.Int(10000)
+	leaving, cancel := context.WithCancel(ctx)
+	stream = client.Chat.Completions.NewStreaming(leaving, params, sdk.WithHeader("X-Request-Id", "cancelled"))
+	for range 3 {
+		stream.Next()
+	}
+	cancel()
+	for stream.Next() {
+	}
+	if !errors.Is(stream.Err(), context.Canceled) {
+		t.Errorf("cancelled: %v", stream.Err())
+	}
+	f.eventually("the engine's work is cancelled", func() bool {
+		for _, r := range f.engines["e1"].Records() {
+			if r.Request == "cancelled" {
+				return r.Cancelled
+			}
+		}
+		return false
+	})
+
+	// A stream that breaks off for good is an error of the client, not an end.
+	f.engines["e1"].SetFault(engine.Fault{CutAfter: 3, Forget: true})
+	params.MaxTokens = openai.Int(9)
+	stream = client.Chat.Completions.NewStreaming(ctx, params)
+	for stream.Next() {
+	}
+	if stream.Err() == nil {
+		t.Error("a broken stream ended as if it were whole")
+	}
+}
--- a/internal/serve/host/tasks.go
+++ b/internal/serve/host/tasks.go
@@ -48,6 +48,9 @@
 	slowPoll  = 60 * time.Second
 	failWait  = time.Second
 
+	// packetOverhead is the size of the IP and UDP headers, in bytes.
+	packetOverhead = 28
+
 	loadTo       = 3
 	loadsPacket  = 24
 	zonesPacket  = 16
@@ -88,6 +91,7 @@
 			continue
 		}
 		h.meter.Sent(n)
+		h.sent.Add(int64(n + packetOverhead))
 	}
 }
 
