Send long shared prompts to the region whose engine keeps them

Ruled out: too few engines (they were under half busy). Now: one order over the endpoints of all regions; a crossing where it saves more reading than it takes; the time of unread prompts counts at an endpoint and other hosts of the region hear of it at once.

--- a/internal/board/learn/learn.go
+++ b/internal/board/learn/learn.go
@@ -10,12 +10,12 @@
 const (
 	// firstRate is the number of prompt tokens read in a millisecond before
 	// anything was seen, firstWork the time of a plain answer.
-	firstRate = 40.0
+	firstRate = 55.0
 	firstWork = 50 * time.Millisecond
 	// weight is that of one new sample, lowWeight where it is slower than held, as
 	// it may have waited behind others.
 	weight    = 0.1
-	lowWeight = 0.01
+	lowWeight = 0.03
 	// sample is the least number of prompt tokens of a sample of the speed.
 	sample = 1500
 	// base is the part of a first token's time that does not depend on the prompt.
--- a/internal/board/zones/zones.go
+++ b/internal/board/zones/zones.go
@@ -65,13 +65,15 @@
 	// failed and heard are when a region last did not answer and was last heard of.
 	failed map[string]time.Time
 	heard  map[string]time.Time
+	// away is the time to a region and back, as measured.
+	away map[string]time.Duration
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
 		sums: map[Key]*Sum{}, flows: map[string]*flow{},
-		failed: map[string]time.Time{}, heard: map[string]time.Time{},
+		failed: map[string]time.Time{}, heard: map[string]time.Time{}, away: map[string]time.Duration{},
 	}
 }
 
@@ -195,3 +197,31 @@
 	f := t.flow(now, service)
 	return f.spills[region]+1 <= bound*math.Max(minSample, f.total+1)
 }
+
+const (
+	// unknownAway is the time to a region and back that was not measured yet.
+	unknownAway = 100 * time.Millisecond
+	// awayWeight is the weight of one measurement.
+	awayWeight = 0.2
+)
+
+// Measured takes in the time that a region took to acknowledge a request.
+func (t *Table) Measured(region string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, ok := t.away[region]
+	if !ok {
+		old = d
+	}
+	t.away[region] = old + time.Duration(awayWeight*float64(d-old))
+}
+
+// Away returns the time to a region and back.
+func (t *Table) Away(region string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d, ok := t.away[region]; ok {
+		return d
+	}
+	return unknownAway
+}
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -1,7 +1,8 @@
 // Package pick chooses the endpoint or the region for a request that names the
 // parts of its prompt. It answers the load of many small prompts beside a few
 // large ones with shared beginnings: the large ones go where their beginning is
-// kept, as far as the load allows.
+// kept, in whichever region that is, as far as the load allows, and the small ones
+// keep away from endpoints that are reading a large one.
 package pick
 
 import (
@@ -12,19 +13,16 @@
 )
 
 const (
-	// perRequest is what each request at a model engine adds to the time to a
-	// first token, through its own prompt and the batch.
-	perRequest = 5 * time.Millisecond
+	// perRequest is what each running request adds to the time to a first token,
+	// through the steps of its batch.
+	perRequest = 500 * time.Microsecond
 	// perWaiting is what each request beyond the slots adds.
 	perWaiting = 40 * time.Millisecond
 	// plainShare is the part of a plain endpoint's work time that a request in a
 	// free slot adds, as it may share a processor.
 	plainShare = 0.1
-	// secondShare is the part of a shared beginning that the second endpoint in
-	// the order of its prefix is expected to hold no more.
-	secondShare = 0.6
-	// near is the difference of two scores that counts as none.
-	near = 4 * time.Millisecond
+	// near is the difference of two scores that counts as none: a batch's step.
+	near = 8 * time.Millisecond
 )
 
 // Candidate is an endpoint that the request may go to.
@@ -56,11 +54,13 @@
 type Choice struct {
 	Index  int
 	Expect time.Duration
+	// Holds says that the candidate is the one that keeps the shared beginning.
+	Holds bool
 }
 
-// Here chooses among candidates; Index is -1 where there is none. Of near equals
-// the one with less load is taken, at random where these are equal too, as
-// several hosts decide at the same time.
+// Here chooses among candidates; Index is -1 where there is none. Among near
+// equals the first in the order of the prefix is taken, so that hosts agree
+// without talking; without a prefix the one with less load.
 func Here(ask Ask, list []Candidate, rnd *rand.Rand) Choice {
 	c := search(ask, list, rnd, false)
 	if c.Index < 0 {
@@ -71,60 +71,55 @@
 }
 
 func search(ask Ask, list []Candidate, rnd *rand.Rand, last bool) Choice {
-	first, second := order(ask.Prefix, list, last)
-	best := Choice{Index: -1}
-	seen := 0
+	holder := -1
+	var top uint64
+	lowest := time.Duration(-1)
+	for i := range list {
+		if list[i].Out && !last {
+			continue
+		}
+		if w := place.Weight(ask.Prefix, list[i].Name); ask.Prefix != 0 && (holder < 0 || w > top) {
+			holder, top = i, w
+		}
+	}
+	for i := range list {
+		if list[i].Out && !last {
+			continue
+		}
+		if s := score(ask, &list[i], i == holder); lowest < 0 || s < lowest {
+			lowest = s
+		}
+	}
+	best, seen := Choice{Index: -1}, 0
 	for i := range list {
 		c := &list[i]
 		if c.Out && !last {
 			continue
 		}
-		s := score(ask, c, i == first, i == second)
-		switch {
-		case best.Index < 0 || s < best.Expect-near:
-			best, seen = Choice{Index: i, Expect: s}, 1
-		case s <= best.Expect+near:
-			seen++
-			if better(c, &list[best.Index], rnd, seen) {
-				best = Choice{Index: i, Expect: s}
-			}
+		s := score(ask, c, i == holder)
+		if s > lowest+near {
+			continue
+		}
+		seen++
+		if best.Index < 0 || better(ask.Prefix, c, &list[best.Index], rnd, seen) {
+			best = Choice{Index: i, Expect: s, Holds: i == holder}
 		}
 	}
 	return best
 }
 
 // better decides between near equals.
-func better(c, held *Candidate, rnd *rand.Rand, seen int) bool {
-	if c.Load != held.Load {
+func better(prefix uint64, c, held *Candidate, rnd *rand.Rand, seen int) bool {
+	switch {
+	case prefix != 0:
+		return place.Weight(prefix, c.Name) > place.Weight(prefix, held.Name)
+	case c.Load != held.Load:
 		return c.Load < held.Load
 	}
 	return rnd.IntN(seen) == 0
 }
 
-// order returns the two candidates that hold a prefix first and second.
-func order(prefix uint64, list []Candidate, last bool) (first, second int) {
-	first, second = -1, -1
-	if prefix == 0 {
-		return first, second
-	}
-	var top, next uint64
-	for i := range list {
-		if list[i].Out && !last {
-			continue
-		}
-		w := place.Weight(prefix, list[i].Name)
-		switch {
-		case first < 0 || w > top:
-			second, next = first, top
-			first, top = i, w
-		case second < 0 || w > next:
-			second, next = i, w
-		}
-	}
-	return first, second
-}
-
-func score(ask Ask, c *Candidate, first, second bool) time.Duration {
+func score(ask Ask, c *Candidate, holder bool) time.Duration {
 	slots := max(1, c.Slots)
 	beyond := max(0, c.Load+1-float64(slots))
 	slow := max(1, c.Slow)
@@ -133,11 +128,7 @@
 		return time.Duration(slow * (t + float64(ask.Work)))
 	}
 	read := ask.Own
-	switch {
-	case first:
-	case second:
-		read += time.Duration(secondShare * float64(ask.Shared))
-	default:
+	if !holder {
 		read += ask.Shared
 	}
 	t := float64(read+c.Pending) + c.Load*float64(perRequest) + beyond*float64(perWaiting)
@@ -154,20 +145,25 @@
 	Away time.Duration
 }
 
+// full is the share of a region's slots in use from which a request goes there
+// only where nothing else is left.
+const full = 0.85
+
+// Filled is the share of its slots in use.
+func (r *Region) Filled() float64 { return r.Load / max(1, r.Slots) }
+
 // There chooses among regions by the share of slots taken; -1 where there is
 // none. It takes two at random in proportion to their slots, and of these the
 // one with more room.
 func There(list []Region, rnd *rand.Rand) int {
 	a := draw(list, rnd)
 	b := draw(list, rnd)
-	if a < 0 || filled(&list[a]) <= filled(&list[b]) {
+	if a < 0 || list[a].Filled() <= list[b].Filled() {
 		return a
 	}
 	return b
 }
 
-func filled(r *Region) float64 { return r.Load / max(1, r.Slots) }
-
 func draw(list []Region, rnd *rand.Rand) int {
 	total := 0.0
 	for i := range list {
@@ -181,3 +177,28 @@
 	}
 	return len(list) - 1
 }
+
+// Member is an endpoint of any region.
+type Member struct {
+	Name   string
+	Region string
+}
+
+// Keeper returns the region whose endpoint keeps a prefix, by the order in which
+// all hosts see the endpoints of all regions; empty where there is none.
+func Keeper(prefix uint64, list []Member) string {
+	region, top := "", uint64(0)
+	for i := range list {
+		if w := place.Weight(prefix, list[i].Name); region == "" || w > top {
+			region, top = list[i].Region, w
+		}
+	}
+	return region
+}
+
+// WorthCrossing reports whether a request whose shared beginning another region
+// keeps is better sent there: what is saved of reading exceeds the way there and
+// back, and that region has room.
+func WorthCrossing(ask Ask, r *Region) bool {
+	return ask.Shared > r.Away && r.Filled() < full
+}
--- a/internal/serve/carry/carry.go
+++ b/internal/serve/carry/carry.go
@@ -76,10 +76,13 @@
 	Budget *retry.Budget
 	// ColdShare returns the requests a second that this host may send to a cold
 	// endpoint of a service.
-	ColdShare func(s *rules.Service) int
+	ColdShare func(s *rules.Service, endpoint string) int
+	// Busy is told when a long prompt was sent; nil is nobody.
+	Busy func()
 
 	mu   sync.Mutex
 	rand *rand.Rand
+	kept keeps
 }
 
 // MaxAnswer bounds one answer, in bytes.
@@ -87,7 +90,7 @@
 
 // New returns a carrier; its exported fields are set before use.
 func New() *Carrier {
-	return &Carrier{rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	return &Carrier{rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), kept: keeps{}}
 }
 
 // Enter carries a request that entered at this host; it may go to another region.
--- a/internal/serve/carry/choose.go
+++ b/internal/serve/carry/choose.go
@@ -1,6 +1,8 @@
 package carry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,12 +20,18 @@
 type decision struct {
 	endpoint regis.Endpoint
 	// region is set where another region is to carry it out.
-	region  string
-	expect  time.Duration
-	read    time.Duration
+	region string
+	expect time.Duration
+	// read is the time to read what the endpoint is not expected to keep.
+	read time.Duration
+	// known is the number of tokens to read where the rest is certainly kept.
+	known   int
 	refusal *fault.Refusal
 }
 
+// worthTelling is the time of reading from which other hosts are told at once.
+const worthTelling = 25 * time.Millisecond
+
 // comeBack is when a caller may come back where nothing is known to be better.
 const comeBack = 300 * time.Millisecond
 
@@ -32,22 +40,27 @@
 	now := c.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t.Route.Allows(c.Board.Region) {
-		if d, ok := c.local(now, t); ok {
-			return d
+	ask := c.ask(t)
+	var others []pick.Region
+	if t.cross {
+		others = c.others(now, t)
+		if name := c.keeper(t, ask, others); name != "" {
+			return decision{region: name}
 		}
 	}
-	if t.cross {
-		if d, ok := c.remote(now, t); ok {
+	if t.Route.Allows(c.Board.Region) {
+		if d, ok := c.local(now, t, ask); ok {
 			return d
 		}
 	}
+	if i := pick.There(others, c.rand); i >= 0 {
+		return decision{region: others[i].Name}
+	}
 	return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint takes the request").WithRetryAfter(comeBack)}
 }
 
 // local chooses among this region's endpoints.
-func (c *Carrier) local(now time.Time, t *trip) (decision, bool) {
-	ask := c.ask(t)
+func (c *Carrier) local(now time.Time, t *trip, ask pick.Ask) (decision, bool) {
 	service := c.service(t.Service)
 	list, found := c.candidates(now, t, service)
 	for len(list) > 0 {
@@ -57,15 +70,23 @@
 		}
 		e := found[choice.Index]
 		if now.Before(e.ColdUntil) && service.ColdRate > 0 &&
-			!c.Board.Endpoints.AdmitCold(now, e.ID, c.ColdShare(service)) {
+			!c.Board.Endpoints.AdmitCold(now, e.ID, c.ColdShare(service, e.ID)) {
 			list = append(list[:choice.Index:choice.Index], list[choice.Index+1:]...)
 			found = append(found[:choice.Index:choice.Index], found[choice.Index+1:]...)
 			continue
 		}
-		d := decision{endpoint: e, expect: choice.Expect, read: ask.Own + ask.Shared}
+		d := decision{endpoint: e, expect: choice.Expect, read: ask.Own}
+		if !choice.Holds {
+			d.read += ask.Shared
+		} else if c.kept.sent(now, e.ID, ask.Prefix) {
+			d.known = t.own()
+		}
 		t.tried[e.ID] = true
 		c.Board.Endpoints.Start(now, e.ID)
 		c.Board.Endpoints.Pend(e.ID, d.read)
+		if d.read > worthTelling && c.Busy != nil {
+			c.Busy()
+		}
 		return d, true
 	}
 	return decision{}, false
@@ -87,26 +108,48 @@
 	if !t.Route.Prompts {
 		return pick.Ask{Work: c.Board.Speeds.Work(t.Service)}
 	}
-	shared := 0
-	prefix := uint64(0)
+	ask := pick.Ask{Own: c.Board.Speeds.Read(t.Service, t.own())}
+	if n := len(t.Prompt.Parts) - 1; n > 0 {
+		ask.Shared = c.Board.Speeds.Read(t.Service, t.Prompt.Tokens-t.own())
+		ask.Prefix = xxhash.Sum64String(t.Prompt.Parts[n-1].ID)
+	}
+	return ask
+}
+
+// own counts the prompt's tokens beyond its shared beginning.
+func (t *trip) own() int {
+	own := t.Prompt.Tokens
 	if n := len(t.Prompt.Parts) - 1; n > 0 {
 		for _, p := range t.Prompt.Parts[:n] {
-			shared += p.Tokens
+			own -= p.Tokens
 		}
-		if shared >= worthKeeping {
-			prefix = xxhash.Sum64String(t.Prompt.Parts[n-1].ID)
+	}
+	return max(0, own)
+}
+
+// keeper returns the other region that the request is best sent to, as its shared
+// beginning is kept there; empty if there is none.
+func (c *Carrier) keeper(t *trip, ask pick.Ask, others []pick.Region) string {
+	if ask.Prefix == 0 || len(others) == 0 || ask.Shared < leastAway {
+		return ""
+	}
+	var list []pick.Member
+	for _, e := range c.Board.Registry.Of(t.Service) {
+		if c.open(e) && t.Route.Allows(e.Region) {
+			list = append(list, pick.Member{Name: e.ID, Region: e.Region})
 		}
 	}
-	return pick.Ask{
-		Shared: c.Board.Speeds.Read(t.Service, shared),
-		Own:    c.Board.Speeds.Read(t.Service, max(0, t.Prompt.Tokens-shared)),
-		Prefix: prefix,
+	name := pick.Keeper(ask.Prefix, list)
+	for i := range others {
+		if others[i].Name == name && pick.WorthCrossing(ask, &others[i]) {
+			return name
+		}
 	}
+	return ""
 }
 
-// worthKeeping is the number of shared tokens from which a request is sent where
-// they are kept; reading fewer takes less than the spread of loads.
-const worthKeeping = 512
+// leastAway is less than the time to any other region and back.
+const leastAway = 5 * time.Millisecond
 
 // candidates returns the endpoints here that may take the request.
 func (c *Carrier) candidates(now time.Time, t *trip, s *rules.Service) ([]pick.Candidate, []regis.Endpoint) {
@@ -143,8 +186,8 @@
 	return !e.Draining && !c.Board.Registry.Evacuated(e.Centre)
 }
 
-// remote chooses a region and a host in it.
-func (c *Carrier) remote(now time.Time, t *trip) (decision, bool) {
+// others returns the regions that the request may be sent to.
+func (c *Carrier) others(now time.Time, t *trip) []pick.Region {
 	slots := map[string]float64{}
 	service := c.service(t.Service)
 	for _, e := range c.Board.Registry.Of(t.Service) {
@@ -153,22 +196,22 @@
 		}
 	}
 	var list []pick.Region
-	for _, name := range sortedKeys(slots) {
+	for _, name := range slices.Sorted(maps.Keys(slots)) {
 		if c.Board.Members.Usable(name) == 0 {
 			continue
 		}
 		v := c.Board.Zones.View(zones.Key{Region: name, Service: t.Service}, now)
-		r := pick.Region{Name: name, Slots: slots[name]}
+		r := pick.Region{Name: name, Slots: slots[name], Away: c.Board.Zones.Away(name)}
 		if v.Known {
 			r.Load = v.Busy
 		}
+		if c.Board.Zones.Silent(now, name) {
+			// It is the last resort only.
+			r.Load = r.Slots
+		}
 		list = append(list, r)
 	}
-	i := pick.There(list, c.rand)
-	if i < 0 {
-		return decision{}, false
-	}
-	return decision{region: list[i].Name}, true
+	return list
 }
 
 // regionMark tells regions from endpoints and hosts in the set of what was tried.
--- a/internal/serve/carry/here.go
+++ b/internal/serve/carry/here.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"strconv"
 	"time"
 
@@ -16,14 +14,9 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/kept"
 )
 
-func sortedKeys(m map[string]float64) []string { return slices.Sorted(maps.Keys(m)) }
-
 const (
 	// returnTrip is taken off the time that an endpoint gets, for the way back.
 	returnTrip = 10 * time.Millisecond
-	// headShare is the part of the promised time after which a repeatable request
-	// without an answer is tried elsewhere.
-	headShare = 0.8
 	// silentGaps is the number of promised pauses after which a stream counts as
 	// silent.
 	silentGaps = 3
@@ -70,7 +63,8 @@
 	}
 	more := t.runs+1 < t.Tries && t.Route.Repeatable()
 	if more && t.Route.Target > 0 {
-		call.HeadWait = time.Duration(headShare * float64(t.Route.Target))
+		// By then it is late, and an endpoint that is only busy would have answered.
+		call.HeadWait = t.Route.Target + d.expect
 	}
 	if t.Route.Kind == rules.Stream && t.Route.Resumable && t.Route.Gap > 0 {
 		call.Silence = silentGaps * t.Route.Gap
@@ -120,7 +114,7 @@
 		return
 	}
 	if t.Route.Prompts {
-		c.Board.Speeds.First(t.Service, t.Prompt.Tokens, out.First)
+		c.Board.Speeds.First(t.Service, d.known, out.First)
 	} else {
 		c.Board.Speeds.Done(t.Service, now.Sub(began))
 	}
--- a/internal/serve/carry/there.go
+++ b/internal/serve/carry/there.go
@@ -31,6 +31,8 @@
 	if t.Route.Repeatable() {
 		wait = ackWait
 	}
+	began := c.Now()
+	sink.Acked = func() { c.Board.Zones.Measured(d.region, c.Now().Sub(began)) }
 	end, err := flow.Exchange(ctx, c.Link, m.Name, m.Address, c.message(t), flow.Sink(sink, func(h wire.Head) {
 		t.report.Endpoint = h.Endpoint
 	}), wait)
--- a/internal/serve/client/client.go
+++ b/internal/serve/client/client.go
@@ -58,6 +58,8 @@
 type Sink struct {
 	Head func(wire.Head) error
 	Data func([]byte) error
+	// Acked is told that another host has the request; nil is nobody.
+	Acked func()
 }
 
 // Result is how an attempt ended.
--- a/internal/serve/flow/there.go
+++ b/internal/serve/flow/there.go
@@ -60,7 +60,8 @@
 			see(h)
 			return s.Head(h)
 		},
-		Data: s.Data,
+		Data:  s.Data,
+		Acked: s.Acked,
 	}
 }
 
@@ -162,6 +163,9 @@
 			}
 			return nil, fmt.Errorf("read answer of %s: %w", host, err)
 		}
+		if !acked && sink.Acked != nil {
+			sink.Acked()
+		}
 		wait, acked = LinkSilence, true
 		if fr.End != nil {
 			return fr.End, nil
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 
@@ -25,6 +26,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/place"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/carry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
@@ -64,6 +66,7 @@
 	handlers link.Handlers
 	feeds    []*feed.Feed
 	now      func() time.Time
+	started  time.Time
 
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
@@ -82,7 +85,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
 	}
-	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, pool: kept.NewPool(kept.WithNow(now))}
+	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, started: now(), pool: kept.NewPool(kept.WithNow(now))}
 	n.board = board.New(now(), s.Peers, s.Region, s.Centre, 1)
 	n.board.Members.Find(now(), member.Candidate{
 		Name: s.Peers, Address: s.Peers, Region: s.Region, Centre: s.Centre, Callers: s.Callers,
@@ -116,6 +119,7 @@
 	n.carrier.Log, n.carrier.Now, n.carrier.Budget = n.log, n.now, retry.NewBudget()
 	n.carrier.Client = &kept.Client{Pool: n.pool, Terms: t, Now: n.now}
 	n.carrier.ColdShare = n.coldShare
+	n.carrier.Busy = func() { n.runner.Kick(takenName) }
 	handler := &relay.Handler{
 		Board: n.board, Meter: n.meter, Log: n.log, Pool: n.relays, MaxBody: maxBody, Now: n.now, Routed: n.routed,
 	}
@@ -184,12 +188,34 @@
 	}
 }
 
+// settleTime is how long after its start a host may not know the others yet.
+const settleTime = 2500 * time.Millisecond
+
 // coldShare divides the rate of a cold endpoint among the hosts that may send to
-// it: those of this region.
-func (n *Node) coldShare(s *rules.Service) int {
-	hosts := 1 + n.board.Members.Usable(n.board.Region)
+// it: those of this region. Where they are more than the rate, those that come
+// first in the endpoint's own order have one request a second each.
+func (n *Node) coldShare(s *rules.Service, endpoint string) int {
+	if n.now().Sub(n.started) < settleTime {
+		return 0
+	}
 	b := n.settings.Bounds
-	return max(1, int((s.ColdRate*b.ColdOver+b.ColdSlack)/float64(hosts)))
+	most := s.ColdRate*b.ColdOver + b.ColdSlack
+	own := place.Weight(xxhash.Sum64String(endpoint), n.settings.Peers)
+	hosts, before := 1, 0
+	for _, m := range n.board.Members.Members() {
+		if m.Region != n.board.Region || !m.Usable() {
+			continue
+		}
+		hosts++
+		if place.Weight(xxhash.Sum64String(endpoint), m.Name) > own {
+			before++
+		}
+	}
+	share := int(most) / hosts
+	if before < int(most)%hosts {
+		share++
+	}
+	return share
 }
 
 const (
@@ -200,7 +226,7 @@
 	// quietTime without a request ends a leaving host.
 	quietTime = 700 * time.Millisecond
 	// endMargin is kept of the grace for closing.
-	endMargin = 600 * time.Millisecond
+	endMargin = 1200 * time.Millisecond
 )
 
 // Drain lets the host leave: it is no longer ready, serves what still comes for
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -12,6 +12,9 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 )
 
+// takenName is the controller that others may ask to run.
+const takenName = "taken"
+
 const (
 	memberPeriod = 100 * time.Millisecond
 	takenPeriod  = 250 * time.Millisecond
@@ -37,7 +40,7 @@
 		n.setSelf()
 		n.send(n.board.Members.Tick(now))
 	})
-	add("taken", takenPeriod, n.shareTaken)
+	add(takenName, takenPeriod, n.shareTaken)
 	add("sums", sumPeriod, n.shareSums)
 	add("connections", sweepPeriod, n.pool.Sweep)
 	add("registry", expirePeriod, func(now time.Time) {
