--- /dev/null
+++ b/internal/conf/rules/rules_test.go
@@ -0,0 +1,66 @@
+package rules
+
+import (
+	"testing"
+)
+
+func TestMatch(t *testing.T) {
+	r := New(7, []Route{
+		{Name: "short", Host: "a", Prefix: "/x/", Shares: []Share{{Service: "s", Weight: 1}}},
+		{Name: "long", Host: "a", Prefix: "/x/y/", Shares: []Share{{Service: "s", Weight: 1}}},
+		{Name: "other", Host: "b", Prefix: "/x/", Shares: []Share{{Service: "s", Weight: 1}}},
+	}, nil, Limits{})
+	tests := []struct{ host, path, want string }{
+		{"a", "/x/", "short"},
+		{"a", "/x/z", "short"},
+		{"a", "/x/y/z", "long"},
+		{"a", "/x/y", "short"},
+		{"b", "/x/y/z", "other"},
+		{"a", "/x", ""},
+		{"a", "/", ""},
+		{"c", "/x/", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if route := r.Match(tt.host, tt.path); route != nil {
+			got = route.Name
+		}
+		if got != tt.want {
+			t.Errorf("Match(%q, %q) = %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+}
+
+func TestPickByWeight(t *testing.T) {
+	r := Route{Shares: []Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
+	for at, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999: "b"} {
+		if got := r.Pick(at); got != want {
+			t.Errorf("Pick(%v) = %s, want %s", at, got, want)
+		}
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	tests := []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: Safe}, true},
+		{Route{Kind: Unsafe}, false},
+		{Route{Kind: Unsafe, Resumable: true}, false},
+		{Route{Kind: Stream}, false},
+		{Route{Kind: Stream, Resumable: true}, true},
+	}
+	for _, tt := range tests {
+		if got := tt.route.Repeatable(); got != tt.want {
+			t.Errorf("%+v: Repeatable = %v", tt.route, got)
+		}
+	}
+}
+
+func TestAllows(t *testing.T) {
+	open, bound := Route{}, Route{Homes: []string{"a", "b"}}
+	if !open.Allows("z") || !bound.Allows("b") || bound.Allows("z") {
+		t.Error("homes are not kept")
+	}
+}
--- /dev/null
+++ b/internal/plat/feed/feed_test.go
@@ -0,0 +1,125 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// script plays calls of a feed against a clock that only it moves.
+type script struct {
+	t     *testing.T
+	now   time.Time
+	steps []step
+	seen  []string
+	until []time.Time
+	stop  context.CancelFunc
+}
+
+type step struct {
+	call  string
+	after uint64
+	took  time.Duration
+	batch Batch
+	err   error
+}
+
+func (s *script) next(call string, after uint64) (Batch, error) {
+	if len(s.steps) == 0 {
+		s.stop()
+		return Batch{}, context.Canceled
+	}
+	st := s.steps[0]
+	s.steps = s.steps[1:]
+	if st.call != call || st.after != after {
+		s.t.Errorf("called %s after %d, want %s after %d", call, after, st.call, st.after)
+	}
+	s.now = s.now.Add(st.took)
+	return st.batch, st.err
+}
+
+func play(t *testing.T, steps ...step) *script {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &script{t: t, now: time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC), steps: steps, stop: cancel}
+	f := &Feed{
+		List:    func(context.Context) (Batch, error) { return s.next("list", 0) },
+		Watch:   func(_ context.Context, after uint64) (Batch, error) { return s.next("watch", after) },
+		Listed:  func(_ time.Time, _ Batch, until time.Time) { s.seen, s.until = append(s.seen, "listed"), append(s.until, until) },
+		Changed: func(_ time.Time, _ Batch, until time.Time) { s.seen, s.until = append(s.seen, "changed"), append(s.until, until) },
+		Lost:    func(time.Time, error) { s.seen = append(s.seen, "lost") },
+		Now:     func() time.Time { return s.now }, Log: zerolog.Nop(),
+	}
+	f.Run(ctx)
+	return s
+}
+
+func (s *script) want(list ...string) {
+	s.t.Helper()
+	if len(s.seen) != len(list) {
+		s.t.Fatalf("saw %v, want %v", s.seen, list)
+	}
+	for i := range list {
+		if s.seen[i] != list[i] {
+			s.t.Fatalf("saw %v, want %v", s.seen, list)
+		}
+	}
+}
+
+func TestListsThenWatches(t *testing.T) {
+	s := play(t,
+		step{call: "list", batch: Batch{At: 5}},
+		step{call: "watch", after: 5, batch: Batch{At: 7}},
+		step{call: "watch", after: 7, batch: Batch{At: 7}},
+	)
+	s.want("listed", "changed", "changed")
+	for _, u := range s.until {
+		if !u.IsZero() {
+			t.Error("removals are held back though the store is well")
+		}
+	}
+}
+
+func TestListsAgainWhereHistoryIsGone(t *testing.T) {
+	s := play(t,
+		step{call: "list", batch: Batch{At: 5}},
+		step{call: "watch", after: 5, err: ErrForgotten},
+		step{call: "list", batch: Batch{At: 50}},
+		step{call: "watch", after: 50, batch: Batch{At: 51}},
+	)
+	s.want("listed", "listed", "changed")
+}
+
+// TestNeverGoesBack: a stale answer does not take the watch back to changes that
+// were already taken in.
+func TestNeverGoesBack(t *testing.T) {
+	play(t,
+		step{call: "list", batch: Batch{At: 5}},
+		step{call: "watch", after: 5, batch: Batch{At: 9}},
+		step{call: "watch", after: 9, batch: Batch{At: 3}},
+		step{call: "watch", after: 9, batch: Batch{At: 9}},
+	)
+}
+
+// TestHoldsRemovalsAfterAnOutage: what vanished while calls failed may only have
+// been unable to renew, so removals are held for a while after the last failure.
+func TestHoldsRemovalsAfterAnOutage(t *testing.T) {
+	down := errors.New("down")
+	s := play(t,
+		step{call: "list", batch: Batch{At: 5}},
+		step{call: "watch", after: 5, err: down},
+		step{call: "watch", after: 5, batch: Batch{At: 6}},
+		step{call: "watch", after: 6, took: settled + time.Second, batch: Batch{At: 7}},
+	)
+	s.want("listed", "lost", "changed", "changed")
+	if s.until[1].IsZero() {
+		t.Error("removals right after an outage are taken at once")
+	}
+	if !s.until[2].IsZero() {
+		t.Error("removals long after an outage are still held")
+	}
+}
