--- /dev/null
+++ b/internal/conf/setup/hosted_test.go
@@ -0,0 +1,56 @@
+package setup
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const hosted = `name = "n1"
+region = "r"
+centre = "c"
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+directory = "127.0.0.1:3"
+peers = "127.0.0.1:4"
+store = "127.0.0.1:5"
+[regions]
+c = "r"
+`
+
+func TestParseHosted(t *testing.T) {
+	s, err := ParseHosted("f", []byte(hosted))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.LogLevel != "info" || s.Bounds != DefaultBounds() || s.Bounds.Grace().Seconds() != 8 {
+		t.Errorf("defaults %+v", s)
+	}
+}
+
+func TestParseHostedNamesEachFault(t *testing.T) {
+	tests := []struct{ name, old, text, key string }{
+		{"missing", "name = \"n1\"\n", "", "name"},
+		{"no address", "127.0.0.1:5", "somewhere", "store"},
+		{"unknown key", "name = ", "colour = \"red\"\nname = ", "colour"},
+		{"wrong type", "\"n1\"", "4", "name"},
+		{"wrong region", "c = \"r\"", "c = \"other\"", "regions"},
+		{"seed without port", "store = ", "seeds = [\"127.0.0.1\"]\nstore = ", "seeds[0]"},
+		{"log level", "store = ", "log_level = \"loud\"\nstore = ", "log_level"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := ParseHosted("f", []byte(strings.Replace(hosted, tt.old, tt.text, 1)))
+			var invalid *Invalid
+			if !errors.As(err, &invalid) {
+				t.Fatalf("error %v", err)
+			}
+			for _, f := range invalid.Faults {
+				if f.Key == tt.key {
+					return
+				}
+			}
+			t.Errorf("faults %+v do not name %s", invalid.Faults, tt.key)
+		})
+	}
+}
