--- a/internal/plat/feed/feed_test.go
+++ b/internal/plat/feed/feed_test.go
@@ -47,12 +47,16 @@
 	defer cancel()
 	s := &script{t: t, now: time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC), steps: steps, stop: cancel}
 	f := &Feed{
-		List:    func(context.Context) (Batch, error) { return s.next("list", 0) },
-		Watch:   func(_ context.Context, after uint64) (Batch, error) { return s.next("watch", after) },
-		Listed:  func(_ time.Time, _ Batch, until time.Time) { s.seen, s.until = append(s.seen, "listed"), append(s.until, until) },
-		Changed: func(_ time.Time, _ Batch, until time.Time) { s.seen, s.until = append(s.seen, "changed"), append(s.until, until) },
-		Lost:    func(time.Time, error) { s.seen = append(s.seen, "lost") },
-		Now:     func() time.Time { return s.now }, Log: zerolog.Nop(),
+		List:  func(context.Context) (Batch, error) { return s.next("list", 0) },
+		Watch: func(_ context.Context, after uint64) (Batch, error) { return s.next("watch", after) },
+		Listed: func(_ time.Time, _ Batch, until time.Time) {
+			s.seen, s.until = append(s.seen, "listed"), append(s.until, until)
+		},
+		Changed: func(_ time.Time, _ Batch, until time.Time) {
+			s.seen, s.until = append(s.seen, "changed"), append(s.until, until)
+		},
+		Lost: func(time.Time, error) { s.seen = append(s.seen, "lost") },
+		Now:  func() time.Time { return s.now }, Log: zerolog.Nop(),
 	}
 	f.Run(ctx)
 	return s
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -71,43 +71,48 @@
 }
 
 func search(ask Ask, list []Candidate, rnd *rand.Rand, last bool) Choice {
-	holder := -1
-	var top uint64
+	holder := holderOf(ask.Prefix, list, last)
+	scores := make([]time.Duration, len(list))
 	lowest := time.Duration(-1)
 	for i := range list {
-		if list[i].Out && !last {
-			continue
-		}
-		if w := place.Weight(ask.Prefix, list[i].Name); ask.Prefix != 0 && (holder < 0 || w > top) {
-			holder, top = i, w
-		}
-	}
-	for i := range list {
-		if list[i].Out && !last {
-			continue
-		}
-		if s := score(ask, &list[i], i == holder); lowest < 0 || s < lowest {
-			lowest = s
+		scores[i] = score(ask, &list[i], i == holder)
+		if takes(&list[i], last) && (lowest < 0 || scores[i] < lowest) {
+			lowest = scores[i]
 		}
 	}
 	best, seen := Choice{Index: -1}, 0
 	for i := range list {
 		c := &list[i]
-		if c.Out && !last {
-			continue
-		}
-		s := score(ask, c, i == holder)
-		if s > lowest+near {
+		if !takes(c, last) || scores[i] > lowest+near {
 			continue
 		}
 		seen++
 		if best.Index < 0 || better(ask.Prefix, c, &list[best.Index], rnd, seen) {
-			best = Choice{Index: i, Expect: s, Holds: i == holder}
+			best = Choice{Index: i, Expect: scores[i], Holds: i == holder}
 		}
 	}
 	return best
 }
 
+func takes(c *Candidate, last bool) bool { return last || !c.Out }
+
+// holderOf returns the candidate that keeps a prefix, -1 for none.
+func holderOf(prefix uint64, list []Candidate, last bool) int {
+	holder, top := -1, uint64(0)
+	if prefix == 0 {
+		return holder
+	}
+	for i := range list {
+		if !takes(&list[i], last) {
+			continue
+		}
+		if w := place.Weight(prefix, list[i].Name); holder < 0 || w > top {
+			holder, top = i, w
+		}
+	}
+	return holder
+}
+
 // better decides between near equals.
 func better(prefix uint64, c, held *Candidate, rnd *rand.Rand, seen int) bool {
 	switch {
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -57,6 +58,10 @@
 	if f.Refusing() {
 		return r, fault.New(fault.Leaving, fault.RanNo, "host is leaving").WithRetryAfter(time.Millisecond)
 	}
+	if twoLengths(c) {
+		c.SetConnectionClose()
+		return r, fault.New(fault.BadRequest, fault.RanNo, "length of the body is told in two ways")
+	}
 	path, _, _ := strings.Cut(r.Target, "?")
 	r.Version = force.Version
 	r.Route = force.Match(r.Host, path)
@@ -72,6 +77,13 @@
 	return f.read(c, r, now)
 }
 
+// twoLengths reports whether a chunked request also states a length: what comes
+// behind it may be meant as a part of it.
+func twoLengths(c *app.RequestContext) bool {
+	raw := bytes.ToLower(c.Request.Header.RawHeaders())
+	return bytes.Contains(raw, []byte("\ntransfer-encoding")) && bytes.Contains(raw, []byte("\ncontent-length"))
+}
+
 func (f *Front) read(c *app.RequestContext, r carry.Request, now time.Time) (carry.Request, *fault.Refusal) {
 	h := &c.Request.Header
 	r.Service = r.Route.Pick(rand.Float64())
--- a/internal/serve/kept/kept_test.go
+++ b/internal/serve/kept/kept_test.go
@@ -98,8 +98,8 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s", id, len(body), strings.Join(more, ""), body)
 }
 
-func events(id string, list ...string) string {
-	out := "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+func events(list ...string) string {
+	out := "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for _, e := range list {
 		out += fmt.Sprintf("%x\r\n%s\r\n", len(e), e)
 	}
@@ -151,9 +151,9 @@
 		{"interim answer first", "HTTP/1.1 103 Early\r\n\r\n" + answer("a", "x"), nil, true, fault.RanYes, "", "x"},
 		{"answer to another request first", answer("z", "foreign") + answer("a", "mine"), nil, true, fault.RanYes, "", "mine"},
 		{"only an answer to another request", answer("z", "foreign", "Connection: close\r\n"), nil, false, fault.RanUnknown, retry.Broken, ""},
-		{"whole stream", events("a", "id: 0\ndata: x\n\n", "id: 1\ndata: y\n\n") + lastChunk, nil, true, fault.RanYes, "", "id: 0\ndata: x\n\nid: 1\ndata: y\n\n"},
-		{"stream cut within an event", events("a", "id: 0\ndata: x\n\n", "id: 1\nda") + lastChunk, nil, false, fault.RanUnknown, retry.Broken, "id: 0\ndata: x\n\n"},
-		{"stream without its end", events("a", "id: 0\ndata: x\n\n") + "Connection: close", nil, false, fault.RanUnknown, retry.Broken, "id: 0\ndata: x\n\n"},
+		{"whole stream", events("id: 0\ndata: x\n\n", "id: 1\ndata: y\n\n") + lastChunk, nil, true, fault.RanYes, "", "id: 0\ndata: x\n\nid: 1\ndata: y\n\n"},
+		{"stream cut within an event", events("id: 0\ndata: x\n\n", "id: 1\nda") + lastChunk, nil, false, fault.RanUnknown, retry.Broken, "id: 0\ndata: x\n\n"},
+		{"stream without its end", events("id: 0\ndata: x\n\n") + "Connection: close", nil, false, fault.RanUnknown, retry.Broken, "id: 0\ndata: x\n\n"},
 		{"too large", answer("a", strings.Repeat("x", 100)), func(c *Call) { c.MaxAnswer = 10 }, false, fault.RanUnknown, retry.Broken, ""},
 	}
 	for _, tt := range tests {
@@ -192,7 +192,7 @@
 		{"endpoint says close", answer("a", "x", "Connection: close\r\n"), 2},
 		{"endpoint's idle time is over", answer("a", "x", "Keep-Alive: timeout=0\r\n"), 2},
 		{"bytes after the answer", answer("a", "x") + answer("z", "extra"), 2},
-		{"stream", events("a", "id: 0\ndata: x\n\n") + lastChunk, 1},
+		{"stream", events("id: 0\ndata: x\n\n") + lastChunk, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -331,7 +331,7 @@
 }
 
 func TestResumeSkipsWhatTheCallerHas(t *testing.T) {
-	s := listen(t, events("a", "id: 3\ndata: x\n\n", "id: 4\ndata: y\n\n")+lastChunk)
+	s := listen(t, events("id: 3\ndata: x\n\n", "id: 4\ndata: y\n\n")+lastChunk)
 	c := &Client{Pool: NewPool(), Terms: names, Now: time.Now}
 	defer c.Pool.Close()
 	out, body := do(c, s.Addr().String(), func(c *Call) { c.After = 3 })
--- /dev/null
+++ b/internal/serve/node/node_test.go
@@ -0,0 +1,561 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+	"github.com/hyssopspindle/hyssopspindle/platform"
+)
+
+// patience bounds what the tests wait for; none of them measures a time.
+const patience = 20 * time.Second
+
+var names = platform.Terms()
+
+// shelf is a store in this process that feeds list and watch.
+type shelf struct {
+	mu      sync.Mutex
+	at      uint64
+	changes []feed.Change
+	down    bool
+}
+
+func (s *shelf) put(c feed.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	c.Revision = s.at
+	if c.Endpoint != nil {
+		e := *c.Endpoint
+		e.Revision = s.at
+		c.Endpoint = &e
+	}
+	s.changes = append(s.changes, c)
+}
+
+func (s *shelf) feed(mine func(feed.Change) bool) feed.Feed {
+	after := func(from uint64) (feed.Batch, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.down {
+			return feed.Batch{}, io.ErrUnexpectedEOF
+		}
+		b := feed.Batch{At: s.at}
+		for _, c := range s.changes {
+			if c.Revision > from && mine(c) {
+				b.Changes = append(b.Changes, c)
+			}
+		}
+		return b, nil
+	}
+	return feed.Feed{
+		List: func(context.Context) (feed.Batch, error) { return after(0) },
+		Watch: func(ctx context.Context, from uint64) (feed.Batch, error) {
+			sleep(ctx, 10*time.Millisecond)
+			return after(from)
+		},
+	}
+}
+
+func (s *shelf) store() Store {
+	registered := func(c feed.Change) bool { return c.Endpoint != nil || c.Gone != "" }
+	return Store{
+		Operator:  s.feed(func(c feed.Change) bool { return !registered(c) }),
+		Endpoints: s.feed(registered),
+	}
+}
+
+// fleet is a deployment in this process: a host and an endpoint of the model
+// service in each of two regions, and one of the plain service in each.
+type fleet struct {
+	t         *testing.T
+	shelf     *shelf
+	nodes     map[string]*Node
+	endpoints map[string]*routed.Endpoint
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func routesOf(version uint64) *rules.Rules {
+	one := func(s string) []rules.Share { return []rules.Share{{Service: s, Weight: 1}} }
+	return rules.New(version, []rules.Route{
+		{Name: "stream", Host: "h", Prefix: "/stream/", Shares: one("model"), Kind: rules.Stream, Attempts: 2, Timeout: patience, Gap: time.Second, Prompts: true, Resumable: true},
+		{Name: "once", Host: "h", Prefix: "/stream-once/", Shares: one("model"), Kind: rules.Stream, Attempts: 1, Timeout: patience, Prompts: true},
+		{Name: "bound", Host: "h", Prefix: "/bound/", Shares: one("plain"), Kind: rules.Safe, Attempts: 2, Timeout: patience, Homes: []string{"b"}},
+		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Shares: one("plain"), Kind: rules.Unsafe, Attempts: 1, Timeout: patience},
+		{Name: "safe", Host: "h", Prefix: "/safe/", Shares: one("plain"), Kind: rules.Safe, Attempts: 2, Timeout: patience},
+		{Name: "short", Host: "h", Prefix: "/short/", Shares: one("plain"), Kind: rules.Safe, Attempts: 1, Timeout: 300 * time.Millisecond},
+	}, []rules.Service{{Name: "model", Engine: &rules.Engine{Slots: 8, Memory: 1000}}, {Name: "plain"}}, rules.Limits{Body: 1 << 20})
+}
+
+func start(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, shelf: &shelf{}, nodes: map[string]*Node{}, endpoints: map[string]*routed.Endpoint{}}
+	f.shelf.put(feed.Change{Rules: routesOf(7)})
+	for _, region := range []string{"a", "b"} {
+		for _, service := range []string{"model", "plain"} {
+			f.endpoint(service+"-"+region+"1", service, region)
+		}
+	}
+	seed := free(t)
+	for region, peers := range map[string]string{"a": seed, "b": free(t)} {
+		n, err := New(setup.Hosted{
+			Name: "n" + region, Region: region, Centre: region + "1", Callers: free(t), Ready: free(t), Directory: free(t),
+			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: setup.DefaultBounds(),
+		}, names, f.shelf.store(), zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.Start()
+		t.Cleanup(func() { _ = n.Close() })
+		f.nodes[region] = n
+	}
+	f.eventually("both hosts are ready and know each other", func() bool {
+		return f.status("a", f.nodes["a"].settings.Ready, names.ReadyPath) == http.StatusOK &&
+			f.status("b", f.nodes["b"].settings.Ready, names.ReadyPath) == http.StatusOK &&
+			f.nodes["a"].board.Members.Usable("b") == 1 && f.nodes["b"].board.Members.Usable("a") == 1
+	})
+	return f
+}
+
+func (f *fleet) endpoint(id, service, region string) {
+	f.t.Helper()
+	e, err := routed.New(id, names)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = e.Close() })
+	f.endpoints[id] = e
+	f.register(id, service, region, false)
+}
+
+func (f *fleet) register(id, service, region string, draining bool) {
+	f.shelf.put(feed.Change{Key: id, Endpoint: &regis.Endpoint{
+		ID: id, Service: service, Address: f.endpoints[id].Address(), Centre: region + "1", Slots: 8, Draining: draining,
+	}})
+}
+
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatalf("it never came that %s", what)
+}
+
+func (f *fleet) status(_, address, path string) int {
+	resp, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
+
+// call sends a request to the host of region a and returns status, body and how
+// the reading ended.
+func (f *fleet) call(method, path, id string, change func(*http.Request)) (int, string, error) {
+	f.t.Helper()
+	body := io.Reader(nil)
+	if method == http.MethodPost {
+		body = strings.NewReader("question " + id)
+	}
+	req, err := http.NewRequest(method, "http://"+f.nodes["a"].settings.Callers+path, body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set(names.RequestID, id)
+	req.Header.Set(names.Deadline, "15000")
+	if change != nil {
+		change(req)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+func (f *fleet) runs(ids ...string) []routed.Run {
+	var out []routed.Run
+	for _, id := range ids {
+		out = append(out, f.endpoints[id].Runs()...)
+	}
+	return out
+}
+
+func wholeStream(id string) string {
+	out := ""
+	for n := range 5 {
+		out += routed.Event(id, n)
+	}
+	return out
+}
+
+func TestServesAndRelays(t *testing.T) {
+	f := start(t)
+	if status, body, err := f.call("GET", "/safe/x?q=%20y", "r1", nil); status != 200 || body != routed.Body("r1") || err != nil {
+		t.Errorf("plain: %d %q %v", status, body, err)
+	}
+	run := f.runs("plain-a1")
+	if len(run) != 1 || run[0].Target != "/safe/x?q=%20y" {
+		t.Errorf("runs %+v", run)
+	}
+	if status, body, err := f.call("POST", "/stream/x", "r2", nil); status != 200 || body != wholeStream("r2") || err != nil {
+		t.Errorf("stream: %d %q %v", status, body, err)
+	}
+	if status, body, err := f.call("POST", "/bound/x", "r3", nil); status != 200 || body != routed.Body("r3") || err != nil {
+		t.Errorf("bound to the other region: %d %q %v", status, body, err)
+	}
+	run = f.runs("plain-b1")
+	if len(run) != 1 || run[0].ID != "r3" || run[0].Body != "question r3" {
+		t.Errorf("runs in the home region %+v", run)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	f := start(t)
+	tests := []struct {
+		name   string
+		path   string
+		change func(*http.Request)
+		want   int
+	}{
+		{"no route", "/none/", nil, 404},
+		{"no route for the host", "/safe/x", func(r *http.Request) { r.Host = "other" }, 404},
+		{"no id", "/safe/x", func(r *http.Request) { r.Header.Del(names.RequestID) }, 400},
+		{"bad deadline", "/safe/x", func(r *http.Request) { r.Header.Set(names.Deadline, "soon") }, 400},
+		{"bad last event", "/stream/x", func(r *http.Request) { r.Header.Set(names.LastEvent, "x") }, 400},
+		{"body too large", "/unsafe/x", func(r *http.Request) {
+			r.Method, r.Body, r.ContentLength = "POST", io.NopCloser(strings.NewReader(strings.Repeat("x", 2<<20))), 2<<20
+		}, 413},
+	}
+	for _, tt := range tests {
+		if status, _, err := f.call("GET", tt.path, "r1", tt.change); status != tt.want || err != nil {
+			t.Errorf("%s: %d %v, want %d", tt.name, status, err, tt.want)
+		}
+	}
+	if n := len(f.runs("plain-a1", "plain-b1", "model-a1", "model-b1")); n != 0 {
+		t.Errorf("%d refused requests ran", n)
+	}
+}
+
+// TestReservedFieldsStayOut: what only the gateway may set does not come through
+// from a caller, and the gateway's own says which endpoint is meant.
+func TestReservedFieldsStayOut(t *testing.T) {
+	f := start(t)
+	_, _, err := f.call("GET", "/safe/x", "r1", func(r *http.Request) {
+		for _, name := range names.Reserved {
+			r.Header.Set(name, "forged")
+		}
+		r.Header.Set("X-Own", "kept")
+		r.Header.Set("X-Hop", "dropped")
+		r.Header.Set("Connection", "X-Hop")
+	})
+	run := f.runs("plain-a1")
+	if err != nil || len(run) != 1 {
+		t.Fatalf("runs %+v, %v", run, err)
+	}
+	for _, name := range names.Reserved {
+		if v := run[0].Header.Get(name); v == "forged" {
+			t.Errorf("%s came through", name)
+		}
+	}
+	h := run[0].Header
+	if h.Get(names.Expect) != "plain-a1" || h.Get("X-Own") != "kept" || h.Get("X-Hop") != "" {
+		t.Errorf("header %v", h)
+	}
+	if left, err := strconv.Atoi(h.Get(names.Deadline)); err != nil || left > 15000 || left < 1 {
+		t.Errorf("deadline %q", h.Get(names.Deadline))
+	}
+}
+
+func TestRepeats(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		path   string
+		fault  routed.Fault
+		status int
+		runs   int
+	}{
+		{"safe, own failure", "GET", "/safe/x", routed.Fault{Times: 1, Status: 500}, 200, 2},
+		{"safe, dropped", "GET", "/safe/x", routed.Fault{Times: 1, Drop: true}, 200, 2},
+		{"safe, cut body", "GET", "/safe/x", routed.Fault{Times: 1, CutBody: true}, 200, 2},
+		{"safe, all fail", "GET", "/safe/x", routed.Fault{Times: 9, Status: 500}, 500, 2},
+		{"unsafe, not run", "POST", "/unsafe/x", routed.Fault{Times: 1, NotRun: true}, 200, 1},
+		{"unsafe, own failure", "POST", "/unsafe/x", routed.Fault{Times: 1, Status: 500}, 500, 1},
+		{"unsafe, dropped", "POST", "/unsafe/x", routed.Fault{Times: 1, Drop: true}, 502, 1},
+		{"unsafe, cut body", "POST", "/unsafe/x", routed.Fault{Times: 1, CutBody: true}, 502, 1},
+		{"unsafe, never run", "POST", "/unsafe/x", routed.Fault{Times: 9, NotRun: true}, 503, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t)
+			f.endpoint("plain-a2", "plain", "a")
+			f.eventually("the second endpoint is known", func() bool { return len(f.nodes["a"].board.Registry.Of("plain")) == 3 })
+			one := tt.fault
+			if tt.fault.Times > 1 {
+				for _, id := range []string{"plain-a1", "plain-a2", "plain-b1"} {
+					f.endpoints[id].SetFault(one)
+				}
+			} else {
+				// Whichever is taken first fails; the other one does not.
+				for _, id := range []string{"plain-a1", "plain-a2"} {
+					f.endpoints[id].SetFault(one)
+				}
+				f.endpoints["plain-a2"].SetFault(routed.Fault{})
+				f.shelf.put(feed.Change{Gone: "plain-b1"})
+				f.shelf.put(feed.Change{Gone: "plain-a2"})
+				f.eventually("only one is left", func() bool { return len(f.nodes["a"].board.Registry.Of("plain")) == 1 })
+				f.register("plain-a2", "plain", "a", false)
+				f.nodes["a"].board.Endpoints.Start(time.Now(), "plain-a2")
+				f.eventually("the second is back", func() bool { return len(f.nodes["a"].board.Registry.Of("plain")) == 2 })
+			}
+			status, _, err := f.call(tt.method, tt.path, "r1", nil)
+			if status != tt.status || err != nil {
+				t.Errorf("status %d, %v, want %d", status, err, tt.status)
+			}
+			if n := len(f.runs("plain-a1", "plain-a2", "plain-b1")); n != tt.runs {
+				t.Errorf("%d runs, want %d", n, tt.runs)
+			}
+		})
+	}
+}
+
+// TestBrokenStream: one that may be resumed goes on at another endpoint with no
+// event twice or missing; one that may not ends with its connection.
+func TestBrokenStream(t *testing.T) {
+	f := start(t)
+	for _, id := range []string{"model-a1", "model-b1"} {
+		f.endpoints[id].SetFault(routed.Fault{Times: 1, CutAfter: 3})
+	}
+	f.endpoint("model-a2", "model", "a")
+	f.eventually("the second endpoint is known", func() bool { return len(f.nodes["a"].board.Registry.Of("model")) == 3 })
+	for i := range 6 {
+		id := fmt.Sprintf("r%d", i)
+		if status, body, err := f.call("POST", "/stream/x", id, nil); status != 200 || body != wholeStream(id) || err != nil {
+			t.Errorf("resumable: %d %q %v", status, body, err)
+		}
+	}
+	for _, e := range f.endpoints {
+		e.SetFault(routed.Fault{Times: 1, CutAfter: 3})
+	}
+	status, body, err := f.call("POST", "/stream-once/x", "z", nil)
+	if status != 200 || err == nil || strings.Contains(body, routed.Event("z", 3)) {
+		t.Errorf("not resumable: %d %q %v", status, body, err)
+	}
+}
+
+func TestCallerResumes(t *testing.T) {
+	f := start(t)
+	_, body, err := f.call("POST", "/stream/x", "r", func(r *http.Request) { r.Header.Set(names.LastEvent, "2") })
+	if err != nil || body != routed.Event("r", 3)+routed.Event("r", 4) {
+		t.Errorf("body %q, %v", body, err)
+	}
+}
+
+// TestCallerLeaves: the run of a caller that went away is cancelled, also in
+// another region.
+func TestCallerLeaves(t *testing.T) {
+	f := start(t)
+	for _, path := range []string{"/safe/x", "/bound/x"} {
+		id := map[string]string{"/safe/x": "plain-a1", "/bound/x": "plain-b1"}[path]
+		e := f.endpoints[id]
+		e.SetFault(routed.Fault{Times: 1, Silent: true})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			f.eventually("it runs", func() bool { return len(e.Runs()) > 0 })
+			cancel()
+		}()
+		_, _, err := f.call("GET", path, "r1", func(r *http.Request) { *r = *r.WithContext(ctx) })
+		if err == nil {
+			t.Error("call went on")
+		}
+		f.eventually("the run is cancelled", func() bool { return e.Cancelled() == 1 })
+	}
+}
+
+func TestRoutesTimeout(t *testing.T) {
+	f := start(t)
+	f.endpoints["plain-a1"].SetFault(routed.Fault{Times: 1, Silent: true})
+	status, _, err := f.call("GET", "/short/x", "r1", nil)
+	if status != http.StatusGatewayTimeout || err != nil {
+		t.Errorf("status %d, %v", status, err)
+	}
+}
+
+// TestDrainingAndEvacuation: an endpoint that leaves or whose data centre is
+// evacuated gets nothing more, and the other region serves.
+func TestDrainingAndEvacuation(t *testing.T) {
+	f := start(t)
+	n := f.nodes["a"]
+	f.register("plain-a1", "plain", "a", true)
+	f.eventually("the leaving mark is known", func() bool { return n.board.Registry.Of("plain")[0].Draining })
+	if status, _, _ := f.call("POST", "/unsafe/x", "r1", nil); status != 200 || len(f.runs("plain-a1")) != 0 {
+		t.Errorf("draining: status %d, %d runs", status, len(f.runs("plain-a1")))
+	}
+	f.register("plain-a1", "plain", "a", false)
+	f.eventually("the mark is taken back", func() bool { return !n.board.Registry.Of("plain")[0].Draining })
+	f.shelf.put(feed.Change{Centre: "a1", Evacuated: true})
+	f.eventually("the evacuation is known", func() bool { return n.board.Registry.Evacuated("a1") })
+	if status, _, _ := f.call("POST", "/unsafe/x", "r2", nil); status != 200 || len(f.runs("plain-a1")) != 0 {
+		t.Errorf("evacuated: status %d, %d runs", status, len(f.runs("plain-a1")))
+	}
+	f.shelf.put(feed.Change{Centre: "a1"})
+	f.eventually("it is taken back", func() bool { return !n.board.Registry.Evacuated("a1") })
+	if status, _, _ := f.call("POST", "/unsafe/x", "r3", nil); status != 200 || len(f.runs("plain-a1")) != 1 {
+		t.Errorf("taken back: status %d, %d runs", status, len(f.runs("plain-a1")))
+	}
+}
+
+func TestAddressOfAnother(t *testing.T) {
+	f := start(t)
+	f.endpoints["plain-a1"].ID = "someone-else"
+	if status, _, _ := f.call("POST", "/unsafe/x", "r1", nil); status != 200 || len(f.runs("plain-a1")) != 0 {
+		t.Errorf("status %d, %d runs at the wrong endpoint", status, len(f.runs("plain-a1")))
+	}
+}
+
+func TestOlderRulesAreIgnored(t *testing.T) {
+	f := start(t)
+	f.shelf.put(feed.Change{Rules: rules.New(9, nil, nil, rules.Limits{})})
+	n := f.nodes["a"]
+	f.eventually("version 9 is in force", func() bool { return n.board.Routes.Version() == 9 })
+	f.shelf.put(feed.Change{Rules: routesOf(8)})
+	f.shelf.put(feed.Change{Centre: "b1", Evacuated: true})
+	f.eventually("what came after it is known", func() bool { return n.board.Registry.Evacuated("b1") })
+	if v := n.board.Routes.Version(); v != 9 {
+		t.Errorf("version %d came back", v)
+	}
+	if status, _, _ := f.call("GET", "/safe/x", "r1", nil); status != 404 {
+		t.Errorf("a dropped route answers %d", status)
+	}
+}
+
+func TestStoreAwayKeepsBeliefs(t *testing.T) {
+	f := start(t)
+	f.shelf.mu.Lock()
+	f.shelf.down = true
+	f.shelf.mu.Unlock()
+	for i := range 5 {
+		if status, _, err := f.call("GET", "/safe/x", strconv.Itoa(i), nil); status != 200 {
+			t.Errorf("status %d, %v", status, err)
+		}
+	}
+}
+
+func TestDirectory(t *testing.T) {
+	f := start(t)
+	ask := func(region string) string {
+		resp, err := http.Get("http://" + f.nodes["a"].settings.Directory + names.ResolvePath + "?name=h&region=" + region)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		text, _ := io.ReadAll(resp.Body)
+		return string(text)
+	}
+	for _, region := range []string{"a", "b"} {
+		if got := ask(region); !strings.Contains(got, f.nodes[region].settings.Callers) || strings.Count(got, "127.0.0.1") != 1 {
+			t.Errorf("region %s: %s", region, got)
+		}
+	}
+	if got := ask("elsewhere"); strings.Count(got, "127.0.0.1") != 2 {
+		t.Errorf("a region without hosts: %s", got)
+	}
+}
+
+// TestDrain: a leaving host is not ready, serves what is in flight and what still
+// comes, and is no longer named by the directory.
+func TestDrain(t *testing.T) {
+	f := start(t)
+	n := f.nodes["a"]
+	f.endpoints["plain-a1"].Work = 500 * time.Millisecond
+	done := make(chan int, 1)
+	go func() {
+		status, _, _ := f.call("POST", "/unsafe/x", "r1", nil)
+		done <- status
+	}()
+	f.eventually("it runs", func() bool { return len(f.runs("plain-a1")) == 1 })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.Drain(ctx)
+	}()
+	f.eventually("it is not ready", func() bool { return f.status("a", n.settings.Ready, names.ReadyPath) == 503 })
+	if status := <-done; status != 200 {
+		t.Errorf("in flight: status %d", status)
+	}
+	if status, _, _ := f.call("GET", "/safe/x", "r2", nil); status != 200 {
+		t.Errorf("sent to a leaving host: status %d", status)
+	}
+	f.eventually("the other host names it no more", func() bool {
+		m, ok := f.nodes["b"].board.Members.Member(n.settings.Peers)
+		return ok && m.Leaving
+	})
+	cancel()
+	<-ended
+}
+
+// TestSmuggledRequest: a request within the body of another one is never run, and
+// a request whose length is told in two ways is not guessed at.
+func TestSmuggledRequest(t *testing.T) {
+	f := start(t)
+	hidden := "POST /unsafe/hidden HTTP/1.1\r\nHost: h\r\n" + names.RequestID + ": hidden\r\nContent-Length: 0\r\n\r\n"
+	head := "POST /unsafe/x HTTP/1.1\r\nHost: h\r\n" + names.RequestID + ": r1\r\n"
+	for name, text := range map[string]string{
+		"in a body":         head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(hidden)) + hidden,
+		"behind an end":     head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"two lengths":       head + fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n\r\n", len(hidden)) + hidden,
+		"an odd encoding":   head + fmt.Sprintf("Transfer-Encoding: xchunked\r\nContent-Length: %d\r\n\r\n", len(hidden)) + hidden,
+		"space in the name": head + fmt.Sprintf("Content-Length : %d\r\n\r\n", len(hidden)) + hidden,
+	} {
+		c, err := net.Dial("tcp", f.nodes["a"].settings.Callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write([]byte(text))
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			_ = resp.Body.Close()
+		}
+		time.Sleep(50 * time.Millisecond)
+		_ = c.Close()
+		for _, run := range f.runs("plain-a1", "plain-b1") {
+			if run.ID == "hidden" {
+				t.Errorf("%s: the hidden request ran", name)
+			}
+		}
+	}
+}
