--- a/internal/cmd/attach/attach.go
+++ b/internal/cmd/attach/attach.go
@@ -65,7 +65,7 @@
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("host", s.Name).Logger()
 	store := &platform.Store{Address: s.Store, Now: time.Now}
-	n, err := node.New(s, platform.Terms(), node.Store{Operator: store.Operator(), Endpoints: store.Endpoints()}, log)
+	n, err := node.New(s, platform.Terms(), store.Feed(), log)
 	if err != nil {
 		return fmt.Errorf("make host: %w", err)
 	}
--- a/internal/fleet/link/conns.go
+++ b/internal/fleet/link/conns.go
@@ -38,6 +38,17 @@
 	return &Stream{s: s, release: sync.OnceFunc(func() { l.release(p) })}, nil
 }
 
+// Warm makes a connection to a host unless there is one, so that the next stream
+// does not wait for a handshake.
+func (l *Link) Warm(ctx context.Context, host, address string) error {
+	p, err := l.connect(ctx, host, address)
+	if err != nil {
+		return fmt.Errorf("warm link to %s: %w", host, err)
+	}
+	l.release(p)
+	return nil
+}
+
 // connect returns a connection on which the caller holds one stream.
 func (l *Link) connect(ctx context.Context, host, address string) (*peerConn, error) {
 	if p := l.usable(host, address); p != nil {
@@ -62,7 +73,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open socket: %w", err)
 	}
-	conn, err := quic.Dial(ctx, socket, to, l.clientTLS(host), quicConfig())
+	conn, err := quic.Dial(ctx, socket, to, l.clientTLS(host), l.quicConfig())
 	if err != nil {
 		_ = socket.Close()
 		return nil, fmt.Errorf("handshake: %w", err)
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -52,6 +52,11 @@
 	cancel    context.CancelFunc
 	wait      sync.WaitGroup
 
+	// alive is the period of keep-alives on connections, idle the time without any
+	// packet after which one is dead.
+	alive time.Duration
+	idle  time.Duration
+
 	mu    sync.Mutex
 	conns map[string]*peerConn
 	// out is the socket that datagrams go out from, since outSince.
@@ -59,8 +64,17 @@
 	outSince time.Time
 }
 
+// Option changes how a link is made.
+type Option func(*Link)
+
+// WithKeepAlive keeps connections alive by a packet a period, so that a dead one
+// is noticed after the idle time without a request on it.
+func WithKeepAlive(period, idle time.Duration) Option {
+	return func(l *Link) { l.alive, l.idle = period, idle }
+}
+
 // New opens the socket; Serve starts the receivers.
-func New(address string, set *certs.Set) (*Link, error) {
+func New(address string, set *certs.Set, opts ...Option) (*Link, error) {
 	sealer, err := certs.NewSealer(set.Fleet)
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
@@ -76,9 +90,12 @@
 	// Best effort: the kernel may cap the buffers.
 	_ = socket.SetReadBuffer(socketBuffer)
 	_ = socket.SetWriteBuffer(socketBuffer)
-	l := &Link{set: set, sealer: sealer, conns: map[string]*peerConn{}}
+	l := &Link{set: set, sealer: sealer, idle: idleTimeout, conns: map[string]*peerConn{}}
+	for _, o := range opts {
+		o(l)
+	}
 	l.transport = &quic.Transport{Conn: socket, StatelessResetKey: resetKey(set)}
-	l.listener, err = l.transport.Listen(l.serverTLS(), quicConfig())
+	l.listener, err = l.transport.Listen(l.serverTLS(), l.quicConfig())
 	if err != nil {
 		_ = l.transport.Close()
 		_ = socket.Close()
@@ -101,10 +118,11 @@
 	return &key
 }
 
-func quicConfig() *quic.Config {
+func (l *Link) quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: dialTimeout,
-		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      l.alive,
+		MaxIdleTimeout:       l.idle,
 		MaxIncomingStreams:   maxStreams,
 	}
 }
--- a/internal/serve/carry/choose.go
+++ b/internal/serve/carry/choose.go
@@ -1,6 +1,7 @@
 package carry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/place"
 )
 
 // decision is where the request goes next.
@@ -217,23 +219,41 @@
 // regionMark tells regions from endpoints and hosts in the set of what was tried.
 const regionMark = "region/"
 
-// host chooses a host of a region that was not tried: of two at random, the one
-// with fewer requests in flight.
-func (c *Carrier) host(t *trip, region string) (member.Member, bool) {
+// mostRelays is the number of hosts of another region that this one relays to,
+// so that the connections between hosts grow with the fleet and not its square.
+const mostRelays = 4
+
+// Relays returns the hosts of a region that this one relays to: the first sound
+// ones in an order of this host's own, which spreads hosts over the region.
+func (c *Carrier) Relays(region string) []member.Member {
 	var list []member.Member
-	for _, match := range []func(member.Member) bool{
-		func(m member.Member) bool { return m.Region == region && !t.tried[m.Name] && m.Sound() },
-		func(m member.Member) bool { return m.Region == region && !t.tried[m.Name] },
-	} {
-		if list = c.Board.Members.Random(2, match); len(list) > 0 {
-			break
+	for _, m := range c.Board.Members.Members() {
+		if m.Region == region && m.Sound() {
+			list = append(list, m)
 		}
 	}
-	switch {
-	case len(list) == 0:
+	own := xxhash.Sum64String(c.Board.Name)
+	slices.SortFunc(list, func(a, b member.Member) int {
+		return cmp.Compare(place.Weight(own, b.Name), place.Weight(own, a.Name))
+	})
+	return list[:min(mostRelays, len(list))]
+}
+
+// host chooses a host of a region that was not tried: of two relays at random,
+// the one with fewer requests in flight; where none is left, any usable one.
+func (c *Carrier) host(t *trip, region string) (member.Member, bool) {
+	list := slices.DeleteFunc(c.Relays(region), func(m member.Member) bool { return t.tried[m.Name] })
+	if len(list) == 0 {
+		list = c.Board.Members.Random(1, func(m member.Member) bool { return m.Region == region && !t.tried[m.Name] })
+	}
+	if len(list) == 0 {
 		return member.Member{}, false
-	case len(list) == 2 && list[1].Open < list[0].Open:
-		return list[1], true
 	}
-	return list[0], true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a, b := list[c.rand.IntN(len(list))], list[c.rand.IntN(len(list))]
+	if b.Open < a.Open {
+		return b, true
+	}
+	return a, true
 }
--- a/internal/serve/carry/here.go
+++ b/internal/serve/carry/here.go
@@ -28,7 +28,11 @@
 	t.report.Endpoint, t.report.Region = e.ID, c.Board.Region
 	began := c.Now()
 	pending := d.read
-	first := client.Sink{Head: sink.Head, Data: func(p []byte) error {
+	head := func(h wire.Head) error {
+		h.Endpoint = e.ID
+		return sink.Head(h)
+	}
+	first := client.Sink{Head: head, Data: func(p []byte) error {
 		if pending > 0 {
 			c.Board.Endpoints.Pend(e.ID, -pending)
 			pending = 0
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -41,16 +41,13 @@
 	relayIdle   = 10 * time.Second
 	beatPeriod  = 100 * time.Millisecond
 	maxBody     = 16 << 20
+	// linkAlive and linkIdle notice a link to another host that went silent before
+	// a request uses it.
+	linkAlive   = 2 * time.Second
+	linkIdle    = 7 * time.Second
 	drainPeriod = 20 * time.Millisecond
 )
 
-// Store gives the two parts of the platform's store, each as a feed whose List
-// and Watch are set.
-type Store struct {
-	Operator  feed.Feed
-	Endpoints feed.Feed
-}
-
 // Node is one host process.
 type Node struct {
 	settings setup.Hosted
@@ -64,24 +61,24 @@
 	runner   *ctrl.Runner
 	relays   *ants.Pool
 	handlers link.Handlers
-	feeds    []*feed.Feed
+	feed     *feed.Feed
 	now      func() time.Time
 	started  time.Time
 
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
 	refusing atomic.Bool
-	listed   [2]atomic.Bool
+	listed   atomic.Bool
 }
 
 // New makes a host; Start lets it serve.
-func New(s setup.Hosted, t *terms.Terms, store Store, log zerolog.Logger) (*Node, error) {
+func New(s setup.Hosted, t *terms.Terms, store feed.Feed, log zerolog.Logger) (*Node, error) {
 	now := time.Now
 	set, err := keys(s, now(), log)
 	if err != nil {
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
 	}
-	l, err := link.New(s.Peers, set)
+	l, err := link.New(s.Peers, set, link.WithKeepAlive(linkAlive, linkIdle))
 	if err != nil {
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
 	}
@@ -106,7 +103,7 @@
 	return certs.NewOpen(s.Peers, now)
 }
 
-func (n *Node) assemble(t *terms.Terms, store Store) error {
+func (n *Node) assemble(t *terms.Terms, store feed.Feed) error {
 	var err error
 	if n.runner, err = ctrl.New(workers, n.log); err != nil {
 		return err
@@ -161,9 +158,7 @@
 	n.runner.Start()
 	n.link.Serve(n.handlers)
 	n.wait.Go(func() { n.beat(ctx) })
-	for _, f := range n.feeds {
-		n.wait.Go(func() { f.Run(ctx) })
-	}
+	n.wait.Go(func() { n.feed.Run(ctx) })
 	n.front.Start()
 	n.log.Info().Str("callers", n.settings.Callers).Str("peers", n.settings.Peers).Str("region", n.settings.Region).
 		Strs("seeds", n.settings.Seeds).Msg("host started")
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -49,7 +49,7 @@
 	s.changes = append(s.changes, c)
 }
 
-func (s *shelf) feed(mine func(feed.Change) bool) feed.Feed {
+func (s *shelf) feed() feed.Feed {
 	after := func(from uint64) (feed.Batch, error) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -58,7 +58,7 @@
 		}
 		b := feed.Batch{At: s.at}
 		for _, c := range s.changes {
-			if c.Revision > from && mine(c) {
+			if c.Revision > from {
 				b.Changes = append(b.Changes, c)
 			}
 		}
@@ -73,14 +73,6 @@
 	}
 }
 
-func (s *shelf) store() Store {
-	registered := func(c feed.Change) bool { return c.Endpoint != nil || c.Gone != "" }
-	return Store{
-		Operator:  s.feed(func(c feed.Change) bool { return !registered(c) }),
-		Endpoints: s.feed(registered),
-	}
-}
-
 // fleet is a deployment in this process: a host and an endpoint of the model
 // service in each of two regions, and one of the plain service in each.
 type fleet struct {
@@ -126,7 +118,7 @@
 		n, err := New(setup.Hosted{
 			Name: "n" + region, Region: region, Centre: region + "1", Callers: free(t), Ready: free(t), Directory: free(t),
 			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: setup.DefaultBounds(),
-		}, names, f.shelf.store(), zerolog.Nop())
+		}, names, f.shelf.feed(), zerolog.Nop())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
@@ -21,6 +22,8 @@
 	sumPeriod    = 500 * time.Millisecond
 	sweepPeriod  = time.Second
 	expirePeriod = 200 * time.Millisecond
+	linkPeriod   = time.Second
+	warmTime     = 900 * time.Millisecond
 
 	// takenTo is the most hosts of the region, and sumTo of other regions, that
 	// are told of loads at a time.
@@ -43,6 +46,7 @@
 	add(takenName, takenPeriod, n.shareTaken)
 	add("sums", sumPeriod, n.shareSums)
 	add("connections", sweepPeriod, n.pool.Sweep)
+	add("links", linkPeriod, n.warmLinks)
 	add("registry", expirePeriod, func(now time.Time) {
 		for _, id := range n.board.Registry.Expire(now) {
 			n.log.Info().Str("endpoint", id).Msg("endpoint did not come back after the store did")
@@ -143,3 +147,25 @@
 	}
 	n.send(out)
 }
+
+// warmLinks keeps connections to the hosts of other regions that this one relays to.
+func (n *Node) warmLinks(time.Time) {
+	regions := map[string]bool{}
+	for _, m := range n.board.Members.Members() {
+		regions[m.Region] = true
+	}
+	delete(regions, n.board.Region)
+	var wait sync.WaitGroup
+	for region := range regions {
+		for _, m := range n.carrier.Relays(region) {
+			wait.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), warmTime)
+				defer cancel()
+				if err := n.link.Warm(ctx, m.Name, m.Address); err != nil {
+					n.log.Debug().Err(err).Str("host", m.Name).Msg("host can't be reached")
+				}
+			})
+		}
+	}
+	wait.Wait()
+}
