--- a/internal/serve/carry/here.go
+++ b/internal/serve/carry/here.go
@@ -73,7 +73,7 @@
 	if t.Route.Kind == rules.Stream && t.Route.Resumable && t.Route.Gap > 0 {
 		call.Silence = silentGaps * t.Route.Gap
 	}
-	call.Again = more && t.Route.Kind == rules.Safe
+	call.Again, call.Resumes = more, t.report.Begun
 	return call
 }
 
--- a/internal/serve/kept/kept.go
+++ b/internal/serve/kept/kept.go
@@ -59,6 +59,9 @@
 	Fresh bool
 	// Again says that an answer of 500 and above is not passed on.
 	Again bool
+	// Resumes says that the caller has the beginning of the stream, so that only a
+	// stream can follow.
+	Resumes bool
 }
 
 // Result is how an attempt ended.
@@ -168,12 +171,16 @@
 	if e.refused(resp) {
 		return e.drain(resp)
 	}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), eventType) && resp.StatusCode == http.StatusOK {
+	if isStream(resp) {
 		return e.events(resp)
 	}
 	return e.whole(resp)
 }
 
+func isStream(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventType) && resp.StatusCode == http.StatusOK
+}
+
 // send writes the request; a long body is written beside the reading.
 func (e *exchange) send() error {
 	var b bytes.Buffer
@@ -264,7 +271,8 @@
 		e.out.Err = fmt.Errorf("endpoint refused with status %d", resp.StatusCode)
 		return true
 	}
-	if e.call.Again && resp.StatusCode >= http.StatusInternalServerError {
+	again := e.call.Again && resp.StatusCode >= http.StatusInternalServerError
+	if again || (e.call.Resumes && !isStream(resp)) {
 		e.out.Reason, e.out.Ran = retry.Status, fault.RanYes
 		e.out.Err = fmt.Errorf("endpoint answered status %d", resp.StatusCode)
 		return true
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -368,6 +368,27 @@
 	}
 }
 
+// TestResumeAnsweredByAFailure: a stream whose second endpoint fails ends with its
+// connection; the failure's body is no part of it.
+func TestResumeAnsweredByAFailure(t *testing.T) {
+	f := start(t)
+	f.shelf.put(feed.Change{Gone: "model-b1"})
+	f.eventually("only one endpoint is left", func() bool { return len(f.nodes["a"].board.Registry.Of("model")) == 1 })
+	f.endpoint("model-a2", "model", "a")
+	f.eventually("the second endpoint is known", func() bool { return len(f.nodes["a"].board.Registry.Of("model")) == 2 })
+	for _, ids := range [][]string{{"model-a1", "model-a2"}, {"model-a2", "model-a1"}} {
+		f.endpoints[ids[0]].SetFault(routed.Fault{Times: 1, CutAfter: 3})
+		f.endpoints[ids[1]].SetFault(routed.Fault{Times: 1, Status: 500})
+		_, body, err := f.call("POST", "/stream/x", "r", nil)
+		if body != wholeStream("r") && err == nil {
+			t.Errorf("body %q looks whole", body)
+		}
+		if strings.Contains(body, "failed") {
+			t.Errorf("body %q has the failure in it", body)
+		}
+	}
+}
+
 func TestCallerResumes(t *testing.T) {
 	f := start(t)
 	_, body, err := f.call("POST", "/stream/x", "r", func(r *http.Request) { r.Header.Set(names.LastEvent, "2") })
