Count a leaving host for the rate of cold endpoints, and log what is believed of hosts

Ruled out: membership flapping (none seen), late knowledge of the cold time. Test: route/slow, sums over all hosts.

--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 
@@ -26,8 +25,8 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
-	"github.com/hyssopspindle/hyssopspindle/internal/route/place"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/slow"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/carry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/edge"
@@ -64,6 +63,9 @@
 	feed     *feed.Feed
 	now      func() time.Time
 	started  time.Time
+	shares   *slow.Table
+	// believed is used by the members controller only.
+	believed map[string]belief
 
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
@@ -116,6 +118,7 @@
 	n.carrier.Log, n.carrier.Now, n.carrier.Budget = n.log, n.now, retry.NewBudget()
 	n.carrier.Client = &kept.Client{Pool: n.pool, Terms: t, Now: n.now}
 	n.carrier.ColdShare = n.coldShare
+	n.shares = slow.New(n.started, n.settings.Peers)
 	n.carrier.Busy = func() { n.runner.Kick(takenName) }
 	handler := &relay.Handler{
 		Board: n.board, Meter: n.meter, Log: n.log, Pool: n.relays, MaxBody: maxBody, Now: n.now, Routed: n.routed,
@@ -183,34 +186,10 @@
 	}
 }
 
-// settleTime is how long after its start a host may not know the others yet.
-const settleTime = 2500 * time.Millisecond
-
-// coldShare divides the rate of a cold endpoint among the hosts that may send to
-// it: those of this region. Where they are more than the rate, those that come
-// first in the endpoint's own order have one request a second each.
+// coldShare is this host's part of what a cold endpoint bears a second.
 func (n *Node) coldShare(s *rules.Service, endpoint string) int {
-	if n.now().Sub(n.started) < settleTime {
-		return 0
-	}
 	b := n.settings.Bounds
-	most := s.ColdRate*b.ColdOver + b.ColdSlack
-	own := place.Weight(xxhash.Sum64String(endpoint), n.settings.Peers)
-	hosts, before := 1, 0
-	for _, m := range n.board.Members.Members() {
-		if m.Region != n.board.Region || !m.Usable() {
-			continue
-		}
-		hosts++
-		if place.Weight(xxhash.Sum64String(endpoint), m.Name) > own {
-			before++
-		}
-	}
-	share := int(most) / hosts
-	if before < int(most)%hosts {
-		share++
-	}
-	return share
+	return n.shares.Share(n.now(), endpoint, int(s.ColdRate*b.ColdOver+b.ColdSlack))
 }
 
 const (
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -42,6 +42,7 @@
 	add("members", memberPeriod, func(now time.Time) {
 		n.setSelf()
 		n.send(n.board.Members.Tick(now))
+		n.noteMembers(now)
 	})
 	add(takenName, takenPeriod, n.shareTaken)
 	add("sums", sumPeriod, n.shareSums)
@@ -169,3 +170,35 @@
 	}
 	wait.Wait()
 }
+
+// noteMembers logs what is newly believed of other hosts.
+func (n *Node) noteMembers(now time.Time) {
+	held := make(map[string]belief, len(n.believed))
+	var sharing []string
+	for _, m := range n.board.Members.Members() {
+		// One that is held dead may only be cut off from this host.
+		if m.Region == n.board.Region && m.State != wire.Left {
+			sharing = append(sharing, m.Name)
+		}
+		b := belief{state: m.State, leaving: m.Leaving, life: m.Life}
+		held[m.Name] = b
+		if n.believed[m.Name] == b {
+			continue
+		}
+		ev := n.log.Info().Str("peer", m.Name).Str("region", m.Region).Stringer("state", m.State).
+			Bool("leaving", m.Leaving).Uint64("life", m.Life)
+		if !m.Heard.IsZero() {
+			ev = ev.Dur("heard", now.Sub(m.Heard))
+		}
+		ev.Msg("host is seen otherwise")
+	}
+	n.believed = held
+	n.shares.Hosts(now, sharing)
+}
+
+// belief is what is logged of another host when it changes.
+type belief struct {
+	state   wire.State
+	leaving bool
+	life    uint64
+}
