Let long prompts wait at hosts, and refuse at once what would be late

Ruled out: an endpoint's slowness as a plain factor (moved prefixes about; only from 2 times on it counts now).

--- /dev/null
+++ b/internal/board/learn/learn_test.go
@@ -0,0 +1,50 @@
+package learn
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// TestLearnsAnEngine feeds prompts of an engine with a base and a speed, some of
+// which waited, and checks that both are found.
+func TestLearnsAnEngine(t *testing.T) {
+	for _, engine := range []struct {
+		base time.Duration
+		rate float64
+	}{{80 * ms, 93}, {200 * ms, 20}, {10 * ms, 300}} {
+		table := NewTable()
+		for i := range 600 {
+			tokens := 300
+			if i%4 == 0 {
+				tokens = 2000 + 50*(i%100)
+			}
+			took := engine.base + time.Duration(float64(tokens)/engine.rate*float64(ms))
+			if i%10 == 0 {
+				took += 100 * ms
+			}
+			table.First("s", tokens, took)
+		}
+		if got := table.Base("s"); got < engine.base*7/10 || got > engine.base*13/10+5*ms {
+			t.Errorf("base %v of %v", got, engine.base)
+		}
+		want := time.Duration(10_000 / engine.rate * float64(ms))
+		if got := table.Read("s", 10_000); got < want*7/10 || got > want*15/10 {
+			t.Errorf("reads 10,000 tokens in %v, learned %v", want, got)
+		}
+	}
+}
+
+func TestWork(t *testing.T) {
+	table := NewTable()
+	for range 100 {
+		table.Done("s", 200*ms)
+	}
+	if got := table.Work("s"); got < 190*ms || got > 210*ms {
+		t.Errorf("work %v", got)
+	}
+	if table.Work("other") != firstWork {
+		t.Error("services are mixed up")
+	}
+}
--- a/internal/board/zones/zones.go
+++ b/internal/board/zones/zones.go
@@ -67,6 +67,14 @@
 	heard  map[string]time.Time
 	// away is the time to a region and back, as measured.
 	away map[string]time.Duration
+	// waits holds the time of unread prompts in regions.
+	waits map[Key]wait
+}
+
+// wait is the time of unread prompts as it was told.
+type wait struct {
+	time time.Duration
+	at   time.Time
 }
 
 // NewTable returns an empty table.
@@ -74,6 +82,7 @@
 	return &Table{
 		sums: map[Key]*Sum{}, flows: map[string]*flow{},
 		failed: map[string]time.Time{}, heard: map[string]time.Time{}, away: map[string]time.Duration{},
+		waits: map[Key]wait{},
 	}
 }
 
@@ -225,3 +234,19 @@
 	}
 	return unknownAway
 }
+
+// Told takes in the time of unread prompts at a region's endpoints.
+func (t *Table) Told(now time.Time, k Key, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waits[k] = wait{time: d, at: now}
+}
+
+// Wait returns the time of unread prompts at a region's endpoints; what was told
+// runs off as they are read.
+func (t *Table) Wait(now time.Time, k Key) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.waits[k]
+	return max(0, w.time-now.Sub(w.at))
+}
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -69,6 +69,8 @@
 	Taken []Taken `cbor:"14,keyasint,omitempty"`
 	// Sums describe services in regions by name.
 	Sums []Sum `cbor:"15,keyasint,omitempty"`
+	// Sent lists the shared beginnings of prompts that the sender sent lately.
+	Sent []Sent `cbor:"16,keyasint,omitempty"`
 	// Open is the number of requests in flight at the sender.
 	Open int `cbor:"10,keyasint,omitempty"`
 	// Leaving says that the sender takes no new requests.
@@ -141,4 +143,13 @@
 	AgeMS   uint32
 	Slots   uint32
 	Busy    uint32
+	// WaitMS is the time of unread prompts at its endpoints, on average, ms.
+	WaitMS uint32
+}
+
+// Sent says that an endpoint was sent a prompt with a shared beginning.
+type Sent struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	Prefix   uint64
 }
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -23,6 +23,10 @@
 	plainShare = 0.1
 	// near is the difference of two scores that counts as none: a batch's step.
 	near = 8 * time.Millisecond
+	// futureShare is the part of a shared beginning's time for which the endpoint
+	// that is first in its order is preferred while nobody keeps it: later requests
+	// are saved the reading then.
+	futureShare = 0.7
 )
 
 // Candidate is an endpoint that the request may go to.
@@ -33,6 +37,8 @@
 	Load float64
 	// Pending is the time of prompts sent there whose first token is not there yet.
 	Pending time.Duration
+	// Held says that it is known to keep the prompt's shared beginning.
+	Held bool
 	// Slow is how many times longer than others it takes.
 	Slow float64
 	// Out says that it fails its requests.
@@ -54,8 +60,8 @@
 type Choice struct {
 	Index  int
 	Expect time.Duration
-	// Holds says that the candidate is the one that keeps the shared beginning.
-	Holds bool
+	// Read is the time to read the prompt there.
+	Read time.Duration
 }
 
 // Here chooses among candidates; Index is -1 where there is none. Among near
@@ -88,7 +94,7 @@
 		}
 		seen++
 		if best.Index < 0 || better(ask.Prefix, c, &list[best.Index], rnd, seen) {
-			best = Choice{Index: i, Expect: scores[i], Holds: i == holder}
+			best = Choice{Index: i, Expect: scores[i], Read: readTime(ask, c)}
 		}
 	}
 	return best
@@ -124,6 +130,14 @@
 	return rnd.IntN(seen) == 0
 }
 
+// readTime is the time to read what the candidate does not keep of the prompt.
+func readTime(ask Ask, c *Candidate) time.Duration {
+	if c.Held {
+		return ask.Own
+	}
+	return ask.Own + ask.Shared
+}
+
 func score(ask Ask, c *Candidate, holder bool) time.Duration {
 	slots := max(1, c.Slots)
 	beyond := max(0, c.Load+1-float64(slots))
@@ -132,9 +146,9 @@
 		t := float64(ask.Work) * (beyond/float64(slots) + plainShare*c.Load/float64(slots))
 		return time.Duration(slow * (t + float64(ask.Work)))
 	}
-	read := ask.Own
-	if !holder {
-		read += ask.Shared
+	read := readTime(ask, c)
+	if holder && !c.Held {
+		read -= time.Duration(futureShare * float64(ask.Shared))
 	}
 	t := float64(read+c.Pending) + c.Load*float64(perRequest) + beyond*float64(perWaiting)
 	return time.Duration(slow * t)
@@ -148,6 +162,8 @@
 	Load  float64
 	// Away is the time there and back.
 	Away time.Duration
+	// Wait is the time of unread prompts at its endpoints, on average.
+	Wait time.Duration
 }
 
 // full is the share of a region's slots in use from which a request goes there
@@ -157,18 +173,26 @@
 // Filled is the share of its slots in use.
 func (r *Region) Filled() float64 { return r.Load / max(1, r.Slots) }
 
-// There chooses among regions by the share of slots taken; -1 where there is
-// none. It takes two at random in proportion to their slots, and of these the
-// one with more room.
+// There chooses among regions by the time until they begin to work on a request;
+// -1 where there is none. It takes two at random in proportion to their slots, as
+// what is known of them is old, and of these the one that begins sooner.
 func There(list []Region, rnd *rand.Rand) int {
 	a := draw(list, rnd)
 	b := draw(list, rnd)
-	if a < 0 || list[a].Filled() <= list[b].Filled() {
+	if a < 0 || begins(&list[a]) <= begins(&list[b]) {
 		return a
 	}
 	return b
 }
 
+// fullWait is the wait that a region with all its slots in use stands for.
+const fullWait = 300 * time.Millisecond
+
+func begins(r *Region) time.Duration {
+	filled := r.Filled()
+	return r.Away + r.Wait + time.Duration(filled*filled*filled*float64(fullWait))
+}
+
 func draw(list []Region, rnd *rand.Rand) int {
 	total := 0.0
 	for i := range list {
@@ -203,7 +227,11 @@
 
 // WorthCrossing reports whether a request whose shared beginning another region
 // keeps is better sent there: what is saved of reading exceeds the way there and
-// back, and that region has room.
+// back and its wait, and that region has room.
 func WorthCrossing(ask Ask, r *Region) bool {
-	return ask.Shared > r.Away && r.Filled() < full
+	return readWeight*ask.Shared > r.Away+r.Wait && r.Filled() < full
 }
+
+// readWeight is how many times its own time a reading counts that can be saved,
+// as it holds up those behind it too.
+const readWeight = 3
--- a/internal/serve/carry/carry.go
+++ b/internal/serve/carry/carry.go
@@ -39,7 +39,9 @@
 	// Arrived is when the caller's request came, at whichever host.
 	Arrived  time.Time
 	Deadline time.Time
-	Prompt   terms.Prompt
+	// Away is the time to the caller's host and back, for a request of another region.
+	Away   time.Duration
+	Prompt terms.Prompt
 	// After is the id of the last event that the caller has, stream.NoID for none.
 	After int
 	// From is the region in which the request entered.
@@ -80,9 +82,12 @@
 	// Busy is told when a long prompt was sent; nil is nobody.
 	Busy func()
 
-	mu   sync.Mutex
-	rand *rand.Rand
-	kept keeps
+	// Keeps remembers where shared beginnings were sent.
+	Keeps *Keeps
+
+	mu    sync.Mutex
+	rand  *rand.Rand
+	lines map[string]*line
 }
 
 // MaxAnswer bounds one answer, in bytes.
@@ -90,7 +95,7 @@
 
 // New returns a carrier; its exported fields are set before use.
 func New() *Carrier {
-	return &Carrier{rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), kept: keeps{}}
+	return &Carrier{rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Keeps: NewKeeps(), lines: map[string]*line{}}
 }
 
 // Enter carries a request that entered at this host; it may go to another region.
@@ -114,6 +119,8 @@
 	last int
 	// runs counts the attempts that may have run.
 	runs int
+	// joined is when the request first waited; it keeps its place by it.
+	joined time.Time
 }
 
 func (c *Carrier) carry(ctx context.Context, r Request, sink client.Sink, cross bool) Report {
@@ -181,6 +188,10 @@
 		if d.refusal != nil {
 			return d.refusal
 		}
+		if d.wait {
+			c.hold(ctx, t, d)
+			continue
+		}
 		t.report.Tries++
 		res := c.attempt(ctx, t, d, sink)
 		if res.whole {
--- a/internal/serve/carry/choose.go
+++ b/internal/serve/carry/choose.go
@@ -14,6 +14,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/zones"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/admit"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/place"
 )
@@ -24,6 +25,14 @@
 	// region is set where another region is to carry it out.
 	region string
 	expect time.Duration
+	// wait says that the request waits at this host and looks again.
+	wait bool
+	// held says that the endpoint keeps the prompt's beginning, pending is the time
+	// of unread prompts there.
+	held    bool
+	pending time.Duration
+	// slow is how many times longer than usual the endpoint is expected to take.
+	slow float64
 	// read is the time to read what the endpoint is not expected to keep.
 	read time.Duration
 	// known is the number of tokens to read where the rest is certainly kept.
@@ -46,52 +55,116 @@
 	var others []pick.Region
 	if t.cross {
 		others = c.others(now, t)
+	}
+	here := decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint takes the request").WithRetryAfter(comeBack)}
+	if t.Route.Allows(c.Board.Region) {
+		here = c.local(now, t, ask)
+	}
+	if here.refusal == nil && !here.held {
 		if name := c.keeper(t, ask, others); name != "" {
 			return decision{region: name}
 		}
 	}
-	if t.Route.Allows(c.Board.Region) {
-		if d, ok := c.local(now, t, ask); ok {
-			return d
-		}
+	switch {
+	case here.refusal == nil && !here.wait:
+		c.take(now, t, ask, here)
+		return here
+	case here.refusal == nil && !sooner(here, ask, others):
+		return here
 	}
 	if i := pick.There(others, c.rand); i >= 0 {
 		return decision{region: others[i].Name}
 	}
-	return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint takes the request").WithRetryAfter(comeBack)}
+	return here
+}
+
+// sooner reports whether another region begins with a request before it has
+// waited here.
+func sooner(here decision, ask pick.Ask, others []pick.Region) bool {
+	for i := range others {
+		if others[i].Away+others[i].Wait+ask.Shared < here.pending && others[i].Filled() < roomy {
+			return true
+		}
+	}
+	return false
+}
+
+// roomy is the share of its slots in use up to which a region takes requests that
+// could wait here.
+const roomy = 0.7
+
+// take counts a request at its endpoint.
+func (c *Carrier) take(now time.Time, t *trip, ask pick.Ask, d decision) {
+	t.tried[d.endpoint.ID] = true
+	c.Board.Endpoints.Start(now, d.endpoint.ID)
+	if !t.Route.Prompts {
+		return
+	}
+	c.Board.Endpoints.Pend(d.endpoint.ID, d.read)
+	if ask.Prefix != 0 && ask.Shared >= worthTelling {
+		c.Keeps.Send(now, d.endpoint.ID, ask.Prefix)
+	}
+	if d.read > worthTelling && c.Busy != nil {
+		c.Busy()
+	}
 }
 
-// local chooses among this region's endpoints.
-func (c *Carrier) local(now time.Time, t *trip, ask pick.Ask) (decision, bool) {
+// local chooses among this region's endpoints and decides whether the request
+// goes there now.
+func (c *Carrier) local(now time.Time, t *trip, ask pick.Ask) decision {
 	service := c.service(t.Service)
-	list, found := c.candidates(now, t, service)
+	list, found := c.candidates(now, t, ask, service)
 	for len(list) > 0 {
 		choice := pick.Here(ask, list, c.rand)
 		if choice.Index < 0 {
 			break
 		}
-		e := found[choice.Index]
+		e, candidate := found[choice.Index], list[choice.Index]
+		d := c.admit(now, t, choice, candidate)
+		d.endpoint = e
+		if d.refusal != nil || d.wait {
+			return d
+		}
 		if now.Before(e.ColdUntil) && service.ColdRate > 0 &&
 			!c.Board.Endpoints.AdmitCold(now, e.ID, c.ColdShare(service, e.ID)) {
 			list = append(list[:choice.Index:choice.Index], list[choice.Index+1:]...)
 			found = append(found[:choice.Index:choice.Index], found[choice.Index+1:]...)
 			continue
 		}
-		d := decision{endpoint: e, expect: choice.Expect, read: ask.Own}
-		if !choice.Holds {
-			d.read += ask.Shared
-		} else if c.kept.sent(now, e.ID, ask.Prefix) {
-			d.known = t.own()
-		}
-		t.tried[e.ID] = true
-		c.Board.Endpoints.Start(now, e.ID)
-		c.Board.Endpoints.Pend(e.ID, d.read)
-		if d.read > worthTelling && c.Busy != nil {
-			c.Busy()
-		}
-		return d, true
+		return d
+	}
+	return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint takes the request").WithRetryAfter(comeBack)}
+}
+
+// admit decides whether a request goes to its best endpoint now.
+func (c *Carrier) admit(now time.Time, t *trip, choice pick.Choice, best pick.Candidate) decision {
+	d := decision{expect: choice.Expect, read: choice.Read, pending: best.Pending, held: best.Held, slow: max(1, best.Slow)}
+	if !t.Route.Prompts {
+		return d
 	}
-	return decision{}, false
+	d.known = t.own()
+	if !best.Held {
+		d.known = t.Prompt.Tokens
+	}
+	d.expect = time.Duration(d.slow * float64(choice.Read+best.Pending+c.Board.Speeds.Base(t.Service)))
+	l := c.line(t.Service)
+	a := admit.Ask{
+		Read: choice.Read, Pending: best.Pending, Expect: d.expect, Waited: now.Sub(t.Arrived) + t.Away,
+		Target: t.Route.Target, Left: t.Deadline.Sub(now), First: !t.joined.IsZero(),
+	}
+	if t.joined.IsZero() && choice.Read >= admit.Long {
+		a.Backlog = l.read / time.Duration(max(1, len(c.Board.Registry.Of(t.Service))))
+	}
+	v := admit.Decide(a)
+	switch v.Kind {
+	case admit.Go:
+	case admit.Wait:
+		d.wait = true
+	case admit.Refuse:
+		d.refusal = fault.New(fault.Busy, fault.RanNo, "expected %d ms after %d ms, promised %d ms",
+			d.expect.Milliseconds(), a.Waited.Milliseconds(), a.Target.Milliseconds()).WithRetryAfter(v.Back)
+	}
+	return d
 }
 
 var noService = &rules.Service{}
@@ -154,7 +227,7 @@
 const leastAway = 5 * time.Millisecond
 
 // candidates returns the endpoints here that may take the request.
-func (c *Carrier) candidates(now time.Time, t *trip, s *rules.Service) ([]pick.Candidate, []regis.Endpoint) {
+func (c *Carrier) candidates(now time.Time, t *trip, ask pick.Ask, s *rules.Service) ([]pick.Candidate, []regis.Endpoint) {
 	var found []regis.Endpoint
 	for _, e := range c.Board.Registry.Of(t.Service) {
 		if e.Region == c.Board.Region && c.open(e) && !t.tried[e.ID] {
@@ -170,12 +243,26 @@
 		list[i] = pick.Candidate{
 			Name: found[i].ID, Slots: slotsOf(found[i], s),
 			Load:    max(st.Load(now), st.Known(now)) + st.Excess(now, found[i].Slots),
-			Pending: st.Pending(now), Slow: 1, Out: st.Ejected(now),
+			Pending: st.Pending(now), Slow: slowness(st, now), Out: st.Ejected(now),
+			Held: ask.Prefix != 0 && c.Keeps.Holds(now, found[i].ID, ask.Prefix),
 		}
 	})
 	return list, found
 }
 
+// slowFrom is how many times longer than expected answers take from which an
+// endpoint counts as slow: less is the spread of a batch.
+const slowFrom = 2
+
+// slowness is how many times longer than expected an endpoint's answers take, 1
+// for one that is not slow.
+func slowness(st *endpt.State, now time.Time) float64 {
+	if ratio := float64(st.First(now, time.Second)) / float64(time.Second); ratio > slowFrom {
+		return ratio
+	}
+	return 1
+}
+
 func slotsOf(e regis.Endpoint, s *rules.Service) int {
 	if e.Slots == 0 && s.Engine != nil {
 		return s.Engine.Slots
@@ -202,8 +289,11 @@
 		if c.Board.Members.Usable(name) == 0 {
 			continue
 		}
-		v := c.Board.Zones.View(zones.Key{Region: name, Service: t.Service}, now)
-		r := pick.Region{Name: name, Slots: slots[name], Away: c.Board.Zones.Away(name)}
+		key := zones.Key{Region: name, Service: t.Service}
+		v := c.Board.Zones.View(key, now)
+		r := pick.Region{
+			Name: name, Slots: slots[name], Away: c.Board.Zones.Away(name), Wait: c.Board.Zones.Wait(now, key),
+		}
 		if v.Known {
 			r.Load = v.Busy
 		}
--- a/internal/serve/carry/here.go
+++ b/internal/serve/carry/here.go
@@ -27,7 +27,10 @@
 	e := d.endpoint
 	t.report.Endpoint, t.report.Region = e.ID, c.Board.Region
 	began := c.Now()
-	pending := d.read
+	pending := time.Duration(0)
+	if t.Route.Prompts {
+		pending = d.read
+	}
 	head := func(h wire.Head) error {
 		h.Endpoint = e.ID
 		return sink.Head(h)
@@ -36,12 +39,14 @@
 		if pending > 0 {
 			c.Board.Endpoints.Pend(e.ID, -pending)
 			pending = 0
+			c.wake(t.Service)
 		}
 		return sink.Data(p)
 	}}
 	out := c.Client.Do(ctx, c.call(t, d), first)
 	if pending > 0 {
 		c.Board.Endpoints.Pend(e.ID, -pending)
+		c.wake(t.Service)
 	}
 	c.learn(t, d, out, began)
 	c.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
@@ -99,10 +104,14 @@
 	now := c.Now()
 	e := d.endpoint
 	refused := out.Reason == retry.Refused && !out.Whole
-	c.Board.Endpoints.Done(now, e.ID, endpt.Result{
+	res := endpt.Result{
 		Whole: out.Whole, Full: refused && !out.Misdirected,
 		Failed: !out.Whole && !out.CallerLeft && !refused,
-	})
+	}
+	if t.Route.Prompts && out.Begun {
+		res.First, res.UsualFirst = out.First, max(time.Millisecond, time.Duration(float64(d.expect)/d.slow))
+	}
+	c.Board.Endpoints.Done(now, e.ID, res)
 	if out.Load.Slots > 0 {
 		// The load was told with the head of the answer.
 		at := began
--- a/internal/serve/carry/keeps.go
+++ b/internal/serve/carry/keeps.go
@@ -1,13 +1,20 @@
 package carry
 
-import "time"
+import (
+	"sync"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+)
 
 const (
-	// keepLife is how long an engine is sure to keep a prompt's beginning that this
-	// host sent there.
-	keepLife = 8 * time.Second
-	// mostKeeps bounds the beginnings that are remembered.
+	// keepLife is how long an engine is taken to keep a prompt's beginning after it
+	// was last sent there.
+	keepLife = 20 * time.Second
+	// mostKeeps bounds the beginnings that are remembered, mostTold those that other
+	// hosts are told of at a time.
 	mostKeeps = 8192
+	mostTold  = 16
 )
 
 // keep is a prompt's beginning at an endpoint.
@@ -16,24 +23,75 @@
 	prefix   uint64
 }
 
-// keeps remembers when this host last sent beginnings to endpoints.
-type keeps map[keep]time.Time
+// Keeps remembers when hosts of this region last sent shared beginnings to
+// endpoints. Its lock is a leaf.
+type Keeps struct {
+	mu    sync.Mutex
+	sent  map[keep]time.Time
+	fresh []wire.Sent
+}
+
+// NewKeeps returns a memory of nothing.
+func NewKeeps() *Keeps { return &Keeps{sent: map[keep]time.Time{}} }
+
+// Holds reports whether an endpoint is taken to keep a beginning.
+func (k *Keeps) Holds(now time.Time, endpoint string, prefix uint64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at, ok := k.sent[keep{endpoint: endpoint, prefix: prefix}]
+	return ok && now.Sub(at) < keepLife
+}
+
+// Send notes that this host sends a beginning to an endpoint.
+func (k *Keeps) Send(now time.Time, endpoint string, prefix uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.put(now, endpoint, prefix)
+	k.fresh = append(k.fresh, wire.Sent{Endpoint: endpoint, Prefix: prefix})
+	if len(k.fresh) > mostTold {
+		k.fresh = k.fresh[len(k.fresh)-mostTold:]
+	}
+}
+
+// Told takes in what another host sent.
+func (k *Keeps) Told(now time.Time, list []wire.Sent) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, s := range list {
+		k.put(now, s.Endpoint, s.Prefix)
+	}
+}
+
+// Fresh returns what this host sent since the last call.
+func (k *Keeps) Fresh() []wire.Sent {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := k.fresh
+	k.fresh = nil
+	return out
+}
+
+// Forget drops what an endpoint kept before it started again.
+func (k *Keeps) Forget(endpoint string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for key := range k.sent {
+		if key.endpoint == endpoint {
+			delete(k.sent, key)
+		}
+	}
+}
 
-// sent notes that a beginning is sent to an endpoint, and reports whether this
-// host sent it there lately.
-func (k keeps) sent(now time.Time, endpoint string, prefix uint64) bool {
-	key := keep{endpoint: endpoint, prefix: prefix}
-	last, ok := k[key]
-	if len(k) >= mostKeeps {
-		for old, at := range k {
-			if now.Sub(at) > keepLife {
-				delete(k, old)
+func (k *Keeps) put(now time.Time, endpoint string, prefix uint64) {
+	if len(k.sent) >= mostKeeps {
+		for old, at := range k.sent {
+			if now.Sub(at) >= keepLife {
+				delete(k.sent, old)
 			}
 		}
-		if len(k) >= mostKeeps {
-			clear(k)
+		if len(k.sent) >= mostKeeps {
+			clear(k.sent)
 		}
 	}
-	k[key] = now
-	return ok && now.Sub(last) < keepLife
+	k.sent[keep{endpoint: endpoint, prefix: prefix}] = now
 }
--- a/internal/serve/node/follow.go
+++ b/internal/serve/node/follow.go
@@ -103,6 +103,10 @@
 }
 
 func (n *Node) endpointChanged(e regis.Endpoint) {
+	if !e.ColdUntil.IsZero() {
+		// It started or lost what it kept.
+		n.carrier.Keeps.Forget(e.ID)
+	}
 	ev := n.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Address).Str("centre", e.Centre).
 		Bool("draining", e.Draining).Int64("born", e.Born).Uint64("revision", e.Revision)
 	if !e.ColdUntil.IsZero() {
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -141,6 +141,7 @@
 // routed carries out a request that another region's host sent.
 func (n *Node) routed(ctx context.Context, o *wire.Open, sink client.Sink) *fault.Refusal {
 	r := carry.Opened(o, n.now())
+	r.Request.Away = n.board.Zones.Away(o.From)
 	if r.Request.From == n.board.Region {
 		return fault.New(fault.BadRequest, fault.RanNo, "request of this region needs no relay")
 	}
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -90,11 +90,14 @@
 			list[t.Endpoint] = endpt.Shared{Requests: int(t.Requests), Pending: time.Duration(t.PendingMS) * time.Millisecond}
 		}
 		n.board.Endpoints.Tell(now, p.From, list)
+		n.carrier.Keeps.Told(now, p.Sent)
 	}
 	for _, s := range p.Sums {
 		if s.Region != n.board.Region {
 			at := now.Add(-time.Duration(s.AgeMS) * time.Millisecond)
-			n.board.Zones.Note(zones.Key{Region: s.Region, Service: s.Service}, float64(s.Slots), float64(s.Busy), at, now)
+			key := zones.Key{Region: s.Region, Service: s.Service}
+			n.board.Zones.Note(key, float64(s.Slots), float64(s.Busy), at, now)
+			n.board.Zones.Told(now, key, time.Duration(s.WaitMS)*time.Millisecond)
 		}
 	}
 }
@@ -109,7 +112,7 @@
 			})
 		}
 	}
-	n.tell(takenTo, func(m member.Member) bool { return m.Region == n.board.Region }, wire.Packet{Taken: list})
+	n.tell(takenTo, func(m member.Member) bool { return m.Region == n.board.Region }, wire.Packet{Taken: list, Sent: n.carrier.Keeps.Fresh()})
 }
 
 // shareSums tells hosts of other regions how loaded this region's services are.
@@ -119,6 +122,7 @@
 		return
 	}
 	sums := map[string]*wire.Sum{}
+	counts := map[string]uint32{}
 	for _, s := range force.ServiceNames() {
 		for _, e := range n.board.Registry.Of(s) {
 			if e.Region != n.board.Region || e.Draining || n.board.Registry.Evacuated(e.Centre) {
@@ -130,10 +134,13 @@
 			st := n.board.Endpoints.Get(e.ID)
 			sums[s].Slots += uint32(max(1, e.Slots))
 			sums[s].Busy += uint32(max(st.Load(now), st.Known(now)))
+			sums[s].WaitMS += uint32(st.Pending(now).Milliseconds())
+			counts[s]++
 		}
 	}
 	var list []wire.Sum
 	for _, s := range sums {
+		s.WaitMS /= counts[s.Service]
 		list = append(list, *s)
 	}
 	n.tell(sumTo, func(m member.Member) bool { return m.Region != n.board.Region }, wire.Packet{Sums: list})
