Name a suspected host where no sound one is left

Reproduced at its seam without a clock: TestSuspectedIsTheLastResort, red first. Ruled out: a member not yet heard of (the fleet is joined before).

--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -19,6 +19,8 @@
 	Open int
 	// Sound says that it is live, not leaving, and not suspected.
 	Sound bool
+	// Usable says that it is held live, be it suspected, and not leaving.
+	Usable bool
 	// Current says that it has the configuration in force here, or a newer one.
 	Current bool
 }
@@ -53,7 +55,15 @@
 // Rank orders the hosts for a caller: its own region first, then the others by
 // distance; within a region by weighted rendezvous hashing, so that each
 // caller's ranks stay and the loss of a host moves its callers over all others.
+// Where no host is sound it ranks the usable ones: a busy fleet suspects live hosts.
 func Rank(inv *invent.Inventory, caller string, region string, list []Candidate) []Place {
+	if places := rank(inv, caller, region, list, func(c Candidate) bool { return c.Sound && c.Current }); len(places) > 0 {
+		return places
+	}
+	return rank(inv, caller, region, list, func(c Candidate) bool { return c.Usable })
+}
+
+func rank(inv *invent.Inventory, caller string, region string, list []Candidate, takes func(Candidate) bool) []Place {
 	mean := means(list)
 	type ranked struct {
 		place    Place
@@ -62,7 +72,7 @@
 	}
 	var out []ranked
 	for _, c := range list {
-		if !c.Sound || !c.Current || c.Host.Leaving {
+		if !takes(c) || c.Host.Leaving {
 			continue
 		}
 		weight := 1.0
--- a/internal/serve/entry/entry_test.go
+++ b/internal/serve/entry/entry_test.go
@@ -80,3 +80,28 @@
 		t.Errorf("a busy host is first for %d of 1000 callers", n)
 	}
 }
+
+// TestSuspectedIsTheLastResort: a caller is told of a host that is only suspected,
+// or has not been heard to have the newest configuration, where no other is left.
+func TestSuspectedIsTheLastResort(t *testing.T) {
+	l := list(2)
+	for i := range l {
+		l[i].Usable = true
+	}
+	l[0].Sound = false
+	if got := Rank(&invent.Inventory{}, "c", "r", l); len(got) != 1 || got[0].Host != "h1" {
+		t.Errorf("beside a sound host: %+v", got)
+	}
+	l[1].Usable, l[1].Sound = false, false
+	if got := Rank(&invent.Inventory{}, "c", "r", l); len(got) != 1 || got[0].Host != "h0" {
+		t.Errorf("only a suspected one is left: %+v", got)
+	}
+	l[0].Sound, l[0].Current = true, false
+	if got := Rank(&invent.Inventory{}, "c", "r", l); len(got) != 1 || got[0].Host != "h0" {
+		t.Errorf("only one behind is left: %+v", got)
+	}
+	l[0].Usable, l[0].Sound = false, false
+	if got := Rank(&invent.Inventory{}, "c", "r", l); len(got) != 0 {
+		t.Errorf("a dead one is named: %+v", got)
+	}
+}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -251,8 +251,9 @@
 		c := entry.Candidate{Host: h, Region: inv.RegionOf(h.Centre)}
 		if h.Name == f.Board.Name {
 			c.Open, c.Sound, c.Current = f.Board.Pulse.Open(), !f.Board.Pulse.Leaving(), true
+			c.Usable = c.Sound
 		} else if m, ok := f.Board.Members.Member(h.Name); ok {
-			c.Open, c.Sound = m.Open, m.Sound() && !m.Absent
+			c.Open, c.Sound, c.Usable = m.Open, m.Sound() && !m.Absent, m.Usable()
 			c.Current = !own.Above(m.Mark)
 		}
 		out = append(out, c)
