--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -56,7 +56,7 @@
 	// left is when the endpoint last said that it takes no more work.
 	left time.Time
 	// pending is the time of this host's prompts there without a first token.
-	pending time.Duration
+	pending Waits
 	// shared holds what other hosts of the region told that they have there.
 	shared map[string]Shared
 	// cold holds the times of this host's last requests while it is cold.
@@ -66,7 +66,7 @@
 // Shared is what another host has at an endpoint.
 type Shared struct {
 	Requests int
-	Pending  time.Duration
+	Pending  Waits
 	At       time.Time
 }
 
--- a/internal/board/endpt/shared.go
+++ b/internal/board/endpt/shared.go
@@ -37,21 +37,56 @@
 	return out
 }
 
+// Ranks is the number of ranks that engines order requests by, 0 first.
+const Ranks = 10
+
+// Waits holds the time of prompts without a first token, by rank.
+type Waits [Ranks]time.Duration
+
+// rankOf returns the rank of a priority.
+func rankOf(priority int) int { return min(max(0, priority), Ranks-1) }
+
+// passed is the part of less urgent prompts that a more urgent one waits for:
+// engines take the more urgent one first, but end the step that they are at.
+const passed = 0.3
+
+// For returns what a request of a priority waits for.
+func (w Waits) For(priority int) time.Duration {
+	rank := rankOf(priority)
+	sum := time.Duration(0)
+	for i, d := range w {
+		if i > rank {
+			d = time.Duration(passed * float64(d))
+		}
+		sum += d
+	}
+	return sum
+}
+
+// With returns the waits with those of another host added.
+func (w Waits) With(other Waits) Waits {
+	for i, d := range other {
+		w[i] += d
+	}
+	return w
+}
+
 // Pend adds the time of a prompt that was sent, or takes it back with its first
 // token.
-func (t *Table) Pend(name string, d time.Duration) {
+func (t *Table) Pend(name string, priority int, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(name)
-	s.pending = max(0, s.pending+d)
+	rank := rankOf(priority)
+	s.pending[rank] = max(0, s.pending[rank]+d)
 }
 
 // Pending returns the time of all hosts' prompts there without a first token.
-func (s *State) Pending(now time.Time) time.Duration {
+func (s *State) Pending(now time.Time) Waits {
 	sum := s.pending
 	for _, o := range s.shared {
 		if now.Sub(o.At) < sharedLife {
-			sum += o.Pending
+			sum = sum.With(o.Pending)
 		}
 	}
 	return sum
--- a/internal/board/zones/zones.go
+++ b/internal/board/zones/zones.go
@@ -71,10 +71,10 @@
 	waits map[Key]wait
 }
 
-// wait is the time of unread prompts as it was told.
+// wait is the time of unread prompts as it was told, for each priority.
 type wait struct {
-	time time.Duration
-	at   time.Time
+	times []time.Duration
+	at    time.Time
 }
 
 // NewTable returns an empty table.
@@ -235,18 +235,22 @@
 	return unknownAway
 }
 
-// Told takes in the time of unread prompts at a region's endpoints.
-func (t *Table) Told(now time.Time, k Key, d time.Duration) {
+// Told takes in the time of unread prompts at a region's endpoints that a request
+// waits for, by its priority.
+func (t *Table) Told(now time.Time, k Key, times []time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.waits[k] = wait{time: d, at: now}
+	t.waits[k] = wait{times: times, at: now}
 }
 
-// Wait returns the time of unread prompts at a region's endpoints; what was told
-// runs off as they are read.
-func (t *Table) Wait(now time.Time, k Key) time.Duration {
+// Wait returns the time of unread prompts that a request of a priority waits for
+// in a region; what was told runs off as they are read.
+func (t *Table) Wait(now time.Time, k Key, priority int) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.waits[k]
-	return max(0, w.time-now.Sub(w.at))
+	if len(w.times) == 0 {
+		return 0
+	}
+	return max(0, w.times[min(priority, len(w.times)-1)]-now.Sub(w.at))
 }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -73,6 +73,7 @@
 	Member
 	count     uint32
 	since     time.Time
+	greeted   time.Time
 	confirmed map[string]bool
 }
 
--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -28,6 +28,7 @@
 	out := t.checkProbes(now)
 	t.expireSuspects(now)
 	t.expireDead(now)
+	out = append(out, t.greet(now)...)
 	if now.Before(t.nextAt) {
 		return out
 	}
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -120,6 +120,7 @@
 	_    struct{} `cbor:",toarray"`
 	Host string
 	// Address is the one for hosts, Callers that for callers: IP number and port.
+	// An empty Address is the host's name.
 	Address string
 	Callers string
 	Region  string
@@ -131,8 +132,8 @@
 	_        struct{} `cbor:",toarray"`
 	Endpoint string
 	Requests uint32
-	// PendingMS is the time of prompts whose first token is not there yet, ms.
-	PendingMS uint32
+	// PendingMS is the time of prompts whose first token is not there yet, by rank, ms.
+	PendingMS []uint32
 }
 
 // Sum is the state of one service in one region.
@@ -143,8 +144,8 @@
 	AgeMS   uint32
 	Slots   uint32
 	Busy    uint32
-	// WaitMS is the time of unread prompts at its endpoints, on average, ms.
-	WaitMS uint32
+	// WaitMS is the time of unread prompts at its endpoints, on average, by rank, ms.
+	WaitMS []uint32
 }
 
 // Sent says that an endpoint was sent a prompt with a shared beginning.
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -106,6 +106,8 @@
 	Message string     `cbor:"2,keyasint,omitempty"`
 	Ran     fault.Ran  `cbor:"3,keyasint,omitempty"`
 	RetryMS int64      `cbor:"4,keyasint,omitempty"`
+	// Sent counts the attempts that reached an endpoint.
+	Sent int `cbor:"5,keyasint,omitempty"`
 }
 
 // Fetch asks for documents of the configuration: the head where Hashes is
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -16,6 +16,9 @@
 	// margin is kept of the promised time: one who waits until the promise is just
 	// missed makes all behind it late too.
 	margin = 0.05
+	// patience is the part of the promised time that one which is late by its own
+	// size may wait.
+	patience = 0.25
 	// leastBack and mostBack bound what a refused caller is told.
 	leastBack = 50 * time.Millisecond
 	mostBack  = 2 * time.Second
@@ -41,8 +44,10 @@
 	Expect time.Duration
 	// Backlog is the time until those that wait before it at this host have gone.
 	Backlog time.Duration
-	// Waited is the time since the caller's request came.
+	// Waited is the time since the caller's request came, Away the way to its host
+	// and back.
 	Waited time.Duration
+	Away   time.Duration
 	// Target is the promised time to the first token; zero is none.
 	Target time.Duration
 	// Left is the time to the deadline.
@@ -60,10 +65,13 @@
 
 // Decide decides on a request.
 func Decide(a Ask) Verdict {
-	total := a.Waited + a.Backlog + a.Expect
+	total := a.Waited + a.Away + a.Backlog + a.Expect
 	most := a.Left + a.Waited
 	if a.Target > 0 {
-		most = min(most, time.Duration((1-margin)*float64(a.Target)))
+		promise := time.Duration((1 - margin) * float64(a.Target))
+		// One that is late by its own size is not refused for it.
+		own := a.Expect - a.Pending + a.Away
+		most = min(most, max(promise, own+time.Duration(patience*float64(a.Target))))
 	}
 	if total > most {
 		return Verdict{Kind: Refuse, Back: min(mostBack, max(leastBack, total-a.Target))}
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -28,6 +28,9 @@
 		{"long behind those that wait", Ask{Read: 250 * ms, Expect: 340 * ms, Backlog: 200 * ms, Target: time.Second, Left: 6 * time.Second}, Wait},
 		{"first of those that wait", Ask{Read: 250 * ms, Expect: 340 * ms, Backlog: 200 * ms, First: true, Target: time.Second, Left: 6 * time.Second}, Go},
 		{"long that would be too late", Ask{Read: 250 * ms, Expect: 340 * ms, Backlog: 2 * time.Second, Target: time.Second, Left: 6 * time.Second}, Refuse},
+		{"late by its own size and free", Ask{Read: 1500 * ms, Expect: 1600 * ms, Target: time.Second, Left: 6 * time.Second}, Go},
+		{"late by its own size behind others", Ask{Read: 1500 * ms, Pending: 100 * ms, Expect: 1700 * ms, Backlog: 500 * ms, Target: time.Second, Left: 6 * time.Second}, Refuse},
+		{"late by its way", Ask{Read: 4 * ms, Expect: 90 * ms, Away: 600 * ms, Target: 600 * ms, Left: 6 * time.Second}, Go},
 		{"no promised time", Ask{Read: 4 * ms, Expect: 2 * time.Second, Left: 6 * time.Second}, Go},
 		{"no time left", Ask{Read: 4 * ms, Expect: 90 * ms, Left: 50 * ms}, Refuse},
 	}
--- /dev/null
+++ b/internal/route/retry/window_test.go
@@ -0,0 +1,67 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var begin = time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+
+// TestWindowsOfAllHosts holds for any arrivals and any wish to repeat: in every
+// window the repeats of all hosts together stay within the bound, whose requests
+// are those of that window, the one before, or the one half a window before.
+func TestWindowsOfAllHosts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		hosts := rapid.IntRange(1, 12).Draw(rt, "hosts")
+		b := Bound{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+		var list []*Windows
+		for range hosts {
+			list = append(list, NewWindows(b, func() int { return hosts }))
+		}
+		var requests, repeats []time.Time
+		now := begin
+		for range rapid.IntRange(1, 600).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(rt, "ms")) * time.Millisecond)
+			w := list[rapid.IntRange(0, hosts-1).Draw(rt, "host")]
+			w.Earn(now, "s")
+			requests = append(requests, now)
+			for range rapid.IntRange(0, 3).Draw(rt, "wishes") {
+				if w.Spend(now, "s") {
+					repeats = append(repeats, now)
+				}
+			}
+			most := b.Slack + b.Ratio*max(within(requests, now, b.Window), within(requests, now.Add(-b.Window), b.Window),
+				within(requests, now.Add(-b.Window/2), b.Window))
+			if got := within(repeats, now, b.Window); got > most {
+				rt.Fatalf("%v repeats of %v", got, most)
+			}
+		}
+	})
+}
+
+func within(list []time.Time, now time.Time, window time.Duration) float64 {
+	n := 0.0
+	for _, at := range list {
+		if age := now.Sub(at); age >= 0 && age < window {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWindowMovesOn(t *testing.T) {
+	w := NewWindows(Bound{Slack: 5, Window: 10 * time.Second}, func() int { return 1 })
+	for range 4 {
+		if !w.Spend(begin, "s") {
+			t.Fatal("the slack is not used")
+		}
+	}
+	if w.Spend(begin.Add(8*time.Second), "s") {
+		t.Error("more than the slack within a window")
+	}
+	if !w.Spend(begin.Add(11*time.Second), "s") || !w.Spend(begin, "other") {
+		t.Error("the window does not move on, or services share it")
+	}
+}
--- a/internal/serve/carry/carry.go
+++ b/internal/serve/carry/carry.go
@@ -56,10 +56,12 @@
 // Report says how a request went.
 type Report struct {
 	// Refusal is nil where the answer was whole.
-	Refusal  *fault.Refusal
-	Begun    bool
-	Status   int
-	Tries    int
+	Refusal *fault.Refusal
+	Begun   bool
+	Status  int
+	Tries   int
+	// Sent counts the attempts that reached an endpoint.
+	Sent     int
 	Endpoint string
 	Region   string
 	First    time.Duration
@@ -75,7 +77,7 @@
 	Log    zerolog.Logger
 	Now    func() time.Time
 	// Budget bounds repeats.
-	Budget *retry.Budget
+	Budget *retry.Windows
 	// ColdShare returns the requests a second that this host may send to a cold
 	// endpoint of a service.
 	ColdShare func(s *rules.Service, endpoint string) int
@@ -119,6 +121,8 @@
 	last int
 	// runs counts the attempts that may have run.
 	runs int
+	// refused is how the last attempt ended.
+	refused *fault.Refusal
 	// joined is when the request first waited; it keeps its place by it.
 	joined time.Time
 }
@@ -128,7 +132,10 @@
 	defer cancel()
 	t := &trip{Request: r, cross: cross, tried: map[string]bool{}, ran: fault.RanNo, last: r.After}
 	t.report.Region = c.Board.Region
-	c.Budget.Earn(r.Service)
+	if cross {
+		// A relayed request was counted where it entered.
+		c.Budget.Earn(c.Now(), r.Service)
+	}
 	refusal := c.travel(ctx, t, c.watched(t, sink))
 	if refusal != nil {
 		refusal = refusal.WithRan(refusal.Ran.Worse(t.ran))
@@ -186,6 +193,10 @@
 		}
 		d := c.choose(t)
 		if d.refusal != nil {
+			if t.refused != nil && d.refusal.Code == fault.NoEndpoint {
+				// Why the last place refused says more than that none is left.
+				return t.refused
+			}
 			return d.refusal
 		}
 		if d.wait {
@@ -201,6 +212,7 @@
 		if res.ran != fault.RanNo {
 			t.runs++
 		}
+		t.refused = res.refusal
 		if r := c.after(ctx, t, res); r != nil {
 			return r
 		}
@@ -245,7 +257,7 @@
 		return fault.New(fault.Cancelled, res.ran, "caller has left")
 	}
 	why := c.again(t)
-	if why == "" && !res.free && !c.Budget.Spend(t.Service) {
+	if why == "" && !res.free && !c.Budget.Spend(c.Now(), t.Service) {
 		why = "retry budget used up"
 	}
 	verdict := "retried"
--- a/internal/serve/carry/choose.go
+++ b/internal/serve/carry/choose.go
@@ -100,7 +100,7 @@
 	if !t.Route.Prompts {
 		return
 	}
-	c.Board.Endpoints.Pend(d.endpoint.ID, d.read)
+	c.Board.Endpoints.Pend(d.endpoint.ID, t.Route.Priority, d.read)
 	if ask.Prefix != 0 && ask.Shared >= worthTelling {
 		c.Keeps.Send(now, d.endpoint.ID, ask.Prefix)
 	}
@@ -149,7 +149,7 @@
 	d.expect = time.Duration(d.slow * float64(choice.Read+best.Pending+c.Board.Speeds.Base(t.Service)))
 	l := c.line(t.Service)
 	a := admit.Ask{
-		Read: choice.Read, Pending: best.Pending, Expect: d.expect, Waited: now.Sub(t.Arrived) + t.Away,
+		Read: choice.Read, Pending: best.Pending, Expect: d.expect, Waited: now.Sub(t.Arrived), Away: t.Away,
 		Target: t.Route.Target, Left: t.Deadline.Sub(now), First: !t.joined.IsZero(),
 	}
 	if t.joined.IsZero() && choice.Read >= admit.Long {
@@ -208,11 +208,20 @@
 	if ask.Prefix == 0 || len(others) == 0 || ask.Shared < leastAway {
 		return ""
 	}
-	var list []pick.Member
+	now := c.Now()
+	var list, holding []pick.Member
 	for _, e := range c.Board.Registry.Of(t.Service) {
-		if c.open(e) && t.Route.Allows(e.Region) {
-			list = append(list, pick.Member{Name: e.ID, Region: e.Region})
+		if !c.open(e) || !t.Route.Allows(e.Region) {
+			continue
 		}
+		m := pick.Member{Name: e.ID, Region: e.Region}
+		list = append(list, m)
+		if c.Keeps.Holds(now, e.ID, ask.Prefix) {
+			holding = append(holding, m)
+		}
+	}
+	if len(holding) > 0 {
+		list = holding
 	}
 	name := pick.Keeper(ask.Prefix, list)
 	for i := range others {
@@ -243,7 +252,7 @@
 		list[i] = pick.Candidate{
 			Name: found[i].ID, Slots: slotsOf(found[i], s),
 			Load:    max(st.Load(now), st.Known(now)) + st.Excess(now, found[i].Slots),
-			Pending: st.Pending(now), Slow: slowness(st, now), Out: st.Ejected(now),
+			Pending: st.Pending(now).For(t.Route.Priority), Slow: slowness(st, now), Out: st.Ejected(now),
 			Held: ask.Prefix != 0 && c.Keeps.Holds(now, found[i].ID, ask.Prefix),
 		}
 	})
@@ -292,7 +301,7 @@
 		key := zones.Key{Region: name, Service: t.Service}
 		v := c.Board.Zones.View(key, now)
 		r := pick.Region{
-			Name: name, Slots: slots[name], Away: c.Board.Zones.Away(name), Wait: c.Board.Zones.Wait(now, key),
+			Name: name, Slots: slots[name], Away: c.Board.Zones.Away(name), Wait: c.Board.Zones.Wait(now, key, t.Route.Priority),
 		}
 		if v.Known {
 			r.Load = v.Busy
--- a/internal/serve/carry/here.go
+++ b/internal/serve/carry/here.go
@@ -37,7 +37,7 @@
 	}
 	first := client.Sink{Head: head, Data: func(p []byte) error {
 		if pending > 0 {
-			c.Board.Endpoints.Pend(e.ID, -pending)
+			c.Board.Endpoints.Pend(e.ID, t.Route.Priority, -pending)
 			pending = 0
 			c.wake(t.Service)
 		}
@@ -45,9 +45,12 @@
 	}}
 	out := c.Client.Do(ctx, c.call(t, d), first)
 	if pending > 0 {
-		c.Board.Endpoints.Pend(e.ID, -pending)
+		c.Board.Endpoints.Pend(e.ID, t.Route.Priority, -pending)
 		c.wake(t.Service)
 	}
+	if out.Reason != retry.Dial {
+		t.report.Sent++
+	}
 	c.learn(t, d, out, began)
 	c.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
 		Uint64("registered", e.Revision).Dur("expected", d.expect).Dur("first", out.First).Int("status", out.Status).
--- a/internal/serve/carry/keeps.go
+++ b/internal/serve/carry/keeps.go
@@ -14,7 +14,9 @@
 	// mostKeeps bounds the beginnings that are remembered, mostTold those that other
 	// hosts are told of at a time.
 	mostKeeps = 8192
-	mostTold  = 16
+	mostTold  = 24
+	// tellLife is how long other hosts are told of what was sent.
+	tellLife = 2 * time.Second
 )
 
 // keep is a prompt's beginning at an endpoint.
@@ -23,12 +25,19 @@
 	prefix   uint64
 }
 
-// Keeps remembers when hosts of this region last sent shared beginnings to
-// endpoints. Its lock is a leaf.
+// Keeps remembers when hosts last sent shared beginnings to endpoints. Its lock is
+// a leaf.
 type Keeps struct {
-	mu    sync.Mutex
-	sent  map[keep]time.Time
-	fresh []wire.Sent
+	mu   sync.Mutex
+	sent map[keep]time.Time
+	// fresh lists what this host sent lately, oldest first.
+	fresh []told
+}
+
+// told is a beginning that other hosts are told of.
+type told struct {
+	wire.Sent
+	at time.Time
 }
 
 // NewKeeps returns a memory of nothing.
@@ -47,7 +56,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.put(now, endpoint, prefix)
-	k.fresh = append(k.fresh, wire.Sent{Endpoint: endpoint, Prefix: prefix})
+	k.fresh = append(k.fresh, told{Sent: wire.Sent{Endpoint: endpoint, Prefix: prefix}, at: now})
 	if len(k.fresh) > mostTold {
 		k.fresh = k.fresh[len(k.fresh)-mostTold:]
 	}
@@ -62,12 +71,17 @@
 	}
 }
 
-// Fresh returns what this host sent since the last call.
-func (k *Keeps) Fresh() []wire.Sent {
+// Fresh returns what this host sent lately, for other hosts.
+func (k *Keeps) Fresh(now time.Time) []wire.Sent {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	out := k.fresh
-	k.fresh = nil
+	for len(k.fresh) > 0 && now.Sub(k.fresh[0].at) > tellLife {
+		k.fresh = k.fresh[1:]
+	}
+	var out []wire.Sent
+	for _, f := range k.fresh {
+		out = append(out, f.Sent)
+	}
 	return out
 }
 
--- a/internal/serve/carry/there.go
+++ b/internal/serve/carry/there.go
@@ -95,5 +95,6 @@
 		// The region as a whole could not do it; another host of it can't either.
 		t.tried[regionMark+t.report.Region] = true
 	}
-	return result{begun: begun, reason: retry.Relay, ran: end.Ran, refusal: flow.RefusalOf(end)}
+	t.report.Sent += end.Sent
+	return result{begun: begun, reason: retry.Relay, ran: end.Ran, free: end.Sent == 0, refusal: flow.RefusalOf(end)}
 }
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -115,7 +115,7 @@
 	}
 	n.carrier = carry.New()
 	n.carrier.Board, n.carrier.Meter, n.carrier.Link, n.carrier.Terms = n.board, n.meter, n.link, t
-	n.carrier.Log, n.carrier.Now, n.carrier.Budget = n.log, n.now, retry.NewBudget()
+	n.carrier.Log, n.carrier.Now, n.carrier.Budget = n.log, n.now, n.budget()
 	n.carrier.Client = &kept.Client{Pool: n.pool, Terms: t, Now: n.now}
 	n.carrier.ColdShare = n.coldShare
 	n.shares = slow.New(n.started, n.settings.Peers)
@@ -139,19 +139,19 @@
 }
 
 // routed carries out a request that another region's host sent.
-func (n *Node) routed(ctx context.Context, o *wire.Open, sink client.Sink) *fault.Refusal {
+func (n *Node) routed(ctx context.Context, o *wire.Open, sink client.Sink) (*fault.Refusal, int) {
 	r := carry.Opened(o, n.now())
 	r.Request.Away = n.board.Zones.Away(o.From)
 	if r.Request.From == n.board.Region {
-		return fault.New(fault.BadRequest, fault.RanNo, "request of this region needs no relay")
+		return fault.New(fault.BadRequest, fault.RanNo, "request of this region needs no relay"), 0
 	}
 	if !r.Request.Route.Allows(n.board.Region) {
-		return fault.New(fault.NoRegion, fault.RanNo, "region %s may not serve the request", n.board.Region)
+		return fault.New(fault.NoRegion, fault.RanNo, "region %s may not serve the request", n.board.Region), 0
 	}
 	report := n.carrier.Carry(ctx, r, sink)
 	n.log.Debug().Str("request", o.ID).Str("service", o.Service).Str("from", o.From).Str("endpoint", report.Endpoint).
 		Int("tries", report.Tries).Dur("first", report.First).Msg("carried out for another region")
-	return report.Refusal
+	return report.Refusal, report.Sent
 }
 
 // Start begins to serve. The host is ready once it knows routes and endpoints.
@@ -187,6 +187,14 @@
 	}
 }
 
+// budget bounds the repeats of this host by those of the whole fleet.
+func (n *Node) budget() *retry.Windows {
+	b := n.settings.Bounds
+	return retry.NewWindows(retry.Bound{
+		Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: time.Duration(b.RetryWindowS * float64(time.Second)),
+	}, n.board.Members.Count)
+}
+
 // coldShare is this host's part of what a cold endpoint bears a second.
 func (n *Node) coldShare(s *rules.Service, endpoint string) int {
 	b := n.settings.Bounds
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -87,32 +87,33 @@
 	if m.Region == n.board.Region && p.Taken != nil {
 		list := make(map[string]endpt.Shared, len(p.Taken))
 		for _, t := range p.Taken {
-			list[t.Endpoint] = endpt.Shared{Requests: int(t.Requests), Pending: time.Duration(t.PendingMS) * time.Millisecond}
+			list[t.Endpoint] = endpt.Shared{Requests: int(t.Requests), Pending: waitsOf(t.PendingMS)}
 		}
 		n.board.Endpoints.Tell(now, p.From, list)
-		n.carrier.Keeps.Told(now, p.Sent)
 	}
+	n.carrier.Keeps.Told(now, p.Sent)
 	for _, s := range p.Sums {
 		if s.Region != n.board.Region {
 			at := now.Add(-time.Duration(s.AgeMS) * time.Millisecond)
 			key := zones.Key{Region: s.Region, Service: s.Service}
 			n.board.Zones.Note(key, float64(s.Slots), float64(s.Busy), at, now)
-			n.board.Zones.Told(now, key, time.Duration(s.WaitMS)*time.Millisecond)
+			waits := waitsOf(s.WaitMS)
+			n.board.Zones.Told(now, key, waits[:])
 		}
 	}
 }
 
 // shareTaken tells hosts of this region what this one has at its endpoints.
-func (n *Node) shareTaken(time.Time) {
+func (n *Node) shareTaken(now time.Time) {
 	list := []wire.Taken{{Endpoint: ""}}
 	for id, s := range n.board.Endpoints.Taken() {
 		if len(list) < takenPacket {
 			list = append(list, wire.Taken{
-				Endpoint: id, Requests: uint32(s.Requests), PendingMS: uint32(s.Pending.Milliseconds()),
+				Endpoint: id, Requests: uint32(s.Requests), PendingMS: millis(s.Pending[:]),
 			})
 		}
 	}
-	n.tell(takenTo, func(m member.Member) bool { return m.Region == n.board.Region }, wire.Packet{Taken: list, Sent: n.carrier.Keeps.Fresh()})
+	n.tell(takenTo, func(m member.Member) bool { return m.Region == n.board.Region }, wire.Packet{Taken: list, Sent: n.carrier.Keeps.Fresh(now)})
 }
 
 // shareSums tells hosts of other regions how loaded this region's services are.
@@ -122,7 +123,8 @@
 		return
 	}
 	sums := map[string]*wire.Sum{}
-	counts := map[string]uint32{}
+	waits := map[string]endpt.Waits{}
+	counts := map[string]time.Duration{}
 	for _, s := range force.ServiceNames() {
 		for _, e := range n.board.Registry.Of(s) {
 			if e.Region != n.board.Region || e.Draining || n.board.Registry.Evacuated(e.Centre) {
@@ -134,16 +136,20 @@
 			st := n.board.Endpoints.Get(e.ID)
 			sums[s].Slots += uint32(max(1, e.Slots))
 			sums[s].Busy += uint32(max(st.Load(now), st.Known(now)))
-			sums[s].WaitMS += uint32(st.Pending(now).Milliseconds())
+			waits[s] = waits[s].With(st.Pending(now))
 			counts[s]++
 		}
 	}
 	var list []wire.Sum
 	for _, s := range sums {
-		s.WaitMS /= counts[s.Service]
+		var mean endpt.Waits
+		for rank := range mean {
+			mean[rank] = waits[s.Service].For(rank) / counts[s.Service]
+		}
+		s.WaitMS = millis(mean[:])
 		list = append(list, *s)
 	}
-	n.tell(sumTo, func(m member.Member) bool { return m.Region != n.board.Region }, wire.Packet{Sums: list})
+	n.tell(sumTo, func(m member.Member) bool { return m.Region != n.board.Region }, wire.Packet{Sums: list, Sent: n.carrier.Keeps.Fresh(now)})
 }
 
 func (n *Node) tell(most int, match func(member.Member) bool, p wire.Packet) {
@@ -178,6 +184,27 @@
 	wait.Wait()
 }
 
+// millis returns times in ms, without those at the end that are 0.
+func millis(list []time.Duration) []uint32 {
+	var out []uint32
+	for i, d := range list {
+		if ms := d.Milliseconds(); ms > 0 {
+			out = append(out, make([]uint32, i+1-len(out))...)
+			out[i] = uint32(ms)
+		}
+	}
+	return out
+}
+
+// waitsOf returns times by rank from those that millis gave.
+func waitsOf(list []uint32) endpt.Waits {
+	var w endpt.Waits
+	for i, ms := range list[:min(len(list), len(w))] {
+		w[i] = time.Duration(ms) * time.Millisecond
+	}
+	return w
+}
+
 // noteMembers logs what is newly believed of other hosts.
 func (n *Node) noteMembers(now time.Time) {
 	held := make(map[string]belief, len(n.believed))
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -43,9 +43,9 @@
 	Log    zerolog.Logger
 	// Pool bounds the requests carried out for other hosts at once.
 	Pool *ants.Pool
-	// Routed carries out a request that came by a published route; nil where there
-	// are none.
-	Routed func(ctx context.Context, o *wire.Open, sink client.Sink) *fault.Refusal
+	// Routed carries out a request that came by a published route, and returns how
+	// many attempts reached an endpoint; nil where there are none.
+	Routed func(ctx context.Context, o *wire.Open, sink client.Sink) (*fault.Refusal, int)
 	// Behind is told of a host that has a newer configuration.
 	Behind func(host string)
 	// MaxBody bounds a request body, in bytes.
@@ -111,23 +111,31 @@
 		Data: func(p []byte) error { return a.write(wire.Frame{Data: p}) },
 	}
 	refusal := fault.New(fault.Cancelled, fault.RanNo, "sender has left")
+	sent := 0
 	if a.write(wire.Frame{Alive: true}) == nil {
-		refusal = h.handle(ctx, peer, o, sink)
+		refusal, sent = h.either(ctx, peer, o, sink)
 	}
 	stop()
 	if refusal != nil {
 		h.Meter.Refusal(refusal)
 	}
-	_ = a.write(wire.Frame{End: flow.EndOf(refusal)})
+	end := flow.EndOf(refusal)
+	end.Sent = sent
+	_ = a.write(wire.Frame{End: end})
 }
 
-func (h *Handler) handle(ctx context.Context, peer string, o *wire.Open, sink client.Sink) *fault.Refusal {
-	if o.Routed != nil && h.Routed != nil {
-		if h.Board.Pulse.Leaving() {
-			return fault.New(fault.Leaving, fault.RanNo, "host is leaving")
-		}
-		return h.Routed(ctx, o, sink)
+// either carries out a request by a published route or by the inventory.
+func (h *Handler) either(ctx context.Context, peer string, o *wire.Open, sink client.Sink) (*fault.Refusal, int) {
+	switch {
+	case o.Routed == nil || h.Routed == nil:
+		return h.handle(ctx, peer, o, sink), 0
+	case h.Board.Pulse.Leaving():
+		return fault.New(fault.Leaving, fault.RanNo, "host is leaving"), 0
 	}
+	return h.Routed(ctx, o, sink)
+}
+
+func (h *Handler) handle(ctx context.Context, peer string, o *wire.Open, sink client.Sink) *fault.Refusal {
 	r, refusal := h.check(peer, o)
 	if refusal != nil {
 		return refusal
