--- /dev/null
+++ b/internal/base/ctrl/sleep.go
@@ -0,0 +1,19 @@
+package ctrl
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a time or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -23,9 +23,6 @@
 	Draining bool
 	// ColdUntil is when the endpoint is expected to have warmed up.
 	ColdUntil time.Time
-	// Ends is when an endpoint that is taken away at short notice is gone; zero if
-	// not known.
-	Ends time.Time
 	// Born is the start of the endpoint's process, in milliseconds since 1970; 0
 	// if not known.
 	Born int64
@@ -83,9 +80,6 @@
 		return false
 	}
 	b.Revision, b.ColdUntil = a.Revision, a.ColdUntil
-	if !a.Ends.IsZero() && !b.Ends.IsZero() {
-		b.Ends = a.Ends
-	}
 	return a == b
 }
 
--- a/internal/conf/rules/rules.go
+++ b/internal/conf/rules/rules.go
@@ -81,17 +81,11 @@
 type Engine struct {
 	// Slots is the number of requests in one batch.
 	Slots int
-	// Memory is the number of tokens that running requests and cached prompts share.
-	Memory int
-	// Stride is the number of tokens in one event of a stream.
-	Stride int
 }
 
 // Service is what endpoints register for.
 type Service struct {
 	Name string
-	// Connections is the most connections that an endpoint takes from all hosts.
-	Connections int
 	// ColdRate is the number of requests a second that a cold endpoint bears; 0
 	// is no bound.
 	ColdRate float64
@@ -99,12 +93,10 @@
 	Engine *Engine
 }
 
-// Limits bound what a caller may send and how long it may take.
+// Limits bound what a caller may send.
 type Limits struct {
-	Header     int
-	Body       int
-	HeaderTime time.Duration
-	Idle       time.Duration
+	// Body is the largest request body, in bytes; 0 is no bound.
+	Body int
 }
 
 // Rules are one published version.
--- a/internal/conf/setup/hosted.go
+++ b/internal/conf/setup/hosted.go
@@ -38,8 +38,6 @@
 
 // Bounds are what the platform holds its hosts to.
 type Bounds struct {
-	// DrainMS is how long an endpoint that leaves may still get requests, ms.
-	DrainMS int `toml:"drain_ms" validate:"gte=0"`
 	// GraceS is the time from SIGTERM to SIGKILL, s.
 	GraceS float64 `toml:"grace_s" validate:"gt=0"`
 	// RetryRatio, RetryWindowS and RetrySlack bound the repeats of a service over
@@ -61,7 +59,7 @@
 // DefaultBounds are those of a platform that states none.
 func DefaultBounds() Bounds {
 	return Bounds{
-		DrainMS: 3000, GraceS: 8, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50,
+		GraceS: 8, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50,
 		ColdOver: 1.5, ColdSlack: 3, DirectoryTTLS: 5,
 	}
 }
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -37,8 +37,6 @@
 	Parts  string
 	// LastEvent is the id of the last event that a caller has.
 	LastEvent string
-	// Signature proves that an endpoint made the answer.
-	Signature string
 	// Expect names the endpoint that is meant; any other one refuses.
 	Expect string
 	// NotRun is set on an answer by an endpoint that ran nothing.
@@ -52,9 +50,8 @@
 	// ReadyPath and ResolvePath are those of the readiness check and the directory.
 	ReadyPath   string
 	ResolvePath string
-	// ResolveRegion and ResolveCentre are the directory's query fields.
+	// ResolveRegion is the directory's query field for the caller's region.
 	ResolveRegion string
-	ResolveCentre string
 
 	// ReadPrompt reads the values of Tokens and Parts.
 	ReadPrompt func(tokens, parts string) Prompt
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 )
@@ -95,7 +96,7 @@
 			continue
 		case err != nil:
 			f.failed(now, err)
-			sleep(ctx, f.pause())
+			ctrl.Sleep(ctx, f.pause())
 			// What happened meanwhile may be beyond the history.
 			continue
 		}
@@ -106,7 +107,7 @@
 			f.Changed(now, b, f.until(now))
 		}
 		need, f.listed, at = false, true, max(at, b.At)
-		sleep(ctx, f.Pace-now.Sub(began))
+		ctrl.Sleep(ctx, f.Pace-now.Sub(began))
 	}
 }
 
@@ -148,15 +149,3 @@
 func (f *Feed) pause() time.Duration {
 	return min(retryMost, retryLeast<<min(f.failures-1, 8))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/serve/host/follow.go
+++ b/internal/serve/host/follow.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/spread"
@@ -73,7 +74,7 @@
 		switch {
 		case err != nil && ctx.Err() == nil:
 			h.log.Warn().Err(err).Msg("configuration service")
-			sleep(ctx, jitter(failWait))
+			ctrl.Sleep(ctx, jitter(failWait))
 		case wait == 0:
 			h.idle(ctx)
 		}
@@ -93,7 +94,7 @@
 func (h *Host) idle(ctx context.Context) {
 	until := h.now().Add(jitter(slowPoll))
 	for ctx.Err() == nil && h.now().Before(until) && !h.holdsWatch() {
-		sleep(ctx, failWait)
+		ctrl.Sleep(ctx, failWait)
 	}
 }
 
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -195,7 +195,7 @@
 		if h.board.Revisions.Inventory() != nil {
 			break
 		}
-		sleep(ctx, bootPeriod)
+		ctrl.Sleep(ctx, bootPeriod)
 	}
 	if ctx.Err() != nil {
 		return
@@ -229,15 +229,6 @@
 	wait.Wait()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // packet takes one datagram of another host in.
 func (h *Host) packet(p wire.Packet, size int) {
 	h.meter.Received(size)
@@ -261,14 +252,14 @@
 	h.log.Info().Int("open", h.board.Pulse.Open()).Msg("host is leaving")
 	ctx, cancel := context.WithTimeout(ctx, h.settings.Limits.Drain())
 	defer cancel()
-	sleep(ctx, leaveNotice)
+	ctrl.Sleep(ctx, leaveNotice)
 	for h.board.Pulse.Open() > 0 {
 		if ctx.Err() != nil {
 			return false
 		}
-		sleep(ctx, drainPeriod)
+		ctrl.Sleep(ctx, drainPeriod)
 	}
-	sleep(ctx, settle)
+	ctrl.Sleep(ctx, settle)
 	return true
 }
 
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -233,7 +233,7 @@
 		if took > n.settings.Bounds.Grace()-endMargin || (took > takeTime && now.Sub(busy) > quietTime) {
 			return
 		}
-		sleep(ctx, drainPeriod)
+		ctrl.Sleep(ctx, drainPeriod)
 	}
 }
 
@@ -254,12 +254,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
@@ -67,7 +68,7 @@
 	return feed.Feed{
 		List: func(context.Context) (feed.Batch, error) { return after(0) },
 		Watch: func(ctx context.Context, from uint64) (feed.Batch, error) {
-			sleep(ctx, 10*time.Millisecond)
+			ctrl.Sleep(ctx, 10*time.Millisecond)
 			return after(from)
 		},
 	}
@@ -101,7 +102,7 @@
 		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Shares: one("plain"), Kind: rules.Unsafe, Attempts: 1, Timeout: patience},
 		{Name: "safe", Host: "h", Prefix: "/safe/", Shares: one("plain"), Kind: rules.Safe, Attempts: 2, Timeout: patience},
 		{Name: "short", Host: "h", Prefix: "/short/", Shares: one("plain"), Kind: rules.Safe, Attempts: 1, Timeout: 300 * time.Millisecond},
-	}, []rules.Service{{Name: "model", Engine: &rules.Engine{Slots: 8, Memory: 1000}}, {Name: "plain"}}, rules.Limits{Body: 1 << 20})
+	}, []rules.Service{{Name: "model", Engine: &rules.Engine{Slots: 8}}, {Name: "plain"}}, rules.Limits{Body: 1 << 20})
 }
 
 func start(t *testing.T) *fleet {
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -15,6 +15,9 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 )
 
+// SignedBy names the endpoint on its answers.
+const SignedBy = "X-Signed-By"
+
 // Fault is how an endpoint misbehaves, for the next Times requests.
 type Fault struct {
 	Times int
@@ -137,7 +140,7 @@
 		return
 	}
 	from := e.note(r, id)
-	h.Set(e.Terms.Signature, "by "+e.ID)
+	h.Set(SignedBy, e.ID)
 	switch {
 	case f.Silent:
 		<-r.Context().Done()
