--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -81,6 +82,37 @@
 	shelf     *shelf
 	nodes     map[string]*Node
 	endpoints map[string]*routed.Endpoint
+	log       *logs
+}
+
+// logs collects the lines of all hosts.
+type logs struct {
+	mu    sync.Mutex
+	lines []map[string]any
+}
+
+func (l *logs) Write(p []byte) (int, error) {
+	var line map[string]any
+	if err := json.Unmarshal(p, &line); err != nil {
+		return 0, fmt.Errorf("a log line is no JSON: %w", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, line)
+	return len(p), nil
+}
+
+// of returns the messages on a request, each with its host.
+func (l *logs) of(id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for _, line := range l.lines {
+		if line["request"] == id {
+			out = append(out, fmt.Sprint(line["at"], ": ", line["message"], ", ", line["outcome"]))
+		}
+	}
+	return strings.Join(out, "\n")
 }
 
 func free(t *testing.T) string {
@@ -107,7 +139,7 @@
 
 func start(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, shelf: &shelf{}, nodes: map[string]*Node{}, endpoints: map[string]*routed.Endpoint{}}
+	f := &fleet{t: t, log: &logs{}, shelf: &shelf{}, nodes: map[string]*Node{}, endpoints: map[string]*routed.Endpoint{}}
 	f.shelf.put(feed.Change{Rules: routesOf(7)})
 	for _, region := range []string{"a", "b"} {
 		for _, service := range []string{"model", "plain"} {
@@ -119,7 +151,7 @@
 		n, err := New(setup.Hosted{
 			Name: "n" + region, Region: region, Centre: region + "1", Callers: free(t), Ready: free(t), Directory: free(t),
 			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: setup.DefaultBounds(),
-		}, names, f.shelf.feed(), zerolog.Nop())
+		}, names, f.shelf.feed(), zerolog.New(f.log).With().Str("at", region).Logger())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -266,6 +298,27 @@
 	}
 }
 
+// TestLogsTellEachDecision: each refusal, attempt, repeat and relay of a request is
+// in the logs under its id, on both hosts of a relay.
+func TestLogsTellEachDecision(t *testing.T) {
+	f := start(t)
+	f.endpoints["plain-a1"].SetFault(routed.Fault{Times: 1, Status: 500})
+	if status, _, _ := f.call("GET", "/safe/x", "repeated", nil); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	_, _, _ = f.call("POST", "/bound/x", "relayed", nil)
+	_, _, _ = f.call("GET", "/none/", "refused", nil)
+	for id, want := range map[string][]string{
+		"repeated": {"a: attempt, status", "a: attempt failed, retried", "a: request, answered"},
+		"relayed":  {"b: attempt, whole", "b: carried out for another region", "a: relayed", "a: request, answered"},
+		"refused":  {"a: request, no_route"},
+	} {
+		for _, w := range want {
+			f.eventually(id+" is logged as "+w, func() bool { return strings.Contains(f.log.of(id), w) })
+		}
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	f := start(t)
 	tests := []struct {
