Shun endpoints that fail in part

Ruled out: more repeats (unsafe requests have none). Now: 8 answers with over 30 in 100 failed shun an endpoint for 3 s where any other is sound; regions tell whether all of theirs fail.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -50,6 +50,7 @@
 	first   average
 	work    average
 	record  eject.Record
+	quality quality
 	joined  time.Time
 	// refused is when the endpoint last refused a request as it was full.
 	refused time.Time
@@ -254,6 +255,8 @@
 	Failed bool
 	// Full says that the endpoint refused the request.
 	Full bool
+	// Fault says that a whole answer was the endpoint's own failure.
+	Fault bool
 	// First and Work are zero where not known.
 	First time.Duration
 	Work  time.Duration
@@ -275,6 +278,9 @@
 	if r.First > 0 {
 		s.first = s.first.with(now, r.First, r.UsualFirst)
 	}
+	if r.Whole || r.Failed {
+		s.quality = s.quality.with(now, r.Failed || r.Fault)
+	}
 	switch {
 	case r.Whole:
 		s.record = s.record.WithSuccess()
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -167,6 +167,8 @@
 	Away time.Duration
 	// Wait is the time of unread prompts at its endpoints, on average.
 	Wait time.Duration
+	// Failing says that all its endpoints fail their requests.
+	Failing bool
 }
 
 // full is the share of a region's slots in use from which a request goes there
@@ -193,7 +195,11 @@
 
 func begins(r *Region) time.Duration {
 	filled := r.Filled()
-	return r.Away + r.Wait + time.Duration(filled*filled*filled*float64(fullWait))
+	wait := r.Away + r.Wait + time.Duration(filled*filled*filled*float64(fullWait))
+	if r.Failing {
+		wait += fullWait
+	}
+	return wait
 }
 
 func draw(list []Region, rnd *rand.Rand) int {
--- a/internal/serve/carry/choose.go
+++ b/internal/serve/carry/choose.go
@@ -37,7 +37,7 @@
 	slow float64
 	// read is the time to read what the endpoint is not expected to keep.
 	read time.Duration
-	// known is the number of tokens to read where the rest is certainly kept.
+	// known is the number of tokens that the endpoint is expected to read.
 	known   int
 	refusal *fault.Refusal
 }
@@ -68,7 +68,7 @@
 		}
 	}
 	switch {
-	case here.last && len(others) > 0:
+	case here.last && sound(others):
 	case here.refusal == nil && !here.wait:
 		c.take(now, t, ask, here)
 		return here
@@ -78,9 +78,17 @@
 	if i := pick.There(others, c.rand); i >= 0 {
 		return decision{region: others[i].Name}
 	}
+	if here.refusal == nil && !here.wait {
+		c.take(now, t, ask, here)
+	}
 	return here
 }
 
+// sound reports whether a region is not known to have failing endpoints only.
+func sound(others []pick.Region) bool {
+	return slices.ContainsFunc(others, func(r pick.Region) bool { return !r.Failing })
+}
+
 // sooner reports whether another region begins with a request before it has
 // waited here.
 func sooner(here decision, ask pick.Ask, others []pick.Region) bool {
@@ -255,7 +263,7 @@
 		list[i] = pick.Candidate{
 			Name: found[i].ID, Slots: slotsOf(found[i], s),
 			Load:    max(st.Load(now), st.Known(now)) + st.Excess(now, found[i].Slots),
-			Pending: st.Pending(now).For(t.Route.Priority), Slow: slowness(st, now), Out: st.Ejected(now),
+			Pending: st.Pending(now).For(t.Route.Priority), Slow: slowness(st, now), Out: st.Ejected(now) || st.Shunned(now),
 			Held: ask.Prefix != 0 && c.Keeps.Holds(now, found[i].ID, ask.Prefix),
 		}
 	})
@@ -307,7 +315,7 @@
 			Name: name, Slots: slots[name], Away: c.Board.Zones.Away(name), Wait: c.Board.Zones.Wait(now, key, t.Route.Priority),
 		}
 		if v.Known {
-			r.Load = v.Busy
+			r.Load, r.Failing = v.Busy, v.Slots == 0
 		}
 		if c.Board.Zones.Silent(now, name) {
 			// It is the last resort only.
--- a/internal/serve/carry/here.go
+++ b/internal/serve/carry/here.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -109,7 +110,7 @@
 	refused := out.Reason == retry.Refused && !out.Whole
 	res := endpt.Result{
 		Whole: out.Whole, Full: refused && !out.Misdirected,
-		Failed: !out.Whole && !out.CallerLeft && !refused,
+		Failed: !out.Whole && !out.CallerLeft && !refused, Fault: out.Status >= http.StatusInternalServerError,
 	}
 	if t.Route.Prompts && out.Begun {
 		res.First, res.UsualFirst = out.First, max(time.Millisecond, time.Duration(float64(d.expect)/d.slow))
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -445,6 +445,22 @@
 	}
 }
 
+// TestPartlyFailingEndpointIsShunned: where an endpoint fails every other request,
+// those that may run once only go to another region before long.
+func TestPartlyFailingEndpointIsShunned(t *testing.T) {
+	f := start(t)
+	failed := 0
+	for i := range 60 {
+		f.endpoints["plain-a1"].SetFault(routed.Fault{Times: i % 2, Status: 500})
+		if status, _, _ := f.call("POST", "/unsafe/x", strconv.Itoa(i), nil); status != 200 {
+			failed++
+		}
+	}
+	if failed > 10 {
+		t.Errorf("%d of 60 requests failed at an endpoint that fails half of them", failed)
+	}
+}
+
 // TestBrokenStream: one that may be resumed goes on at another endpoint with no
 // event twice or missing; one that may not ends with its connection.
 func TestBrokenStream(t *testing.T) {
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -134,7 +134,9 @@
 				sums[s] = &wire.Sum{Region: n.board.Region, Service: s}
 			}
 			st := n.board.Endpoints.Get(e.ID)
-			sums[s].Slots += uint32(max(1, e.Slots))
+			if !st.Ejected(now) && !st.Shunned(now) {
+				sums[s].Slots += uint32(max(1, e.Slots))
+			}
 			sums[s].Busy += uint32(max(st.Load(now), st.Known(now)))
 			waits[s] = waits[s].With(st.Pending(now))
 			counts[s]++
