--- /dev/null
+++ b/internal/base/socket/socket.go
@@ -0,0 +1,45 @@
+// Package socket opens listeners for the HTTP library's network layer.
+package socket
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Listener is a TCP listener that closes each of its descriptors once. The
+// library's own closes one of them twice, and by the second time its number may
+// belong to another part of the process.
+type Listener struct {
+	netpoll.Listener
+	tcp  net.Listener
+	once sync.Once
+	err  error
+}
+
+// Listen opens a listener; connections are taken from then on.
+func Listen(address string) (*Listener, error) {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	inner, err := netpoll.ConvertListener(tcp)
+	if err != nil {
+		_ = tcp.Close()
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return &Listener{Listener: inner, tcp: tcp}, nil
+}
+
+// Close ends the listener. The library's copy of the descriptor stops listening
+// here and is closed by its finalizer.
+func (l *Listener) Close() error {
+	l.once.Do(func() {
+		l.err = errors.Join(syscall.Shutdown(l.Fd(), syscall.SHUT_RDWR), l.tcp.Close())
+	})
+	return l.err
+}
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
@@ -105,9 +106,13 @@
 }
 
 // Start begins to listen.
-func (a *Admin) Start() {
+func (a *Admin) Start() error {
+	l, err := socket.Listen(a.Address)
+	if err != nil {
+		return fmt.Errorf("start listener for operators: %w", err)
+	}
 	a.server = server.New(
-		server.WithHostPorts(a.Address), server.WithDisablePrintRoute(true),
+		server.WithListener(l), server.WithDisablePrintRoute(true),
 		server.WithMaxRequestBodySize(maxBody), server.WithExitWaitTime(closeWait),
 	)
 	h := a.server
@@ -124,6 +129,7 @@
 			a.Log.Error().Err(err).Msg("listener for operators ended")
 		}
 	}()
+	return nil
 }
 
 // Close ends the listener.
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -19,8 +19,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
-	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
@@ -38,8 +38,6 @@
 	// bodyLimit and headerLimit bound what is read before the published limits apply.
 	bodyLimit   = 16 << 20
 	headerLimit = 64 << 10
-	// startTime bounds the start of a listener.
-	startTime = 5 * time.Second
 )
 
 // Front serves callers.
@@ -55,21 +53,30 @@
 	Refusing func() bool
 
 	servers []*server.Hertz
-	listens []string
 }
 
 // Start begins to listen; all listeners take connections when it returns.
 func (f *Front) Start() error {
 	hlog.SetOutput(io.Discard)
-	callers := f.listen(f.Settings.Callers, server.WithSenseClientDisconnection(true))
-	callers.NoRoute(f.request)
-	ready := f.listen(f.Settings.Ready)
-	ready.GET(f.Terms.ReadyPath, f.ready)
-	directory := f.listen(f.Settings.Directory)
-	directory.GET(f.Terms.ResolvePath, f.resolve)
-	if f.Settings.Metrics != "" {
-		metrics := f.listen(f.Settings.Metrics)
-		metrics.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(f.Meter.Registry, promhttp.HandlerOpts{})))
+	metrics := adaptor.HertzHandler(promhttp.HandlerFor(f.Meter.Registry, promhttp.HandlerOpts{}))
+	for _, l := range []struct {
+		address string
+		routes  func(*server.Hertz)
+		more    []config.Option
+	}{
+		{f.Settings.Callers, func(s *server.Hertz) { s.NoRoute(f.request) }, []config.Option{server.WithSenseClientDisconnection(true)}},
+		{f.Settings.Ready, func(s *server.Hertz) { s.GET(f.Terms.ReadyPath, f.ready) }, nil},
+		{f.Settings.Directory, func(s *server.Hertz) { s.GET(f.Terms.ResolvePath, f.resolve) }, nil},
+		{f.Settings.Metrics, func(s *server.Hertz) { s.GET("/metrics", metrics) }, nil},
+	} {
+		if l.address == "" {
+			continue
+		}
+		s, err := f.listen(l.address, l.more)
+		if err != nil {
+			return fmt.Errorf("start listeners: %w", err)
+		}
+		l.routes(s)
 	}
 	for _, s := range f.servers {
 		go func() {
@@ -78,17 +85,16 @@
 			}
 		}()
 	}
-	for _, address := range f.listens {
-		if err := ctrl.Listening(address, startTime); err != nil {
-			return fmt.Errorf("start listeners: %w", err)
-		}
-	}
 	return nil
 }
 
-func (f *Front) listen(address string, more ...config.Option) *server.Hertz {
+func (f *Front) listen(address string, more []config.Option) (*server.Hertz, error) {
+	l, err := socket.Listen(address)
+	if err != nil {
+		return nil, fmt.Errorf("open listener: %w", err)
+	}
 	opts := append([]config.Option{
-		server.WithHostPorts(address),
+		server.WithListener(l),
 		server.WithMaxRequestBodySize(bodyLimit),
 		server.WithMaxHeaderBytes(headerLimit),
 		server.WithReadTimeout(readTime),
@@ -102,8 +108,7 @@
 	}, more...)
 	s := server.New(opts...)
 	f.servers = append(f.servers, s)
-	f.listens = append(f.listens, address)
-	return s
+	return s, nil
 }
 
 // Close ends the listeners. The host waits for requests in flight before.
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -23,8 +23,8 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
-	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
@@ -52,8 +52,6 @@
 	writeTimeout = 30 * time.Second
 	closeWait    = 500 * time.Millisecond
 	maxID        = 128
-	// startTime bounds the start of the listener.
-	startTime = 5 * time.Second
 )
 
 // Front serves callers.
@@ -75,7 +73,6 @@
 func (f *Front) Start() error {
 	hlog.SetOutput(io.Discard)
 	opts := []config.Option{
-		server.WithHostPorts(f.Settings.Callers),
 		server.WithMaxRequestBodySize(f.Settings.Limits.Body),
 		server.WithMaxHeaderBytes(f.Settings.Limits.Header),
 		server.WithReadTimeout(readTimeout),
@@ -85,12 +82,19 @@
 		server.WithDisablePrintRoute(true),
 		server.WithSenseClientDisconnection(true),
 	}
-	if f.Settings.CallerCert != "" {
+	if f.Settings.CallerCert == "" {
+		l, err := socket.Listen(f.Settings.Callers)
+		if err != nil {
+			return fmt.Errorf("start listener for callers: %w", err)
+		}
+		opts = append(opts, server.WithListener(l))
+	} else {
 		cert, err := tls.LoadX509KeyPair(f.Settings.CallerCert, f.Settings.CallerKey)
 		if err != nil {
 			return fmt.Errorf("load certificate for callers: %w", err)
 		}
 		opts = append(opts,
+			server.WithHostPorts(f.Settings.Callers),
 			server.WithTransport(standard.NewTransporter),
 			server.WithTLS(&tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}))
 	}
@@ -103,9 +107,6 @@
 			f.Log.Error().Err(err).Msg("listener for callers ended")
 		}
 	}()
-	if err := ctrl.Listening(f.Settings.Callers, startTime); err != nil {
-		return fmt.Errorf("start listener for callers: %w", err)
-	}
 	return nil
 }
 
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -141,7 +141,9 @@
 	h.link.Serve(h.handlers)
 	h.wait.Go(func() { h.beat(ctx) })
 	h.wait.Go(func() { h.boot(ctx) })
-	h.admin.Start()
+	if err := h.admin.Start(); err != nil {
+		return fmt.Errorf("start host %s: %w", h.settings.Name, err)
+	}
 	if err := h.front.Start(); err != nil {
 		return fmt.Errorf("start host %s: %w", h.settings.Name, err)
 	}
