--- a/internal/serve/carry/there.go
+++ b/internal/serve/carry/there.go
@@ -36,7 +36,7 @@
 	end, err := flow.Exchange(ctx, c.Link, m.Name, m.Address, c.message(t), flow.Sink(sink, func(h wire.Head) {
 		t.report.Endpoint = h.Endpoint
 	}), wait)
-	c.Log.Debug().Str("request", t.ID).Str("host", m.Name).Str("region", d.region).Str("service", t.Service).
+	c.Log.Debug().Str("request", t.ID).Str("peer", m.Name).Str("region", d.region).Str("service", t.Service).
 		Dur("first", t.report.First).Dur("heard", c.Now().Sub(m.Heard)).AnErr("cause", err).Msg("relayed")
 	if err != nil && !errors.Is(err, flow.ErrSink) {
 		c.Board.Zones.Failed(c.Now(), d.region)
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -89,15 +89,20 @@
 type logs struct {
 	mu    sync.Mutex
 	lines []map[string]any
+	// doubled holds lines that do not name their host once.
+	doubled []string
 }
 
 func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var line map[string]any
 	if err := json.Unmarshal(p, &line); err != nil {
 		return 0, fmt.Errorf("a log line is no JSON: %w", err)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	if n := strings.Count(string(p), `"host":`); n != 1 {
+		l.doubled = append(l.doubled, string(p))
+	}
 	l.lines = append(l.lines, line)
 	return len(p), nil
 }
@@ -151,7 +156,7 @@
 		n, err := New(setup.Hosted{
 			Name: "n" + region, Region: region, Centre: region + "1", Callers: free(t), Ready: free(t), Directory: free(t),
 			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: setup.DefaultBounds(),
-		}, names, f.shelf.feed(), zerolog.New(f.log).With().Str("at", region).Logger())
+		}, names, f.shelf.feed(), zerolog.New(f.log).With().Str("at", region).Str("host", region).Logger())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -317,6 +322,11 @@
 			f.eventually(id+" is logged as "+w, func() bool { return strings.Contains(f.log.of(id), w) })
 		}
 	}
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	if len(f.log.doubled) > 0 {
+		t.Errorf("lines that do not name their host once: %v", f.log.doubled)
+	}
 }
 
 func TestRefusals(t *testing.T) {
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -67,7 +67,7 @@
 	for _, o := range list {
 		size, err := n.link.Send(o.Address, o.Packet)
 		if err != nil {
-			n.log.Debug().Err(err).Str("host", o.Host).Msg("datagram not sent")
+			n.log.Debug().Err(err).Str("peer", o.Host).Msg("datagram not sent")
 			continue
 		}
 		n.meter.Sent(size + packetOverhead)
@@ -178,7 +178,7 @@
 				ctx, cancel := context.WithTimeout(context.Background(), warmTime)
 				defer cancel()
 				if err := n.link.Warm(ctx, m.Name, m.Address); err != nil {
-					n.log.Debug().Err(err).Str("host", m.Name).Msg("host can't be reached")
+					n.log.Debug().Err(err).Str("peer", m.Name).Msg("host can't be reached")
 				}
 			})
 		}
