--- a/internal/base/socket/socket.go
+++ b/internal/base/socket/socket.go
@@ -7,7 +7,9 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
+	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/netpoll"
 )
 
@@ -43,3 +45,22 @@
 	})
 	return l.err
 }
+
+const (
+	// startTime bounds the wait for a server to run, startStep is between two looks.
+	startTime = 2 * time.Second
+	startStep = time.Millisecond
+)
+
+// Run runs a server beside the caller and returns once it runs, as one that does
+// not run yet can't be shut down. failed is told of an error that ends it.
+func Run(s *server.Hertz, failed func(error)) {
+	go func() {
+		if err := s.Run(); err != nil {
+			failed(err)
+		}
+	}()
+	for end := time.Now().Add(startTime); !s.IsRunning() && time.Now().Before(end); {
+		time.Sleep(startStep)
+	}
+}
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -124,11 +124,7 @@
 	h.GET("/admin/endpoints", a.guard(a.endpoints))
 	h.GET("/admin/explain", a.guard(a.explain))
 	h.POST("/admin/check", a.guard(a.check))
-	go func() {
-		if err := h.Run(); err != nil {
-			a.Log.Error().Err(err).Msg("listener for operators ended")
-		}
-	}()
+	socket.Run(h, func(err error) { a.Log.Error().Err(err).Msg("listener for operators ended") })
 	return nil
 }
 
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -79,11 +79,7 @@
 		l.routes(s)
 	}
 	for _, s := range f.servers {
-		go func() {
-			if err := s.Run(); err != nil {
-				f.Log.Error().Err(err).Msg("listener ended")
-			}
-		}()
+		socket.Run(s, func(err error) { f.Log.Error().Err(err).Msg("listener ended") })
 	}
 	return nil
 }
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -66,7 +66,6 @@
 	Now      func() time.Time
 
 	server *server.Hertz
-	done   chan struct{}
 }
 
 // Start begins to listen.
@@ -100,13 +99,7 @@
 	}
 	f.server = server.New(opts...)
 	f.routes()
-	f.done = make(chan struct{})
-	go func() {
-		defer close(f.done)
-		if err := f.server.Run(); err != nil {
-			f.Log.Error().Err(err).Msg("listener for callers ended")
-		}
-	}()
+	socket.Run(f.server, func(err error) { f.Log.Error().Err(err).Msg("listener for callers ended") })
 	return nil
 }
 
