--- a/internal/serve/kept/kept_test.go
+++ b/internal/serve/kept/kept_test.go
@@ -219,7 +219,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = l.Close() }()
-	sent := make(chan struct{})
+	unused, sent := make(chan struct{}), make(chan struct{})
 	go func() {
 		for first := true; ; first = false {
 			c, err := l.Accept()
@@ -230,6 +230,7 @@
 			_, _ = http.ReadRequest(r)
 			_, _ = c.Write([]byte(answer("a", "right")))
 			if first {
+				<-unused
 				_, _ = c.Write([]byte(answer("", "late")))
 				close(sent)
 			}
@@ -242,6 +243,9 @@
 		if body != "right" {
 			t.Fatalf("request %d got %q", i, body)
 		}
+		if i == 0 {
+			close(unused)
+		}
 		<-sent
 	}
 }
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -133,11 +133,12 @@
 func routesOf(version uint64) *rules.Rules {
 	one := func(s string) []rules.Share { return []rules.Share{{Service: s, Weight: 1}} }
 	return rules.New(version, []rules.Route{
-		{Name: "stream", Host: "h", Prefix: "/stream/", Shares: one("model"), Kind: rules.Stream, Attempts: 2, Timeout: patience, Gap: time.Second, Prompts: true, Resumable: true},
-		{Name: "once", Host: "h", Prefix: "/stream-once/", Shares: one("model"), Kind: rules.Stream, Attempts: 1, Timeout: patience, Prompts: true},
-		{Name: "bound", Host: "h", Prefix: "/bound/", Shares: one("plain"), Kind: rules.Safe, Attempts: 2, Timeout: patience, Homes: []string{"b"}},
-		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Shares: one("plain"), Kind: rules.Unsafe, Attempts: 1, Timeout: patience},
-		{Name: "safe", Host: "h", Prefix: "/safe/", Shares: one("plain"), Kind: rules.Safe, Attempts: 2, Timeout: patience},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Shares: one("model"), Kind: rules.Stream, Attempts: 2, Timeout: 3 * patience, Gap: time.Second, Prompts: true, Resumable: true},
+		{Name: "once", Host: "h", Prefix: "/stream-once/", Shares: one("model"), Kind: rules.Stream, Attempts: 1, Timeout: 3 * patience, Prompts: true},
+		{Name: "bound", Host: "h", Prefix: "/bound/", Shares: one("plain"), Kind: rules.Safe, Attempts: 2, Timeout: 3 * patience, Homes: []string{"b"}},
+		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Shares: one("plain"), Kind: rules.Unsafe, Attempts: 1, Timeout: 3 * patience},
+		{Name: "twice", Host: "h", Prefix: "/unsafe-twice/", Shares: one("plain"), Kind: rules.Unsafe, Attempts: 2, Timeout: 3 * patience},
+		{Name: "safe", Host: "h", Prefix: "/safe/", Shares: one("plain"), Kind: rules.Safe, Attempts: 2, Timeout: 3 * patience},
 		{Name: "short", Host: "h", Prefix: "/short/", Shares: one("plain"), Kind: rules.Safe, Attempts: 1, Timeout: 300 * time.Millisecond},
 	}, []rules.Service{{Name: "model", Engine: &rules.Engine{Slots: 8}}, {Name: "plain"}}, rules.Limits{Body: 1 << 20})
 }
@@ -224,7 +225,8 @@
 	}
 	req.Host = "h"
 	req.Header.Set(names.RequestID, id)
-	req.Header.Set(names.Deadline, "15000")
+	// Longer than the tests wait, so that no deadline does another part's work.
+	req.Header.Set(names.Deadline, "60000")
 	if change != nil {
 		change(req)
 	}
@@ -381,7 +383,7 @@
 	if h.Get(names.Expect) != "plain-a1" || h.Get("X-Own") != "kept" || h.Get("X-Hop") != "" {
 		t.Errorf("header %v", h)
 	}
-	if left, err := strconv.Atoi(h.Get(names.Deadline)); err != nil || left > 15000 || left < 1 {
+	if left, err := strconv.Atoi(h.Get(names.Deadline)); err != nil || left > 60000 || left < 1 {
 		t.Errorf("deadline %q", h.Get(names.Deadline))
 	}
 }
@@ -403,6 +405,8 @@
 		{"unsafe, own failure", "POST", "/unsafe/x", routed.Fault{Times: 1, Status: 500}, 500, 1},
 		{"unsafe, dropped", "POST", "/unsafe/x", routed.Fault{Times: 1, Drop: true}, 502, 1},
 		{"unsafe, cut body", "POST", "/unsafe/x", routed.Fault{Times: 1, CutBody: true}, 502, 1},
+		{"unsafe with two attempts, dropped", "POST", "/unsafe-twice/x", routed.Fault{Times: 1, Drop: true}, 502, 1},
+		{"unsafe with two attempts, not run", "POST", "/unsafe-twice/x", routed.Fault{Times: 1, NotRun: true}, 200, 1},
 		{"unsafe, never run", "POST", "/unsafe/x", routed.Fault{Times: 9, NotRun: true}, 503, 0},
 	}
 	for _, tt := range tests {
@@ -552,6 +556,13 @@
 	if status != http.StatusGatewayTimeout || err != nil {
 		t.Errorf("status %d, %v", status, err)
 	}
+	run := f.runs("plain-a1")
+	if len(run) != 1 {
+		t.Fatalf("%d runs", len(run))
+	}
+	if left, err := strconv.Atoi(run[0].Header.Get(names.Deadline)); err != nil || left > 300 {
+		t.Errorf("the endpoint has %d ms, the route 300", left)
+	}
 }
 
 // TestDrainingAndEvacuation: an endpoint that leaves or whose data centre is
