--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -1,7 +1,7 @@
 // Package board is the blackboard that a host's controllers read and write; they
 // do not call one another. Each table locks itself. Where two are locked
 // together the order is: revisions, endpoints, then the leaves members, zones,
-// pulse, queues.
+// pulse, queues, registry, speeds.
 package board
 
 import (
@@ -9,8 +9,11 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/learn"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/pulse"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/revis"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/routes"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/zones"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
@@ -33,6 +36,11 @@
 	Pulse     *pulse.Table
 	Limits    *limit.Table
 	Retries   *retry.Budget
+	// Routes, Registry and Speeds are used where routes are published and
+	// endpoints register themselves.
+	Routes   *routes.Table
+	Registry *regis.Table
+	Speeds   *learn.Table
 
 	mu      sync.Mutex
 	lines   map[lineKey]*queue.Line
@@ -58,6 +66,9 @@
 		Pulse:     pulse.NewTable(now),
 		Limits:    limit.NewTable(openCaller),
 		Retries:   retry.NewBudget(),
+		Routes:    routes.NewTable(),
+		Registry:  regis.NewTable(),
+		Speeds:    learn.NewTable(),
 		lines:     map[lineKey]*queue.Line{},
 		leaving:   map[string]time.Time{},
 	}
--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -55,6 +55,19 @@
 	refused time.Time
 	// left is when the endpoint last said that it takes no more work.
 	left time.Time
+	// pending is the time of this host's prompts there without a first token.
+	pending time.Duration
+	// shared holds what other hosts of the region told that they have there.
+	shared map[string]Shared
+	// cold holds the times of this host's last requests while it is cold.
+	cold []time.Time
+}
+
+// Shared is what another host has at an endpoint.
+type Shared struct {
+	Requests int
+	Pending  time.Duration
+	At       time.Time
 }
 
 // change is a value of Own from a time on.
--- /dev/null
+++ b/internal/board/endpt/shared.go
@@ -0,0 +1,89 @@
+package endpt
+
+import "time"
+
+// sharedLife is how long what another host told of its requests counts.
+const sharedLife = 2 * time.Second
+
+// Tell takes in what another host has at its region's endpoints; what it does
+// not name it has nothing at.
+func (t *Table) Tell(now time.Time, host string, list map[string]Shared) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, s := range t.states {
+		told, ok := list[name]
+		if !ok {
+			delete(s.shared, host)
+			continue
+		}
+		if s.shared == nil {
+			s.shared = map[string]Shared{}
+		}
+		told.At = now
+		s.shared[host] = told
+	}
+}
+
+// Taken returns what this host has at endpoints, for other hosts.
+func (t *Table) Taken() map[string]Shared {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := map[string]Shared{}
+	for name, s := range t.states {
+		if s.Own > 0 {
+			out[name] = Shared{Requests: s.Own, Pending: s.pending}
+		}
+	}
+	return out
+}
+
+// Pend adds the time of a prompt that was sent, or takes it back with its first
+// token.
+func (t *Table) Pend(name string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(name)
+	s.pending = max(0, s.pending+d)
+}
+
+// Pending returns the time of all hosts' prompts there without a first token.
+func (s *State) Pending(now time.Time) time.Duration {
+	sum := s.pending
+	for _, o := range s.shared {
+		if now.Sub(o.At) < sharedLife {
+			sum += o.Pending
+		}
+	}
+	return sum
+}
+
+// Known returns the number of requests that all hosts are known to have there.
+func (s *State) Known(now time.Time) float64 {
+	n := float64(s.Own)
+	for _, o := range s.shared {
+		if now.Sub(o.At) < sharedLife {
+			n += float64(o.Requests)
+		}
+	}
+	return n
+}
+
+// AdmitCold counts a request to a cold endpoint and reports whether it is within
+// this host's share of the endpoint's rate: so many in any second.
+func (t *Table) AdmitCold(now time.Time, name string, most int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(name)
+	for len(s.cold) > 0 && now.Sub(s.cold[0]) >= coldWindow {
+		s.cold = s.cold[1:]
+	}
+	if len(s.cold) >= most {
+		return false
+	}
+	s.cold = append(s.cold, now)
+	return true
+}
+
+// coldWindow is the time over which the rate of a cold endpoint holds; the part
+// beyond a second is for requests that are delayed on their way.
+const coldWindow = 1100 * time.Millisecond
--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/about"
+	"github.com/hyssopspindle/hyssopspindle/internal/cmd/attach"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/call"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/check"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
@@ -31,7 +32,7 @@
 		ErrWriter:             f.Streams.Err,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			serve.New(f), check.New(f), status.New(f), member.New(f), config.New(f), reason.New(f),
+			serve.New(f), attach.New(f), check.New(f), status.New(f), member.New(f), config.New(f), reason.New(f),
 			entry.New(f), call.New(f), load.New(f), load.NewReplay(f), keys.New(f), about.New(f),
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -131,7 +131,7 @@
 	dec.DisallowUnknownFields()
 	faults := decodeFaults(dec.Decode(&s))
 	if len(faults) == 0 || onlyUnknown(faults) {
-		faults = append(faults, checkFields(&s)...)
+		faults = append(faults, checkFields(&s, "Settings.")...)
 		faults = append(faults, checkClashes(&s)...)
 	}
 	if len(faults) > 0 {
@@ -172,7 +172,8 @@
 	return []Fault{{Text: err.Error()}}
 }
 
-func checkFields(s *Settings) []Fault {
+// checkFields checks a settings struct, whose name begins the name of each field.
+func checkFields(s any, prefix string) []Fault {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("toml") })
 	err := v.RegisterValidation("hostport", func(fl validator.FieldLevel) bool {
@@ -187,7 +188,7 @@
 	}
 	var out []Fault
 	for _, e := range list {
-		key := strings.TrimPrefix(e.Namespace(), "Settings.")
+		key := strings.TrimPrefix(e.Namespace(), prefix)
 		out = append(out, Fault{Key: key, Text: strings.TrimSpace("must satisfy " + e.Tag() + " " + e.Param())})
 	}
 	return out
--- a/internal/fleet/certs/certs.go
+++ b/internal/fleet/certs/certs.go
@@ -8,6 +8,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
@@ -41,6 +42,9 @@
 	CA   *x509.CertPool
 	// Fleet is the key that seals datagrams and signs operation keys.
 	Fleet []byte
+	// Open says that the fleet has no keys: any process that reaches the hosts'
+	// addresses can speak as one of them.
+	Open bool
 }
 
 // Authority signs host certificates.
@@ -113,6 +117,26 @@
 	}, nil
 }
 
+// openFleet names the key of fleets without keys; it guards against damage only.
+const openFleet = "hyssopspindle fleet without keys"
+
+// NewOpen makes the set of a host of a fleet without keys, with a certificate
+// of its own that others do not verify.
+func NewOpen(host string, now time.Time) (*Set, error) {
+	const life = 10 * 365 * 24 * time.Hour
+	a, err := NewAuthority(now, life)
+	if err != nil {
+		return nil, fmt.Errorf("make open set: %w", err)
+	}
+	s, err := a.Issue(host, now, life)
+	if err != nil {
+		return nil, fmt.Errorf("make open set: %w", err)
+	}
+	sum := sha256.Sum256([]byte(openFleet))
+	s.Fleet, s.Open = sum[:], true
+	return s, nil
+}
+
 // Save writes a host's set into a folder.
 func (a *Authority) Save(folder string, s *Set) error {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -92,8 +92,10 @@
 func resetKey(set *certs.Set) *quic.StatelessResetKey {
 	mac := hmac.New(sha256.New, set.Fleet)
 	mac.Write([]byte("stateless reset"))
-	for _, der := range set.Cert.Certificate {
-		mac.Write(der)
+	if !set.Open {
+		for _, der := range set.Cert.Certificate {
+			mac.Write(der)
+		}
 	}
 	key := quic.StatelessResetKey(mac.Sum(nil))
 	return &key
@@ -108,10 +110,14 @@
 }
 
 func (l *Link) serverTLS() *tls.Config {
+	auth := tls.RequireAndVerifyClientCert
+	if l.set.Open {
+		auth = tls.RequireAnyClientCert
+	}
 	return &tls.Config{
 		Certificates: []tls.Certificate{l.set.Cert},
 		ClientCAs:    l.set.CA,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientAuth:   auth,
 		NextProtos:   []string{protocol},
 		MinVersion:   tls.VersionTLS13,
 	}
@@ -125,6 +131,8 @@
 		ServerName:   host,
 		NextProtos:   []string{protocol},
 		MinVersion:   tls.VersionTLS13,
+		// A fleet without keys has nothing to verify by.
+		InsecureSkipVerify: l.set.Open,
 	}
 }
 
--- a/internal/fleet/member/claim.go
+++ b/internal/fleet/member/claim.go
@@ -103,7 +103,7 @@
 		Kind: kind, Seq: seq, From: t.name, Life: t.life,
 		Revision: t.self.Mark.Revision, Sum: t.self.Mark.Sum,
 		Open: t.self.Open, Leaving: t.self.Leaving,
-		Updates: []wire.Update{t.own()},
+		Updates: []wire.Update{t.own()}, Places: t.places(),
 	}
 	limit := int(math.Ceil(spreadFactor * math.Log2(float64(len(t.peers)+2))))
 	slices.SortStableFunc(t.rumours, func(a, b *rumour) int { return cmp.Compare(a.sent, b.sent) })
--- /dev/null
+++ b/internal/fleet/member/found.go
@@ -0,0 +1,68 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+)
+
+const (
+	// placesSent is the number of other hosts' places in one packet.
+	placesSent = 4
+	// forget is how long a dead host is kept in a fleet that is found from seeds.
+	forget = 2 * time.Minute
+)
+
+// Find lets the table learn of hosts from packets: own is this host's place, and
+// seeds are addresses of hosts that may be alive. In such a fleet a host's name
+// is its address for hosts.
+func (t *Table) Find(now time.Time, own Candidate, seeds []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.place = &wire.Place{Host: own.Name, Address: own.Address, Callers: own.Callers, Region: own.Region, Centre: own.Centre}
+	for _, s := range seeds {
+		t.learn(now, wire.Place{Host: s, Address: s})
+	}
+}
+
+// learn adds a host or completes what is known of it.
+func (t *Table) learn(now time.Time, p wire.Place) {
+	if t.place == nil || p.Host == t.name || p.Host == "" {
+		return
+	}
+	c := Candidate{Name: p.Host, Address: p.Address, Region: p.Region, Centre: p.Centre, Callers: p.Callers}
+	if held, ok := t.peers[p.Host]; ok {
+		if p.Region != "" {
+			held.Candidate = c
+		}
+		return
+	}
+	t.peers[p.Host] = &peer{Member: Member{Candidate: c, State: wire.Suspect}, since: now}
+	t.order = slices.Insert(t.order, t.rand.IntN(len(t.order)+1), p.Host)
+}
+
+// places returns this host's own place and those of a few others.
+func (t *Table) places() []wire.Place {
+	if t.place == nil {
+		return nil
+	}
+	out := []wire.Place{*t.place}
+	for _, p := range t.some(placesSent, func(p *peer) bool { return p.Region != "" && p.State != wire.Dead }) {
+		out = append(out, wire.Place{Host: p.Name, Address: p.Address, Callers: p.Callers, Region: p.Region, Centre: p.Centre})
+	}
+	return out
+}
+
+// expireDead forgets hosts that have been dead for long.
+func (t *Table) expireDead(now time.Time) {
+	if t.place == nil {
+		return
+	}
+	for name, p := range t.peers {
+		if (p.State == wire.Dead || p.State == wire.Left) && p.Region != "" && now.Sub(p.since) > forget {
+			delete(t.peers, name)
+			t.order = slices.DeleteFunc(t.order, func(n string) bool { return n == name })
+		}
+	}
+}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -37,6 +37,10 @@
 	Name    string
 	Address string
 	Region  string
+	// Centre and Callers are the data centre and the address for callers, known
+	// only in a fleet that is found from seeds.
+	Centre  string
+	Callers string
 }
 
 // Member is what a host believes of another one.
@@ -99,6 +103,8 @@
 	relays  map[uint64]relayed
 	rumours []*rumour
 	health  int
+	// place is this host's own in a fleet that is found from seeds, else nil.
+	place *wire.Place
 }
 
 // New returns the table of a host whose process began at life, in milliseconds
--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -27,6 +27,7 @@
 	defer t.mu.Unlock()
 	out := t.checkProbes(now)
 	t.expireSuspects(now)
+	t.expireDead(now)
 	if now.Before(t.nextAt) {
 		return out
 	}
@@ -159,6 +160,9 @@
 func (t *Table) Receive(now time.Time, pk wire.Packet) []Out {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, p := range pk.Places {
+		t.learn(now, p)
+	}
 	from, ok := t.peers[pk.From]
 	if !ok || pk.Life < from.Life {
 		return nil
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -63,6 +63,12 @@
 	Updates  []Update     `cbor:"7,keyasint,omitempty"`
 	Loads    []Load       `cbor:"8,keyasint,omitempty"`
 	Regions  []RegionLoad `cbor:"9,keyasint,omitempty"`
+	// Places tells a fleet that is found from seeds where hosts are, the sender first.
+	Places []Place `cbor:"13,keyasint,omitempty"`
+	// Taken is what the sender has at the endpoints of its region.
+	Taken []Taken `cbor:"14,keyasint,omitempty"`
+	// Sums describe services in regions by name.
+	Sums []Sum `cbor:"15,keyasint,omitempty"`
 	// Open is the number of requests in flight at the sender.
 	Open int `cbor:"10,keyasint,omitempty"`
 	// Leaving says that the sender takes no new requests.
@@ -106,3 +112,33 @@
 	// Busy counts requests running or queued.
 	Busy uint32
 }
+
+// Place says where a host is.
+type Place struct {
+	_    struct{} `cbor:",toarray"`
+	Host string
+	// Address is the one for hosts, Callers that for callers: IP number and port.
+	Address string
+	Callers string
+	Region  string
+	Centre  string
+}
+
+// Taken is what a host has in flight at one endpoint.
+type Taken struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	Requests uint32
+	// PendingMS is the time of prompts whose first token is not there yet, ms.
+	PendingMS uint32
+}
+
+// Sum is the state of one service in one region.
+type Sum struct {
+	_       struct{} `cbor:",toarray"`
+	Region  string
+	Service string
+	AgeMS   uint32
+	Slots   uint32
+	Busy    uint32
+}
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -11,6 +11,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 )
 
 // MaxFrame bounds one frame, in bytes; it leaves room for a whole part of an
@@ -73,6 +75,22 @@
 	From string `cbor:"14,keyasint"`
 	// Revision is the configuration that the sender decided by.
 	Revision uint64 `cbor:"15,keyasint"`
+	// Routed is set for a request that came by a published route.
+	Routed *Routed `cbor:"16,keyasint,omitempty"`
+}
+
+// Routed is what a published route says of a request, as the sender decided.
+type Routed struct {
+	Route rules.Route `cbor:"1,keyasint"`
+	// Host is the request's host name.
+	Host   string       `cbor:"2,keyasint"`
+	Prompt terms.Prompt `cbor:"3,keyasint"`
+	// After is the id of the last event that the caller has, -1 for none.
+	After int `cbor:"4,keyasint"`
+	// Tries is the number of endpoints that may still be tried.
+	Tries int `cbor:"5,keyasint"`
+	// AgeMS is the time since the caller's request came, in milliseconds.
+	AgeMS int64 `cbor:"6,keyasint"`
 }
 
 // Head begins an answer.
--- /dev/null
+++ b/internal/serve/carry/choose.go
@@ -0,0 +1,196 @@
+package carry
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/zones"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
+)
+
+// decision is where the request goes next.
+type decision struct {
+	endpoint regis.Endpoint
+	// region is set where another region is to carry it out.
+	region  string
+	expect  time.Duration
+	read    time.Duration
+	refusal *fault.Refusal
+}
+
+// comeBack is when a caller may come back where nothing is known to be better.
+const comeBack = 300 * time.Millisecond
+
+// choose decides where the request goes next and counts it there.
+func (c *Carrier) choose(t *trip) decision {
+	now := c.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.Route.Allows(c.Board.Region) {
+		if d, ok := c.local(now, t); ok {
+			return d
+		}
+	}
+	if t.cross {
+		if d, ok := c.remote(now, t); ok {
+			return d
+		}
+	}
+	return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint takes the request").WithRetryAfter(comeBack)}
+}
+
+// local chooses among this region's endpoints.
+func (c *Carrier) local(now time.Time, t *trip) (decision, bool) {
+	ask := c.ask(t)
+	service := c.service(t.Service)
+	list, found := c.candidates(now, t, service)
+	for len(list) > 0 {
+		choice := pick.Here(ask, list, c.rand)
+		if choice.Index < 0 {
+			break
+		}
+		e := found[choice.Index]
+		if now.Before(e.ColdUntil) && service.ColdRate > 0 &&
+			!c.Board.Endpoints.AdmitCold(now, e.ID, c.ColdShare(service)) {
+			list = append(list[:choice.Index:choice.Index], list[choice.Index+1:]...)
+			found = append(found[:choice.Index:choice.Index], found[choice.Index+1:]...)
+			continue
+		}
+		d := decision{endpoint: e, expect: choice.Expect, read: ask.Own + ask.Shared}
+		t.tried[e.ID] = true
+		c.Board.Endpoints.Start(now, e.ID)
+		c.Board.Endpoints.Pend(e.ID, d.read)
+		return d, true
+	}
+	return decision{}, false
+}
+
+var noService = &rules.Service{}
+
+func (c *Carrier) service(name string) *rules.Service {
+	if r := c.Board.Routes.Rules(); r != nil {
+		if s, ok := r.Service(name); ok {
+			return s
+		}
+	}
+	return noService
+}
+
+// ask describes the request to the decision.
+func (c *Carrier) ask(t *trip) pick.Ask {
+	if !t.Route.Prompts {
+		return pick.Ask{Work: c.Board.Speeds.Work(t.Service)}
+	}
+	shared := 0
+	prefix := uint64(0)
+	if n := len(t.Prompt.Parts) - 1; n > 0 {
+		for _, p := range t.Prompt.Parts[:n] {
+			shared += p.Tokens
+		}
+		if shared >= worthKeeping {
+			prefix = xxhash.Sum64String(t.Prompt.Parts[n-1].ID)
+		}
+	}
+	return pick.Ask{
+		Shared: c.Board.Speeds.Read(t.Service, shared),
+		Own:    c.Board.Speeds.Read(t.Service, max(0, t.Prompt.Tokens-shared)),
+		Prefix: prefix,
+	}
+}
+
+// worthKeeping is the number of shared tokens from which a request is sent where
+// they are kept; reading fewer takes less than the spread of loads.
+const worthKeeping = 512
+
+// candidates returns the endpoints here that may take the request.
+func (c *Carrier) candidates(now time.Time, t *trip, s *rules.Service) ([]pick.Candidate, []regis.Endpoint) {
+	var found []regis.Endpoint
+	for _, e := range c.Board.Registry.Of(t.Service) {
+		if e.Region == c.Board.Region && c.open(e) && !t.tried[e.ID] {
+			found = append(found, e)
+		}
+	}
+	names := make([]string, len(found))
+	for i := range found {
+		names[i] = found[i].ID
+	}
+	list := make([]pick.Candidate, len(found))
+	c.Board.Endpoints.Each(names, func(i int, st *endpt.State) {
+		list[i] = pick.Candidate{
+			Name: found[i].ID, Slots: slotsOf(found[i], s),
+			Load:    max(st.Load(now), st.Known(now)) + st.Excess(now, found[i].Slots),
+			Pending: st.Pending(now), Slow: 1, Out: st.Ejected(now),
+		}
+	})
+	return list, found
+}
+
+func slotsOf(e regis.Endpoint, s *rules.Service) int {
+	if e.Slots == 0 && s.Engine != nil {
+		return s.Engine.Slots
+	}
+	return max(1, e.Slots)
+}
+
+// open reports whether an endpoint may get new requests.
+func (c *Carrier) open(e regis.Endpoint) bool {
+	return !e.Draining && !c.Board.Registry.Evacuated(e.Centre)
+}
+
+// remote chooses a region and a host in it.
+func (c *Carrier) remote(now time.Time, t *trip) (decision, bool) {
+	slots := map[string]float64{}
+	service := c.service(t.Service)
+	for _, e := range c.Board.Registry.Of(t.Service) {
+		if e.Region != c.Board.Region && c.open(e) && t.Route.Allows(e.Region) && !t.tried[regionMark+e.Region] {
+			slots[e.Region] += float64(slotsOf(e, service))
+		}
+	}
+	var list []pick.Region
+	for _, name := range sortedKeys(slots) {
+		if c.Board.Members.Usable(name) == 0 {
+			continue
+		}
+		v := c.Board.Zones.View(zones.Key{Region: name, Service: t.Service}, now)
+		r := pick.Region{Name: name, Slots: slots[name]}
+		if v.Known {
+			r.Load = v.Busy
+		}
+		list = append(list, r)
+	}
+	i := pick.There(list, c.rand)
+	if i < 0 {
+		return decision{}, false
+	}
+	return decision{region: list[i].Name}, true
+}
+
+// regionMark tells regions from endpoints and hosts in the set of what was tried.
+const regionMark = "region/"
+
+// host chooses a host of a region that was not tried: of two at random, the one
+// with fewer requests in flight.
+func (c *Carrier) host(t *trip, region string) (member.Member, bool) {
+	var list []member.Member
+	for _, match := range []func(member.Member) bool{
+		func(m member.Member) bool { return m.Region == region && !t.tried[m.Name] && m.Sound() },
+		func(m member.Member) bool { return m.Region == region && !t.tried[m.Name] },
+	} {
+		if list = c.Board.Members.Random(2, match); len(list) > 0 {
+			break
+		}
+	}
+	switch {
+	case len(list) == 0:
+		return member.Member{}, false
+	case len(list) == 2 && list[1].Open < list[0].Open:
+		return list[1], true
+	}
+	return list[0], true
+}
--- /dev/null
+++ b/internal/serve/node/node.go
@@ -0,0 +1,256 @@
+// Package node assembles a host whose platform publishes its routes and lists
+// its endpoints: the board, its controllers, the feeds and the listeners.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/carry"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/edge"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/kept"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/relay"
+)
+
+const (
+	workers     = 16
+	mostRelayed = 2048
+	relayIdle   = 10 * time.Second
+	beatPeriod  = 100 * time.Millisecond
+	maxBody     = 16 << 20
+	drainPeriod = 20 * time.Millisecond
+)
+
+// Store gives the two parts of the platform's store, each as a feed whose List
+// and Watch are set.
+type Store struct {
+	Operator  feed.Feed
+	Endpoints feed.Feed
+}
+
+// Node is one host process.
+type Node struct {
+	settings setup.Hosted
+	log      zerolog.Logger
+	board    *board.Board
+	meter    *meter.Meter
+	link     *link.Link
+	carrier  *carry.Carrier
+	pool     *kept.Pool
+	front    *edge.Front
+	runner   *ctrl.Runner
+	relays   *ants.Pool
+	handlers link.Handlers
+	feeds    []*feed.Feed
+	now      func() time.Time
+
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+	refusing atomic.Bool
+	listed   [2]atomic.Bool
+}
+
+// New makes a host; Start lets it serve.
+func New(s setup.Hosted, t *terms.Terms, store Store, log zerolog.Logger) (*Node, error) {
+	now := time.Now
+	set, err := keys(s, now(), log)
+	if err != nil {
+		return nil, fmt.Errorf("host %s: %w", s.Name, err)
+	}
+	l, err := link.New(s.Peers, set)
+	if err != nil {
+		return nil, fmt.Errorf("host %s: %w", s.Name, err)
+	}
+	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, pool: kept.NewPool(kept.WithNow(now))}
+	n.board = board.New(now(), s.Peers, s.Region, s.Centre, 1)
+	n.board.Members.Find(now(), member.Candidate{
+		Name: s.Peers, Address: s.Peers, Region: s.Region, Centre: s.Centre, Callers: s.Callers,
+	}, s.Seeds)
+	if err := n.assemble(t, store); err != nil {
+		_ = l.Close()
+		return nil, fmt.Errorf("host %s: %w", s.Name, err)
+	}
+	return n, nil
+}
+
+// keys loads the host's keys, or makes those of a fleet without keys.
+func keys(s setup.Hosted, now time.Time, log zerolog.Logger) (*certs.Set, error) {
+	if s.Keys != "" {
+		return certs.Load(s.Keys)
+	}
+	log.Warn().Msg("no keys are set: other hosts are not verified")
+	return certs.NewOpen(s.Peers, now)
+}
+
+func (n *Node) assemble(t *terms.Terms, store Store) error {
+	var err error
+	if n.runner, err = ctrl.New(workers, n.log); err != nil {
+		return err
+	}
+	if n.relays, err = ants.NewPool(mostRelayed, ants.WithNonblocking(true), ants.WithExpiryDuration(relayIdle)); err != nil {
+		return fmt.Errorf("relay pool: %w", err)
+	}
+	n.carrier = carry.New()
+	n.carrier.Board, n.carrier.Meter, n.carrier.Link, n.carrier.Terms = n.board, n.meter, n.link, t
+	n.carrier.Log, n.carrier.Now, n.carrier.Budget = n.log, n.now, retry.NewBudget()
+	n.carrier.Client = &kept.Client{Pool: n.pool, Terms: t, Now: n.now}
+	n.carrier.ColdShare = n.coldShare
+	handler := &relay.Handler{
+		Board: n.board, Meter: n.meter, Log: n.log, Pool: n.relays, MaxBody: maxBody, Now: n.now, Routed: n.routed,
+	}
+	n.front = &edge.Front{
+		Board: n.board, Carrier: n.carrier, Terms: t, Meter: n.meter, Log: n.log, Settings: n.settings, Now: n.now,
+		Refusing: n.refusing.Load,
+	}
+	n.handlers = link.Handlers{
+		Stream: handler.Stream,
+		Packet: n.packet,
+		Dropped: func(err error) {
+			n.log.Debug().Err(err).Msg("datagram dropped")
+		},
+	}
+	n.follow(store)
+	return nil
+}
+
+// routed carries out a request that another region's host sent.
+func (n *Node) routed(ctx context.Context, o *wire.Open, sink client.Sink) *fault.Refusal {
+	r := carry.Opened(o, n.now())
+	if r.Request.From == n.board.Region {
+		return fault.New(fault.BadRequest, fault.RanNo, "request of this region needs no relay")
+	}
+	if !r.Request.Route.Allows(n.board.Region) {
+		return fault.New(fault.NoRegion, fault.RanNo, "region %s may not serve the request", n.board.Region)
+	}
+	report := n.carrier.Carry(ctx, r, sink)
+	n.log.Debug().Str("request", o.ID).Str("service", o.Service).Str("from", o.From).Str("endpoint", report.Endpoint).
+		Int("tries", report.Tries).Dur("first", report.First).Msg("carried out for another region")
+	return report.Refusal
+}
+
+// Start begins to serve. The host is ready once it knows routes and endpoints.
+func (n *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.controllers()
+	n.runner.Start()
+	n.link.Serve(n.handlers)
+	n.wait.Go(func() { n.beat(ctx) })
+	for _, f := range n.feeds {
+		n.wait.Go(func() { f.Run(ctx) })
+	}
+	n.front.Start()
+	n.log.Info().Str("callers", n.settings.Callers).Str("peers", n.settings.Peers).Str("region", n.settings.Region).
+		Strs("seeds", n.settings.Seeds).Msg("host started")
+}
+
+// beat notices pauses of the process. It has no other work, so that it is late
+// only where the process is.
+func (n *Node) beat(ctx context.Context) {
+	tick := time.NewTicker(beatPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if n.board.Pulse.Beat(n.now()) {
+				n.meter.Pauses.Inc()
+				n.log.Warn().Msg("process was paused; beliefs are refreshed")
+				n.board.Endpoints.Doubt()
+			}
+		}
+	}
+}
+
+// coldShare divides the rate of a cold endpoint among the hosts that may send to
+// it: those of this region.
+func (n *Node) coldShare(s *rules.Service) int {
+	hosts := 1 + n.board.Members.Usable(n.board.Region)
+	b := n.settings.Bounds
+	return max(1, int((s.ColdRate*b.ColdOver+b.ColdSlack)/float64(hosts)))
+}
+
+const (
+	// takeTime is how long a leaving host still serves new requests, as callers
+	// use their connections and old directory answers; the rest of the grace is
+	// for those in flight.
+	takeTime = 3 * time.Second
+	// quietTime without a request ends a leaving host.
+	quietTime = 700 * time.Millisecond
+	// endMargin is kept of the grace for closing.
+	endMargin = 600 * time.Millisecond
+)
+
+// Drain lets the host leave: it is no longer ready, serves what still comes for
+// a while, refuses what comes after, and ends what is in flight.
+func (n *Node) Drain(ctx context.Context) {
+	n.board.Pulse.Leave()
+	n.setSelf()
+	n.send(n.board.Members.Announce(true))
+	n.log.Info().Int("open", n.board.Pulse.Open()).Msg("host is leaving")
+	began := n.now()
+	busy := began
+	for ctx.Err() == nil {
+		now := n.now()
+		if n.board.Pulse.Open() > 0 {
+			busy = now
+		}
+		took := now.Sub(began)
+		if took > takeTime {
+			n.refusing.Store(true)
+		}
+		if took > n.settings.Bounds.Grace()-endMargin || (took > takeTime && now.Sub(busy) > quietTime) {
+			return
+		}
+		sleep(ctx, drainPeriod)
+	}
+}
+
+// Close ends the host and waits for everything that it started.
+func (n *Node) Close() error {
+	err := n.front.Close()
+	n.cancel()
+	n.wait.Wait()
+	n.runner.Close()
+	n.board.Members.SetSelf(member.Self{Leaving: true, Gone: true})
+	n.send(n.board.Members.Announce(true))
+	n.pool.Close()
+	err = errors.Join(err, n.link.Close())
+	n.relays.Release()
+	n.log.Info().Int("open", n.board.Pulse.Open()).Msg("host closed")
+	if err != nil {
+		return fmt.Errorf("close host %s: %w", n.settings.Name, err)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/serve/node/tasks.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/zones"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+)
+
+const (
+	memberPeriod = 100 * time.Millisecond
+	takenPeriod  = 250 * time.Millisecond
+	sumPeriod    = 500 * time.Millisecond
+	sweepPeriod  = time.Second
+	expirePeriod = 200 * time.Millisecond
+
+	// takenTo is the most hosts of the region, and sumTo of other regions, that
+	// are told of loads at a time.
+	takenTo = 4
+	sumTo   = 4
+	// takenPacket is the number of endpoints in one packet.
+	takenPacket = 24
+	// packetOverhead is the size of the IP and UDP headers, in bytes.
+	packetOverhead = 28
+)
+
+func (n *Node) controllers() {
+	add := func(name string, period time.Duration, step func(now time.Time)) {
+		n.runner.Add(ctrl.Controller{Name: name, Period: period, Step: func(_ context.Context, now time.Time) { step(now) }})
+	}
+	add("members", memberPeriod, func(now time.Time) {
+		n.setSelf()
+		n.send(n.board.Members.Tick(now))
+	})
+	add("taken", takenPeriod, n.shareTaken)
+	add("sums", sumPeriod, n.shareSums)
+	add("connections", sweepPeriod, n.pool.Sweep)
+	add("registry", expirePeriod, func(now time.Time) {
+		for _, id := range n.board.Registry.Expire(now) {
+			n.log.Info().Str("endpoint", id).Msg("endpoint did not come back after the store did")
+		}
+	})
+}
+
+func (n *Node) setSelf() {
+	open := n.board.Pulse.Open()
+	n.meter.Open.Set(float64(open))
+	n.board.Members.SetSelf(member.Self{
+		Mark: invent.Mark{Revision: n.board.Routes.Version()}, Open: open, Leaving: n.board.Pulse.Leaving(),
+	})
+}
+
+func (n *Node) send(list []member.Out) {
+	for _, o := range list {
+		size, err := n.link.Send(o.Address, o.Packet)
+		if err != nil {
+			n.log.Debug().Err(err).Str("host", o.Host).Msg("datagram not sent")
+			continue
+		}
+		n.meter.Sent(size + packetOverhead)
+	}
+}
+
+// packet takes one datagram of another host in.
+func (n *Node) packet(p wire.Packet, size int) {
+	n.meter.Received(size)
+	now := n.now()
+	n.send(n.board.Members.Receive(now, p))
+	m, ok := n.board.Members.Member(p.From)
+	if !ok {
+		return
+	}
+	n.board.Zones.Heard(now, m.Region)
+	if m.Region == n.board.Region && p.Taken != nil {
+		list := make(map[string]endpt.Shared, len(p.Taken))
+		for _, t := range p.Taken {
+			list[t.Endpoint] = endpt.Shared{Requests: int(t.Requests), Pending: time.Duration(t.PendingMS) * time.Millisecond}
+		}
+		n.board.Endpoints.Tell(now, p.From, list)
+	}
+	for _, s := range p.Sums {
+		if s.Region != n.board.Region {
+			at := now.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+			n.board.Zones.Note(zones.Key{Region: s.Region, Service: s.Service}, float64(s.Slots), float64(s.Busy), at, now)
+		}
+	}
+}
+
+// shareTaken tells hosts of this region what this one has at its endpoints.
+func (n *Node) shareTaken(time.Time) {
+	list := []wire.Taken{{Endpoint: ""}}
+	for id, s := range n.board.Endpoints.Taken() {
+		if len(list) < takenPacket {
+			list = append(list, wire.Taken{
+				Endpoint: id, Requests: uint32(s.Requests), PendingMS: uint32(s.Pending.Milliseconds()),
+			})
+		}
+	}
+	n.tell(takenTo, func(m member.Member) bool { return m.Region == n.board.Region }, wire.Packet{Taken: list})
+}
+
+// shareSums tells hosts of other regions how loaded this region's services are.
+func (n *Node) shareSums(now time.Time) {
+	force := n.board.Routes.Rules()
+	if force == nil {
+		return
+	}
+	sums := map[string]*wire.Sum{}
+	for _, s := range force.ServiceNames() {
+		for _, e := range n.board.Registry.Of(s) {
+			if e.Region != n.board.Region || e.Draining || n.board.Registry.Evacuated(e.Centre) {
+				continue
+			}
+			if sums[s] == nil {
+				sums[s] = &wire.Sum{Region: n.board.Region, Service: s}
+			}
+			st := n.board.Endpoints.Get(e.ID)
+			sums[s].Slots += uint32(max(1, e.Slots))
+			sums[s].Busy += uint32(max(st.Load(now), st.Known(now)))
+		}
+	}
+	var list []wire.Sum
+	for _, s := range sums {
+		list = append(list, *s)
+	}
+	n.tell(sumTo, func(m member.Member) bool { return m.Region != n.board.Region }, wire.Packet{Sums: list})
+}
+
+func (n *Node) tell(most int, match func(member.Member) bool, p wire.Packet) {
+	p.Kind, p.From, p.Life = wire.Announce, n.settings.Peers, n.board.Members.Life()
+	p.Revision, p.Open, p.Leaving = n.board.Routes.Version(), n.board.Pulse.Open(), n.board.Pulse.Leaving()
+	var out []member.Out
+	for _, m := range n.board.Members.Random(most, match) {
+		out = append(out, member.Out{Host: m.Name, Address: m.Address, Packet: p})
+	}
+	n.send(out)
+}
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -43,6 +43,9 @@
 	Log    zerolog.Logger
 	// Pool bounds the requests carried out for other hosts at once.
 	Pool *ants.Pool
+	// Routed carries out a request that came by a published route; nil where there
+	// are none.
+	Routed func(ctx context.Context, o *wire.Open, sink client.Sink) *fault.Refusal
 	// Behind is told of a host that has a newer configuration.
 	Behind func(host string)
 	// MaxBody bounds a request body, in bytes.
@@ -119,6 +122,12 @@
 }
 
 func (h *Handler) handle(ctx context.Context, peer string, o *wire.Open, sink client.Sink) *fault.Refusal {
+	if o.Routed != nil && h.Routed != nil {
+		if h.Board.Pulse.Leaving() {
+			return fault.New(fault.Leaving, fault.RanNo, "host is leaving")
+		}
+		return h.Routed(ctx, o, sink)
+	}
 	r, refusal := h.check(peer, o)
 	if refusal != nil {
 		return refusal
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -125,3 +125,26 @@
 
 // Restart drops the bytes of an unfinished event, before a resumed stream.
 func (s *Splitter) Restart() { s.buf = nil }
+
+// Skip leaves out the events up to an id, as a caller that resumes has them.
+func (s *Splitter) Skip(last int) { s.last = last }
+
+// Pending reports whether an unfinished event is held.
+func (s *Splitter) Pending() bool { return len(s.buf) > 0 }
+
+// LastID returns the last id among whole events, NoID if none has one.
+func LastID(events []byte) int {
+	for {
+		at := bytes.LastIndex(events, []byte("id:"))
+		if at < 0 {
+			return NoID
+		}
+		if at == 0 || events[at-1] == '\n' {
+			line, _, _ := bytes.Cut(events[at+len("id:"):], []byte("\n"))
+			if n, err := strconv.Atoi(string(bytes.TrimSpace(line))); err == nil && n >= 0 {
+				return n
+			}
+		}
+		events = events[:at]
+	}
+}
