--- a/internal/cmd/root/root_test.go
+++ b/internal/cmd/root/root_test.go
@@ -50,6 +50,11 @@
 
 func TestCommands(t *testing.T) {
 	missing := filepath.Join(t.TempDir(), "missing")
+	log := filepath.Join(t.TempDir(), "log")
+	line := `{"level":"info","host":"a","request":"r1","time":1500,"message":"attempt failed","outcome":"retried"}` + "\n"
+	if err := os.WriteFile(log, []byte(line), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	if err := os.WriteFile(bad, []byte("[[hosts]]\nname = \"h\"\ncolour = 1\n"), 0o600); err != nil {
 		t.Fatal(err)
@@ -85,6 +90,12 @@
 		{"keys without time", []string{"keys", "--days", "0", "h"}, common.ExitFlag, "", "--days"},
 		{"call of both", []string{"call", "--host", "x", "--key", "k", "--model", "m", "--service", "s"}, common.ExitFlag, "", "one of"},
 		{"load of no case", []string{"load", "--inventory", deployment, "--case", "x"}, common.ExitFlag, "", "not known"},
+		{"trace without an id", []string{"trace"}, common.ExitFlag, "", "id of a request"},
+		{"trace of a missing file", []string{"trace", "r1", missing}, 1, "", "no such file"},
+		{"trace", []string{"trace", "r1", log}, 0, "attempt failed", ""},
+		{"trace as JSON", []string{"trace", "--json", "r1", log}, 0, `"outcome": "retried"`, ""},
+		{"attach without settings", []string{"attach"}, common.ExitFlag, "", "settings"},
+		{"attach to bad settings", []string{"attach", "-s", bad}, 1, "", "unknown key"},
 		{"replay without outcomes", []string{"replay", "--inventory", deployment}, common.ExitFlag, "", "expect"},
 	}
 	for _, tt := range tests {
--- /dev/null
+++ b/internal/cmd/story/story_test.go
@@ -0,0 +1,34 @@
+package story
+
+import (
+	"strings"
+	"testing"
+)
+
+const logs = `  29.2 front-1 {"level":"info","host":"b","request":"r1","endpoint":"e","time":2000,"message":"attempt failed","outcome":"retried","tries":1}
+not a line of a log
+{"level":"info","host":"a","request":"r2","time":1500,"message":"other"}
+{"level":"info","host":"a","text":"r1","time":1500,"message":"names it elsewhere"}
+{"broken
+{"level":"debug","host":"a","request":"r1","time":"1970-01-01T00:00:01Z","message":"request","left":{"x":1}}
+`
+
+func TestCollect(t *testing.T) {
+	lines, err := Collect(strings.NewReader(logs), "r1")
+	if err != nil || len(lines) != 2 {
+		t.Fatalf("lines %+v, %v", lines, err)
+	}
+	if l := lines[0]; l.Host != "b" || l.Message != "attempt failed" || l.Outcome != "retried" || l.At.Unix() != 2 || l.why() != "endpoint=e tries=1" {
+		t.Errorf("line %+v", l)
+	}
+	if lines[1].At.Unix() != 1 {
+		t.Errorf("time %v", lines[1].At)
+	}
+}
+
+func FuzzCollect(f *testing.F) {
+	f.Add([]byte(logs))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = Collect(strings.NewReader(string(data)), "r1")
+	})
+}
