Count an endpoint that refused a connection as cold when it answers again

Change: a refused connection marks the endpoint absent; until the first answer to a later attempt, and for the service's cold time after it, it gets the rate of a cold one.

--- a/internal/serve/carry/here.go
+++ b/internal/serve/carry/here.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
@@ -111,6 +113,7 @@
 	res := endpt.Result{
 		Whole: out.Whole, Full: refused && !out.Misdirected,
 		Failed: !out.Whole && !out.CallerLeft && !refused, Fault: out.Status >= http.StatusInternalServerError,
+		Missed: errors.Is(out.Err, syscall.ECONNREFUSED), Answered: out.Whole || out.Status != 0, Began: began,
 	}
 	if t.Route.Prompts && out.Begun {
 		res.First, res.UsualFirst = out.First, max(time.Millisecond, time.Duration(float64(d.expect)/d.slow))
