Let hosts tell each other what the store holds while it is away

Change: each host remembers the store's items as written, with removals. One that does not reach the store asks a host at random for what changed since its revision; a forgotten history or a host that knows nothing gets the whole list, so a host that starts while the store is away serves. Marks on data centres carry revisions, so that none comes back with the store.

Before and after: TestToldByOtherHosts and TestStartsWithoutTheStore fail without the asking.

--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -35,7 +35,7 @@
 	mu        sync.RWMutex
 	endpoints map[string]Endpoint
 	services  map[string][]Endpoint
-	evacuated map[string]bool
+	evacuated map[string]mark
 	// doubted holds endpoints whose registration vanished while the store was
 	// disturbed, with the time from which they count as gone.
 	doubted map[string]time.Time
@@ -45,7 +45,7 @@
 func NewTable() *Table {
 	return &Table{
 		endpoints: map[string]Endpoint{}, services: map[string][]Endpoint{},
-		evacuated: map[string]bool{}, doubted: map[string]time.Time{},
+		evacuated: map[string]mark{}, doubted: map[string]time.Time{},
 	}
 }
 
@@ -208,27 +208,44 @@
 	return len(t.endpoints)
 }
 
-// Evacuate marks a data centre to get no new requests, or takes the mark back.
-func (t *Table) Evacuate(centre string, on bool) {
+// mark is the last order on a data centre, kept when it is taken back so that an
+// older one does not come again.
+type mark struct {
+	on       bool
+	revision uint64
+}
+
+// Evacuate marks a data centre to get no new requests, or takes the mark back, at
+// a revision of the store; an older one than that held is ignored. It reports
+// whether the mark changed.
+func (t *Table) Evacuate(centre string, on bool, revision uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if on {
-		t.evacuated[centre] = true
-		return
+	old := t.evacuated[centre]
+	if revision < old.revision {
+		return false
 	}
-	delete(t.evacuated, centre)
+	t.evacuated[centre] = mark{on: on, revision: revision}
+	return on != old.on
 }
 
 // Evacuated reports whether a data centre is to get no new requests.
 func (t *Table) Evacuated(centre string) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.evacuated[centre]
+	return t.evacuated[centre].on
 }
 
 // Marks returns the evacuated data centres.
 func (t *Table) Marks() []string {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return slices.Sorted(maps.Keys(t.evacuated))
+	var out []string
+	for centre, m := range t.evacuated {
+		if m.on {
+			out = append(out, centre)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
--- a/internal/board/regis/regis_test.go
+++ b/internal/board/regis/regis_test.go
@@ -112,14 +112,22 @@
 
 func TestEvacuate(t *testing.T) {
 	table := NewTable()
-	table.Evacuate("c", true)
+	if !table.Evacuate("c", true, 5) || table.Evacuate("c", true, 6) {
+		t.Error("a mark is no change, or the same one is")
+	}
 	if !table.Evacuated("c") || table.Evacuated("d") || len(table.Marks()) != 1 {
 		t.Error("mark is not kept")
 	}
-	table.Evacuate("c", false)
+	if table.Evacuate("c", false, 4) || !table.Evacuated("c") {
+		t.Error("an older order took the mark back")
+	}
+	table.Evacuate("c", false, 7)
 	if table.Evacuated("c") {
 		t.Error("mark is not taken back")
 	}
+	if table.Evacuate("c", true, 6); table.Evacuated("c") || len(table.Marks()) != 0 {
+		t.Error("an older mark came again")
+	}
 }
 
 func TestDrain(t *testing.T) {
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -31,7 +31,9 @@
 	End   *End   `cbor:"5,keyasint,omitempty"`
 	Parts *Parts `cbor:"6,keyasint,omitempty"`
 	// Alive says that the request is still worked on.
-	Alive bool `cbor:"7,keyasint,omitempty"`
+	Alive bool   `cbor:"7,keyasint,omitempty"`
+	Since *Since `cbor:"8,keyasint,omitempty"`
+	Items *Items `cbor:"9,keyasint,omitempty"`
 }
 
 // Role says what the receiver of an Open is asked to be.
@@ -122,6 +124,31 @@
 	Documents [][]byte `cbor:"2,keyasint,omitempty"`
 }
 
+// Since asks what the platform's store holds that changed after a revision.
+type Since struct {
+	Revision uint64 `cbor:"1,keyasint"`
+}
+
+// Items answers a Since.
+type Items struct {
+	// At is the revision up to which the list is complete.
+	At uint64 `cbor:"1,keyasint"`
+	// Whole says that the list is all that the store holds.
+	Whole bool   `cbor:"2,keyasint,omitempty"`
+	List  []Item `cbor:"3,keyasint,omitempty"`
+}
+
+// Item is one key of the store as it was last written, or removed.
+type Item struct {
+	_        struct{} `cbor:",toarray"`
+	Key      string
+	Value    []byte
+	Revision uint64
+	Deleted  bool
+	// AgeMS is the time since it was read from the store, in milliseconds.
+	AgeMS uint64
+}
+
 var (
 	enc cbor.EncMode
 	dec cbor.DecMode
--- a/internal/plat/feed/feed_test.go
+++ b/internal/plat/feed/feed_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/items"
 )
 
 // script plays calls of a feed against a clock that only it moves.
@@ -127,3 +131,66 @@
 		t.Error("removals long after an outage are still held")
 	}
 }
+
+// TestTold: what another host tells counts only where it is newer, and the store
+// is watched on from there; a listing is needed before changes.
+func TestTold(t *testing.T) {
+	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	var seen []string
+	f := &Feed{
+		Read: func(it items.Item) (Change, bool) {
+			return Change{Key: it.Key, Revision: it.Revision}, it.Key != "foreign"
+		},
+		Listed: func(_ time.Time, b Batch, until time.Time) {
+			seen = append(seen, fmt.Sprint("listed ", len(b.Changes), " held ", !until.IsZero()))
+		},
+		Changed: func(_ time.Time, b Batch, until time.Time) {
+			seen = append(seen, fmt.Sprint("changed ", len(b.Changes), " held ", !until.IsZero()))
+		},
+	}
+	list := []items.Item{{Key: "a", Revision: 4}, {Key: "foreign", Revision: 5}}
+	steps := []struct {
+		at    uint64
+		whole bool
+		want  bool
+	}{{5, false, false}, {5, true, true}, {5, true, false}, {4, false, false}, {8, false, true}}
+	for i, st := range steps {
+		if got := f.Told(now, list, st.at, st.whole); got != st.want {
+			t.Errorf("step %d: Told = %v", i, got)
+		}
+	}
+	if want := []string{"listed 1 held true", "changed 1 held true"}; !slices.Equal(seen, want) {
+		t.Errorf("saw %v, want %v", seen, want)
+	}
+	if from, _ := f.Away(now); from != 8 {
+		t.Errorf("asks from %d", from)
+	}
+	if told, at, _ := f.Since(5); at != 8 || len(told) != 0 {
+		t.Errorf("tells %v at %d", told, at)
+	}
+}
+
+func TestAway(t *testing.T) {
+	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	f := &Feed{Listed: func(time.Time, Batch, time.Time) {}, Log: zerolog.Nop()}
+	away := func(after time.Duration) bool {
+		_, is := f.Away(now.Add(after))
+		return is
+	}
+	if away(time.Hour) {
+		t.Error("away before it was asked")
+	}
+	f.begin(now)
+	if away(quietTime) || !away(quietTime+1) {
+		t.Error("a store that never answers is not away after its time")
+	}
+	f.succeeded(now, Batch{At: 1}, true, false)
+	f.failed(now, errors.New("down"))
+	if !away(0) {
+		t.Error("not away after a failed call")
+	}
+	f.succeeded(now, Batch{At: 1}, true, false)
+	if away(0) {
+		t.Error("away after an answer")
+	}
+}
--- a/internal/serve/node/follow.go
+++ b/internal/serve/node/follow.go
@@ -17,11 +17,14 @@
 )
 
 // follow sets the feed up.
-func (n *Node) follow(store feed.Feed) {
+func (n *Node) follow(store *feed.Feed) {
 	store.Name, store.Pace, store.Now, store.Log = "store", storePace, n.now, n.log
 	store.Listed, store.Changed = n.storeListed, n.storeChanged
-	store.Lost = func(now time.Time, _ error) { n.board.Registry.Postpone(now.Add(outageGrace)) }
-	n.feed = &store
+	store.Lost = func(now time.Time, _ error) {
+		n.board.Registry.Postpone(now.Add(outageGrace))
+		n.runner.Kick(askName)
+	}
+	n.feed = store
 }
 
 // storeListed takes the whole store in: what it lacks is gone.
@@ -38,7 +41,7 @@
 	}
 	for _, centre := range n.board.Registry.Marks() {
 		if !marked[centre] {
-			n.evacuate(centre, false)
+			n.evacuate(centre, false, b.At)
 		}
 	}
 	changed, gone := n.board.Registry.Replace(list, b.At, until)
@@ -61,9 +64,7 @@
 		case c.Rules != nil:
 			n.applyRules(c)
 		case c.Centre != "":
-			if n.board.Registry.Evacuated(c.Centre) != c.Evacuated {
-				n.evacuate(c.Centre, c.Evacuated)
-			}
+			n.evacuate(c.Centre, c.Evacuated, c.Revision)
 		case c.Endpoint != nil:
 			if e := n.placed(*c.Endpoint); n.board.Registry.Put(e) {
 				n.endpointChanged(e)
@@ -91,9 +92,11 @@
 	}
 }
 
-func (n *Node) evacuate(centre string, on bool) {
-	n.board.Registry.Evacuate(centre, on)
-	n.log.Info().Str("centre", centre).Bool("evacuated", on).Msg("evacuation changed")
+func (n *Node) evacuate(centre string, on bool, revision uint64) {
+	if !n.board.Registry.Evacuate(centre, on, revision) {
+		return
+	}
+	n.log.Info().Str("centre", centre).Bool("evacuated", on).Uint64("revision", revision).Msg("evacuation changed")
 }
 
 // placed completes a registration with the region of its data centre.
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -74,7 +74,7 @@
 }
 
 // New makes a host; Start lets it serve.
-func New(s setup.Hosted, t *terms.Terms, store feed.Feed, log zerolog.Logger) (*Node, error) {
+func New(s setup.Hosted, t *terms.Terms, store *feed.Feed, log zerolog.Logger) (*Node, error) {
 	now := time.Now
 	set, err := keys(s, now(), log)
 	if err != nil {
@@ -105,7 +105,7 @@
 	return certs.NewOpen(s.Peers, now)
 }
 
-func (n *Node) assemble(t *terms.Terms, store feed.Feed) error {
+func (n *Node) assemble(t *terms.Terms, store *feed.Feed) error {
 	var err error
 	if n.runner, err = ctrl.New(workers, n.log); err != nil {
 		return err
@@ -122,6 +122,7 @@
 	n.carrier.Busy = func() { n.runner.Kick(takenName) }
 	handler := &relay.Handler{
 		Board: n.board, Meter: n.meter, Log: n.log, Pool: n.relays, MaxBody: maxBody, Now: n.now, Routed: n.routed,
+		Items: n.itemsSince,
 	}
 	n.front = &edge.Front{
 		Board: n.board, Carrier: n.carrier, Terms: t, Meter: n.meter, Log: n.log, Settings: n.settings, Now: n.now,
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -21,6 +21,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/items"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
 	"github.com/hyssopspindle/hyssopspindle/platform"
 )
@@ -35,7 +36,18 @@
 	mu      sync.Mutex
 	at      uint64
 	changes []feed.Change
-	down    bool
+	// down holds the hosts that the store turns away.
+	down map[string]bool
+}
+
+// turn makes the store turn hosts away.
+func (s *shelf) turn(hosts ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = map[string]bool{}
+	for _, h := range hosts {
+		s.down[h] = true
+	}
 }
 
 func (s *shelf) put(c feed.Change) {
@@ -43,6 +55,13 @@
 	defer s.mu.Unlock()
 	s.at++
 	c.Revision = s.at
+	c.Value = []byte(strconv.Itoa(len(s.changes)))
+	switch {
+	case c.Rules != nil:
+		c.Key = "rules"
+	case c.Centre != "":
+		c.Key = "evacuated/" + c.Centre
+	}
 	if c.Endpoint != nil {
 		e := *c.Endpoint
 		e.Revision = s.at
@@ -51,11 +70,12 @@
 	s.changes = append(s.changes, c)
 }
 
-func (s *shelf) feed() feed.Feed {
+// feed returns the feed of a host in a region.
+func (s *shelf) feed(region string) *feed.Feed {
 	after := func(from uint64) (feed.Batch, error) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.down {
+		if s.down[region] {
 			return feed.Batch{}, io.ErrUnexpectedEOF
 		}
 		b := feed.Batch{At: s.at}
@@ -66,7 +86,16 @@
 		}
 		return b, nil
 	}
-	return feed.Feed{
+	return &feed.Feed{
+		Read: func(it items.Item) (feed.Change, bool) {
+			n, err := strconv.Atoi(string(it.Value))
+			if err != nil {
+				return feed.Change{}, false
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.changes[n], true
+		},
 		List: func(context.Context) (feed.Batch, error) { return after(0) },
 		Watch: func(ctx context.Context, from uint64) (feed.Batch, error) {
 			ctrl.Sleep(ctx, 10*time.Millisecond)
@@ -162,7 +191,7 @@
 		n, err := New(setup.Hosted{
 			Name: "n" + region, Region: region, Centre: region + "1", Callers: free(t), Ready: free(t), Directory: free(t),
 			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: bounds,
-		}, names, f.shelf.feed(), zerolog.New(f.log).With().Str("at", region).Str("host", region).Logger())
+		}, names, f.shelf.feed(region), zerolog.New(f.log).With().Str("at", region).Str("host", region).Logger())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -268,7 +297,7 @@
 			Name: "n", Region: "a", Centre: "a1", Callers: free(t), Ready: free(t), Directory: free(t), Metrics: free(t),
 			Peers: free(t), Regions: map[string]string{"a1": "a"}, Bounds: setup.DefaultBounds(),
 		}
-		n, err := New(s, names, (&shelf{}).feed(), zerolog.Nop())
+		n, err := New(s, names, (&shelf{}).feed("a"), zerolog.Nop())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -604,9 +633,7 @@
 		{Name: "safe", Host: "h", Prefix: "/safe/", Shares: []rules.Share{{Service: "plain", Weight: 1}}, Kind: rules.Safe, Attempts: 2, Timeout: 3 * patience},
 	}, []rules.Service{{Name: "plain", ColdRate: 1, ColdTime: time.Hour}}, rules.Limits{})})
 	f.eventually("the rules are in force", func() bool { return f.nodes["a"].board.Routes.Version() == 8 })
-	f.shelf.mu.Lock()
-	f.shelf.down = true
-	f.shelf.mu.Unlock()
+	f.shelf.turn("a", "b")
 	first := f.endpoints["plain-a1"]
 	if status, _, _ := f.call("GET", "/safe/x", "r0", nil); status != 200 || len(first.Runs()) != 1 {
 		t.Fatalf("before: status %d, %d runs", status, len(first.Runs()))
@@ -658,9 +685,7 @@
 
 func TestStoreAwayKeepsBeliefs(t *testing.T) {
 	f := start(t)
-	f.shelf.mu.Lock()
-	f.shelf.down = true
-	f.shelf.mu.Unlock()
+	f.shelf.turn("a", "b")
 	for i := range 5 {
 		if status, _, err := f.call("GET", "/safe/x", strconv.Itoa(i), nil); status != 200 {
 			t.Errorf("status %d, %v", status, err)
@@ -668,6 +693,55 @@
 	}
 }
 
+// TestToldByOtherHosts: a host that the store turns away hears from others of
+// marks, new endpoints and rules, and nothing older comes again with the store.
+func TestToldByOtherHosts(t *testing.T) {
+	f := start(t)
+	n := f.nodes["a"]
+	f.shelf.turn("a")
+	f.shelf.put(feed.Change{Centre: "a1", Evacuated: true})
+	f.eventually("the evacuation is told", func() bool { return n.board.Registry.Evacuated("a1") })
+	f.shelf.put(feed.Change{Centre: "a1"})
+	f.eventually("its end is told", func() bool { return !n.board.Registry.Evacuated("a1") })
+	f.register("plain-a1", "plain", "a", true)
+	f.shelf.put(feed.Change{Rules: routesOf(8)})
+	f.eventually("rules and leaving mark are told", func() bool {
+		return n.board.Routes.Version() == 8 && n.board.Registry.Of("plain")[0].Draining
+	})
+	f.shelf.turn()
+	f.shelf.put(feed.Change{Rules: routesOf(9)})
+	f.eventually("the store is back", func() bool { return n.board.Routes.Version() == 9 })
+	if n.board.Registry.Evacuated("a1") || !n.board.Registry.Of("plain")[0].Draining {
+		t.Error("an older state came again with the store")
+	}
+}
+
+// TestStartsWithoutTheStore: a host that starts while the store is away learns
+// from another one and serves.
+func TestStartsWithoutTheStore(t *testing.T) {
+	f := start(t)
+	f.shelf.turn("a")
+	settings := f.nodes["a"].settings
+	if err := f.nodes["a"].Close(); err != nil {
+		t.Fatal(err)
+	}
+	// Its connections outlive the closed host within one process.
+	http.DefaultClient.CloseIdleConnections()
+	settings.Seeds = []string{f.nodes["b"].settings.Peers}
+	n, err := New(settings, names, f.shelf.feed("a"), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Close() })
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("it is ready", func() bool { return f.status("a", settings.Ready, names.ReadyPath) == http.StatusOK })
+	if status, body, err := f.call("GET", "/safe/x", "r1", nil); status != 200 {
+		t.Errorf("status %d, %s, %v", status, body, err)
+	}
+}
+
 func TestDirectory(t *testing.T) {
 	f := start(t)
 	ask := func(region string) string {
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -48,6 +48,7 @@
 	add("sums", sumPeriod, n.shareSums)
 	add("connections", sweepPeriod, n.pool.Sweep)
 	add("links", linkPeriod, n.warmLinks)
+	add(askName, askPeriod, n.askItems)
 	add("registry", expirePeriod, func(now time.Time) {
 		for _, id := range n.board.Registry.Expire(now) {
 			n.log.Info().Str("endpoint", id).Msg("endpoint did not come back after the store did")
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -46,6 +46,9 @@
 	// Routed carries out a request that came by a published route, and returns how
 	// many attempts reached an endpoint; nil where there are none.
 	Routed func(ctx context.Context, o *wire.Open, sink client.Sink) (*fault.Refusal, int)
+	// Items returns what changed in the platform's store; nil where hosts do not
+	// tell each other.
+	Items func(since uint64) *wire.Items
 	// Behind is told of a host that has a newer configuration.
 	Behind func(host string)
 	// MaxBody bounds a request body, in bytes.
@@ -66,6 +69,11 @@
 	switch {
 	case fr.Fetch != nil:
 		h.fetch(fr.Fetch, s)
+	case fr.Since != nil && h.Items != nil:
+		if err := s.Write(wire.Frame{Items: h.Items(fr.Since.Revision)}, time.Now().Add(slowPeer)); err != nil {
+			h.Log.Debug().Err(err).Str("peer", peer).Msg("items not told")
+		}
+		s.Finish()
 	case fr.Open != nil:
 		h.submit(ctx, peer, fr.Open, s)
 	default:
