--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -51,7 +51,6 @@
 	work    average
 	record  eject.Record
 	quality quality
-	absence absence
 	joined  time.Time
 	// refused is when the endpoint last refused a request as it was full.
 	refused time.Time
@@ -258,11 +257,6 @@
 	Full bool
 	// Fault says that a whole answer was the endpoint's own failure.
 	Fault bool
-	// Missed says that the connection was refused, Answered that a part of an
-	// answer came; Began is when the attempt began.
-	Missed   bool
-	Answered bool
-	Began    time.Time
 	// First and Work are zero where not known.
 	First time.Duration
 	Work  time.Duration
@@ -281,12 +275,6 @@
 	if r.Full {
 		s.refused = now
 	}
-	switch {
-	case r.Missed:
-		s.absence = s.absence.withMiss(now)
-	case r.Answered:
-		s.absence = s.absence.withContact(r.Began, now)
-	}
 	if r.First > 0 {
 		s.first = s.first.with(now, r.First, r.UsualFirst)
 	}
--- a/internal/conf/rules/rules.go
+++ b/internal/conf/rules/rules.go
@@ -89,8 +89,6 @@
 	// ColdRate is the number of requests a second that a cold endpoint bears; 0
 	// is no bound.
 	ColdRate float64
-	// ColdTime is how long an endpoint is cold after its start.
-	ColdTime time.Duration
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/internal/serve/carry/choose.go
+++ b/internal/serve/carry/choose.go
@@ -136,7 +136,7 @@
 		if d.refusal != nil || d.wait {
 			return d
 		}
-		if service.ColdRate > 0 && c.cold(now, e, service) &&
+		if now.Before(e.ColdUntil) && service.ColdRate > 0 &&
 			!c.Board.Endpoints.AdmitCold(now, e.ID, c.ColdShare(service, e.ID)) {
 			list = append(list[:choice.Index:choice.Index], list[choice.Index+1:]...)
 			found = append(found[:choice.Index:choice.Index], found[choice.Index+1:]...)
@@ -147,13 +147,6 @@
 	return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint takes the request").WithRetryAfter(comeBack)}
 }
 
-// cold reports whether an endpoint is cold, by its registration or as attempts
-// found it absent lately, which its registration may not tell yet.
-func (c *Carrier) cold(now time.Time, e regis.Endpoint, s *rules.Service) bool {
-	st := c.Board.Endpoints.Get(e.ID)
-	return now.Before(e.ColdUntil) || st.Returned(now, s.ColdTime)
-}
-
 // admit decides whether a request goes to its best endpoint now.
 func (c *Carrier) admit(now time.Time, t *trip, choice pick.Choice, best pick.Candidate) decision {
 	d := decision{expect: choice.Expect, read: choice.Read, last: choice.Last, pending: best.Pending, held: best.Held, slow: max(1, best.Slow)}
--- a/internal/serve/carry/here.go
+++ b/internal/serve/carry/here.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
@@ -113,7 +111,6 @@
 	res := endpt.Result{
 		Whole: out.Whole, Full: refused && !out.Misdirected,
 		Failed: !out.Whole && !out.CallerLeft && !refused, Fault: out.Status >= http.StatusInternalServerError,
-		Missed: errors.Is(out.Err, syscall.ECONNREFUSED), Answered: out.Whole || out.Status != 0, Began: began,
 	}
 	if t.Route.Prompts && out.Begun {
 		res.First, res.UsualFirst = out.First, max(time.Millisecond, time.Duration(float64(d.expect)/d.slow))
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -173,11 +173,6 @@
 }
 
 func start(t *testing.T) *fleet {
-	t.Helper()
-	return startWith(t, setup.DefaultBounds())
-}
-
-func startWith(t *testing.T, bounds setup.Bounds) *fleet {
 	t.Helper()
 	f := &fleet{t: t, log: &logs{}, shelf: &shelf{}, nodes: map[string]*Node{}, endpoints: map[string]*routed.Endpoint{}}
 	f.shelf.put(feed.Change{Rules: routesOf(7)})
@@ -190,7 +185,7 @@
 	for region, peers := range map[string]string{"a": seed, "b": free(t)} {
 		n, err := New(setup.Hosted{
 			Name: "n" + region, Region: region, Centre: region + "1", Callers: free(t), Ready: free(t), Directory: free(t),
-			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: bounds,
+			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: setup.DefaultBounds(),
 		}, names, f.shelf.feed(region), zerolog.New(f.log).With().Str("at", region).Str("host", region).Logger())
 		if err != nil {
 			t.Fatal(err)
@@ -623,42 +618,6 @@
 	}
 }
 
-// TestReturnedEndpointIsCold: an endpoint that refused a connection and answers
-// again while the store is away gets no more than a cold one bears: here nothing.
-func TestReturnedEndpointIsCold(t *testing.T) {
-	bounds := setup.DefaultBounds()
-	bounds.ColdOver, bounds.ColdSlack = 0, 0
-	f := startWith(t, bounds)
-	f.shelf.put(feed.Change{Rules: rules.New(8, []rules.Route{
-		{Name: "safe", Host: "h", Prefix: "/safe/", Shares: []rules.Share{{Service: "plain", Weight: 1}}, Kind: rules.Safe, Attempts: 2, Timeout: 3 * patience},
-	}, []rules.Service{{Name: "plain", ColdRate: 1, ColdTime: time.Hour}}, rules.Limits{})})
-	f.eventually("the rules are in force", func() bool { return f.nodes["a"].board.Routes.Version() == 8 })
-	f.shelf.turn("a", "b")
-	first := f.endpoints["plain-a1"]
-	if status, _, _ := f.call("GET", "/safe/x", "r0", nil); status != 200 || len(first.Runs()) != 1 {
-		t.Fatalf("before: status %d, %d runs", status, len(first.Runs()))
-	}
-	if err := first.Close(); err != nil {
-		t.Fatal(err)
-	}
-	if status, _, _ := f.call("GET", "/safe/x", "r1", nil); status != 200 {
-		t.Errorf("absent: status %d", status)
-	}
-	again, err := routed.New("plain-a1", names, routed.At(first.Address()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = again.Close() })
-	for i := range 20 {
-		if status, _, _ := f.call("GET", "/safe/x", fmt.Sprint("back", i), nil); status != 200 {
-			t.Errorf("back: status %d", status)
-		}
-	}
-	if n := len(again.Runs()); n != 0 {
-		t.Errorf("the endpoint that came back cold got %d requests", n)
-	}
-}
-
 func TestAddressOfAnother(t *testing.T) {
 	f := start(t)
 	f.endpoints["plain-a1"].ID = "someone-else"
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -55,7 +55,6 @@
 	Gap  time.Duration
 	Work time.Duration
 
-	at       string
 	server   *http.Server
 	listener net.Listener
 
@@ -65,23 +64,13 @@
 	cancelled int
 }
 
-// Option changes how an endpoint is made.
-type Option func(*Endpoint)
-
-// At sets the address, for an endpoint that starts again.
-func At(address string) Option { return func(e *Endpoint) { e.at = address } }
-
 // New starts an endpoint at a loopback address; Close ends it.
-func New(id string, t *terms.Terms, opts ...Option) (*Endpoint, error) {
-	e := &Endpoint{ID: id, Terms: t, Events: 5, at: "127.0.0.1:0"}
-	for _, o := range opts {
-		o(e)
-	}
-	l, err := net.Listen("tcp", e.at)
+func New(id string, t *terms.Terms) (*Endpoint, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	e.listener = l
+	e := &Endpoint{ID: id, Terms: t, Events: 5, listener: l}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
 	return e, nil
