Steer callers to regions that may hold what they ask for

Change: the board counts requests by host name and route; a pure decision takes the callers' own region where it may hold half of what they ask for, else those alive that may hold the most.

--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -1,7 +1,7 @@
 // Package board is the blackboard that a host's controllers read and write; they
 // do not call one another. Each table locks itself. Where two are locked
 // together the order is: revisions, endpoints, then the leaves members, zones,
-// pulse, queues, registry, speeds.
+// pulse, queues, registry, speeds, mixes.
 package board
 
 import (
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/learn"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/mixes"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/pulse"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/revis"
@@ -36,11 +37,12 @@
 	Pulse     *pulse.Table
 	Limits    *limit.Table
 	Retries   *retry.Budget
-	// Routes, Registry and Speeds are used where routes are published and
+	// Routes, Registry, Speeds and Mixes are used where routes are published and
 	// endpoints register themselves.
 	Routes   *routes.Table
 	Registry *regis.Table
 	Speeds   *learn.Table
+	Mixes    *mixes.Table
 
 	mu      sync.Mutex
 	lines   map[lineKey]*queue.Line
@@ -69,6 +71,7 @@
 		Routes:    routes.NewTable(),
 		Registry:  regis.NewTable(),
 		Speeds:    learn.NewTable(),
+		Mixes:     mixes.NewTable(),
 		lines:     map[lineKey]*queue.Line{},
 		leaving:   map[string]time.Time{},
 	}
--- a/internal/conf/rules/rules.go
+++ b/internal/conf/rules/rules.go
@@ -134,6 +134,9 @@
 	return nil
 }
 
+// Of returns the routes of a host name.
+func (r *Rules) Of(host string) []*Route { return r.routes[host] }
+
 // Service returns a service by name.
 func (r *Rules) Service(name string) (*Service, bool) {
 	s, ok := r.services[name]
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -50,6 +50,8 @@
 	// ReadyPath and ResolvePath are those of the readiness check and the directory.
 	ReadyPath   string
 	ResolvePath string
+	// ResolveName is the directory's query field for the host name of requests.
+	ResolveName string
 	// ResolveRegion is the directory's query field for the caller's region.
 	ResolveRegion string
 
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -68,6 +68,7 @@
 	if r.Route == nil {
 		return r, fault.New(fault.NoRoute, fault.RanNo, "no route for this host and path")
 	}
+	f.Board.Mixes.Note(now, r.Host, r.Route.Name)
 	if r.ID == "" {
 		return r, fault.New(fault.BadRequest, fault.RanNo, "%s is missing", f.Terms.RequestID)
 	}
--- a/internal/serve/edge/resolve.go
+++ b/internal/serve/edge/resolve.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"maps"
+	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/steer"
 )
 
 const (
@@ -17,10 +21,18 @@
 	mostAddresses = 64
 )
 
-// resolve tells a caller which hosts to use: those of its own region, or all
-// where none of it is alive.
+// resolve tells a caller which hosts to use.
 func (f *Front) resolve(_ context.Context, c *app.RequestContext) {
-	list := f.addresses(c.Query(f.Terms.ResolveRegion))
+	now := f.Now()
+	name, region := c.Query(f.Terms.ResolveName), c.Query(f.Terms.ResolveRegion)
+	hosts := f.hosts(now, region)
+	regions, why := steer.Regions(region, slices.Sorted(maps.Keys(hosts)), f.loads(now, name))
+	var list []string
+	for _, r := range regions {
+		list = append(list, hosts[r]...)
+	}
+	list = list[:min(len(list), mostAddresses)]
+	f.Log.Debug().Str("name", name).Str("from", region).Strs("hosts", list).Str("outcome", string(why)).Msg("directory asked")
 	life := min(answerLife, time.Duration(f.Settings.Bounds.DirectoryTTLS*float64(time.Second)))
 	body, err := f.Terms.Resolved(list, life)
 	if err != nil || len(list) == 0 {
@@ -31,35 +43,40 @@
 	c.Data(http.StatusOK, "application/json", body)
 }
 
-func (f *Front) addresses(region string) []string {
-	sound := func(in string) []string {
-		var out []string
-		if f.Board.Region == in && f.Board.Pulse.Ready() && !f.Board.Pulse.Leaving() {
-			out = append(out, f.Settings.Callers)
+// hosts returns the hosts that serve, by region. A region that is not heard has
+// none for callers of other regions.
+func (f *Front) hosts(now time.Time, from string) map[string][]string {
+	out := map[string][]string{}
+	if f.Board.Pulse.Ready() && !f.Board.Pulse.Leaving() {
+		out[f.Board.Region] = []string{f.Settings.Callers}
+	}
+	silent := map[string]bool{}
+	for _, m := range f.Board.Members.Random(math.MaxInt, member.Member.Sound) {
+		if _, ok := silent[m.Region]; !ok {
+			silent[m.Region] = m.Region != f.Board.Region && f.Board.Zones.Silent(now, m.Region)
 		}
-		for _, m := range f.Board.Members.Members() {
-			if m.Region == in && m.Callers != "" && m.Sound() && len(out) < mostAddresses {
-				out = append(out, m.Callers)
-			}
+		if m.Callers != "" && (m.Region == from || !silent[m.Region]) {
+			out[m.Region] = append(out[m.Region], m.Callers)
 		}
-		return out
-	}
-	if list := sound(region); len(list) > 0 {
-		return list
 	}
-	return f.anywhere()
+	return out
 }
 
-// anywhere returns the hosts of all regions, this one's first.
-func (f *Front) anywhere() []string {
-	var out []string
-	if !f.Board.Pulse.Leaving() {
-		out = append(out, f.Settings.Callers)
+// loads returns what callers ask for under a host name, as seen here; where too
+// little was, each route counts the same.
+func (f *Front) loads(now time.Time, name string) []steer.Load {
+	force := f.Board.Routes.Rules()
+	if force == nil {
+		return nil
 	}
-	for _, m := range f.Board.Members.Random(mostAddresses-1, member.Member.Sound) {
-		if m.Callers != "" {
-			out = append(out, m.Callers)
+	mix := f.Board.Mixes.Of(now, name)
+	var loads []steer.Load
+	for _, r := range force.Of(name) {
+		l := steer.Load{Homes: r.Homes, Amount: 1}
+		if mix != nil {
+			l.Amount = mix[r.Name]
 		}
+		loads = append(loads, l)
 	}
-	return out
+	return loads
 }
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -701,25 +701,56 @@
 	}
 }
 
-func TestDirectory(t *testing.T) {
+// resolve asks the directory of region a.
+func (f *fleet) resolve(name, region string) string {
+	f.t.Helper()
+	resp, err := http.Get("http://" + f.nodes["a"].settings.Directory + names.ResolvePath + "?name=" + name + "&region=" + region)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return string(text)
+}
+
+// TestDirectoryNamesHomes: callers whose requests their region may mostly not hold
+// are told of the hosts of the regions that may, as long as these are heard.
+func TestDirectoryNamesHomes(t *testing.T) {
 	f := start(t)
-	ask := func(region string) string {
-		resp, err := http.Get("http://" + f.nodes["a"].settings.Directory + names.ResolvePath + "?name=h&region=" + region)
-		if err != nil {
-			t.Fatal(err)
+	tells := func(region, of string) bool {
+		return strings.Contains(f.resolve("h", region), f.nodes[of].settings.Callers)
+	}
+	for i := range 30 {
+		if status, _, _ := f.call("GET", "/bound/x", fmt.Sprint("bound", i), nil); status != 200 {
+			t.Fatalf("status %d", status)
 		}
-		defer func() { _ = resp.Body.Close() }()
-		text, _ := io.ReadAll(resp.Body)
-		return string(text)
 	}
+	f.eventually("callers of a are told of b", func() bool { return tells("a", "b") && !tells("a", "a") })
+	if !tells("b", "b") || tells("b", "a") {
+		t.Errorf("callers of b: %s", f.resolve("h", "b"))
+	}
+	if err := f.nodes["b"].Close(); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("callers of a come back as b ends", func() bool { return tells("a", "a") })
+}
+
+func TestDirectory(t *testing.T) {
+	f := start(t)
 	for _, region := range []string{"a", "b"} {
-		if got := ask(region); !strings.Contains(got, f.nodes[region].settings.Callers) || strings.Count(got, "127.0.0.1") != 1 {
+		if got := f.resolve("h", region); !strings.Contains(got, f.nodes[region].settings.Callers) || strings.Count(got, "127.0.0.1") != 1 {
 			t.Errorf("region %s: %s", region, got)
 		}
 	}
-	if got := ask("elsewhere"); strings.Count(got, "127.0.0.1") != 2 {
+	if got := f.resolve("free", "elsewhere"); strings.Count(got, "127.0.0.1") != 2 {
 		t.Errorf("a region without hosts: %s", got)
 	}
+	if got := f.resolve("h", "elsewhere"); !strings.Contains(got, f.nodes["b"].settings.Callers) || strings.Count(got, "127.0.0.1") != 1 {
+		t.Errorf("a region without hosts, requests with a home: %s", got)
+	}
 }
 
 // TestDrain: a leaving host is not ready, serves what is in flight and what still
