Do not refuse a request for the time that a failed attempt took

The promise is there to keep queues short; there was none.

Ruled out: the wait for the head (0.6 s and the expected time), which is what a busy endpoint takes at most.

Change: the time of failed attempts counts to what is late of itself, as the prompt's own size does; waiting behind others still refuses.

--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -48,6 +48,8 @@
 	// and back.
 	Waited time.Duration
 	Away   time.Duration
+	// Lost is the part of Waited that went to attempts that failed.
+	Lost time.Duration
 	// Target is the promised time to the first token; zero is none.
 	Target time.Duration
 	// Left is the time to the deadline.
@@ -69,8 +71,9 @@
 	most := a.Left + a.Waited
 	if a.Target > 0 {
 		promise := time.Duration((1 - margin) * float64(a.Target))
-		// One that is late by its own size is not refused for it.
-		own := a.Expect - a.Pending + a.Away
+		// One that is late by its own size, or by attempts that failed, is not refused
+		// for it: only waiting behind others is.
+		own := a.Lost + a.Expect - a.Pending + a.Away
 		most = min(most, max(promise, own+time.Duration(patience*float64(a.Target))))
 	}
 	if total > most {
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -133,3 +133,23 @@
 		t.Errorf("%d long prompts on time, %d without admission", withLong, withoutLong)
 	}
 }
+
+// TestLateByAFailedAttempt: a request whose first endpoint failed late is not
+// refused where nothing holds it up now, and is where it would wait again.
+func TestLateByAFailedAttempt(t *testing.T) {
+	const ms = time.Millisecond
+	ask := Ask{Waited: 883 * ms, Lost: 880 * ms, Expect: 123 * ms, Pending: 10 * ms, Target: 600 * ms, Left: 2200 * ms}
+	if v := Decide(ask); v.Kind != Go {
+		t.Errorf("verdict %v", v)
+	}
+	queued := ask
+	queued.Expect, queued.Pending = 523*ms, 410*ms
+	if v := Decide(queued); v.Kind != Refuse {
+		t.Errorf("verdict %v behind 410 ms of others", v)
+	}
+	over := ask
+	over.Left = 100 * ms
+	if v := Decide(over); v.Kind != Refuse {
+		t.Errorf("verdict %v with 100 ms left", v)
+	}
+}
--- a/internal/serve/carry/carry.go
+++ b/internal/serve/carry/carry.go
@@ -125,6 +125,8 @@
 	refused *fault.Refusal
 	// joined is when the request first waited; it keeps its place by it.
 	joined time.Time
+	// lost is the time that failed attempts took.
+	lost time.Duration
 }
 
 func (c *Carrier) carry(ctx context.Context, r Request, sink client.Sink, cross bool) Report {
@@ -204,10 +206,12 @@
 			continue
 		}
 		t.report.Tries++
+		began := c.Now()
 		res := c.attempt(ctx, t, d, sink)
 		if res.whole {
 			return nil
 		}
+		t.lost += c.Now().Sub(began)
 		t.ran = t.ran.Worse(res.ran)
 		if res.ran != fault.RanNo {
 			t.runs++
--- a/internal/serve/carry/choose.go
+++ b/internal/serve/carry/choose.go
@@ -160,7 +160,7 @@
 	d.expect = time.Duration(d.slow * float64(choice.Read+best.Pending+c.Board.Speeds.Base(t.Service)))
 	l := c.line(t.Service)
 	a := admit.Ask{
-		Read: choice.Read, Pending: best.Pending, Expect: d.expect, Waited: now.Sub(t.Arrived), Away: t.Away,
+		Read: choice.Read, Pending: best.Pending, Expect: d.expect, Waited: now.Sub(t.Arrived), Away: t.Away, Lost: t.lost,
 		Target: t.Route.Target, Left: t.Deadline.Sub(now), First: !t.joined.IsZero(),
 	}
 	if t.joined.IsZero() && choice.Read >= admit.Long {
