Pass an endpoint's own failure on where nothing better is found

Ruled out: more repeats (the budget is the platform's bound).

Change: the answer is kept while another attempt is sought, from another region in the end of its relay, and passed on where the request would end refused.

Before and after: TestOwnFailureIsPassedOn gets 502 without, the endpoint's 500 and body with it. Kept: callers see why.

--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -110,6 +110,15 @@
 	RetryMS int64      `cbor:"4,keyasint,omitempty"`
 	// Sent counts the attempts that reached an endpoint.
 	Sent int `cbor:"5,keyasint,omitempty"`
+	// Answer is what an endpoint answered of its own failure, for a sender that
+	// finds no better one.
+	Answer *Answer `cbor:"6,keyasint,omitempty"`
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Head Head   `cbor:"1,keyasint"`
+	Body []byte `cbor:"2,keyasint,omitempty"`
 }
 
 // Fetch asks for documents of the configuration: the head where Hashes is
--- a/internal/serve/carry/carry.go
+++ b/internal/serve/carry/carry.go
@@ -65,6 +65,8 @@
 	Endpoint string
 	Region   string
 	First    time.Duration
+	// Answer is an endpoint's answer of its own failure that was not passed on.
+	Answer *wire.Answer
 }
 
 // Carrier carries the requests of one host.
@@ -127,6 +129,8 @@
 	joined time.Time
 	// lost is the time that failed attempts took.
 	lost time.Duration
+	// answer is the last that an endpoint answered of its own failure.
+	answer *wire.Answer
 }
 
 func (c *Carrier) carry(ctx context.Context, r Request, sink client.Sink, cross bool) Report {
@@ -138,14 +142,34 @@
 		// A relayed request was counted where it entered.
 		c.Budget.Earn(c.Now(), r.Service)
 	}
-	refusal := c.travel(ctx, t, c.watched(t, sink))
+	sink = c.watched(t, sink)
+	refusal := c.travel(ctx, t, sink)
 	if refusal != nil {
 		refusal = refusal.WithRan(refusal.Ran.Worse(t.ran))
 	}
+	switch {
+	case refusal == nil || t.answer == nil || t.report.Begun:
+	case !cross:
+		t.report.Answer = t.answer
+	case refusal.Code != fault.Cancelled:
+		refusal = pass(t.answer, sink)
+	}
 	t.report.Refusal = refusal
 	return t.report
 }
 
+// pass gives the caller what an endpoint answered of its own failure: that says
+// more than a refusal of ours.
+func pass(a *wire.Answer, sink client.Sink) *fault.Refusal {
+	if err := sink.Head(a.Head); err != nil {
+		return refuse(fault.Cancelled, fault.RanYes, err, "caller has left")
+	}
+	if err := sink.Data(a.Body); err != nil {
+		return refuse(fault.Cancelled, fault.RanYes, err, "caller has left")
+	}
+	return nil
+}
+
 // watched notes what of the answer passes; the head goes on once.
 func (c *Carrier) watched(t *trip, sink client.Sink) client.Sink {
 	head := false
@@ -185,6 +209,8 @@
 	// free attempts are not charged to the retry budget: they reached no endpoint.
 	free    bool
 	refusal *fault.Refusal
+	// answer is the endpoint's own failure, where it was not passed on.
+	answer *wire.Answer
 }
 
 // travel makes attempts until one gives a whole answer, or returns why none does.
@@ -212,6 +238,9 @@
 			return nil
 		}
 		t.lost += c.Now().Sub(began)
+		if res.answer != nil {
+			t.answer = res.answer
+		}
 		t.ran = t.ran.Worse(res.ran)
 		if res.ran != fault.RanNo {
 			t.runs++
--- a/internal/serve/carry/here.go
+++ b/internal/serve/carry/here.go
@@ -57,6 +57,9 @@
 		Uint64("registered", e.Revision).Dur("expected", d.expect).Dur("first", out.First).Int("status", out.Status).
 		Bool("reused", out.Reused).Int("running", out.Load.Running).Int("waiting", out.Load.Waiting).
 		Str("outcome", outcome(out)).Msg("attempt")
+	if out.Answer != nil {
+		out.Answer.Head.Endpoint = e.ID
+	}
 	return resultOf(out)
 }
 
@@ -138,7 +141,9 @@
 }
 
 func resultOf(out kept.Result) result {
-	res := result{whole: out.Whole, begun: out.Begun, left: out.CallerLeft, reason: out.Reason, ran: out.Ran}
+	res := result{
+		whole: out.Whole, begun: out.Begun, left: out.CallerLeft, reason: out.Reason, ran: out.Ran, answer: out.Answer,
+	}
 	// Nothing reached an endpoint.
 	res.free = out.Reason == retry.Dial
 	switch {
--- a/internal/serve/carry/there.go
+++ b/internal/serve/carry/there.go
@@ -96,5 +96,7 @@
 		t.tried[regionMark+t.report.Region] = true
 	}
 	t.report.Sent += end.Sent
-	return result{begun: begun, reason: retry.Relay, ran: end.Ran, free: end.Sent == 0, refusal: flow.RefusalOf(end)}
+	return result{
+		begun: begun, reason: retry.Relay, ran: end.Ran, free: end.Sent == 0, refusal: flow.RefusalOf(end), answer: end.Answer,
+	}
 }
--- a/internal/serve/kept/kept.go
+++ b/internal/serve/kept/kept.go
@@ -84,6 +84,9 @@
 	First time.Duration
 	// Last is the id of the last event passed on.
 	Last int
+	// Answer is the endpoint's own failure where that was not passed on, nil where
+	// it is long or of unknown length.
+	Answer *wire.Answer
 	// Events counts the events passed on.
 	Events int
 	// Reused says that the attempt went over a kept connection.
@@ -285,9 +288,13 @@
 	if resp.ContentLength > readChunk || resp.ContentLength < 0 {
 		return 0
 	}
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
 		return 0
 	}
+	if e.out.Reason == retry.Status && resp.StatusCode >= http.StatusInternalServerError {
+		e.out.Answer = &wire.Answer{Head: fields(resp), Body: body}
+	}
 	return keepTime(resp)
 }
 
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -140,19 +140,19 @@
 }
 
 // routed carries out a request that another region's host sent.
-func (n *Node) routed(ctx context.Context, o *wire.Open, sink client.Sink) (*fault.Refusal, int) {
+func (n *Node) routed(ctx context.Context, o *wire.Open, sink client.Sink) relay.Done {
 	r := carry.Opened(o, n.now())
 	r.Request.Away = n.board.Zones.Away(o.From)
 	if r.Request.From == n.board.Region {
-		return fault.New(fault.BadRequest, fault.RanNo, "request of this region needs no relay"), 0
+		return relay.Done{Refusal: fault.New(fault.BadRequest, fault.RanNo, "request of this region needs no relay")}
 	}
 	if !r.Request.Route.Allows(n.board.Region) {
-		return fault.New(fault.NoRegion, fault.RanNo, "region %s may not serve the request", n.board.Region), 0
+		return relay.Done{Refusal: fault.New(fault.NoRegion, fault.RanNo, "region %s may not serve the request", n.board.Region)}
 	}
 	report := n.carrier.Carry(ctx, r, sink)
 	n.log.Debug().Str("request", o.ID).Str("service", o.Service).Str("from", o.From).Str("endpoint", report.Endpoint).
 		Int("tries", report.Tries).Dur("first", report.First).Msg("carried out for another region")
-	return report.Refusal, report.Sent
+	return relay.Done{Refusal: report.Refusal, Sent: report.Sent, Answer: report.Answer}
 }
 
 // Start begins to serve. The host is ready once it knows routes and endpoints.
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -474,6 +474,32 @@
 
 // TestFailingEndpointsYieldToAnotherRegion: where all endpoints here fail, another
 // region is asked first, so that what may run once only is not lost.
+// TestOwnFailureIsPassedOn: where an endpoint's own failure is not tried again with
+// success, the caller gets what the endpoint answered, also from another region.
+func TestOwnFailureIsPassedOn(t *testing.T) {
+	for _, left := range []string{"plain-a1", "plain-b1"} {
+		t.Run(left, func(t *testing.T) {
+			f := start(t)
+			for _, id := range []string{"plain-a1", "plain-b1"} {
+				if id != left {
+					f.shelf.put(feed.Change{Key: id, Gone: id})
+				}
+			}
+			f.eventually("only one is left", func() bool {
+				return len(f.nodes["a"].board.Registry.Of("plain")) == 1 && len(f.nodes["b"].board.Registry.Of("plain")) == 1
+			})
+			f.endpoints[left].SetFault(routed.Fault{Times: 9, Status: 500})
+			status, body, err := f.call("GET", "/safe/x", "r1", nil)
+			if status != 500 || body != "failed" || err != nil {
+				t.Errorf("status %d, %q, %v", status, body, err)
+			}
+			if n := len(f.runs(left)); n != 1 {
+				t.Errorf("%d runs", n)
+			}
+		})
+	}
+}
+
 func TestFailingEndpointsYieldToAnotherRegion(t *testing.T) {
 	f := start(t)
 	f.endpoints["plain-a1"].SetFault(routed.Fault{Times: 1000, Drop: true})
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -43,9 +43,9 @@
 	Log    zerolog.Logger
 	// Pool bounds the requests carried out for other hosts at once.
 	Pool *ants.Pool
-	// Routed carries out a request that came by a published route, and returns how
-	// many attempts reached an endpoint; nil where there are none.
-	Routed func(ctx context.Context, o *wire.Open, sink client.Sink) (*fault.Refusal, int)
+	// Routed carries out a request that came by a published route; nil where there
+	// are none.
+	Routed func(ctx context.Context, o *wire.Open, sink client.Sink) Done
 	// Items returns what changed in the platform's store; nil where hosts do not
 	// tell each other.
 	Items func(since uint64) *wire.Items
@@ -56,6 +56,16 @@
 	Now     func() time.Time
 }
 
+// Done is how a request went that came by a published route.
+type Done struct {
+	// Refusal is nil where the answer was whole.
+	Refusal *fault.Refusal
+	// Sent counts the attempts that reached an endpoint.
+	Sent int
+	// Answer is an endpoint's own failure that was not passed on.
+	Answer *wire.Answer
+}
+
 // Stream serves one stream; it implements link.Handlers.
 func (h *Handler) Stream(ctx context.Context, peer string, s *link.Stream) {
 	fr, err := s.Read(h.MaxBody+openLimit, time.Now().Add(slowPeer))
@@ -118,27 +128,26 @@
 		Head: func(hd wire.Head) error { return a.write(wire.Frame{Head: &hd}) },
 		Data: func(p []byte) error { return a.write(wire.Frame{Data: p}) },
 	}
-	refusal := fault.New(fault.Cancelled, fault.RanNo, "sender has left")
-	sent := 0
+	done := Done{Refusal: fault.New(fault.Cancelled, fault.RanNo, "sender has left")}
 	if a.write(wire.Frame{Alive: true}) == nil {
-		refusal, sent = h.either(ctx, peer, o, sink)
+		done = h.either(ctx, peer, o, sink)
 	}
 	stop()
-	if refusal != nil {
-		h.Meter.Refusal(refusal)
+	if done.Refusal != nil {
+		h.Meter.Refusal(done.Refusal)
 	}
-	end := flow.EndOf(refusal)
-	end.Sent = sent
+	end := flow.EndOf(done.Refusal)
+	end.Sent, end.Answer = done.Sent, done.Answer
 	_ = a.write(wire.Frame{End: end})
 }
 
 // either carries out a request by a published route or by the inventory.
-func (h *Handler) either(ctx context.Context, peer string, o *wire.Open, sink client.Sink) (*fault.Refusal, int) {
+func (h *Handler) either(ctx context.Context, peer string, o *wire.Open, sink client.Sink) Done {
 	switch {
 	case o.Routed == nil || h.Routed == nil:
-		return h.handle(ctx, peer, o, sink), 0
+		return Done{Refusal: h.handle(ctx, peer, o, sink)}
 	case h.Board.Pulse.Leaving():
-		return fault.New(fault.Leaving, fault.RanNo, "host is leaving"), 0
+		return Done{Refusal: fault.New(fault.Leaving, fault.RanNo, "host is leaving")}
 	}
 	return h.Routed(ctx, o, sink)
 }
