Give no attempt up where no repeat is left

Ruled out: a longer wait for the head for all (a silent endpoint would hold up what can go elsewhere).

Change: the wait for the head is bounded, and a failure of the endpoint's own is held back, only while the budget has a repeat.

Before and after: TestNotGivenUpWithoutARepeat gets 504 without.

--- a/internal/route/retry/window.go
+++ b/internal/route/retry/window.go
@@ -89,14 +89,27 @@
 
 // Spend counts one repeat and reports whether the budget had it.
 func (w *Windows) Spend(now time.Time, service string) bool {
-	hosts := float64(max(1, w.hosts()))
+	hosts := w.hosts()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.get(now, service)
-	most := safety * (w.bound.Ratio*sum(s.requests) + w.bound.Slack/hosts)
-	if sum(s.repeats)+1 > most {
+	if !w.has(s, hosts) {
 		return false
 	}
 	s.repeats[s.at%buckets]++
 	return true
 }
+
+// Left reports whether the budget has a repeat, without spending it.
+func (w *Windows) Left(now time.Time, service string) bool {
+	hosts := w.hosts()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.has(w.get(now, service), hosts)
+}
+
+// has reports whether a window has room for one more repeat.
+func (w *Windows) has(s *window, hosts int) bool {
+	most := safety * (w.bound.Ratio*sum(s.requests) + w.bound.Slack/float64(max(1, hosts)))
+	return sum(s.repeats)+1 <= most
+}
--- a/internal/route/retry/window_test.go
+++ b/internal/route/retry/window_test.go
@@ -51,6 +51,20 @@
 	return n
 }
 
+func TestLeftSpendsNothing(t *testing.T) {
+	w := NewWindows(Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, func() int { return 1 })
+	spent := 0
+	for w.Left(begin, "s") && spent < 100 {
+		if !w.Left(begin, "s") || !w.Spend(begin, "s") {
+			t.Fatalf("what was left after %d was not there to spend", spent)
+		}
+		spent++
+	}
+	if spent == 0 || spent > 10 || w.Spend(begin, "s") {
+		t.Errorf("spent %d, and more though nothing was left", spent)
+	}
+}
+
 func TestWindowMovesOn(t *testing.T) {
 	const slack = 20
 	w := NewWindows(Bound{Slack: slack, Window: 10 * time.Second}, func() int { return 1 })
--- a/internal/serve/carry/here.go
+++ b/internal/serve/carry/here.go
@@ -77,7 +77,8 @@
 		Fields: c.fields(t, d), Body: t.Body, ID: t.ID, Deadline: t.Deadline,
 		After: t.last, MaxAnswer: MaxAnswer,
 	}
-	more := t.runs+1 < t.Tries && t.Route.Repeatable()
+	// Without a repeat left, nothing is gained by giving an attempt up.
+	more := t.runs+1 < t.Tries && t.Route.Repeatable() && c.Budget.Left(c.Now(), t.Service)
 	if more && t.Route.Target > 0 {
 		// By then it is late, and an endpoint that is only busy would have answered.
 		call.HeadWait = t.Route.Target + d.expect
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -173,6 +173,11 @@
 }
 
 func start(t *testing.T) *fleet {
+	t.Helper()
+	return startWith(t, setup.DefaultBounds())
+}
+
+func startWith(t *testing.T, bounds setup.Bounds) *fleet {
 	t.Helper()
 	f := &fleet{t: t, log: &logs{}, shelf: &shelf{}, nodes: map[string]*Node{}, endpoints: map[string]*routed.Endpoint{}}
 	f.shelf.put(feed.Change{Rules: routesOf(7)})
@@ -185,7 +190,7 @@
 	for region, peers := range map[string]string{"a": seed, "b": free(t)} {
 		n, err := New(setup.Hosted{
 			Name: "n" + region, Region: region, Centre: region + "1", Callers: free(t), Ready: free(t), Directory: free(t),
-			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: setup.DefaultBounds(),
+			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: bounds,
 		}, names, f.shelf.feed(region), zerolog.New(f.log).With().Str("at", region).Str("host", region).Logger())
 		if err != nil {
 			t.Fatal(err)
@@ -474,6 +479,23 @@
 
 // TestFailingEndpointsYieldToAnotherRegion: where all endpoints here fail, another
 // region is asked first, so that what may run once only is not lost.
+// TestNotGivenUpWithoutARepeat: an endpoint that is late is waited for where no
+// repeat is left to go elsewhere.
+func TestNotGivenUpWithoutARepeat(t *testing.T) {
+	bounds := setup.DefaultBounds()
+	bounds.RetryRatio, bounds.RetrySlack = 0, 0
+	f := startWith(t, bounds)
+	f.shelf.put(feed.Change{Rules: rules.New(8, []rules.Route{{
+		Name: "safe", Host: "h", Prefix: "/safe/", Shares: []rules.Share{{Service: "plain", Weight: 1}},
+		Kind: rules.Safe, Attempts: 2, Timeout: 3 * patience, Target: time.Millisecond,
+	}}, []rules.Service{{Name: "plain"}}, rules.Limits{})})
+	f.eventually("the rules are in force", func() bool { return f.nodes["a"].board.Routes.Version() == 8 })
+	f.endpoints["plain-a1"].Work, f.endpoints["plain-b1"].Work = time.Second, time.Second
+	if status, body, err := f.call("GET", "/safe/x", "r1", nil); status != 200 || body != routed.Body("r1") || err != nil {
+		t.Errorf("status %d, %q, %v", status, body, err)
+	}
+}
+
 // TestOwnFailureIsPassedOn: where an endpoint's own failure is not tried again with
 // success, the caller gets what the endpoint answered, also from another region.
 func TestOwnFailureIsPassedOn(t *testing.T) {
