--- a/internal/serve/carry/hold.go
+++ b/internal/serve/carry/hold.go
@@ -44,18 +44,16 @@
 	c.mu.Unlock()
 	look := time.NewTimer(holdStep)
 	defer look.Stop()
+	// A full line gives no place; its turn never comes.
+	var turn <-chan struct{}
 	if it != nil {
-		select {
-		case <-it.Turn:
-		case <-look.C:
-		case <-ctx.Done():
-		}
-		l.Leave(it)
-	} else {
-		select {
-		case <-look.C:
-		case <-ctx.Done():
-		}
+		turn = it.Turn
+		defer l.Leave(it)
+	}
+	select {
+	case <-turn:
+	case <-look.C:
+	case <-ctx.Done():
 	}
 	c.mu.Lock()
 	l.read -= d.read
