Measure whole requests by route and outcome

The issue on logs asks for latency histograms by route and outcome; there were counters by outcome and times by service only. Series of a route end with it, so that they do not pile up while configurations come and go (tested). Nine coarse buckets: one set a route and outcome.

--- a/internal/conf/rules/rules.go
+++ b/internal/conf/rules/rules.go
@@ -146,11 +146,13 @@
 // ServiceNames returns the names of the services.
 func (r *Rules) ServiceNames() []string { return slices.Sorted(maps.Keys(r.services)) }
 
-// Routes counts the routes.
-func (r *Rules) Routes() int {
-	n := 0
+// RouteNames returns the names of the routes.
+func (r *Rules) RouteNames() []string {
+	var names []string
 	for _, list := range r.routes {
-		n += len(list)
+		for _, route := range list {
+			names = append(names, route.Name)
+		}
 	}
-	return n
+	return names
 }
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -2,6 +2,8 @@
 package meter
 
 import (
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -36,6 +38,7 @@
 	first     *prometheus.HistogramVec
 	gap       *prometheus.HistogramVec
 	queue     *prometheus.HistogramVec
+	took      *prometheus.HistogramVec
 	control   *prometheus.CounterVec
 	Pauses    prometheus.Counter
 	Repeats   prometheus.Counter
@@ -43,15 +46,24 @@
 	Rejected  prometheus.Counter
 	Open      prometheus.Gauge
 	Revision  prometheus.Gauge
+
+	mu sync.Mutex
+	// routes are those with recorded times.
+	routes map[string]bool
 }
 
 // timeBuckets are in seconds, from 1 ms to about 65 s.
 var timeBuckets = prometheus.ExponentialBuckets(0.001, 2, 17)
 
+// tookBuckets are in seconds, from 10 ms to about 15 s: coarser, as there is one
+// set a route and outcome.
+var tookBuckets = prometheus.ExponentialBuckets(0.01, 2.5, 9)
+
 // New returns a set of metrics with every reason at zero.
 func New() *Meter {
 	m := &Meter{
 		Registry:  prometheus.NewRegistry(),
+		routes:    map[string]bool{},
 		refusals:  counters("refusals_total", "Refused requests by reason and whether they ran.", "reason", "ran"),
 		retries:   counters("retries_total", "Attempts made again by the reason of the failure.", "reason"),
 		denied:    counters("retries_denied_total", "Failures that were not tried again.", "reason"),
@@ -60,6 +72,9 @@
 		first:     histogram("first_token_seconds", "Time to the first byte of an answer's body."),
 		gap:       histogram("token_gap_seconds", "Time between parts of a streamed answer."),
 		queue:     histogram("queue_seconds", "Time spent waiting for a place."),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds", Help: "Time of a whole request by route and outcome.", Buckets: tookBuckets,
+		}, []string{"route", "outcome"}),
 		control:   counters("control_bytes_total", "Bytes of datagrams between hosts.", "direction"),
 		Pauses:    counter("pauses_total", "Pauses of the process that were noticed."),
 		Repeats:   counter("operation_repeats_total", "Requests answered from a remembered operation."),
@@ -69,7 +84,7 @@
 		Revision:  gauge("revision", "Configuration revision in force."),
 	}
 	m.Registry.MustRegister(m.refusals, m.retries, m.denied, m.crossings, m.requests, m.first, m.gap,
-		m.queue, m.control, m.Pauses, m.Repeats, m.StaleHead, m.Rejected, m.Open, m.Revision,
+		m.queue, m.took, m.control, m.Pauses, m.Repeats, m.StaleHead, m.Rejected, m.Open, m.Revision,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
 		for _, ran := range []fault.Ran{fault.RanNo, fault.RanYes, fault.RanUnknown} {
@@ -122,6 +137,28 @@
 	m.requests.WithLabelValues(service, outcome).Inc()
 }
 
+// Took records the time of a whole request at the host that it entered; route is
+// empty where none matched.
+func (m *Meter) Took(route, outcome string, d time.Duration) {
+	m.took.WithLabelValues(route, outcome).Observe(d.Seconds())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.routes[route] = true
+}
+
+// Routes drops what was recorded of routes other than those named, which are in
+// force, so that series do not pile up as routes come and go.
+func (m *Meter) Routes(names []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for held := range m.routes {
+		if held != "" && !slices.Contains(names, held) {
+			m.took.DeletePartialMatch(prometheus.Labels{"route": held})
+			delete(m.routes, held)
+		}
+	}
+}
+
 // First records the time to the first byte of an answer's body.
 func (m *Meter) First(service string, d time.Duration) {
 	m.first.WithLabelValues(service).Observe(d.Seconds())
--- a/internal/ops/meter/meter_test.go
+++ b/internal/ops/meter/meter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
@@ -33,3 +34,20 @@
 		t.Errorf("%d refusal counters after use, want %d", got, want)
 	}
 }
+
+func TestTimesOfRoutesThatAreGone(t *testing.T) {
+	m := New()
+	m.Took("old", "answered", time.Second)
+	m.Took("old", "busy", time.Second)
+	m.Took("kept", "answered", time.Second)
+	m.Took("", "no_route", time.Millisecond)
+	m.Routes([]string{"kept", "new"})
+	if got := testutil.CollectAndCount(m.took); got != 2 {
+		t.Errorf("%d sets of times, want those of the kept route and of none", got)
+	}
+	m.Took("old", "answered", time.Second)
+	m.Routes([]string{"kept"})
+	if got := testutil.CollectAndCount(m.took); got != 2 {
+		t.Errorf("%d sets of times after a late request", got)
+	}
+}
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -202,7 +202,9 @@
 	if r.Route != nil {
 		route = r.Route.Name
 	}
+	took := f.Now().Sub(start)
 	f.Meter.Request(service, outcome)
+	f.Meter.Took(route, outcome, took)
 	ev := f.Log.Debug()
 	if report.Refusal != nil {
 		ev = f.Log.Info().Str("ran", string(report.Refusal.Ran)).Str("why", report.Refusal.Message).
@@ -211,6 +213,6 @@
 	ev.Str("request", r.ID).Str("route", route).Str("service", service).Uint64("version", r.Version).
 		Str("region", report.Region).Str("endpoint", report.Endpoint).Int("tries", report.Tries).
 		Int("status", report.Status).Bool("begun", report.Begun).Int("tokens", r.Prompt.Tokens).
-		Dur("first", report.First).Dur("took", f.Now().Sub(start)).Dur("allowed", r.Deadline.Sub(start)).
+		Dur("first", report.First).Dur("took", took).Dur("allowed", r.Deadline.Sub(start)).
 		Str("outcome", outcome).Msg("request")
 }
--- a/internal/serve/node/follow.go
+++ b/internal/serve/node/follow.go
@@ -82,7 +82,9 @@
 func (n *Node) applyRules(c feed.Change) {
 	if n.board.Routes.Apply(c.Rules) {
 		n.meter.Revision.Set(float64(c.Rules.Version))
-		n.log.Info().Uint64("version", c.Rules.Version).Int("routes", c.Rules.Routes()).
+		names := c.Rules.RouteNames()
+		n.meter.Routes(names)
+		n.log.Info().Uint64("version", c.Rules.Version).Int("routes", len(names)).
 			Uint64("revision", c.Revision).Msg("rules in force")
 		return
 	}
