Keep the age of what was told when telling it on

Found by reading: an item that one host told another was remembered as read then, so a third host would count a cold endpoint's time from too late. Red first: TestTold (the age of what is told on).

--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -27,6 +27,8 @@
 	// Value is the item as it was written, Deleted says that it was removed.
 	Value   []byte
 	Deleted bool
+	// At is when it was read from the store; zero is now.
+	At time.Time
 	// Rules is a published version.
 	Rules *rules.Rules
 	// Endpoint is a registration.
@@ -172,7 +174,11 @@
 func (f *Feed) take(now time.Time, b Batch, listing bool) {
 	list := make([]items.Item, 0, len(b.Changes))
 	for _, c := range b.Changes {
-		list = append(list, items.Item{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, At: now})
+		it := items.Item{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, At: c.At}
+		if it.At.IsZero() {
+			it.At = now
+		}
+		list = append(list, it)
 	}
 	if listing {
 		f.items.Replace(list, b.At)
@@ -209,6 +215,7 @@
 	b := Batch{At: at}
 	for _, it := range list {
 		if c, ok := f.Read(it); ok {
+			c.At = it.At
 			b.Changes = append(b.Changes, c)
 		}
 	}
--- a/internal/plat/feed/feed_test.go
+++ b/internal/plat/feed/feed_test.go
@@ -148,7 +148,8 @@
 			seen = append(seen, fmt.Sprint("changed ", len(b.Changes), " held ", !until.IsZero()))
 		},
 	}
-	list := []items.Item{{Key: "a", Revision: 4}, {Key: "foreign", Revision: 5}}
+	earlier := now.Add(-time.Second)
+	list := []items.Item{{Key: "a", Revision: 4, At: earlier}, {Key: "foreign", Revision: 5}}
 	steps := []struct {
 		at    uint64
 		whole bool
@@ -168,6 +169,9 @@
 	if told, at, _ := f.Since(5); at != 8 || len(told) != 0 {
 		t.Errorf("tells %v at %d", told, at)
 	}
+	if told, _, whole := f.Since(0); !whole || len(told) != 1 || !told[0].At.Equal(earlier) {
+		t.Errorf("tells on %v", told)
+	}
 }
 
 func TestAway(t *testing.T) {
