Read and check both kinds of settings by one function

The host on a platform decoded its settings by a copy of what the product's own settings had: strict decoding, unknown fields beside field checks, checks between fields. parse serves both; what differs is a function. Tests unchanged.

--- a/internal/conf/setup/hosted.go
+++ b/internal/conf/setup/hosted.go
@@ -1,13 +1,8 @@
 package setup
 
 import (
-	"bytes"
 	"fmt"
-	"os"
 	"time"
-
-	"github.com/pelletier/go-toml/v2"
-	"github.com/samber/oops"
 )
 
 // Hosted are the settings of a host whose platform gives it its place: routes and
@@ -66,9 +61,9 @@
 
 // LoadHosted reads and checks a settings file.
 func LoadHosted(file string) (Hosted, error) {
-	data, err := os.ReadFile(file)
+	data, err := read(file)
 	if err != nil {
-		return Hosted{}, oops.In("setup").Wrapf(err, "read settings")
+		return Hosted{}, err
 	}
 	s, err := ParseHosted(file, data)
 	if err != nil {
@@ -80,17 +75,15 @@
 // ParseHosted checks settings; its error is an *Invalid that names each fault.
 func ParseHosted(file string, data []byte) (Hosted, error) {
 	s := Hosted{LogLevel: "info", Bounds: DefaultBounds()}
-	dec := toml.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	faults := decodeFaults(dec.Decode(&s))
-	if len(faults) == 0 || onlyUnknown(faults) {
-		faults = append(faults, checkFields(&s, "Hosted.")...)
-		if s.Regions != nil && s.Regions[s.Centre] != s.Region {
-			faults = append(faults, Fault{Key: "regions", Text: "does not place this host's data centre in its region"})
-		}
-	}
-	if len(faults) > 0 {
-		return Hosted{}, &Invalid{File: file, Faults: faults}
+	if err := parse(file, data, &s, "Hosted.", func() []Fault { return checkPlace(&s) }); err != nil {
+		return Hosted{}, err
 	}
 	return s, nil
 }
+
+func checkPlace(s *Hosted) []Fault {
+	if s.Regions != nil && s.Regions[s.Centre] != s.Region {
+		return []Fault{{Key: "regions", Text: "does not place this host's data centre in its region"}}
+	}
+	return nil
+}
--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -113,9 +113,9 @@
 
 // Load reads and checks a settings file.
 func Load(file string) (Settings, error) {
-	data, err := os.ReadFile(file)
+	data, err := read(file)
 	if err != nil {
-		return Settings{}, oops.In("setup").Wrapf(err, "read settings")
+		return Settings{}, err
 	}
 	s, err := Parse(file, data)
 	if err != nil {
@@ -124,20 +124,38 @@
 	return s, nil
 }
 
+func read(file string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, oops.In("setup").Wrapf(err, "read settings")
+	}
+	return data, nil
+}
+
 // Parse checks settings; its error is an *Invalid that names each fault.
 func Parse(file string, data []byte) (Settings, error) {
 	s := Default()
+	err := parse(file, data, &s, "Settings.", func() []Fault { return checkClashes(&s) })
+	if err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// parse decodes settings over those that into holds and checks each field, then by
+// what clashes finds between fields. The root is the prefix of field names.
+func parse(file string, data []byte, into any, root string, clashes func() []Fault) error {
 	dec := toml.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
-	faults := decodeFaults(dec.Decode(&s))
+	faults := decodeFaults(dec.Decode(into))
 	if len(faults) == 0 || onlyUnknown(faults) {
-		faults = append(faults, checkFields(&s, "Settings.")...)
-		faults = append(faults, checkClashes(&s)...)
+		faults = append(faults, checkFields(into, root)...)
+		faults = append(faults, clashes()...)
 	}
 	if len(faults) > 0 {
-		return Settings{}, &Invalid{File: file, Faults: faults}
+		return &Invalid{File: file, Faults: faults}
 	}
-	return s, nil
+	return nil
 }
 
 const unknownKey = "unknown key"
