Shut HTTP servers down by one function

edge, front and admin each bounded the shut-down and took an exceeded time as done. socket.Shutdown, beside Run, serves all three; bounds as before.

--- a/internal/base/socket/socket.go
+++ b/internal/base/socket/socket.go
@@ -2,6 +2,7 @@
 package socket
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -46,6 +47,17 @@
 	return l.err
 }
 
+// Shutdown ends a server, waiting at most a time for its requests. Connections that
+// are still open then are kept-alive ones, which carry nothing until their idle time.
+func Shutdown(s *server.Hertz, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shut server down: %w", err)
+	}
+	return nil
+}
+
 const (
 	// startTime bounds the wait for a server to run, startStep is between two looks.
 	startTime = 2 * time.Second
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -130,10 +130,7 @@
 
 // Close ends the listener.
 func (a *Admin) Close() error {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*closeWait)
-	defer cancel()
-	err := a.server.Shutdown(ctx)
-	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err := socket.Shutdown(a.server, 2*closeWait); err != nil {
 		return fmt.Errorf("close listener for operators: %w", err)
 	}
 	return nil
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -111,14 +111,12 @@
 func (f *Front) Close() error {
 	var failed error
 	for _, s := range f.servers {
-		ctx, cancel := context.WithTimeout(context.Background(), closeTime)
-		err := s.Shutdown(ctx)
-		cancel()
-		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-			failed = errors.Join(failed, fmt.Errorf("close listener: %w", err))
-		}
+		failed = errors.Join(failed, socket.Shutdown(s, closeTime))
+	}
+	if failed != nil {
+		return fmt.Errorf("close listeners: %w", failed)
 	}
-	return failed
+	return nil
 }
 
 func (f *Front) ready(_ context.Context, c *app.RequestContext) {
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -123,14 +122,7 @@
 	if f.server == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 2*closeWait)
-	defer cancel()
-	err := f.server.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		// Kept-alive connections stay open until their idle time; they carry nothing.
-		err = nil
-	}
-	if err != nil {
+	if err := socket.Shutdown(f.server, 2*closeWait); err != nil {
 		return fmt.Errorf("close listener for callers: %w", err)
 	}
 	return nil
