Let the pulse beat for both kinds of host

node and host each had the loop that notices pauses of the process, line by line. It is the pulse's own now; what a woken host does stays with each.

--- a/internal/board/pulse/pulse.go
+++ b/internal/board/pulse/pulse.go
@@ -3,12 +3,15 @@
 package pulse
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
 const (
+	// period is the time between two beats.
+	period = 100 * time.Millisecond
 	// limit is the time without a beat that counts as a pause of the process.
 	limit = 2 * time.Second
 	// grace bounds how long a woken host waits for a fresh view.
@@ -50,6 +53,24 @@
 	return paused
 }
 
+// Run beats until the context ends and calls paused after each pause. It has a
+// goroutine of its own and no other work, so that it is late only where the
+// process is.
+func (t *Table) Run(ctx context.Context, now func() time.Time, paused func()) {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if t.Beat(now()) {
+				paused()
+			}
+		}
+	}
+}
+
 // Refreshed says that a fresh view was had after a pause.
 func (t *Table) Refreshed() {
 	t.mu.Lock()
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -33,7 +33,6 @@
 const (
 	workers     = 64
 	relayIdle   = 30 * time.Second
-	beatPeriod  = 100 * time.Millisecond
 	bootPeriod  = 100 * time.Millisecond
 	drainPeriod = 20 * time.Millisecond
 	// leaveNotice is how long a leaving host still takes requests that were sent
@@ -139,7 +138,7 @@
 	h.controllers()
 	h.runner.Start()
 	h.link.Serve(h.handlers)
-	h.wait.Go(func() { h.beat(ctx) })
+	h.wait.Go(func() { h.board.Pulse.Run(ctx, h.now, h.woken) })
 	h.wait.Go(func() { h.boot(ctx) })
 	if err := h.admin.Start(); err != nil {
 		return fmt.Errorf("start host %s: %w", h.settings.Name, err)
@@ -158,23 +157,6 @@
 // Board returns the host's blackboard.
 func (h *Host) Board() *board.Board { return h.board }
 
-// beat notices pauses of the process. It has no other work, so that it is late
-// only where the process is.
-func (h *Host) beat(ctx context.Context) {
-	tick := time.NewTicker(beatPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			if h.board.Pulse.Beat(h.now()) {
-				h.woken()
-			}
-		}
-	}
-}
-
 // woken makes beliefs from before a pause suspect and asks for fresh ones.
 func (h *Host) woken() {
 	h.meter.Pauses.Inc()
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -38,7 +38,6 @@
 	workers     = 16
 	mostRelayed = 2048
 	relayIdle   = 10 * time.Second
-	beatPeriod  = 100 * time.Millisecond
 	maxBody     = 16 << 20
 	// linkAlive and linkIdle notice a link to another host that went silent before
 	// a request uses it.
@@ -162,7 +161,7 @@
 	n.controllers()
 	n.runner.Start()
 	n.link.Serve(n.handlers)
-	n.wait.Go(func() { n.beat(ctx) })
+	n.wait.Go(func() { n.board.Pulse.Run(ctx, n.now, n.woken) })
 	if err := n.front.Start(); err != nil {
 		return fmt.Errorf("start host %s: %w", n.settings.Name, err)
 	}
@@ -172,23 +171,11 @@
 	return nil
 }
 
-// beat notices pauses of the process. It has no other work, so that it is late
-// only where the process is.
-func (n *Node) beat(ctx context.Context) {
-	tick := time.NewTicker(beatPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			if n.board.Pulse.Beat(n.now()) {
-				n.meter.Pauses.Inc()
-				n.log.Warn().Msg("process was paused; beliefs are refreshed")
-				n.board.Endpoints.Doubt()
-			}
-		}
-	}
+// woken makes beliefs from before a pause of the process suspect.
+func (n *Node) woken() {
+	n.meter.Pauses.Inc()
+	n.log.Warn().Msg("process was paused; beliefs are refreshed")
+	n.board.Endpoints.Doubt()
 }
 
 // budget bounds the repeats of this host by those of the whole fleet.
