--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/basis"
 )
 
 // SignedBy names the endpoint on its answers.
@@ -55,8 +55,7 @@
 	Gap  time.Duration
 	Work time.Duration
 
-	server   *http.Server
-	listener net.Listener
+	server *basis.Server
 
 	mu        sync.Mutex
 	fault     Fault
@@ -66,26 +65,20 @@
 
 // New starts an endpoint at a loopback address; Close ends it.
 func New(id string, t *terms.Terms) (*Endpoint, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	e := &Endpoint{ID: id, Terms: t, Events: 5}
+	s, err := basis.Serve("127.0.0.1:0", http.HandlerFunc(e.serve))
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("endpoint %s: %w", id, err)
 	}
-	e := &Endpoint{ID: id, Terms: t, Events: 5, listener: l}
-	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: time.Minute}
-	go func() { _ = e.server.Serve(l) }()
+	e.server = s
 	return e, nil
 }
 
 // Address is where the endpoint listens.
-func (e *Endpoint) Address() string { return e.listener.Addr().String() }
+func (e *Endpoint) Address() string { return e.server.Address() }
 
 // Close ends the endpoint and its connections.
-func (e *Endpoint) Close() error {
-	if err := e.server.Close(); err != nil {
-		return fmt.Errorf("close endpoint: %w", err)
-	}
-	return nil
-}
+func (e *Endpoint) Close() error { return e.server.Close() }
 
 // SetFault changes how the endpoint misbehaves.
 func (e *Endpoint) SetFault(f Fault) {
