Ask what other regions offer only where it matters

Each decision gathered the regions' load, though most requests stay: those whose endpoint takes them and whose shared beginning is short or kept there. The same decisions; worthKeeping is the check that keeper made.

--- a/internal/serve/carry/choose.go
+++ b/internal/serve/carry/choose.go
@@ -54,14 +54,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ask := c.ask(t)
-	var others []pick.Region
-	if t.cross {
-		others = c.others(now, t)
-	}
 	here := decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint takes the request").WithRetryAfter(comeBack)}
 	if t.Route.Allows(c.Board.Region) {
 		here = c.local(now, t, ask)
 	}
+	var others []pick.Region
+	if t.cross && elsewhere(here, ask) {
+		others = c.others(now, t)
+	}
 	if here.refusal == nil && !here.held {
 		if name := c.keeper(t, ask, others); name != "" {
 			return decision{region: name}
@@ -84,6 +84,11 @@
 	return here
 }
 
+// elsewhere reports whether it matters what other regions offer.
+func elsewhere(here decision, ask pick.Ask) bool {
+	return here.refusal != nil || here.wait || here.last || (!here.held && worthKeeping(ask))
+}
+
 // sound reports whether a region is not known to have failing endpoints only.
 func sound(others []pick.Region) bool {
 	return slices.ContainsFunc(others, func(r pick.Region) bool { return !r.Failing })
@@ -216,7 +221,7 @@
 // keeper returns the other region that the request is best sent to, as its shared
 // beginning is kept there; empty if there is none.
 func (c *Carrier) keeper(t *trip, ask pick.Ask, others []pick.Region) string {
-	if ask.Prefix == 0 || len(others) == 0 || ask.Shared < leastAway {
+	if !worthKeeping(ask) || len(others) == 0 {
 		return ""
 	}
 	now := c.Now()
@@ -243,6 +248,10 @@
 	return ""
 }
 
+// worthKeeping reports whether a request has a shared beginning that may be worth
+// crossing for.
+func worthKeeping(ask pick.Ask) bool { return ask.Prefix != 0 && ask.Shared >= leastAway }
+
 // leastAway is less than the time to any other region and back.
 const leastAway = 5 * time.Millisecond
 
