--- a/internal/serve/carry/choose.go
+++ b/internal/serve/carry/choose.go
@@ -59,7 +59,7 @@
 		here = c.local(now, t, ask)
 	}
 	var others []pick.Region
-	if t.cross && elsewhere(here, ask) {
+	if elsewhere(t, here, ask) {
 		others = c.others(now, t)
 	}
 	if here.refusal == nil && !here.held {
@@ -85,7 +85,10 @@
 }
 
 // elsewhere reports whether it matters what other regions offer.
-func elsewhere(here decision, ask pick.Ask) bool {
+func elsewhere(t *trip, here decision, ask pick.Ask) bool {
+	if !t.cross {
+		return false
+	}
 	return here.refusal != nil || here.wait || here.last || (!here.held && worthKeeping(ask))
 }
 
