Notify peers of a close before the link's sockets are closed

Cause: Close cancelled the context and closed the transport at once. The goroutine of each incoming connection sent its CONNECTION_CLOSE in a deferred call, which raced with the closing of the socket: whoever lost it said nothing, and the peer kept a dead connection until the idle timeout. A dropped connection with an open stream was never closed by Close, and connections still in the accept queue were not seen.

Ruled out: loss of the datagram on loopback, and load as the cause: a test that holds the goroutine until the socket is closed fails each time without load.

Change: the link tracks every open connection, either way. Close ends the accept loop, closes all tracked connections, which returns once the CONNECTION_CLOSE is written, and only then closes the transport.

--- a/internal/fleet/link/conns.go
+++ b/internal/fleet/link/conns.go
@@ -84,6 +84,7 @@
 		return nil, fmt.Errorf("handshake: %w", err)
 	}
 	context.AfterFunc(conn.Context(), func() { _ = socket.Close() })
+	l.track(conn)
 	return conn, nil
 }
 
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -8,7 +8,9 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +55,10 @@
 	handlers  Handlers
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
+	// accepting is done once no further incoming connection is accepted.
+	accepting sync.WaitGroup
+	// served, if set, is called when the accept loop of an incoming connection ends.
+	served func()
 
 	// keepAlive is the period of keep-alive packets on a connection, and maxIdle
 	// the time without any packet after which the connection counts as dead.
@@ -61,6 +67,9 @@
 
 	mu    sync.Mutex
 	conns map[string]*peerConn
+	// open holds every connection that is not closed yet, incoming ones and dropped
+	// ones included.
+	open map[*quic.Conn]bool
 	// sendSocket is the socket that datagrams are sent from, opened at
 	// sendSocketSince.
 	sendSocket      *net.UDPConn
@@ -93,7 +102,7 @@
 	// Errors are ignored, as the kernel may cap the buffer sizes.
 	_ = socket.SetReadBuffer(socketBufferBytes)
 	_ = socket.SetWriteBuffer(socketBufferBytes)
-	l := &Link{creds: creds, sealer: sealer, maxIdle: idleTimeout, conns: map[string]*peerConn{}}
+	l := &Link{creds: creds, sealer: sealer, maxIdle: idleTimeout, conns: map[string]*peerConn{}, open: map[*quic.Conn]bool{}}
 	for _, o := range opts {
 		o(l)
 	}
@@ -164,27 +173,29 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
 	l.handlers = h
-	l.tasks.Go(func() { l.acceptConns(ctx) })
+	l.accepting.Go(func() { l.acceptConns(ctx) })
 	l.tasks.Go(func() { l.receivePackets(ctx) })
 }
 
 func (l *Link) acceptConns(ctx context.Context) {
 	for {
-		conn, err := l.listener.Accept(ctx)
+		conn, err := l.listener.Accept(context.Background())
 		if err != nil {
 			return
 		}
+		l.track(conn)
 		l.tasks.Go(func() { l.serveConn(ctx, conn) })
 	}
 }
 
 func (l *Link) serveConn(ctx context.Context, conn *quic.Conn) {
 	peer := certs.PeerName(conn.ConnectionState().TLS.PeerCertificates)
-	// Transport.Close alone would not notify the peer.
-	defer func() { _ = conn.CloseWithError(closeNormal, "closing") }()
 	for {
 		s, err := conn.AcceptStream(ctx)
 		if err != nil {
+			if l.served != nil {
+				l.served()
+			}
 			return
 		}
 		l.tasks.Go(func() {
@@ -279,18 +290,41 @@
 	return local
 }
 
+// track adds a connection to the open ones until it is closed.
+func (l *Link) track(conn *quic.Conn) {
+	l.mu.Lock()
+	l.open[conn] = true
+	l.mu.Unlock()
+	context.AfterFunc(conn.Context(), func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.open, conn)
+	})
+}
+
+// closeConns closes all open connections. It returns once the peers have been notified,
+// which needs the sockets.
+func (l *Link) closeConns() {
+	l.mu.Lock()
+	conns := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	var closing sync.WaitGroup
+	for _, conn := range conns {
+		closing.Go(func() { _ = conn.CloseWithError(closeNormal, "closing") })
+	}
+	closing.Wait()
+}
+
 // Close closes the connections and sockets and waits for the receivers and
 // stream handlers to return.
 func (l *Link) Close() error {
 	if l.cancel != nil {
 		l.cancel()
 	}
-	l.mu.Lock()
-	for _, p := range l.conns {
-		_ = p.conn.CloseWithError(closeNormal, "closing")
-	}
-	l.mu.Unlock()
+	// The accept loop ends once it has accepted the connections that are queued.
 	_ = l.listener.Close()
+	l.accepting.Wait()
+	l.closeConns()
 	err := l.transport.Close()
 	_ = l.transport.Conn.Close()
 	l.mu.Lock()
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +14,12 @@
 const waitTimeout = 20 * time.Second
 
 func newLinkPair(t *testing.T) (a, b *Link) {
+	t.Helper()
+	return newLinkPairWith(t, echoHandlers())
+}
+
+// newLinkPairWith returns two links, of which b serves streams with the handlers.
+func newLinkPairWith(t *testing.T, handlers Handlers) (a, b *Link) {
 	t.Helper()
 	ca, err := certs.NewAuthority(time.Now(), time.Hour)
 	if err != nil {
@@ -35,7 +39,7 @@
 	a = open("a", "127.0.0.1:0")
 	b = open("b", "127.0.0.1:0")
 	a.Serve(Handlers{})
-	b.Serve(echoHandlers())
+	b.Serve(handlers)
 	t.Cleanup(func() { _ = a.Close() })
 	return a, b
 }
@@ -94,20 +98,13 @@
 	return false
 }
 
-// knownRed reports whether KNOWN-RED.txt lists this test as a known failure.
-func knownRed(t *testing.T) bool {
+func wait(t *testing.T, what string, c <-chan struct{}) {
 	t.Helper()
-	text, err := os.ReadFile("../../../KNOWN-RED.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(text)) {
-		test, _, _ := strings.Cut(line, "|")
-		if strings.TrimSpace(test) == t.Name() {
-			return true
-		}
+	select {
+	case <-c:
+	case <-time.After(waitTimeout):
+		t.Fatalf("timed out waiting: want %s", what)
 	}
-	return false
 }
 
 // TestCloseSaysSo checks that a closing link notifies its peers, so that they do
@@ -121,14 +118,48 @@
 	if err := b.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if waitFor(func() bool { return a.openConns() == 0 }) {
-		return
+	eventually(t, "the peer notified of the close", func() bool { return a.openConns() == 0 })
+}
+
+// TestCloseNotifiesBeforeSocketCloses holds the goroutine of an incoming connection
+// until the socket is closed, and checks that the peer was notified nevertheless.
+func TestCloseNotifiesBeforeSocketCloses(t *testing.T) {
+	a, b := newLinkPair(t)
+	socketClosed := func() bool { return b.transport.Conn.SetReadDeadline(time.Time{}) != nil }
+	b.served = func() { waitFor(socketClosed) }
+	address := b.transport.Conn.LocalAddr().String()
+	if err := exchange(a, address); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Close(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the peer notified of the close", func() bool { return a.openConns() == 0 })
+}
+
+// TestCloseNotifiesOnDroppedConn checks that a closing link notifies the peer on a
+// dropped connection that still has a stream.
+func TestCloseNotifiesOnDroppedConn(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	a, b := newLinkPairWith(t, Handlers{Stream: func(ctx context.Context, _ string, _ *Stream) {
+		close(started)
+		<-ctx.Done()
+		close(ended)
+	}})
+	defer func() { _ = b.Close() }()
+	stream, err := a.OpenStream(context.Background(), "b", b.transport.Conn.LocalAddr().String())
+	if err != nil {
+		t.Fatal(err)
 	}
-	if knownRed(t) {
-		t.Log("known failure, see KNOWN-RED.txt: the peer was not notified of the close")
-		return
+	if err := stream.Write(wire.Frame{KeepAlive: true}, time.Now().Add(waitTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the stream's handler started", started)
+	a.DropConn("b")
+	if err := a.Close(); err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("the peer was not notified of the close")
+	wait(t, "the peer notified of the close", ended)
 }
 
 // TestDropUsesNewPort checks that the next stream after a drop uses another local
