Return copies of an endpoint's state that share no memory with the table

Cause: endpt.Table.Get copied the State under the lock, but the copy kept the map of peer loads, which SetPeerLoads writes. shareServiceLoads reads that map without the lock: a data race that can end the process with "concurrent map iteration and map write".

Change: Get clones the map and the slices; the priority is bounded.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -3,7 +3,9 @@
 package endpt
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -315,11 +317,20 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	if s, ok := t.states[name]; ok {
-		return *s
+		return s.clone()
 	}
 	return State{}
 }
 
+// clone returns a copy that shares no memory with s.
+func (s *State) clone() State {
+	out := *s
+	out.history = slices.Clone(s.history)
+	out.peerLoads = maps.Clone(s.peerLoads)
+	out.coldRequests = slices.Clone(s.coldRequests)
+	return out
+}
+
 // Each calls f with the index and state of each named endpoint. It holds the table's
 // lock, so f must not call the table.
 func (t *Table) Each(names []string, f func(i int, s *State)) {
--- a/internal/board/mixes/mixes_test.go
+++ b/internal/board/mixes/mixes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 )
@@ -59,3 +60,20 @@
 		t.Errorf("%d host names stored, want at most maxNames", len(table.mixes))
 	}
 }
+
+// TestCountsShareNoMemory reads returned counts while the table changes; the race
+// detector reports memory that they share.
+func TestCountsShareNoMemory(t *testing.T) {
+	table := NewTable()
+	countRequests(table, "r", minRequests)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { countRequests(table, "r", 3*halvingCount) })
+	tasks.Go(func() {
+		for range 500 {
+			for route := range table.RouteCounts(noon, "n") {
+				_ = route
+			}
+		}
+	})
+	tasks.Wait()
+}
--- a/internal/board/remote/remote.go
+++ b/internal/board/remote/remote.go
@@ -265,5 +265,5 @@
 	if len(p.times) == 0 {
 		return 0
 	}
-	return max(0, p.times[min(priority, len(p.times)-1)]-now.Sub(p.at))
+	return max(0, p.times[min(max(0, priority), len(p.times)-1)]-now.Sub(p.at))
 }
--- a/internal/board/remote/remote_test.go
+++ b/internal/board/remote/remote_test.go
@@ -1,6 +1,7 @@
 package remote
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -93,3 +94,38 @@
 		t.Errorf("busy = %v after the next load, want 2", v.Busy)
 	}
 }
+
+// TestCopiesShareNoMemory reads copies of loads while the table changes; the race
+// detector reports memory that they share.
+func TestCopiesShareNoMemory(t *testing.T) {
+	const rounds = 500
+	table, k := NewTable(), Key{"r", "s"}
+	var tasks sync.WaitGroup
+	tasks.Go(func() {
+		for i := range rounds {
+			at := epoch.Add(time.Duration(i) * time.Millisecond)
+			table.PutLoad(k, float64(i), 1, at, at)
+			table.SetQueuedPrefill(at, k, []time.Duration{time.Duration(i)})
+			table.CountRequest(at, "s", "r")
+		}
+	})
+	tasks.Go(func() {
+		for range rounds {
+			load, _ := table.Get(k)
+			_ = load.Slots + load.sent + table.View(k, epoch).Busy
+			_ = table.QueuedPrefill(epoch, k, 0)
+		}
+	})
+	tasks.Wait()
+}
+
+// TestQueuedPrefillOfAnyPriority: an operator may publish any priority.
+func TestQueuedPrefillOfAnyPriority(t *testing.T) {
+	table, k := NewTable(), Key{"r", "s"}
+	table.SetQueuedPrefill(epoch, k, []time.Duration{time.Second, 2 * time.Second})
+	for priority, want := range map[int]time.Duration{-1: time.Second, 0: time.Second, 1: 2 * time.Second, 99: 2 * time.Second} {
+		if got := table.QueuedPrefill(epoch, k, priority); got != want {
+			t.Errorf("queued prefill of priority %d = %v, want %v", priority, got, want)
+		}
+	}
+}
