Take a new operation key only if no attempt with the old one can have run

Cause: the load agent kept status, code and ran of an earlier attempt when the next one was cut before an answer. A refusal with "ran no" followed by a cut therefore looked like two refusals: the agent took a new key, and the operation could run twice. A refusal after a cut also replaced the uncertainty by its own "no".

Ruled out: the gateway's own retries. proxy and flow build a result for each attempt and combine ran over all of them.

Change: each attempt starts with a clean outcome, and Ran combines what all attempts reported. A refusal without a readable body is uncertain.

--- a/internal/load/agent/agent.go
+++ b/internal/load/agent/agent.go
@@ -70,9 +70,11 @@
 	// ServedBy is the host in a remote region that served the request, empty if it was
 	// served locally.
 	ServedBy string
-	// Code and Ran are the fields of the refusal, if there is one.
+	// Code is that of the last refusal, if there is one.
 	Code fault.Code
-	Ran  fault.Ran
+	// Ran combines what all attempts report about the run. It is empty after a complete
+	// answer.
+	Ran fault.Ran
 	// TimeToFirstToken is the time from the start of the attempt to the first data of
 	// the answer.
 	TimeToFirstToken time.Duration
@@ -251,8 +253,8 @@
 		a.markFailed(address)
 	}
 	mayRetry := out.Attempts < max(1, a.MaxAttempts) && ctx.Err() == nil && !res.started
-	if r.Operation && !res.interrupted && out.Ran == fault.RanNo && needsNewKey(out.Code) {
-		// Nothing ran under the old key, so a new one is safe.
+	if r.Operation && out.Ran == fault.RanNo && needsNewKey(out.Code) {
+		// No attempt with the old key ran, so a new one is safe.
 		a.mu.Lock()
 		a.entryExpires = time.Time{}
 		a.mu.Unlock()
@@ -311,6 +313,11 @@
 	}
 	var result attemptResult
 	var errBody []byte
+	earlier := out.Ran
+	if earlier == "" {
+		earlier = fault.RanNo
+	}
+	out.Status, out.Code, out.ServedBy = 0, "", ""
 	start := time.Now()
 	res := client.Do(ctx, client.Attempt{
 		Address: address, Method: r.Method, Path: r.Path, Fields: fields, Body: r.Body,
@@ -336,11 +343,13 @@
 	})
 	out.Err = res.Err
 	if out.Status >= http.StatusBadRequest {
+		ran := fault.RanUnknown
 		var e errorBody
-		if json.Unmarshal(errBody, &e) == nil {
-			out.Code, out.Ran = e.Error.Code, e.Error.Ran
+		if json.Unmarshal(errBody, &e) == nil && e.Error.Ran != "" {
+			out.Code, ran = e.Error.Code, e.Error.Ran
 		}
-		out.Complete = false
+		out.Complete, out.Ran = false, earlier.Combine(ran)
+		result.interrupted = !res.Whole
 		return result
 	}
 	result.complete, result.interrupted = res.Whole, !res.Whole
