Catch signals until the process exits

Cause: attach stopped catching signals when it began to drain. A signal that came then had its default action and ended the process in the middle of its requests: a SIGHUP for changed settings, or a second SIGTERM.

Ruled out: the link's close and the peers' view of a leaving host; the host that serves the relayed request runs on, and the drain waits for streams that cross.

Change: signals are caught until the process exits; those that come during the drain are logged and ignored. The platform's SIGKILL bounds the drain.

--- a/internal/cmd/attach/attach.go
+++ b/internal/cmd/attach/attach.go
@@ -72,16 +72,25 @@
 	if err := n.Start(); err != nil {
 		return fmt.Errorf("start host: %w", err)
 	}
-	waitForStop(ctx, o, log)
+	// Signals are caught until the process exits, as the default action of each of them
+	// would end the process in the middle of the drain.
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	waitForStop(ctx, o, signals, log)
+	go func() {
+		for s := range signals {
+			log.Info().Str("signal", s.String()).Msg("already stopping; signal ignored")
+		}
+	}()
 	n.Drain(ctx)
 	return n.Close()
 }
 
+// signalBuffer is the number of signals that can wait to be handled.
+const signalBuffer = 4
+
 // waitForStop returns when ctx ends or on SIGTERM or SIGINT; SIGHUP checks the settings.
-func waitForStop(ctx context.Context, o *Options, log zerolog.Logger) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func waitForStop(ctx context.Context, o *Options, signals <-chan os.Signal, log zerolog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
