Read the store at three hosts of a data centre and pass its changes on

Cause: each host watched the store by itself.

Weighed: a reader a region (its loss holds up two data centres); readers that send the changes themselves in datagrams (a lost one needs a second way); requests by datagram from each follower (twice the packets).

Change: the three hosts of a data centre with the most cores read the store (fleet/duty), as settings state cores now and hosts tell each other of them. They announce what they have read, every 500 ms and at each change; the others fetch the changes, heartbeats left out, from a reader that is ahead. A host that no reader has confirmed a view younger than 2 s reads the store itself, and so it does after a pause. With up to three hosts in a data centre nothing changes.

Ruled out as a risk: removals that a follower learns from a reader are as final as at the reader, which states since when the store has not failed.

--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/board/duties"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/health"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/mixes"
@@ -37,12 +38,13 @@
 	Health    *health.Table
 	Limits    *limit.Table
 	Retries   *retry.Budget
-	// Routes, Registry, Speeds and Mixes are used only by hosts that take routes
+	// Routes, Registry, Speeds, Mixes and Duties are used only by hosts that take routes
 	// and endpoint registrations from the platform's store.
 	Routes   *routes.Table
 	Registry *regis.Table
 	Speeds   *speeds.Table
 	Mixes    *mixes.Table
+	Duties   *duties.Table
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue.Queue
@@ -73,6 +75,7 @@
 		Registry:     regis.NewTable(),
 		Speeds:       speeds.NewTable(),
 		Mixes:        mixes.NewTable(),
+		Duties:       duties.NewTable(),
 		queues:       map[queueKey]*queue.Queue{},
 		leavingMarks: map[string]time.Time{},
 	}
--- a/internal/board/endpt/race_test.go
+++ b/internal/board/endpt/race_test.go
@@ -8,7 +8,7 @@
 
 // TestCopiesShareNoMemory reads copies of a state while the table changes; the race
 // detector reports memory that they share.
-func TestCopiesShareNoMemory(t *testing.T) {
+func TestCopiesShareNoMemory(_ *testing.T) {
 	const rounds = 2000
 	table := NewTable()
 	table.Sync(noon, []string{"e"})
--- a/internal/board/mixes/mixes_test.go
+++ b/internal/board/mixes/mixes_test.go
@@ -63,7 +63,7 @@
 
 // TestCountsShareNoMemory reads returned counts while the table changes; the race
 // detector reports memory that they share.
-func TestCountsShareNoMemory(t *testing.T) {
+func TestCountsShareNoMemory(_ *testing.T) {
 	table := NewTable()
 	countRequests(table, "r", minRequests)
 	var tasks sync.WaitGroup
--- a/internal/board/regis/race_test.go
+++ b/internal/board/regis/race_test.go
@@ -7,7 +7,7 @@
 
 // TestListsShareNoMemory reads lists of endpoints while the table changes; the race
 // detector reports memory that a list shares with later changes.
-func TestListsShareNoMemory(t *testing.T) {
+func TestListsShareNoMemory(_ *testing.T) {
 	const rounds = 500
 	table := NewTable()
 	table.Put(entry("a", 1))
--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -64,7 +64,7 @@
 	}
 	delete(t.expiring, e.ID)
 	t.endpoints[e.ID] = e
-	if ok && sameRegistration(old, e) {
+	if ok && Same(old, e) {
 		return false
 	}
 	t.reindex()
@@ -75,7 +75,9 @@
 // same: heartbeats are delayed, and each restates the remaining time.
 const coldSlack = 500 * time.Millisecond
 
-func sameRegistration(a, b Endpoint) bool {
+// Same reports whether two registrations of an endpoint differ in no more than the
+// revision and, within coldSlack, ColdUntil.
+func Same(a, b Endpoint) bool {
 	if d := a.ColdUntil.Sub(b.ColdUntil); d > coldSlack || d < -coldSlack {
 		return false
 	}
--- a/internal/board/remote/remote_test.go
+++ b/internal/board/remote/remote_test.go
@@ -97,7 +97,7 @@
 
 // TestCopiesShareNoMemory reads copies of loads while the table changes; the race
 // detector reports memory that they share.
-func TestCopiesShareNoMemory(t *testing.T) {
+func TestCopiesShareNoMemory(_ *testing.T) {
 	const rounds = 500
 	table, k := NewTable(), Key{"r", "s"}
 	var tasks sync.WaitGroup
--- a/internal/conf/setup/hosted.go
+++ b/internal/conf/setup/hosted.go
@@ -33,6 +33,33 @@
 	// Regions maps the names of data centres to their regions.
 	Regions map[string]string `toml:"regions" validate:"required"`
 	Bounds  Bounds            `toml:"bounds"`
+	Machine Machine           `toml:"machine"`
+}
+
+// Machine is the capacity of the machine that the host runs on. Hosts with more of it take
+// on more duties; a host that states none takes on the fewest.
+type Machine struct {
+	// Share is the share of each core that the host may use.
+	Share float64 `toml:"share" validate:"gte=0"`
+	// Cores is the number of cores.
+	Cores float64 `toml:"cores" validate:"gte=0"`
+	// LinkMbps is the bandwidth of the machine's link, in Mbit/s; 0 means that it does
+	// not limit the host.
+	LinkMbps float64 `toml:"link_mbps" validate:"gte=0"`
+}
+
+// mbpsPerCore is the traffic that one core forwards, in Mbit/s: 800 requests a second of
+// 8 kB in all.
+const mbpsPerCore = 50
+
+// Capacity returns the number of cores that the host can use, less if its link carries
+// less than they forward.
+func (m Machine) Capacity() float64 {
+	cores := m.Share * m.Cores
+	if m.LinkMbps > 0 {
+		cores = min(cores, m.LinkMbps/mbpsPerCore)
+	}
+	return cores
 }
 
 // Bounds are the limits that the platform sets for its hosts.
--- a/internal/conf/setup/hosted_test.go
+++ b/internal/conf/setup/hosted_test.go
@@ -36,6 +36,7 @@
 		{"wrong type", "\"n1\"", "4", "name"},
 		{"wrong region", "c = \"r\"", "c = \"other\"", "regions"},
 		{"seed without port", "store = ", "seeds = [\"127.0.0.1\"]\nstore = ", "seeds[0]"},
+		{"negative cores", "[regions]", "[machine]\ncores = -1\n[regions]", "machine.cores"},
 		{"log level", "store = ", "log_level = \"loud\"\nstore = ", "log_level"},
 	}
 	for _, tt := range tests {
@@ -54,3 +55,21 @@
 		})
 	}
 }
+
+func TestMachineCapacity(t *testing.T) {
+	tests := []struct {
+		name    string
+		machine Machine
+		want    float64
+	}{
+		{"unknown", Machine{}, 0},
+		{"share of a core", Machine{Share: 0.25, Cores: 2}, 0.5},
+		{"fast link", Machine{Share: 0.8, Cores: 1, LinkMbps: 1000}, 0.8},
+		{"slow link", Machine{Share: 0.8, Cores: 1, LinkMbps: 10}, 0.2},
+	}
+	for _, tt := range tests {
+		if got := tt.machine.Capacity(); got != tt.want {
+			t.Errorf("%s: Capacity = %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -7,6 +7,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -234,30 +235,42 @@
 	return p, nil
 }
 
-// Send sends a datagram, without acknowledgement or retransmission, and returns
-// the number of bytes sent.
-func (l *Link) Send(address string, p wire.Packet) (int, error) {
+// Send sends a datagram to one or more addresses, without acknowledgement or
+// retransmission. It returns the size of the datagram and the number of addresses that it
+// was sent to.
+func (l *Link) Send(p wire.Packet, addresses ...string) (size, sent int, err error) {
 	data, err := wire.Encode(p)
 	if err != nil {
-		return 0, fmt.Errorf("send datagram: %w", err)
+		return 0, 0, fmt.Errorf("send datagram: %w", err)
 	}
 	sealed, err := l.sealer.Seal(data)
 	if err != nil {
-		return 0, fmt.Errorf("send datagram: %w", err)
-	}
-	to, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return 0, fmt.Errorf("send datagram: %w", err)
+		return 0, 0, fmt.Errorf("send datagram: %w", err)
 	}
 	socket, err := l.currentSendSocket(time.Now())
 	if err != nil {
-		return 0, fmt.Errorf("send datagram: %w", err)
+		return 0, 0, fmt.Errorf("send datagram: %w", err)
+	}
+	var errs error
+	for _, address := range addresses {
+		if err := sendTo(socket, sealed, address); err != nil {
+			errs = errors.Join(errs, fmt.Errorf("send datagram to %s: %w", address, err))
+			continue
+		}
+		sent++
 	}
-	n, err := socket.WriteTo(sealed, to)
+	return len(sealed), sent, errs
+}
+
+func sendTo(socket *net.UDPConn, datagram []byte, address string) error {
+	to, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
-		return n, fmt.Errorf("send datagram: %w", err)
+		return fmt.Errorf("resolve: %w", err)
 	}
-	return n, nil
+	if _, err := socket.WriteTo(datagram, to); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	return nil
 }
 
 // currentSendSocket returns the socket to send datagrams from. It is replaced
--- a/internal/fleet/member/discover.go
+++ b/internal/fleet/member/discover.go
@@ -27,42 +27,65 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.selfInfo = &wire.HostInfo{Host: self.Name, Callers: self.Callers, Region: self.Region, Centre: self.Centre}
+	t.selfCores = self.Cores
 	for _, s := range seeds {
-		t.discover(now, wire.HostInfo{Host: s})
+		t.discover(now, wire.HostInfo{Host: s}, 0)
 	}
 }
 
-// discover adds a host to the table, or updates the addresses and location of a
-// known one. It does nothing unless discovery is on.
-func (t *Table) discover(now time.Time, p wire.HostInfo) {
+// discover adds a host to the table, or updates the addresses, location and cores of a
+// known one; 0 cores means unknown. It does nothing unless discovery is on.
+func (t *Table) discover(now time.Time, p wire.HostInfo, cores float64) {
 	if t.selfInfo == nil || p.Host == t.name || p.Host == "" {
 		return
 	}
 	if p.Address == "" {
 		p.Address = p.Host
 	}
-	c := Candidate{Name: p.Host, Address: p.Address, Region: p.Region, Centre: p.Centre, Callers: p.Callers}
+	c := Candidate{Name: p.Host, Address: p.Address, Region: p.Region, Centre: p.Centre, Callers: p.Callers, Cores: cores}
 	if known, ok := t.peers[p.Host]; ok {
 		if p.Region != "" {
+			if c.Cores == 0 {
+				c.Cores = known.Cores
+			}
+			if known.Candidate != c {
+				t.changes++
+			}
 			known.Candidate = c
 		}
 		return
 	}
+	t.changes++
 	t.peers[p.Host] = &peer{Member: Member{Candidate: c, State: wire.Suspect}, stateSince: now}
 	t.probeOrder = slices.Insert(t.probeOrder, t.rand.IntN(len(t.probeOrder)+1), p.Host)
 }
 
-// hostInfos returns the addresses and locations of the local host and of a few
-// random peers, or nil unless discovery is on.
-func (t *Table) hostInfos() []wire.HostInfo {
+// hostInfos returns the addresses, locations and capacities of the local host and of a
+// few random peers, or nil unless discovery is on.
+func (t *Table) hostInfos() (list []wire.HostInfo, millicores []uint32) {
 	if t.selfInfo == nil {
-		return nil
+		return nil, nil
 	}
-	out := []wire.HostInfo{*t.selfInfo}
+	list, millicores = []wire.HostInfo{*t.selfInfo}, []uint32{toMillicores(t.selfCores)}
 	for _, p := range t.randomPeers(maxPacketHosts, func(p *peer) bool { return p.Region != "" && p.State != wire.Dead }) {
-		out = append(out, wire.HostInfo{Host: p.Name, Callers: p.Callers, Region: p.Region, Centre: p.Centre})
+		list = append(list, wire.HostInfo{Host: p.Name, Callers: p.Callers, Region: p.Region, Centre: p.Centre})
+		millicores = append(millicores, toMillicores(p.Cores))
 	}
-	return out
+	return list, millicores
+}
+
+// millicoresPerCore converts cores to the unit of packets.
+const millicoresPerCore = 1000
+
+func toMillicores(cores float64) uint32 { return uint32(max(0, cores) * millicoresPerCore) }
+
+// coresOf returns the cores that a packet states for its host at an index, 0 if it states
+// none.
+func coresOf(pk wire.Packet, index int) float64 {
+	if index >= len(pk.Millicores) {
+		return 0
+	}
+	return float64(pk.Millicores[index]) / millicoresPerCore
 }
 
 // probeUnseen returns probes of hosts about which no update has arrived yet, a few at a
@@ -109,6 +132,7 @@
 	}
 	for name, p := range t.peers {
 		if (p.State == wire.Dead || p.State == wire.Left) && p.Region != "" && now.Sub(p.stateSince) > deadRetention {
+			t.changes++
 			delete(t.peers, name)
 			t.probeOrder = slices.DeleteFunc(t.probeOrder, func(n string) bool { return n == name })
 		}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -52,6 +52,8 @@
 	// known only in a fleet that discovers its hosts from seeds.
 	Centre  string
 	Callers string
+	// Cores is the host's processor capacity, 0 if unknown.
+	Cores float64
 }
 
 // Member is the last known state of a peer host.
@@ -130,6 +132,11 @@
 	// selfInfo is the local host's addresses and location in a fleet that discovers
 	// its hosts from seeds, else nil.
 	selfInfo *wire.HostInfo
+	// changes counts the changes of a member's state, incarnation, Leaving, addresses,
+	// location or cores.
+	changes uint64
+	// selfCores is the local host's processor capacity.
+	selfCores float64
 }
 
 // New returns the membership list of a host. The incarnation is the start time of
@@ -204,6 +211,14 @@
 	return out
 }
 
+// Changes returns the number of changes of the members so far, to tell whether what was
+// derived from them is up to date. Load and versions do not count.
+func (t *Table) Changes() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes
+}
+
 // Member returns the member with a name and whether there is one.
 func (t *Table) Member(name string) (Member, bool) {
 	t.mu.Lock()
--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -167,6 +167,7 @@
 			continue
 		}
 		if p.Incarnation == 0 {
+			t.changes++
 			p.State = wire.Dead
 			continue
 		}
@@ -178,8 +179,8 @@
 func (t *Table) Receive(now time.Time, pk wire.Packet) []Outgoing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range pk.Hosts {
-		t.discover(now, p)
+	for i, p := range pk.Hosts {
+		t.discover(now, p, coresOf(pk, i))
 	}
 	sender, ok := t.peers[pk.From]
 	if !ok || pk.Incarnation < sender.Incarnation {
@@ -191,6 +192,9 @@
 	if sender.Incarnation == pk.Incarnation {
 		sender.Version = invent.Version{Revision: pk.Revision, DigestPrefix: pk.DigestPrefix}
 		sender.InFlight, sender.LastSeen = pk.InFlight, now
+		if sender.Leaving != pk.Leaving {
+			t.changes++
+		}
 		sender.Leaving = pk.Leaving
 	}
 	switch pk.Kind {
--- a/internal/fleet/member/update.go
+++ b/internal/fleet/member/update.go
@@ -62,6 +62,7 @@
 	}
 	if u.Life != p.Incarnation || u.State != p.State {
 		p.stateSince = now
+		t.changes++
 	}
 	if u.Life != p.Incarnation {
 		p.Leaving, p.Version, p.InFlight = false, invent.Version{}, 0
@@ -116,8 +117,9 @@
 		Kind: kind, Seq: seq, From: t.name, Incarnation: t.incarnation,
 		Revision: t.self.Version.Revision, DigestPrefix: t.self.Version.DigestPrefix,
 		InFlight: t.self.InFlight, Leaving: t.self.Leaving,
-		Updates: []wire.Update{t.selfUpdate()}, Hosts: t.hostInfos(),
+		Updates: []wire.Update{t.selfUpdate()},
 	}
+	pk.Hosts, pk.Millicores = t.hostInfos()
 	limit := int(math.Ceil(retransmitFactor * math.Log2(float64(len(t.peers)+2))))
 	slices.SortStableFunc(t.broadcasts, func(a, b *broadcast) int { return cmp.Compare(a.transmits, b.transmits) })
 	for _, bc := range t.broadcasts[:min(maxPacketUpdates, len(t.broadcasts))] {
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -73,6 +73,11 @@
 	// Hosts lists addresses and locations of hosts, the sender first. It is set
 	// only in a fleet that discovers its hosts from seeds.
 	Hosts []HostInfo `cbor:"13,keyasint,omitempty"`
+	// Millicores lists the processor capacity of each of Hosts, in thousandths of a core.
+	// Hosts of builds that do not know the field send none.
+	Millicores []uint32 `cbor:"17,keyasint,omitempty"`
+	// Store is set by a host that reads the platform's store.
+	Store *StoreState `cbor:"18,keyasint,omitempty"`
 	// HostLoads are the sender's in-flight requests at the endpoints of its region.
 	HostLoads []HostLoad `cbor:"14,keyasint,omitempty"`
 	// ServiceLoads are service loads by name.
@@ -140,6 +145,18 @@
 	Centre  string
 }
 
+// StoreState is what the sender has read of the platform's store.
+type StoreState struct {
+	_ struct{} `cbor:",toarray"`
+	// Revision is the store's revision up to which the sender knows all changes.
+	Revision uint64
+	// Changed is the revision of the last change that was more than a heartbeat of an
+	// endpoint.
+	Changed uint64
+	// AgeMS is the time since the store's last answer, in milliseconds.
+	AgeMS uint64
+}
+
 // HostLoad is the sender's own in-flight requests at one endpoint.
 type HostLoad struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -82,6 +82,10 @@
 	// registrations are kept, else it is zero.
 	OnList   func(now time.Time, b Batch, until time.Time)
 	OnChange func(now time.Time, b Batch, until time.Time)
+	// Reads reports whether this host reads the store itself. Any other host relies on the
+	// changes that reading hosts pass on, as long as they confirm that there are no others.
+	// If Reads is nil, the host always reads the store.
+	Reads func() bool
 	// OnFailure is called after each failed call.
 	OnFailure func(now time.Time, err error)
 	// MinInterval is the minimum time from the start of a successful call to the next call.
@@ -105,6 +109,13 @@
 	lastSuccess time.Time
 	// listed is set once a listing has been applied.
 	listed bool
+	// endpoints holds the last registration by key, to recognise heartbeats.
+	endpoints map[string]regis.Endpoint
+	// confirmed is the time of the store's last answer to a reading host that had no change
+	// that this host lacked.
+	confirmed time.Time
+	// following reports whether the host relies on reading hosts; it is only logged.
+	following bool
 }
 
 // Run follows the store until the context ends.
@@ -112,6 +123,10 @@
 	f.startTimer(f.Now())
 	needList := true
 	for ctx.Err() == nil {
+		if f.follows(f.Now()) {
+			ctrl.Sleep(ctx, followPoll)
+			continue
+		}
 		began, revision := f.Now(), f.currentRevision()
 		b, err := f.listOrWatch(ctx, needList, revision)
 		now := f.Now()
@@ -190,7 +205,9 @@
 func (f *Feed) apply(now time.Time, b Batch, listing bool) {
 	list := make([]items.Item, 0, len(b.Changes))
 	for _, c := range b.Changes {
-		it := items.Item{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, ReadAt: c.ReadAt}
+		it := items.Item{
+			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, ReadAt: c.ReadAt, Heartbeat: f.isHeartbeat(c),
+		}
 		if it.ReadAt.IsZero() {
 			it.ReadAt = now
 		}
@@ -206,6 +223,21 @@
 	f.listed, f.revision = true, max(f.revision, b.Revision)
 }
 
+// isHeartbeat reports whether a change renews the registration of an endpoint without
+// changing it, and stores the registration; the caller holds the lock.
+func (f *Feed) isHeartbeat(c Change) bool {
+	if c.Endpoint == nil {
+		delete(f.endpoints, c.Key)
+		return false
+	}
+	old, ok := f.endpoints[c.Key]
+	if f.endpoints == nil {
+		f.endpoints = map[string]regis.Endpoint{}
+	}
+	f.endpoints[c.Key] = *c.Endpoint
+	return ok && regis.Same(old, *c.Endpoint)
+}
+
 // Unreachable reports whether the store is unreachable, and returns the revision after
 // which this host needs the changes from a peer host.
 func (f *Feed) Unreachable(now time.Time) (from uint64, unreachable bool) {
@@ -221,8 +253,9 @@
 }
 
 // ApplyFromPeer applies the result of a peer host's Since and reports whether it was
-// newer than this host's state.
-func (f *Feed) ApplyFromPeer(now time.Time, list []items.Item, revision uint64, whole bool) bool {
+// newer than this host's state. stable is how long the store has answered the peer host
+// without a failure.
+func (f *Feed) ApplyFromPeer(now time.Time, list []items.Item, revision uint64, whole bool, stable time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if revision <= f.revision || (!f.listed && !whole) {
@@ -235,7 +268,9 @@
 			b.Changes = append(b.Changes, c)
 		}
 	}
-	f.lastUnstable = now
+	if since := now.Add(-stable); since.After(f.lastUnstable) {
+		f.lastUnstable = since
+	}
 	f.apply(now, b, whole)
 	return true
 }
--- a/internal/plat/feed/feed_test.go
+++ b/internal/plat/feed/feed_test.go
@@ -162,7 +162,7 @@
 		want  bool
 	}{{5, false, false}, {5, true, true}, {5, true, false}, {4, false, false}, {8, false, true}}
 	for i, st := range steps {
-		if got := f.ApplyFromPeer(now, list, st.at, st.whole); got != st.want {
+		if got := f.ApplyFromPeer(now, list, st.at, st.whole, 0); got != st.want {
 			t.Errorf("step %d: ApplyFromPeer returned %v, want %v", i, got, st.want)
 		}
 	}
--- a/internal/plat/items/items.go
+++ b/internal/plat/items/items.go
@@ -22,6 +22,10 @@
 	Deleted bool
 	// ReadAt is when the change was read from the store.
 	ReadAt time.Time
+	// Heartbeat reports whether the change only renewed the item.
+	Heartbeat bool
+	// changed is the revision of the last change that was no heartbeat.
+	changed uint64
 }
 
 // Table holds items by key; its zero value is an empty table. No other lock is
@@ -31,6 +35,8 @@
 	items map[string]Item
 	// revision is the store's revision up to which the table is complete.
 	revision uint64
+	// changed is the highest revision of a change that was no heartbeat.
+	changed uint64
 	// floor is the revision up to which tombstones can be missing.
 	floor uint64
 	// tombstones counts the deleted items.
@@ -80,6 +86,11 @@
 	if t.items == nil {
 		t.items = map[string]Item{}
 	}
+	it.changed = it.Revision
+	if it.Heartbeat && ok && !old.Deleted {
+		it.changed = old.changed
+	}
+	t.changed = max(t.changed, it.changed)
 	t.items[it.Key] = it
 	t.tombstones += tombstoneCount(it) - tombstoneCount(old)
 }
@@ -111,9 +122,17 @@
 	}
 }
 
-// Since returns the items changed after a revision, ordered by revision, and the
-// revision up to which they are complete. If tombstones after from can be missing,
-// it returns all live items instead and whole is true.
+// Revisions returns the revision up to which the table is complete, and that of the last
+// change that was no heartbeat.
+func (t *Table) Revisions() (revision, changed uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.revision, t.changed
+}
+
+// Since returns the items that changed after a revision by more than heartbeats, ordered
+// by revision, and the revision up to which they are complete. If tombstones after from
+// can be missing, it returns all live items instead and whole is true.
 func (t *Table) Since(from uint64) (items []Item, revision uint64, whole bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -122,7 +141,7 @@
 	}
 	whole = from < t.floor
 	for _, it := range t.items {
-		if (whole && !it.Deleted) || (!whole && it.Revision > from) {
+		if (whole && !it.Deleted) || (!whole && it.changed > from) {
 			items = append(items, it)
 		}
 	}
--- a/internal/serve/host/fault_test.go
+++ b/internal/serve/host/fault_test.go
@@ -375,10 +375,10 @@
 	l.Serve(link.Handlers{Packet: func(wire.Packet, int) {}, Rejected: func(error) {}})
 	defer func() { _ = l.Close() }()
 	for range 20 {
-		_, err := l.Send(f.settings["a1"].Peers, wire.Packet{
+		_, _, err := l.Send(wire.Packet{
 			Kind: wire.Announce, From: "a2", Incarnation: 1 << 60, Leaving: true, Revision: 99,
 			Updates: []wire.Update{{Host: "a2", Life: 1 << 60, State: wire.Left}},
-		})
+		}, f.settings["a1"].Peers)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/serve/host/tasks.go
+++ b/internal/serve/host/tasks.go
@@ -80,7 +80,7 @@
 
 func (h *Host) sendPackets(list []member.Outgoing) {
 	for _, o := range list {
-		n, err := h.link.Send(o.Address, o.Packet)
+		n, _, err := h.link.Send(o.Packet, o.Address)
 		if err != nil {
 			h.log.Debug().Err(err).Str("host", o.Host).Msg("datagram not sent")
 			continue
--- a/internal/serve/node/items.go
+++ b/internal/serve/node/items.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/items"
 )
 
@@ -21,14 +23,51 @@
 	// maxItemsBytes bounds one answer, which can be the whole store with thousands of
 	// endpoints.
 	maxItemsBytes = 8 << 20
+	// maxStableMS bounds the time without failures that a peer host states.
+	maxStableMS = 24 * 60 * 60 * 1000
+	// storeStatePeriod is the time between two announcements of a host that reads the
+	// store. Hosts that miss them for feed.followTimeout read the store themselves.
+	storeStatePeriod = 500 * time.Millisecond
+	// storeStateName is the controller that announces what this host has read. A change
+	// of the store also triggers it between its periods.
+	storeStateName = "store state"
 )
 
+// shareStoreState tells the hosts of the local data centre what this host has read of the
+// store, if it reads it.
+func (n *Node) shareStoreState(now time.Time) {
+	state, ok := n.feed.State(now)
+	if !ok || !n.board.Duties.Plan().SelfReads {
+		return
+	}
+	inCentre := func(m member.Member) bool { return m.Centre == n.board.Centre }
+	n.announce(math.MaxInt, inCentre, wire.Packet{Store: &wire.StoreState{
+		Revision: state.Revision, Changed: state.Changed, AgeMS: uint64(max(0, state.Age.Milliseconds())),
+	}})
+}
+
+// receiveStoreState compares this host's view of the store with that of a host that reads
+// it, and fetches the changes that this host lacks.
+func (n *Node) receiveStoreState(now time.Time, m member.Member, s *wire.StoreState) {
+	behind := n.feed.Confirm(now, feed.State{
+		Revision: s.Revision, Changed: s.Changed, Age: time.Duration(min(s.AgeMS, maxStableMS)) * time.Millisecond,
+	})
+	if behind && !n.board.Duties.Plan().SelfReads {
+		n.ahead.Store(&m)
+		n.runner.Trigger(itemsName)
+	}
+}
+
 // itemsSince returns the store items that changed after a revision, for a peer
 // host that can't reach the store.
 func (n *Node) itemsSince(revision uint64) *wire.Items {
 	list, at, whole := n.feed.Since(revision)
 	now := n.now()
-	out := &wire.Items{Revision: at, Snapshot: whole}
+	state, _ := n.feed.State(now)
+	out := &wire.Items{
+		Revision: at, Snapshot: whole,
+		AgeMS: uint64(max(0, state.Age.Milliseconds())), StableMS: uint64(max(0, state.Stable.Milliseconds())),
+	}
 	for _, it := range list {
 		out.List = append(out.List, wire.Item{
 			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted,
@@ -38,14 +77,17 @@
 	return out
 }
 
-// fetchItems fetches store items from a random peer host while the store is
-// unreachable.
+// fetchItems fetches store items from the host that announced changes that this host
+// lacks, or from a random peer host while the store is unreachable.
 func (n *Node) fetchItems(now time.Time) {
 	from, unreachable := n.feed.Unreachable(now)
-	if !unreachable {
-		return
+	var sources []member.Member
+	if source := n.ahead.Swap(nil); source != nil {
+		sources = []member.Member{*source}
+	} else if unreachable {
+		sources = n.board.Members.RandomUsable(1, func(member.Member) bool { return true })
 	}
-	for _, m := range n.board.Members.RandomUsable(1, func(member.Member) bool { return true }) {
+	for _, m := range sources {
 		answer, err := n.fetchItemsFrom(m, from)
 		if err != nil {
 			n.log.Debug().Err(err).Str("peer", m.Name).Uint64("from", from).Msg("store items not fetched from peer host")
@@ -89,7 +131,8 @@
 			ReadAt: now.Add(-time.Duration(it.AgeMS) * time.Millisecond),
 		})
 	}
-	if n.feed.ApplyFromPeer(now, list, answer.Revision, answer.Snapshot) {
+	stable := time.Duration(min(answer.StableMS, maxStableMS)) * time.Millisecond
+	if n.feed.ApplyFromPeer(now, list, answer.Revision, answer.Snapshot, stable) {
 		n.log.Info().Str("peer", m.Name).Uint64("from", from).Uint64("at", answer.Revision).Bool("whole", answer.Snapshot).
 			Int("items", len(list)).Msg("applied store items of peer host")
 	}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -67,6 +67,12 @@
 	// controller uses it.
 	loggedMembers map[string]memberStatus
 
+	// ahead is the host that announced changes of the store that this host lacks, nil if
+	// none did since the last fetch.
+	ahead atomic.Pointer[member.Member]
+	// assignedFor is the count of member changes that the current duties were assigned for.
+	assignedFor atomic.Uint64
+
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 	refusing    atomic.Bool
@@ -87,7 +93,7 @@
 	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, started: now(), pool: pool.New(pool.WithNow(now))}
 	n.board = board.New(now(), s.Peers, s.Region, s.Centre, 1)
 	n.board.Members.EnableDiscovery(now(), member.Candidate{
-		Name: s.Peers, Address: s.Peers, Region: s.Region, Centre: s.Centre, Callers: s.Callers,
+		Name: s.Peers, Address: s.Peers, Region: s.Region, Centre: s.Centre, Callers: s.Callers, Cores: s.Machine.Capacity(),
 	}, s.Seeds)
 	if err := n.assemble(t, store); err != nil {
 		_ = l.Close()
@@ -180,6 +186,7 @@
 	n.meter.Pauses.Inc()
 	n.log.Warn().Msg("process was paused; load reports are marked stale")
 	n.board.Endpoints.ExpireReports()
+	n.feed.Distrust()
 }
 
 // retryBudget returns the budget that bounds this host's retries, so that those of
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -41,6 +41,8 @@
 	changes []feed.Change
 	// refused holds the regions whose hosts get an error from each call.
 	refused map[string]bool
+	// calls counts the calls by region.
+	calls map[string]int
 }
 
 // refuseRegions makes the store fail all calls of hosts of these regions and of no
@@ -79,6 +81,10 @@
 	after := func(from uint64) (feed.Batch, error) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if s.calls == nil {
+			s.calls = map[string]int{}
+		}
+		s.calls[region]++
 		if s.refused[region] {
 			return feed.Batch{}, io.ErrUnexpectedEOF
 		}
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -21,6 +21,7 @@
 func (n *Node) setUpFeed(store *feed.Feed) {
 	store.Name, store.MinInterval, store.Now, store.Log = "store", minStoreInterval, n.now, n.log
 	store.OnList, store.OnChange = n.applyListing, n.applyChanges
+	store.Reads = func() bool { return n.board.Duties.Plan().SelfReads }
 	store.OnFailure = func(now time.Time, _ error) {
 		n.board.Registry.PostponeExpiry(now.Add(outageGrace))
 		n.runner.Trigger(itemsName)
@@ -79,6 +80,7 @@
 	}
 	n.board.Endpoints.Sync(now, n.board.Registry.IDs(n.board.Region))
 	n.setReadyOnce()
+	n.runner.Trigger(storeStateName)
 }
 
 func (n *Node) applyRules(c feed.Change) {
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -13,12 +13,17 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 )
 
+// dutyName is the controller that assigns the duties. A change of the members also
+// triggers it between its periods.
+const dutyName = "duties"
+
 // inFlightName is the controller that sends this host's loads. The proxy also
 // triggers it between its periods.
 const inFlightName = "taken"
 
 const (
 	memberPeriod      = 100 * time.Millisecond
+	dutyPeriod        = 500 * time.Millisecond
 	inFlightPeriod    = 250 * time.Millisecond
 	serviceLoadPeriod = 500 * time.Millisecond
 	sweepPeriod       = time.Second
@@ -44,13 +49,20 @@
 	add("members", memberPeriod, func(now time.Time) {
 		n.updateSelf()
 		n.sendPackets(n.board.Members.Tick(now))
-		n.updateMembers(now)
+		n.membersChanged()
+	})
+	add(dutyName, dutyPeriod, func(now time.Time) {
+		n.assignedFor.Store(n.board.Members.Changes())
+		list := n.board.Members.Members()
+		n.updateMembers(now, list)
+		n.assignDuties(list)
 	})
 	add(inFlightName, inFlightPeriod, n.shareInFlight)
 	add("sums", serviceLoadPeriod, n.shareServiceLoads)
 	add("connections", sweepPeriod, n.pool.Sweep)
 	add("links", linkPeriod, n.warmLinks)
 	add(itemsName, fetchItemsPeriod, n.fetchItems)
+	add(storeStateName, storeStatePeriod, n.shareStoreState)
 	add("registry", expirePeriod, func(now time.Time) {
 		for _, id := range n.board.Registry.Expire(now) {
 			n.log.Info().Str("endpoint", id).Msg("endpoint removed: it did not register again after the store outage")
@@ -69,13 +81,16 @@
 
 func (n *Node) sendPackets(list []member.Outgoing) {
 	for _, o := range list {
-		size, err := n.link.Send(o.Address, o.Packet)
-		if err != nil {
-			n.log.Debug().Err(err).Str("peer", o.Host).Msg("datagram not sent")
-			continue
-		}
-		n.meter.AddSentBytes(size + packetOverhead)
+		n.sendPacket(o.Packet, o.Address)
+	}
+}
+
+func (n *Node) sendPacket(p wire.Packet, addresses ...string) {
+	size, sent, err := n.link.Send(p, addresses...)
+	if err != nil {
+		n.log.Debug().Err(err).Msg("datagram not sent")
 	}
+	n.meter.AddSentBytes(sent * (size + packetOverhead))
 }
 
 // receivePacket applies one datagram of a peer host, of size bytes.
@@ -83,6 +98,7 @@
 	n.meter.AddReceivedBytes(size)
 	now := n.now()
 	n.sendPackets(n.board.Members.Receive(now, p))
+	n.membersChanged()
 	m, ok := n.board.Members.Member(p.From)
 	if !ok {
 		return
@@ -95,6 +111,9 @@
 		}
 		n.board.Endpoints.SetPeerLoads(now, p.From, list)
 	}
+	if p.Store != nil && m.Centre == n.board.Centre {
+		n.receiveStoreState(now, m, p.Store)
+	}
 	n.proxy.Prefixes.RecordReported(now, p.SentPrefixes)
 	for _, s := range p.ServiceLoads {
 		if s.Region != n.board.Region {
@@ -165,13 +184,18 @@
 // announce completes a packet with this host's status and sends it to up to limit
 // random hosts that match.
 func (n *Node) announce(limit int, match func(member.Member) bool, p wire.Packet) {
+	n.announceTo(n.board.Members.RandomUsable(limit, match), p)
+}
+
+// announceTo completes a packet with this host's status and sends it to hosts.
+func (n *Node) announceTo(list []member.Member, p wire.Packet) {
 	p.Kind, p.From, p.Incarnation = wire.Announce, n.settings.Peers, n.board.Members.Incarnation()
 	p.Revision, p.InFlight, p.Leaving = n.board.Routes.Version(), n.board.Health.InFlight(), n.board.Health.Leaving()
-	var out []member.Outgoing
-	for _, m := range n.board.Members.RandomUsable(limit, match) {
-		out = append(out, member.Outgoing{Host: m.Name, Address: m.Address, Packet: p})
+	addresses := make([]string, len(list))
+	for i, m := range list {
+		addresses[i] = m.Address
 	}
-	n.sendPackets(out)
+	n.sendPacket(p, addresses...)
 }
 
 // warmLinks keeps connections open to the remote hosts that this host relays to.
@@ -219,10 +243,10 @@
 
 // updateMembers logs peer hosts whose status changed and sets the hosts that share
 // the rate limits of cold endpoints.
-func (n *Node) updateMembers(now time.Time) {
+func (n *Node) updateMembers(now time.Time, list []member.Member) {
 	current := make(map[string]memberStatus, len(n.loggedMembers))
 	var sharing []string
-	for _, m := range n.board.Members.Members() {
+	for _, m := range list {
 		// Dead members share too: they may only be partitioned from this host.
 		if m.Region == n.board.Region && m.State != wire.Left {
 			sharing = append(sharing, m.Name)
