Count the prefill that engines have done since a peer host announced it

Cause: the queued prefill that a peer host announced counted in full for up to 2 s, though engines prefill meanwhile. A prompt of 190 ms kept its engine looking busy until the peer's next packet, so hosts avoided idle engines and queued behind each other on the rest.

Ruled out: longer or shorter lives of an announcement; the play of a region's peak in fleet/duty shows the same with a period of 250 ms.

Change: an announced queued prefill shrinks by the time since, the most urgent first, as that of remote regions already does.

--- a/internal/board/endpt/peers.go
+++ b/internal/board/endpt/peers.go
@@ -72,6 +72,17 @@
 	return q
 }
 
+// after returns the queued prefill that is left after a time, as engines prefill
+// meanwhile, the most urgent first.
+func (q QueuedPrefill) after(d time.Duration) QueuedPrefill {
+	for i := range q {
+		done := min(q[i], d)
+		q[i] -= done
+		d -= done
+	}
+	return q
+}
+
 // AddQueuedPrefill adds d to this host's queued prefill at an endpoint: the prefill time
 // of a prompt when it is sent, the negative time when its first token arrives.
 func (t *Table) AddQueuedPrefill(name string, priority int, d time.Duration) {
@@ -87,7 +98,7 @@
 	sum := s.queuedPrefill
 	for _, l := range s.peerLoads {
 		if now.Sub(l.At) < peerLoadTTL {
-			sum = sum.Plus(l.QueuedPrefill)
+			sum = sum.Plus(l.QueuedPrefill.after(now.Sub(l.At)))
 		}
 	}
 	return sum
