Let few hosts of a region take callers' requests

It announced its load to four random hosts each 250 ms: a given pair heard of each other about every four seconds, while a load lived two. Hosts placed requests on engines without knowing what the others had sent there.

Change: callers are given as few hosts as can carry the requests of all slots of the region's endpoints, at least six, those with the most cores first, in turns of the data centres; an answer of the directory is a sample in which a host is as often as its cores say. Entry hosts announce their loads to each other; other hosts only if they have any. Relays go to entry hosts, which alone keep links warm and send service loads.

Tests that wait for a fleet wait for its duties too, as the directory follows the members by up to 20 ms.

--- a/internal/board/duties/duties.go
+++ b/internal/board/duties/duties.go
@@ -1,11 +1,19 @@
-// Package duties is the board's table of the duties that hosts take on for others:
-// whether this host reads the platform's store.
+// Package duties is the board's table of the hosts that take on duties for others: the
+// entry hosts of each region, and whether this host reads the platform's store.
 package duties
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+)
 
 // Plan is one assignment of the duties. It is immutable.
 type Plan struct {
+	// Entries holds the other hosts that callers of a region are given, by region.
+	Entries map[string][]member.Member
+	// SelfEntry reports whether callers are given this host.
+	SelfEntry bool
 	// SelfReads reports whether this host reads the platform's store.
 	SelfReads bool
 }
@@ -17,7 +25,7 @@
 // all duties.
 func NewTable() *Table {
 	t := &Table{}
-	t.Store(&Plan{SelfReads: true})
+	t.Store(&Plan{SelfEntry: true, SelfReads: true})
 	return t
 }
 
--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 )
 
 // Endpoint is the registration of an endpoint. An endpoint that restarts under the
@@ -30,6 +32,15 @@
 	Revision uint64
 }
 
+// SlotsOf returns the number of slots of an endpoint of a service. An endpoint that
+// reports none has those of the service's engine.
+func (e Endpoint) SlotsOf(s *rules.Service) int {
+	if e.Slots == 0 && s != nil && s.Engine != nil {
+		return s.Engine.Slots
+	}
+	return max(1, e.Slots)
+}
+
 // Table holds the registrations. Its lock is a leaf.
 type Table struct {
 	mu          sync.RWMutex
--- a/internal/serve/edge/resolve.go
+++ b/internal/serve/edge/resolve.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"maps"
-	"math"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/duty"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/steer"
 )
@@ -29,7 +30,9 @@
 	regions, why := steer.Regions(region, slices.Sorted(maps.Keys(hosts)), s.routeLoads(now, name))
 	var list []string
 	for _, r := range regions {
-		list = append(list, hosts[r]...)
+		for _, m := range duty.Sample(hosts[r], rand.Float64) {
+			list = append(list, m.Callers)
+		}
 	}
 	list = list[:min(len(list), maxAddresses)]
 	s.Log.Debug().Str("name", name).Str("from", region).Strs("hosts", list).Str("outcome", string(why)).Msg("directory query")
@@ -43,21 +46,22 @@
 	c.Data(http.StatusOK, "application/json", body)
 }
 
-// servingHosts returns the caller addresses of the hosts that serve requests, by
-// region. Hosts of a region that does not answer are left out for callers of other
-// regions.
-func (s *Server) servingHosts(now time.Time, from string) map[string][]string {
-	out := map[string][]string{}
-	if s.Board.Health.Ready() && !s.Board.Health.Leaving() {
-		out[s.Board.Region] = []string{s.Settings.Callers}
+// servingHosts returns the entry hosts, by region. Hosts of a region that does not answer
+// are left out for callers of other regions.
+func (s *Server) servingHosts(now time.Time, from string) map[string][]member.Member {
+	plan, out := s.Board.Duties.Plan(), map[string][]member.Member{}
+	if plan.SelfEntry && s.Board.Health.Ready() && !s.Board.Health.Leaving() {
+		self := member.Candidate{Callers: s.Settings.Callers, Cores: s.Settings.Machine.Capacity()}
+		out[s.Board.Region] = []member.Member{{Candidate: self}}
 	}
-	silent := map[string]bool{}
-	for _, m := range s.Board.Members.RandomUsable(math.MaxInt, member.Member.Healthy) {
-		if _, ok := silent[m.Region]; !ok {
-			silent[m.Region] = m.Region != s.Board.Region && s.Board.Remotes.Silent(now, m.Region)
+	for region, hosts := range plan.Entries {
+		if region != from && region != s.Board.Region && s.Board.Remotes.Silent(now, region) {
+			continue
 		}
-		if m.Callers != "" && (m.Region == from || !silent[m.Region]) {
-			out[m.Region] = append(out[m.Region], m.Callers)
+		for _, m := range hosts {
+			if m.Callers != "" {
+				out[region] = append(out[region], m)
+			}
 		}
 	}
 	return out
--- a/internal/serve/node/duties.go
+++ b/internal/serve/node/duties.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"math"
+
 	"github.com/hyssopspindle/hyssopspindle/internal/board/duties"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/duty"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
@@ -13,24 +15,42 @@
 	}
 }
 
-// assignDuties decides whether this host reads the store.
+// assignDuties chooses the hosts that callers are given in each region, and whether this
+// host reads the store.
 func (n *Node) assignDuties(list []member.Member) {
+	regions := map[string][]member.Member{}
 	var inCentre []member.Member
-	for _, m := range list {
-		if m.Healthy() && m.Centre == n.board.Centre {
+	add := func(m member.Member) {
+		regions[m.Region] = append(regions[m.Region], m)
+		if m.Centre == n.board.Centre {
 			inCentre = append(inCentre, m)
 		}
 	}
+	for _, m := range list {
+		if m.Healthy() && m.Region != "" {
+			add(m)
+		}
+	}
 	if !n.board.Health.Leaving() {
-		inCentre = append(inCentre, member.Member{Candidate: n.self()})
+		add(member.Member{Candidate: n.self()})
+	}
+	plan := &duties.Plan{Entries: map[string][]member.Member{}}
+	for region, hosts := range regions {
+		entries := duty.Entries(hosts, n.regionSlots(region))
+		others := make([]member.Member, 0, len(entries))
+		for _, m := range entries {
+			if m.Name == n.board.Name {
+				plan.SelfEntry = true
+				continue
+			}
+			others = append(others, m)
+		}
+		plan.Entries[region] = others
 	}
-	plan := &duties.Plan{}
 	for _, m := range duty.Readers(inCentre) {
 		plan.SelfReads = plan.SelfReads || m.Name == n.board.Name
 	}
-	if plan.SelfReads != n.board.Duties.Plan().SelfReads {
-		n.log.Info().Bool("reads", plan.SelfReads).Msg("duties changed")
-	}
+	n.logDuties(n.board.Duties.Plan(), plan)
 	n.board.Duties.Store(plan)
 }
 
@@ -39,3 +59,30 @@
 	s := n.settings
 	return member.Candidate{Name: s.Peers, Address: s.Peers, Region: s.Region, Centre: s.Centre, Callers: s.Callers, Cores: s.Machine.Capacity()}
 }
+
+// regionSlots returns the number of slots of a region's endpoints. It is unbounded until
+// rules are in force.
+func (n *Node) regionSlots(region string) int {
+	inForce := n.board.Routes.Rules()
+	if inForce == nil {
+		return math.MaxInt
+	}
+	slots := 0
+	for _, name := range inForce.ServiceNames() {
+		s, _ := inForce.Service(name)
+		for _, e := range n.board.Registry.Endpoints(name) {
+			if e.Region == region {
+				slots += e.SlotsOf(s)
+			}
+		}
+	}
+	return slots
+}
+
+// logDuties logs a change of this host's duties.
+func (n *Node) logDuties(old, plan *duties.Plan) {
+	if old.SelfEntry == plan.SelfEntry && old.SelfReads == plan.SelfReads {
+		return
+	}
+	n.log.Info().Bool("entry", plan.SelfEntry).Bool("reads", plan.SelfReads).Int("entries", len(plan.Entries[n.board.Region])).Msg("duties changed")
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -72,6 +72,9 @@
 	ahead atomic.Pointer[member.Member]
 	// assignedFor is the count of member changes that the current duties were assigned for.
 	assignedFor atomic.Uint64
+	// announcedLoad reports whether the last announced load was not empty. Only the
+	// controller inFlightName uses it.
+	announcedLoad bool
 
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -239,10 +239,11 @@
 		t.Cleanup(func() { _ = n.Close() })
 		f.nodes[region] = n
 	}
-	f.eventually("both hosts are ready and see each other as usable", func() bool {
+	f.eventually("both hosts are ready, see each other as usable and have assigned duties", func() bool {
 		return f.getStatus("a", f.nodes["a"].settings.Ready, platTerms.ReadyPath) == http.StatusOK &&
 			f.getStatus("b", f.nodes["b"].settings.Ready, platTerms.ReadyPath) == http.StatusOK &&
-			f.nodes["a"].board.Members.CountUsable("b") == 1 && f.nodes["b"].board.Members.CountUsable("a") == 1
+			f.nodes["a"].board.Members.CountUsable("b") == 1 && f.nodes["b"].board.Members.CountUsable("a") == 1 &&
+			len(f.nodes["a"].board.Duties.Plan().Entries["b"]) == 1 && len(f.nodes["b"].board.Duties.Plan().Entries["a"]) == 1
 	})
 	return f
 }
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,13 +34,13 @@
 	linkPeriod        = time.Second
 	connectTimeout    = 900 * time.Millisecond
 
-	// inFlightFanout is the number of hosts of the local region that get this host's
-	// loads in one period, serviceLoadFanout the number of hosts of remote regions
-	// that get the service loads.
-	inFlightFanout    = 4
-	serviceLoadFanout = 4
+	// inFlightFanout is the number of entry hosts of the local region that get this
+	// host's loads in one period. In each remote region, serviceLoadFanout entry hosts
+	// and as many of all hosts get the service loads.
+	inFlightFanout    = 12
+	serviceLoadFanout = 2
 	// maxPacketEndpoints bounds the host loads in one packet, the empty entry included.
-	maxPacketEndpoints = 24
+	maxPacketEndpoints = 32
 	// packetOverhead is the size of the IP and UDP headers, in bytes.
 	packetOverhead = 28
 )
@@ -132,53 +135,98 @@
 	// The empty entry keeps the list in the packet when nothing is in flight, so that
 	// receivers drop the loads of this host's previous packet.
 	list := []wire.HostLoad{{Endpoint: ""}}
-	for id, s := range n.board.Endpoints.HostLoads() {
-		if len(list) < maxPacketEndpoints {
-			list = append(list, wire.HostLoad{
-				Endpoint: id, Requests: uint32(s.Requests), PendingMS: toMillis(s.QueuedPrefill[:]),
-			})
-		}
+	for _, l := range n.busiestEndpoints(maxPacketEndpoints - 1) {
+		list = append(list, wire.HostLoad{Endpoint: l.id, Requests: uint32(l.Requests), PendingMS: toMillis(l.QueuedPrefill[:])})
+	}
+	loaded := len(list) > 1
+	if !loaded && !n.announcedLoad {
+		return
 	}
-	n.announce(inFlightFanout, func(m member.Member) bool { return m.Region == n.board.Region }, wire.Packet{HostLoads: list, SentPrefixes: n.proxy.Prefixes.Recent(now)})
+	n.announcedLoad = loaded
+	n.announceTo(n.randomEntries(n.board.Region, inFlightFanout), wire.Packet{HostLoads: list, SentPrefixes: n.proxy.Prefixes.Recent(now)})
+}
+
+// endpointLoad is this host's load at one endpoint.
+type endpointLoad struct {
+	id string
+	endpt.HostLoad
+}
+
+// busiestEndpoints returns this host's load at up to limit endpoints, those with the most
+// queued prefill and then the most requests first.
+func (n *Node) busiestEndpoints(limit int) []endpointLoad {
+	var list []endpointLoad
+	for id, l := range n.board.Endpoints.HostLoads() {
+		list = append(list, endpointLoad{id: id, HostLoad: l})
+	}
+	slices.SortFunc(list, func(a, b endpointLoad) int {
+		return cmp.Or(
+			cmp.Compare(b.QueuedPrefill.Ahead(endpt.Ranks), a.QueuedPrefill.Ahead(endpt.Ranks)),
+			cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.id, b.id))
+	})
+	return list[:min(limit, len(list))]
+}
+
+// randomEntries returns up to limit random entry hosts of a region, this one left out.
+func (n *Node) randomEntries(region string, limit int) []member.Member {
+	list := slices.Clone(n.board.Duties.Plan().Entries[region])
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(limit, len(list))]
 }
 
 // shareServiceLoads sends the local region's service loads, with the mean queued
-// prefill of each service's endpoints, to hosts of remote regions.
+// prefill of each service's endpoints, to hosts of remote regions. Only entry hosts send
+// them, as they know the loads best.
 func (n *Node) shareServiceLoads(now time.Time) {
-	inForce := n.board.Routes.Rules()
-	if inForce == nil {
+	inForce, plan := n.board.Routes.Rules(), n.board.Duties.Plan()
+	if inForce == nil || !plan.SelfEntry {
 		return
 	}
-	loads := map[string]*wire.ServiceLoad{}
-	queuedPrefill := map[string]endpt.QueuedPrefill{}
-	counts := map[string]time.Duration{}
+	var list []wire.ServiceLoad
 	for _, s := range inForce.ServiceNames() {
-		for _, e := range n.board.Registry.Endpoints(s) {
-			if e.Region != n.board.Region || e.Draining || n.board.Registry.Evacuated(e.Centre) {
-				continue
-			}
-			if loads[s] == nil {
-				loads[s] = &wire.ServiceLoad{Region: n.board.Region, Service: s}
-			}
-			st := n.board.Endpoints.Get(e.ID)
-			if !st.Ejected(now) && !st.EjectedByRate(now) {
-				loads[s].Slots += uint32(max(1, e.Slots))
-			}
-			loads[s].Busy += uint32(max(st.Load(now), st.KnownInFlight(now)))
-			queuedPrefill[s] = queuedPrefill[s].Plus(st.QueuedPrefill(now))
-			counts[s]++
+		if l, ok := n.serviceLoad(now, s); ok {
+			list = append(list, l)
 		}
 	}
-	var list []wire.ServiceLoad
-	for _, s := range loads {
-		var mean endpt.QueuedPrefill
-		for rank := range mean {
-			mean[rank] = queuedPrefill[s.Service].Ahead(rank) / counts[s.Service]
+	for region := range plan.Entries {
+		if region == n.board.Region {
+			continue
 		}
-		s.WaitMS = toMillis(mean[:])
-		list = append(list, *s)
+		to := n.randomEntries(region, serviceLoadFanout)
+		to = append(to, n.board.Members.RandomUsable(serviceLoadFanout, func(m member.Member) bool {
+			return m.Region == region && !slices.ContainsFunc(to, func(e member.Member) bool { return e.Name == m.Name })
+		})...)
+		n.announceTo(to, wire.Packet{ServiceLoads: list, SentPrefixes: n.proxy.Prefixes.Recent(now)})
 	}
-	n.announce(serviceLoadFanout, func(m member.Member) bool { return m.Region != n.board.Region }, wire.Packet{ServiceLoads: list, SentPrefixes: n.proxy.Prefixes.Recent(now)})
+}
+
+// serviceLoad returns the load of a service in the local region, and false if it has no
+// endpoint there that accepts requests.
+func (n *Node) serviceLoad(now time.Time, service string) (wire.ServiceLoad, bool) {
+	load := wire.ServiceLoad{Region: n.board.Region, Service: service}
+	var queued endpt.QueuedPrefill
+	count := time.Duration(0)
+	for _, e := range n.board.Registry.Endpoints(service) {
+		if e.Region != n.board.Region || e.Draining || n.board.Registry.Evacuated(e.Centre) {
+			continue
+		}
+		st := n.board.Endpoints.Get(e.ID)
+		if !st.Ejected(now) && !st.EjectedByRate(now) {
+			load.Slots += uint32(max(1, e.Slots))
+		}
+		load.Busy += uint32(max(st.Load(now), st.KnownInFlight(now)))
+		queued = queued.Plus(st.QueuedPrefill(now))
+		count++
+	}
+	if count == 0 {
+		return load, false
+	}
+	var mean endpt.QueuedPrefill
+	for rank := range mean {
+		mean[rank] = queued.Ahead(rank) / count
+	}
+	load.WaitMS = toMillis(mean[:])
+	return load, true
 }
 
 // announce completes a packet with this host's status and sends it to up to limit
@@ -198,15 +246,18 @@
 	n.sendPacket(p, addresses...)
 }
 
-// warmLinks keeps connections open to the remote hosts that this host relays to.
+// warmLinks keeps connections open to the remote hosts that this host relays to, if
+// callers are given this host.
 func (n *Node) warmLinks(time.Time) {
-	regions := map[string]bool{}
-	for _, m := range n.board.Members.Members() {
-		regions[m.Region] = true
+	plan := n.board.Duties.Plan()
+	if !plan.SelfEntry {
+		return
 	}
-	delete(regions, n.board.Region)
 	var wait sync.WaitGroup
-	for region := range regions {
+	for region := range plan.Entries {
+		if region == n.board.Region {
+			continue
+		}
 		for _, m := range n.proxy.RelayHosts(region) {
 			wait.Go(func() {
 				ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -289,7 +289,7 @@
 	list := make([]pick.Candidate, len(endpoints))
 	p.Board.Endpoints.Each(names, func(i int, st *endpt.State) {
 		list[i] = pick.Candidate{
-			Name: endpoints[i].ID, Slots: endpointSlots(endpoints[i], s),
+			Name: endpoints[i].ID, Slots: endpoints[i].SlotsOf(s),
 			Load:          max(st.Load(now), st.KnownInFlight(now)) + st.RefusalLoad(now, endpoints[i].Slots),
 			QueuedPrefill: st.QueuedPrefill(now).Ahead(t.Route.Priority), Slowdown: slowdownFactor(st, now), Failing: st.Ejected(now) || st.EjectedByRate(now),
 			Cached: req.Prefix != 0 && p.Prefixes.Cached(now, endpoints[i].ID, req.Prefix),
@@ -311,15 +311,6 @@
 	return 1
 }
 
-// endpointSlots returns the number of slots of an endpoint. An endpoint that reports
-// none has those of its service's engine.
-func endpointSlots(e regis.Endpoint, s *rules.Service) int {
-	if e.Slots == 0 && s.Engine != nil {
-		return s.Engine.Slots
-	}
-	return max(1, e.Slots)
-}
-
 // acceptsRequests reports whether an endpoint may get new requests: it is not draining
 // and its data centre is not evacuated.
 func (p *Proxy) acceptsRequests(e regis.Endpoint) bool {
@@ -332,7 +323,7 @@
 	service := p.service(t.Service)
 	for _, e := range p.Board.Registry.Endpoints(t.Service) {
 		if e.Region != p.Board.Region && p.acceptsRequests(e) && t.Route.Allows(e.Region) && !t.tried[regionKeyPrefix+e.Region] {
-			slots[e.Region] += float64(endpointSlots(e, service))
+			slots[e.Region] += float64(e.SlotsOf(service))
 		}
 	}
 	var list []pick.Region
@@ -364,16 +355,11 @@
 // to. The limit keeps the number of connections linear in the size of the fleet.
 const maxRelayHosts = 4
 
-// RelayHosts returns the hosts of a region that this host relays to: the first healthy
-// ones in an order that depends on this host's name, which spreads the load of all
-// hosts over the region.
+// RelayHosts returns the hosts of a region that this host relays to: the first of its
+// entry hosts in an order that depends on this host's name, which spreads the load of all
+// hosts over them. Entry hosts know the load of their region best.
 func (p *Proxy) RelayHosts(region string) []member.Member {
-	var list []member.Member
-	for _, m := range p.Board.Members.Members() {
-		if m.Region == region && m.Healthy() {
-			list = append(list, m)
-		}
-	}
+	list := slices.Clone(p.Board.Duties.Plan().Entries[region])
 	hash := xxhash.Sum64String(p.Board.Name)
 	slices.SortFunc(list, func(a, b member.Member) int {
 		return cmp.Compare(place.Weight(hash, b.Name), place.Weight(hash, a.Name))
