Give a cold endpoint's rate to the hosts with the most cores

A cold engine idled through its warm-up.

Ruled out: splitting among the present entry hosts only. Hosts that see different members would choose different ones, and the sum could exceed the rate; all hosts, dead ones included, still count as before.

Change: the remainder goes to the hosts with the most cores. A started host that still learns of others takes no share in its first 10 s: in a large fleet discovery takes longer than the fixed 2.5 s.

Before: TestLargeHostsTakeTheRate gives six large hosts a share of 0 or 1 by chance; after: 1 each. TestSharesAddUp holds for hosts of any cores.

--- a/internal/route/quota/quota.go
+++ b/internal/route/quota/quota.go
@@ -15,6 +15,11 @@
 	// discoveryTime is the time after its start in which a host may not yet know all other
 	// hosts; until then its share is 0.
 	discoveryTime = 2500 * time.Millisecond
+	// settleTime is how long a host that has started must have learned of no new host
+	// before it takes a share, for at most maxSettleTime after its start: in a large fleet
+	// it takes longer than discoveryTime to learn of all.
+	settleTime    = time.Second
+	maxSettleTime = 10 * time.Second
 	// departedTime is how long a host counts after it was last listed: its last requests
 	// fall into the same second as those that the others send.
 	departedTime = 1500 * time.Millisecond
@@ -24,48 +29,70 @@
 // is held.
 type Table struct {
 	started time.Time
-	self    string
+	self    Host
 
 	mu sync.Mutex
-	// lastSeen is when each other host was last listed.
-	lastSeen map[string]time.Time
+	// hosts holds the other hosts by name.
+	hosts map[string]seenHost
+	// grown is when a new host was last listed.
+	grown time.Time
+}
+
+// Host is a host that may send to the same endpoints.
+type Host struct {
+	Name string
+	// Cores is the host's processor capacity. Hosts with more of it get most requests.
+	Cores float64
+}
+
+// seenHost is a host with the time when it was last listed.
+type seenHost struct {
+	Host
+	lastSeen time.Time
 }
 
 // New returns the table of the host self, whose process started at a time.
-func New(started time.Time, self string) *Table {
-	return &Table{started: started, self: self, lastSeen: map[string]time.Time{}}
+func New(started time.Time, self Host) *Table {
+	return &Table{started: started, self: self, hosts: map[string]seenHost{}}
 }
 
 // UpdateHosts updates the other hosts that may send to the same endpoints: all except those
 // that announced their shutdown.
-func (t *Table) UpdateHosts(now time.Time, names []string) {
+func (t *Table) UpdateHosts(now time.Time, list []Host) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, n := range names {
-		t.lastSeen[n] = now
+	for _, h := range list {
+		if _, known := t.hosts[h.Name]; !known {
+			t.grown = now
+		}
+		t.hosts[h.Name] = seenHost{Host: h, lastSeen: now}
 	}
-	for n, at := range t.lastSeen {
-		if now.Sub(at) > departedTime {
-			delete(t.lastSeen, n)
+	for name, h := range t.hosts {
+		if now.Sub(h.lastSeen) > departedTime {
+			delete(t.hosts, name)
 		}
 	}
 }
 
 // Share returns this host's share of rate, the rate limit of an endpoint in requests per
 // second. The shares of all hosts add up to no more than the rate. The remainder of an
-// equal split goes to the hosts with the highest rendezvous weights for the endpoint.
+// equal split goes to the hosts with the most cores, among equal ones to those with the
+// highest rendezvous weights for the endpoint.
 func (t *Table) Share(now time.Time, endpoint string, rate int) int {
 	if now.Sub(t.started) < discoveryTime {
 		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Sub(t.started) < maxSettleTime && now.Sub(t.grown) < settleTime {
+		return 0
+	}
 	key := xxhash.Sum64String(endpoint)
-	own := place.Weight(key, t.self)
+	own := place.Weight(key, t.self.Name)
 	hosts, before := 1, 0
-	for n := range t.lastSeen {
+	for name, h := range t.hosts {
 		hosts++
-		if place.Weight(key, n) > own {
+		if h.Cores > t.self.Cores || (h.Cores == t.self.Cores && place.Weight(key, name) > own) {
 			before++
 		}
 	}
--- a/internal/route/quota/quota_test.go
+++ b/internal/route/quota/quota_test.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -21,15 +23,14 @@
 		n := rapid.IntRange(1, 40).Draw(rt, "hosts")
 		rate := rapid.IntRange(0, 60).Draw(rt, "rate")
 		endpoint := rapid.String().Draw(rt, "endpoint")
+		var fleet []Host
+		for i := range n {
+			fleet = append(fleet, Host{Name: strconv.Itoa(i), Cores: float64(rapid.IntRange(0, 3).Draw(rt, "cores"))})
+		}
 		sum := 0
 		for i := range n {
-			table := New(start, strconv.Itoa(i))
-			var others []string
-			for j := range n {
-				if j != i {
-					others = append(others, strconv.Itoa(j))
-				}
-			}
+			table := New(start, fleet[i])
+			others := slices.Delete(slices.Clone(fleet), i, i+1)
 			now := start.Add(time.Minute)
 			table.UpdateHosts(now, others)
 			sum += table.Share(now, endpoint, rate)
@@ -43,7 +44,7 @@
 // TestNewHostHasNoShare: a host that does not know the others yet would take the whole
 // rate.
 func TestNewHostHasNoShare(t *testing.T) {
-	table := New(start, "a")
+	table := New(start, Host{Name: "a"})
 	if table.Share(start.Add(discoveryTime-1), "e", 10) != 0 || table.Share(start.Add(discoveryTime), "e", 10) != 10 {
 		t.Error("want share 0 before discoveryTime has passed and the whole rate after it")
 	}
@@ -52,9 +53,9 @@
 // TestDepartedHostStillCounts: the requests that a host sent just before it ended fall
 // into the same second as those that the others send then.
 func TestDepartedHostStillCounts(t *testing.T) {
-	table := New(start, "a")
+	table := New(start, Host{Name: "a"})
 	now := start.Add(time.Minute)
-	table.UpdateHosts(now, []string{"b"})
+	table.UpdateHosts(now, []Host{{Name: "b"}})
 	table.UpdateHosts(now.Add(time.Second), nil)
 	if got := table.Share(now.Add(time.Second), "e", 10); got != 5 {
 		t.Errorf("share %d one second after the other host ended, want 5", got)
@@ -64,3 +65,50 @@
 		t.Errorf("share %d two seconds after the other host ended, want 10", got)
 	}
 }
+
+// TestLargeHostsTakeTheRate: of a rate below the number of hosts, the hosts that get most
+// requests take the shares.
+func TestLargeHostsTakeTheRate(t *testing.T) {
+	const large, rate = 6, 9
+	var fleet []Host
+	for i := range 65 {
+		h := Host{Name: fmt.Sprintf("h%d", i), Cores: 0.2}
+		if i < large {
+			h.Cores = 0.8
+		}
+		fleet = append(fleet, h)
+	}
+	now, sum := start.Add(time.Minute), 0
+	for i, h := range fleet {
+		table := New(start, h)
+		table.UpdateHosts(now, slices.Delete(slices.Clone(fleet), i, i+1))
+		share := table.Share(now, "e", rate)
+		sum += share
+		if i < large && share != 1 {
+			t.Errorf("share of large host %s = %d, want 1", h.Name, share)
+		}
+	}
+	if sum != rate {
+		t.Errorf("shares add up to %d, want %d", sum, rate)
+	}
+}
+
+// TestStartedHostWaitsForAllOthers: a host of a large fleet that still learns of others
+// after discoveryTime has no share yet.
+func TestStartedHostWaitsForAllOthers(t *testing.T) {
+	table := New(start, Host{Name: "a"})
+	now := start.Add(discoveryTime)
+	table.UpdateHosts(now, []Host{{Name: "b"}})
+	if got := table.Share(now, "e", 10); got != 0 {
+		t.Errorf("share %d when a new host was just listed, want 0", got)
+	}
+	table.UpdateHosts(now.Add(settleTime), []Host{{Name: "b"}})
+	if got := table.Share(now.Add(settleTime), "e", 10); got != 5 {
+		t.Errorf("share %d after settleTime without a new host, want 5", got)
+	}
+	late := start.Add(maxSettleTime)
+	table.UpdateHosts(late, []Host{{Name: "b"}, {Name: "c"}})
+	if got := table.Share(late, "e", 9); got != 3 {
+		t.Errorf("share %d when a host joins a running fleet, want 3", got)
+	}
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -128,7 +128,7 @@
 	n.proxy.Log, n.proxy.Now, n.proxy.Budget = n.log, n.now, n.retryBudget()
 	n.proxy.Client = &pool.Client{Pool: n.pool, Terms: t, Now: n.now}
 	n.proxy.ColdShare = n.coldRateShare
-	n.coldShares = quota.New(n.started, n.settings.Peers)
+	n.coldShares = quota.New(n.started, quota.Host{Name: n.settings.Peers, Cores: n.settings.Machine.Capacity()})
 	n.proxy.OnLongPrompt = func() { n.runner.Trigger(inFlightName) }
 	handler := &relay.Handler{
 		Board: n.board, Meter: n.meter, Log: n.log, Pool: n.relays, MaxBody: maxBodyBytes, Now: n.now, ServeRouted: n.serveRelayed,
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -14,6 +14,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/quota"
 )
 
 // dutyName is the controller that assigns the duties. A change of the members also
@@ -296,11 +297,11 @@
 // the rate limits of cold endpoints.
 func (n *Node) updateMembers(now time.Time, list []member.Member) {
 	current := make(map[string]memberStatus, len(n.loggedMembers))
-	var sharing []string
+	var sharing []quota.Host
 	for _, m := range list {
 		// Dead members share too: they may only be partitioned from this host.
 		if m.Region == n.board.Region && m.State != wire.Left {
-			sharing = append(sharing, m.Name)
+			sharing = append(sharing, quota.Host{Name: m.Name, Cores: m.Cores})
 		}
 		st := memberStatus{state: m.State, leaving: m.Leaving, incarnation: m.Incarnation}
 		current[m.Name] = st
