Treat endpoints whose registration lapsed in an outage as cold

Cause: a registration that the store removes during an outage is kept for 2.2 s, as the endpoint may only have been unable to renew it. Until it registers again nothing is known of it, yet it got requests at the full rate. Where an evacuation ended in the same moment, the endpoints of that data centre were cold: they registered 0.7 s later with the rest of their warm-up, and hosts had broken the rate limit by then (FAILBACK).

Ruled out: hosts that miss the evacuation while frozen.

Change: such an endpoint is marked as lapsed and counts as cold until it registers again.

--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -30,8 +30,15 @@
 	Incarnation int64
 	// Revision is the store's revision at the registration's last change.
 	Revision uint64
+	// Lapsed reports whether the registration was removed during an outage of the store
+	// and the endpoint is kept for a while. It may have restarted meanwhile.
+	Lapsed bool
 }
 
+// Cold reports whether the endpoint may be cold: it is warming up, or what it does since
+// its registration lapsed is not known.
+func (e Endpoint) Cold(now time.Time) bool { return e.Lapsed || now.Before(e.ColdUntil) }
+
 // SlotsOf returns the number of slots of an endpoint of a service. An endpoint that
 // reports none has those of the service's engine.
 func (e Endpoint) SlotsOf(s *rules.Service) int {
@@ -107,15 +114,25 @@
 		return false
 	}
 	if !until.IsZero() {
-		if _, scheduled := t.expiring[id]; !scheduled {
-			t.expiring[id] = until
-		}
+		t.lapse(id, until)
 		return false
 	}
 	t.drop(id)
 	return true
 }
 
+// lapse keeps an endpoint whose registration was removed until a time.
+func (t *Table) lapse(id string, until time.Time) {
+	if _, scheduled := t.expiring[id]; scheduled {
+		return
+	}
+	t.expiring[id] = until
+	e := t.endpoints[id]
+	e.Lapsed = true
+	t.endpoints[id] = e
+	t.reindex()
+}
+
 func (t *Table) drop(id string) {
 	delete(t.endpoints, id)
 	delete(t.expiring, id)
@@ -143,8 +160,8 @@
 		if until.IsZero() {
 			t.drop(id)
 			dropped = append(dropped, id)
-		} else if _, scheduled := t.expiring[id]; !scheduled {
-			t.expiring[id] = until
+		} else {
+			t.lapse(id, until)
 		}
 	}
 	return changed, dropped
--- a/internal/board/regis/regis_test.go
+++ b/internal/board/regis/regis_test.go
@@ -139,3 +139,33 @@
 	}
 	table.MarkDraining("unknown")
 }
+
+// TestLapsedEndpointIsCold: an endpoint whose registration was removed during an outage of
+// the store counts as cold until it registers again, as it may have restarted.
+func TestLapsedEndpointIsCold(t *testing.T) {
+	removals := map[string]func(t *Table){
+		"removed": func(t *Table) { t.Remove("a", 6, start.Add(time.Minute)) },
+		"not listed": func(t *Table) {
+			t.Replace(nil, 6, start.Add(time.Minute))
+		},
+	}
+	for name, remove := range removals {
+		table := NewTable()
+		table.Put(entry("a", 5))
+		if table.Endpoints("s")[0].Cold(start) {
+			t.Errorf("%s: a registered endpoint is cold", name)
+		}
+		remove(table)
+		if !table.Endpoints("s")[0].Cold(start) {
+			t.Errorf("%s: a lapsed endpoint is not cold", name)
+		}
+		if !table.Put(entry("a", 7)) || table.Endpoints("s")[0].Cold(start) {
+			t.Errorf("%s: an endpoint that registered again is still cold", name)
+		}
+	}
+	warming := entry("a", 1)
+	warming.ColdUntil = start.Add(time.Second)
+	if !warming.Cold(start) || warming.Cold(start.Add(time.Second)) {
+		t.Error("want an endpoint to be cold until ColdUntil")
+	}
+}
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -913,3 +914,29 @@
 		}
 	}
 }
+
+// TestLapsedEndpointGetsColdRate: an endpoint whose registration was removed during an
+// outage of the store gets no more requests than a cold one.
+func TestLapsedEndpointGetsColdRate(t *testing.T) {
+	const share, requests = 2, 8
+	f := startFleet(t)
+	for _, n := range f.nodes {
+		n.proxy.ColdShare = func(*rules.Service, string) int { return share }
+	}
+	cold := testRules(8)
+	s, _ := cold.Service("plain")
+	s.ColdRate = 1
+	f.store.put(feed.Change{Rules: cold})
+	n := f.nodes["a"]
+	f.eventually("the rules are in force", func() bool { return n.board.Routes.Version() == 8 })
+	n.board.Registry.Remove("plain-a1", math.MaxUint64, time.Now().Add(time.Hour))
+	for i := range requests {
+		id := fmt.Sprint("r", i)
+		if status, _, err := f.call("GET", "/safe/x", id, nil); status != 200 {
+			t.Errorf("request %s: status %d, error %v, want 200", id, status, err)
+		}
+	}
+	if got := len(f.runs("plain-a1")); got > share {
+		t.Errorf("the lapsed endpoint got %d requests at once, want at most %d", got, share)
+	}
+}
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -153,7 +153,7 @@
 		if d.refusal != nil || d.wait {
 			return d
 		}
-		if now.Before(e.ColdUntil) && service.ColdRate > 0 &&
+		if e.Cold(now) && service.ColdRate > 0 &&
 			!p.Board.Endpoints.AdmitCold(now, e.ID, p.ColdShare(service, e.ID)) {
 			list = append(list[:choice.Index:choice.Index], list[choice.Index+1:]...)
 			endpoints = append(endpoints[:choice.Index:choice.Index], endpoints[choice.Index+1:]...)
