Write logs in pieces that a pipe takes whole

Cause: lines were written in batches of up to 32 KB.

Ruled out: the rate limit of lines; no line of a level above debug was dropped at that host (its counter of dropped lines does not move).

Change: a write has whole lines and at most 4,096 bytes, which a pipe takes whole, unless one line is longer.

--- a/internal/ops/lines/lines.go
+++ b/internal/ops/lines/lines.go
@@ -22,8 +22,9 @@
 	bufferLines = 2048
 	// reservedLines is the part of the queue that debug lines can't use.
 	reservedLines = bufferLines / 4
-	// batchBytes is the buffer size of one write to the output.
-	batchBytes = 32 << 10
+	// batchBytes bounds one write to the output, unless a single line is longer: a pipe
+	// takes up to PIPE_BUF bytes whole, while longer writes can be cut or mixed with others.
+	batchBytes = 4 << 10
 	// flushDelay bounds how long a line waits for its batch to fill.
 	flushDelay = 200 * time.Millisecond
 )
@@ -102,36 +103,51 @@
 func (w *Writer) writeLoop() {
 	defer close(w.done)
 	var reported uint64
+	// next is a line that did not fit into the last batch.
+	var next []byte
 	buf := make([]byte, 0, batchBytes)
-	for line := range w.queue {
-		buf = append(buf[:0], line...)
+	for {
+		if next == nil {
+			line, ok := <-w.queue
+			if !ok {
+				return
+			}
+			next = line
+		}
 		timer := time.NewTimer(flushDelay)
-		buf = w.fillBatch(buf, timer.C)
+		buf, next = w.fillBatch(append(buf[:0], next...), timer.C)
 		timer.Stop()
+		w.write(buf)
 		if n := w.dropped.Load(); n > reported {
-			buf = fmt.Appendf(buf, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"dropped\":%d}\n", n)
+			w.write(fmt.Appendf(nil, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"dropped\":%d}\n", n))
 			reported = n
 		}
-		if _, err := w.out.Write(buf); err != nil {
-			w.dropped.Add(1)
-		}
 	}
 }
 
-// fillBatch appends queued lines to buf until timeout fires or the batch is full.
-func (w *Writer) fillBatch(buf []byte, timeout <-chan time.Time) []byte {
-	for len(buf) < batchBytes-2048 {
+func (w *Writer) write(p []byte) {
+	if _, err := w.out.Write(p); err != nil {
+		w.dropped.Add(1)
+	}
+}
+
+// fillBatch appends queued lines to buf until timeout fires or the batch is full. It
+// returns the line that no longer fits, nil if there is none.
+func (w *Writer) fillBatch(buf []byte, timeout <-chan time.Time) (batch, next []byte) {
+	for {
 		select {
 		case line, ok := <-w.queue:
 			if !ok {
-				return buf
+				return buf, nil
+			}
+			if len(buf)+len(line) > batchBytes {
+				return buf, line
 			}
 			buf = append(buf, line...)
 		case <-timeout:
-			return buf
+			return buf, nil
 		}
 	}
-	return buf
 }
 
 // Close writes the queued lines and stops the writer.
--- a/internal/ops/lines/lines_test.go
+++ b/internal/ops/lines/lines_test.go
@@ -89,3 +89,42 @@
 		t.Errorf("line after Close: error %v, %d lines dropped, want no error and 1", err, w.Dropped())
 	}
 }
+
+// chunks records each write.
+type chunks struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (c *chunks) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = append(c.list, string(p))
+	return len(p), nil
+}
+
+// TestWritesAreShort checks that no write exceeds what a pipe takes whole, and that each
+// write ends with a whole line.
+func TestWritesAreShort(t *testing.T) {
+	const pipeBuf = 4096
+	out, lines := &chunks{}, 300
+	w := New(out, func() time.Time { return start })
+	for i := range lines {
+		if _, err := w.WriteLevel(zerolog.InfoLevel, []byte(strings.Repeat("x", i)+"\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	count := 0
+	for _, p := range out.list {
+		count += strings.Count(p, "\n")
+		if len(p) > pipeBuf || !strings.HasSuffix(p, "\n") {
+			t.Errorf("write of %d bytes, ends with a whole line: %v; want at most %d bytes and whole lines", len(p), strings.HasSuffix(p, "\n"), pipeBuf)
+		}
+	}
+	if count != lines {
+		t.Errorf("%d lines were written, want %d", count, lines)
+	}
+}
