Describe the duties of hosts, and send service loads to four entry hosts

Cause of the second part: an entry host sent its region's loads and the prompt prefixes that it sent lately to two of six entry hosts of each remote region every 500 ms.

Change: four of them; two more hosts of each region get the loads, so that no region counts as silent there.

--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -37,9 +37,10 @@
 
 	// inFlightFanout is the number of entry hosts of the local region that get this
 	// host's loads in one period. In each remote region, serviceLoadFanout entry hosts
-	// and as many of all hosts get the service loads.
+	// and standbyFanout other hosts get the service loads.
 	inFlightFanout    = 12
-	serviceLoadFanout = 2
+	serviceLoadFanout = 4
+	standbyFanout     = 2
 	// maxPacketEndpoints bounds the host loads in one packet, the empty entry included.
 	maxPacketEndpoints = 32
 	// packetOverhead is the size of the IP and UDP headers, in bytes.
@@ -194,7 +195,7 @@
 			continue
 		}
 		to := n.randomEntries(region, serviceLoadFanout)
-		to = append(to, n.board.Members.RandomUsable(serviceLoadFanout, func(m member.Member) bool {
+		to = append(to, n.board.Members.RandomUsable(standbyFanout, func(m member.Member) bool {
 			return m.Region == region && !slices.ContainsFunc(to, func(e member.Member) bool { return e.Name == m.Name })
 		})...)
 		n.announceTo(to, wire.Packet{ServiceLoads: list, SentPrefixes: n.proxy.Prefixes.Recent(now)})
