Abandon a silent stream only if another endpoint would serve it at once

Cause: a resumable stream was abandoned after three times the route's target gap without data. An engine under load is silent for longer while it prefills more urgent prompts or has preempted the request. If the attempt to resume was then refused, because all engines were as busy, the caller's stream was cut off although its engine would have gone on.

Change: when a wait for data times out, the attempt asks whether the request would be admitted elsewhere now, within its attempts and the retry budget; if not, it waits on. The same holds for the wait for the head.

Before: TestSilentStream fails, the stream is cut after its first event; after: it passes, and a stream with an alternative is still resumed.

--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -202,6 +202,7 @@
 	only := func(s string) []rules.Share { return []rules.Share{{Service: s, Weight: 1}} }
 	return rules.New(version, []rules.Route{
 		{Name: "stream", Host: "h", Prefix: "/stream/", Shares: only("model"), Kind: rules.Stream, Attempts: 2, Timeout: 3 * waitTimeout, Gap: time.Second, Prompts: true, Resumable: true},
+		{Name: "gap", Host: "h", Prefix: "/stream-gap/", Shares: only("model"), Kind: rules.Stream, Attempts: 2, Timeout: 3 * waitTimeout, Gap: 100 * time.Millisecond, Prompts: true, Resumable: true},
 		{Name: "once", Host: "h", Prefix: "/stream-once/", Shares: only("model"), Kind: rules.Stream, Attempts: 1, Timeout: 3 * waitTimeout, Prompts: true},
 		{Name: "bound", Host: "h", Prefix: "/bound/", Shares: only("plain"), Kind: rules.Safe, Attempts: 2, Timeout: 3 * waitTimeout, Homes: []string{"b"}},
 		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Shares: only("plain"), Kind: rules.Unsafe, Attempts: 1, Timeout: 3 * waitTimeout},
@@ -940,3 +941,34 @@
 		t.Errorf("the lapsed endpoint got %d requests at once, want at most %d", got, share)
 	}
 }
+
+// TestSilentStream: a stream whose engine pauses is resumed at another endpoint if one
+// would serve it, else it goes on where it is and is not cut off.
+func TestSilentStream(t *testing.T) {
+	f := startFleet(t)
+	f.store.put(feed.Change{RemovedEndpoint: "model-b1"})
+	f.eventually("one endpoint is registered", func() bool { return len(f.nodes["a"].board.Registry.Endpoints("model")) == 1 })
+	e := f.endpoints["model-a1"]
+	e.EventCount, e.EventGap = 3, 500*time.Millisecond
+	want := routed.Event("r1", 0) + routed.Event("r1", 1) + routed.Event("r1", 2)
+	if status, body, err := f.call("POST", "/stream-gap/x", "r1", nil); status != 200 || body != want || err != nil {
+		t.Errorf("no other endpoint: got status %d, body %q, error %v, want the whole stream", status, body, err)
+	}
+	if n := len(e.Runs()); n != 1 || e.Cancelled() != 0 {
+		t.Errorf("no other endpoint: %d runs, %d cancelled, want 1 and 0", n, e.Cancelled())
+	}
+	f.startEndpoint("model-a2", "model", "a")
+	f.endpoints["model-a2"].EventCount = 3
+	f.eventually("the second endpoint is registered", func() bool { return len(f.nodes["a"].board.Registry.Endpoints("model")) == 2 })
+	for i := range 20 {
+		id := fmt.Sprint("s", i)
+		want := routed.Event(id, 0) + routed.Event(id, 1) + routed.Event(id, 2)
+		if status, body, err := f.call("POST", "/stream-gap/x", id, nil); status != 200 || body != want || err != nil {
+			t.Errorf("with another endpoint: got status %d, body %q, error %v, want the whole stream", status, body, err)
+		}
+		if e.Cancelled() > 0 {
+			return
+		}
+	}
+	t.Error("no stream was resumed at the other endpoint")
+}
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -53,6 +53,9 @@
 	HeadTimeout time.Duration
 	// IdleTimeout bounds the wait for the next bytes of the body; 0 means until Deadline.
 	IdleTimeout time.Duration
+	// Abandon decides whether the attempt fails after HeadTimeout or IdleTimeout. If it
+	// returns false, the attempt waits for the same time again. Nil means yes.
+	Abandon func() bool
 	// LastEventID is the id of the last event that the caller received, stream.NoID for none.
 	LastEventID int
 	// MaxAnswerBytes bounds the body of the answer.
@@ -117,6 +120,8 @@
 	writeFailed  atomic.Bool
 	ctx          context.Context
 	readDeadline time.Time
+	// readTimeout is the timeout of the last setReadDeadline.
+	readTimeout time.Duration
 }
 
 // Do makes one attempt and passes the answer on to sink as it arrives.
@@ -165,6 +170,7 @@
 		e.fail(fmt.Errorf("send request: %w", err))
 		return 0
 	}
+	e.conn.onTimeout = e.keepWaiting
 	e.setReadDeadline(e.attempt.HeadTimeout)
 	resp, err := e.readHead()
 	if err != nil {
@@ -243,10 +249,20 @@
 			deadline = t
 		}
 	}
-	e.readDeadline = deadline
+	e.readDeadline, e.readTimeout = deadline, timeout
 	_ = e.conn.SetReadDeadline(deadline)
 }
 
+// keepWaiting extends a read that timed out before the deadline of the attempt, unless the
+// attempt is to be abandoned.
+func (e *exchange) keepWaiting() bool {
+	if e.attempt.Abandon == nil || e.ctx.Err() != nil || !e.client.Now().Before(e.attempt.Deadline) || e.attempt.Abandon() {
+		return false
+	}
+	e.setReadDeadline(e.readTimeout)
+	return true
+}
+
 // readHead reads the head of the answer. It skips interim answers, and whole answers
 // to other requests.
 func (e *exchange) readHead() (*http.Response, error) {
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -36,6 +37,21 @@
 	exchanges int
 	// reuseBefore is the time from which the idle connection is no longer reused.
 	reuseBefore time.Time
+	// onTimeout is called when a read times out. If it returns true, it has set a new
+	// deadline and the read goes on. It may be nil.
+	onTimeout func() bool
+}
+
+// Read reads from the connection. A timeout that onTimeout extends is not seen by the
+// readers above, which could not continue after an error.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		var netErr net.Error
+		if n > 0 || err == nil || c.onTimeout == nil || !errors.As(err, &netErr) || !netErr.Timeout() || !c.onTimeout() {
+			return n, err
+		}
+	}
 }
 
 // Pool holds idle connections to endpoints for reuse.
@@ -147,7 +163,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	c := &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, connReadBufferBytes)}
+	c := &conn{Conn: nc, address: address}
+	c.reader = bufio.NewReaderSize(c, connReadBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		if rawConn, err := sc.SyscallConn(); err == nil {
 			c.rawConn = rawConn
@@ -163,6 +180,7 @@
 // within keepAlive.
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
 	c.exchanges++
+	c.onTimeout = nil
 	c.reuseBefore = p.now().Add(keepAlive)
 	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
@@ -45,7 +47,9 @@
 		}
 		return sink.Data(data)
 	}}
-	out := p.Client.Do(ctx, p.endpointAttempt(t, d), prefillSink)
+	attempt := p.endpointAttempt(t, d)
+	attempt.Abandon = func() bool { return p.hasAlternative(t, start) }
+	out := p.Client.Do(ctx, attempt, prefillSink)
 	if prefill > 0 {
 		p.Board.Endpoints.AddQueuedPrefill(e.ID, t.Route.Priority, -prefill)
 		p.wakeNext(t.Service)
@@ -92,6 +96,35 @@
 	return attempt
 }
 
+// hasAlternative reports whether a request whose attempt has been silent since start would
+// be served elsewhere at once. If not, the attempt goes on: an engine is silent while it
+// prefills prompts that are more urgent.
+func (p *Proxy) hasAlternative(t *task, start time.Time) bool {
+	now := p.Now()
+	if t.runs+1 >= t.AttemptsLeft || !p.Budget.Available(now, t.Service) {
+		return false
+	}
+	retried := *t
+	retried.failedTime += now.Sub(start)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	req := p.placementRequest(&retried)
+	if t.Route.Allows(p.Board.Region) {
+		list, _ := p.candidates(now, &retried, req, p.service(t.Service))
+		if c := pick.ChooseEndpoint(req, list, p.rand); c.Index >= 0 && !c.AllFailing {
+			if d := p.admit(now, &retried, c, list[c.Index]); d.refusal == nil && !d.wait {
+				return true
+			}
+		}
+	}
+	if !t.mayCross {
+		return false
+	}
+	return slices.ContainsFunc(p.remoteRegions(now, &retried), func(r pick.Region) bool {
+		return !r.Failing && r.Utilisation() < maxSpillUtilisation
+	})
+}
+
 // endpointFields returns the header fields for the endpoint: the caller's and those
 // that the platform defines.
 func (p *Proxy) endpointFields(t *task, d decision) []wire.Field {
