--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -22,7 +22,8 @@
 	// the loss of some of them leaves enough until callers ask the directory again.
 	minEntries = 6
 	// coresPerSlot is the processor time per second that a busy slot of the region's
-	// endpoints costs the entry hosts, in cores: 4 requests of 2.5 ms.
+	// endpoints costs the entry hosts, in cores: 4 requests of 1.25 ms, doubled as a
+	// reserve for bursts and for the hosts that fail.
 	coresPerSlot = 0.01
 	// minSample is the least number of hosts in one answer of the directory, so that a
 	// caller has others to turn to.
