--- a/internal/board/endpt/peers_test.go
+++ b/internal/board/endpt/peers_test.go
@@ -53,6 +53,26 @@
 	}
 }
 
+// TestPeerPrefillShrinks: engines go on prefilling after a peer host announced its queued
+// prefill, the most urgent first.
+func TestPeerPrefillShrinks(t *testing.T) {
+	table := NewTable()
+	table.Sync(noon, []string{"e"})
+	table.AddQueuedPrefill("e", 1, 100*ms)
+	table.SetPeerLoads(noon, "other", map[string]HostLoad{"e": {Requests: 2, QueuedPrefill: QueuedPrefill{0: 40 * ms, 1: 50 * ms}}})
+	s := table.Get("e")
+	tests := []struct {
+		age          time.Duration
+		urgent, rest time.Duration
+	}{{0, 40 * ms, 150 * ms}, {30 * ms, 10 * ms, 150 * ms}, {60 * ms, 0, 130 * ms}, {time.Second, 0, 100 * ms}}
+	for _, tt := range tests {
+		got := s.QueuedPrefill(noon.Add(tt.age))
+		if got[0] != tt.urgent || got[1] != tt.rest {
+			t.Errorf("%v after the announcement: queued prefill %v and %v, want %v and %v", tt.age, got[0], got[1], tt.urgent, tt.rest)
+		}
+	}
+}
+
 func TestColdRateLimitHoldsInAnySecond(t *testing.T) {
 	table := NewTable()
 	var sent []time.Time
--- a/internal/conf/setup/hosted.go
+++ b/internal/conf/setup/hosted.go
@@ -48,8 +48,8 @@
 	LinkMbps float64 `toml:"link_mbps" validate:"gte=0"`
 }
 
-// mbpsPerCore is the traffic that one core forwards, in Mbit/s: 800 requests a second of
-// 8 kB in all.
+// mbpsPerCore is the traffic that one core forwards, in Mbit/s. Below it, the link limits
+// a host before its processor does.
 const mbpsPerCore = 50
 
 // Capacity returns the number of cores that the host can use, less if its link carries
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -1,8 +1,8 @@
 // Package duty chooses the hosts that take on a duty for others, without coordination:
 // hosts that know the same members choose the same ones. It answers the load of a fleet
-// of many small hosts, in which each host alone would see too few requests to place
-// them well, and reading the platform's store at every host would cost more than the
-// changes are worth.
+// of many small hosts: if all of them took callers' requests, each would see too few to
+// place them well, and if all of them read the platform's store, its load would grow with
+// the fleet.
 package duty
 
 import (
@@ -21,9 +21,8 @@
 	// minEntries is the least number of hosts of a region that callers are given, so that
 	// the loss of some of them leaves enough until callers ask the directory again.
 	minEntries = 6
-	// coresPerSlot is the processor time per second that a busy slot of the region's
-	// endpoints costs the entry hosts, in cores: 4 requests of 1.25 ms, doubled as a
-	// reserve for bursts and for the hosts that fail.
+	// coresPerSlot is the capacity of the entry hosts for each slot of the region's
+	// endpoints, in cores. With less they would be the bottleneck while all slots are busy.
 	coresPerSlot = 0.01
 	// minSample is the least number of hosts in one answer of the directory, so that a
 	// caller has others to turn to.
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -58,7 +58,7 @@
 	tasks     sync.WaitGroup
 	// accepting is done once no further incoming connection is accepted.
 	accepting sync.WaitGroup
-	// served, if set, is called when the accept loop of an incoming connection ends.
+	// served, if set, is called when an incoming connection accepts no further stream.
 	served func()
 
 	// keepAlive is the period of keep-alive packets on a connection, and maxIdle
@@ -180,6 +180,8 @@
 
 func (l *Link) acceptConns(ctx context.Context) {
 	for {
+		// Close ends the loop through the listener, so that queued connections are accepted
+		// and then closed like all others.
 		conn, err := l.listener.Accept(context.Background())
 		if err != nil {
 			return
@@ -334,7 +336,6 @@
 	if l.cancel != nil {
 		l.cancel()
 	}
-	// The accept loop ends once it has accepted the connections that are queued.
 	_ = l.listener.Close()
 	l.accepting.Wait()
 	l.closeConns()
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -206,7 +206,7 @@
 	list := make([]items.Item, 0, len(b.Changes))
 	for _, c := range b.Changes {
 		it := items.Item{
-			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, ReadAt: c.ReadAt, Heartbeat: f.isHeartbeat(c),
+			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, ReadAt: c.ReadAt, Heartbeat: f.recordRegistration(c),
 		}
 		if it.ReadAt.IsZero() {
 			it.ReadAt = now
@@ -223,9 +223,10 @@
 	f.listed, f.revision = true, max(f.revision, b.Revision)
 }
 
-// isHeartbeat reports whether a change renews the registration of an endpoint without
-// changing it, and stores the registration; the caller holds the lock.
-func (f *Feed) isHeartbeat(c Change) bool {
+// recordRegistration stores the registration of a change, to compare the next one with it,
+// and reports whether the change is a heartbeat, which only renews the registration; the
+// caller holds the lock.
+func (f *Feed) recordRegistration(c Change) (heartbeat bool) {
 	if c.Endpoint == nil {
 		delete(f.endpoints, c.Key)
 		return false
