Log and count the rate limits that endpoints name

The head of each answer is now read for it: a log line for each change with the request that brought it, the attempt's line says whether the endpoint was limited, and the metrics count limited endpoints and the attempts at them. A malformed value is logged and ignored. Placement does not use the limit yet.

The stand-in of a routed endpoint names a limit when told to.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -70,6 +70,8 @@
 	// coldRequests holds the times of this host's requests within coldWindow while the
 	// endpoint is cold.
 	coldRequests []time.Time
+	// rateLimit is the rate limit that the endpoint names, nil if it names none.
+	rateLimit *rateLimit
 }
 
 // HostLoad is the load of one host at an endpoint.
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -44,6 +44,9 @@
 	NotRun string
 	// Load is the endpoint's load, sent with an answer.
 	Load string
+	// RateLimit is the rate of requests that the endpoint takes from all hosts together, in
+	// requests per second, sent with each answer while the endpoint limits it.
+	RateLimit string
 	// Priority is the priority of a request within an engine; 0 is the highest.
 	Priority string
 	// Reserved lists the fields that only the gateway may set in requests to endpoints.
@@ -60,6 +63,8 @@
 	ParsePrompt func(tokens, parts string) Prompt
 	// ParseLoad parses the value of the field Load; false means that it is malformed.
 	ParseLoad func(value string) (Load, bool)
+	// ParseRate parses the value of the field RateLimit; false means that it is malformed.
+	ParseRate func(value string) (float64, bool)
 	// EncodeAddresses encodes the directory's answer: listen addresses of hosts and their time to live.
 	EncodeAddresses func(addresses []string, ttl time.Duration) ([]byte, error)
 }
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -56,6 +56,9 @@
 	// Abandon decides whether the attempt fails after HeadTimeout or IdleTimeout. If it
 	// returns false, the attempt waits for the same time again. Nil means yes.
 	Abandon func() bool
+	// OnNotice is called with what the head of the endpoint's answer says of the endpoint,
+	// also if the answer is not passed on. It may be nil.
+	OnNotice func(Notice)
 	// LastEventID is the id of the last event that the caller received, stream.NoID for none.
 	LastEventID int
 	// MaxAnswerBytes bounds the body of the answer.
@@ -70,6 +73,15 @@
 	Resuming bool
 }
 
+// Notice is what the head of an answer says of its endpoint.
+type Notice struct {
+	// RateLimit is the rate limit that the endpoint names, in requests per second; nil if it
+	// names none.
+	RateLimit *float64
+	// Malformed is the value of a field that can't be parsed, empty if there is none.
+	Malformed string
+}
+
 // Result is the outcome of an attempt.
 type Result struct {
 	// Whole reports whether the whole answer was passed on.
@@ -182,6 +194,9 @@
 	if load, ok := e.client.Terms.ParseLoad(resp.Header.Get(e.client.Terms.Load)); ok {
 		e.result.Load = load
 	}
+	if e.attempt.OnNotice != nil {
+		e.attempt.OnNotice(e.client.notice(resp.Header))
+	}
 	if e.failedByStatus(resp) {
 		return e.consumeAnswer(resp)
 	}
@@ -191,6 +206,19 @@
 	return e.passWhole(resp)
 }
 
+// notice returns what the header of an answer says of the endpoint.
+func (c *Client) notice(h http.Header) Notice {
+	var n Notice
+	if text := h.Get(c.Terms.RateLimit); text != "" {
+		if rate, ok := c.Terms.ParseRate(text); ok {
+			n.RateLimit = &rate
+		} else {
+			n.Malformed = text
+		}
+	}
+	return n
+}
+
 func isStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) && resp.StatusCode == http.StatusOK
 }
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
@@ -31,6 +32,9 @@
 	e := d.endpoint
 	t.report.Endpoint, t.report.Region = e.ID, p.Board.Region
 	start := p.Now()
+	if p.Board.Endpoints.Limited(e.ID) {
+		p.Meter.LimitedAttempts.Inc()
+	}
 	prefill := time.Duration(0)
 	if t.Route.Prompts {
 		prefill = d.prefill
@@ -48,6 +52,7 @@
 		return sink.Data(data)
 	}}
 	attempt := p.endpointAttempt(t, d)
+	attempt.OnNotice = func(n pool.Notice) { p.recordNotice(t, e, n, start) }
 	attempt.Abandon = func() bool { return p.hasAlternative(t, start) }
 	out := p.Client.Do(ctx, attempt, prefillSink)
 	if prefill > 0 {
@@ -61,7 +66,7 @@
 	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
 		Uint64("registered", e.Revision).Dur("expected", d.expectedLatency).Dur("first", out.TimeToFirstByte).Int("status", out.Status).
 		Bool("reused", out.Reused).Int("running", out.Load.Running).Int("waiting", out.Load.Waiting).
-		Str("outcome", outcome(out)).Msg("attempt")
+		Bool("limited", p.Board.Endpoints.Limited(e.ID)).Str("outcome", outcome(out)).Msg("attempt")
 	if out.ErrorAnswer != nil {
 		out.ErrorAnswer.Head.Endpoint = e.ID
 	}
@@ -143,6 +148,25 @@
 	return fields
 }
 
+// recordNotice updates the state of an endpoint with the head of an answer to a request
+// that was sent at a time.
+func (p *Proxy) recordNotice(t *task, e regis.Endpoint, n pool.Notice, sent time.Time) {
+	now := p.Now()
+	if n.Malformed != "" {
+		p.Log.Warn().Str("request", t.ID).Str("endpoint", e.ID).Str("value", n.Malformed).Msg("ignoring a rate limit that can't be parsed")
+		return
+	}
+	if !p.Board.Endpoints.SetRateLimit(now, e.ID, n.RateLimit, sent) {
+		return
+	}
+	ev := p.Log.Info().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Bool("limited", n.RateLimit != nil)
+	if n.RateLimit != nil {
+		ev = ev.Float64("limit", *n.RateLimit)
+	}
+	ev.Msg("rate limit of endpoint changed")
+	p.Meter.LimitedEndpoints.Set(float64(p.Board.Endpoints.CountLimited()))
+}
+
 // recordResult updates the state of the endpoint and the learned speeds with the
 // outcome of an attempt.
 func (p *Proxy) recordResult(t *task, d decision, out pool.Result, start time.Time) {
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -45,6 +45,8 @@
 	// ResumeAfter is the id of the event after which the stream resumes, -1 if the
 	// request does not resume a stream.
 	ResumeAfter int
+	// At is when the request arrived.
+	At time.Time
 }
 
 // Endpoint is a running stand-in.
@@ -61,6 +63,7 @@
 
 	mu        sync.Mutex
 	fault     Fault
+	rateLimit string
 	runs      []Run
 	cancelled int
 }
@@ -89,6 +92,23 @@
 	e.fault = f
 }
 
+// SetRateLimit sets the rate limit that the endpoint names in its answers, as the value of
+// the header field; an empty value names none. The endpoint does not enforce it.
+func (e *Endpoint) SetRateLimit(value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rateLimit = value
+}
+
+// nameRateLimit adds the rate limit to the header of an answer.
+func (e *Endpoint) nameRateLimit(h http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.rateLimit != "" {
+		h.Set(e.Terms.RateLimit, e.rateLimit)
+	}
+}
+
 // Runs returns the requests that the endpoint ran.
 func (e *Endpoint) Runs() []Run {
 	e.mu.Lock()
@@ -125,6 +145,7 @@
 	h := w.Header()
 	h.Set(e.Terms.RequestID, id)
 	h.Set(e.Terms.Load, "1,0,8")
+	e.nameRateLimit(h)
 	if want := r.Header.Get(e.Terms.ExpectedEndpoint); want != "" && want != e.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -172,7 +193,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.runs = append(e.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: body.String(), Header: r.Header.Clone(), ResumeAfter: from})
+	e.runs = append(e.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: body.String(), Header: r.Header.Clone(), ResumeAfter: from, At: time.Now()})
 	return from
 }
 
