Divide the rate limit that an endpoint names among the hosts

Cause: nothing read the limit, so placement went on as before. Ruled out: a limit applied by each host in full (there was none), and retries or relayed requests beside it (first attempts alone exceed it).

A host now leaves an endpoint out while it has started its share of what the limit allows in 4 s. The shares come from the table that divides the rates of cold endpoints: each host reckons its own from the hosts that it knows, dead ones included, and one that has just started has none, so the sum holds for hosts that are cut off, paused, new or many. Hosts that left count for one whole span longer. The limit is read from the head of the answer, not at the end of the attempt; hosts of the region pass it on; it survives a registration that lapses.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -70,8 +70,10 @@
 	// coldRequests holds the times of this host's requests within coldWindow while the
 	// endpoint is cold.
 	coldRequests []time.Time
-	// rateLimit is the rate limit that the endpoint names, nil if it names none.
-	rateLimit *rateLimit
+	rateLimit    rateLimit
+	// limitedSends holds the times of this host's requests while the endpoint names a
+	// rate limit, oldest first.
+	limitedSends []time.Time
 }
 
 // HostLoad is the load of one host at an endpoint.
@@ -210,7 +212,8 @@
 }
 
 // Sync adds the named endpoints and removes all others that have none of this host's
-// requests in flight. Endpoints added after the first call get a slow start.
+// requests in flight and name no rate limit: a registration that lapses comes back, and
+// the limit holds on. Endpoints added after the first call get a slow start.
 func (t *Table) Sync(now time.Time, names []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -226,7 +229,7 @@
 	}
 	t.synced = true
 	for n, s := range t.states {
-		if !keep[n] && s.InFlight == 0 {
+		if !keep[n] && s.InFlight == 0 && !s.rateLimit.active(now) {
 			delete(t.states, n)
 		}
 	}
@@ -265,6 +268,7 @@
 	defer t.mu.Unlock()
 	s := t.state(name)
 	s.setInFlight(now, s.InFlight+1)
+	s.recordSend(now)
 }
 
 // Result is how an attempt at an endpoint ended.
@@ -330,6 +334,7 @@
 	out.history = slices.Clone(s.history)
 	out.peerLoads = maps.Clone(s.peerLoads)
 	out.coldRequests = slices.Clone(s.coldRequests)
+	out.limitedSends = slices.Clone(s.limitedSends)
 	return out
 }
 
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -84,6 +84,9 @@
 	ServiceLoads []ServiceLoad `cbor:"15,keyasint,omitempty"`
 	// SentPrefixes are the shared prompt prefixes that the sender sent to endpoints lately.
 	SentPrefixes []SentPrefix `cbor:"16,keyasint,omitempty"`
+	// Limits are the rate limits that endpoints of the region named or lifted lately in
+	// answers to the sender. Hosts of builds that do not know the field ignore it.
+	Limits []Limit `cbor:"19,keyasint,omitempty"`
 	// InFlight is the number of in-flight requests at the sender.
 	InFlight int `cbor:"10,keyasint,omitempty"`
 	// Leaving reports whether the sender is leaving and accepts no new requests.
@@ -187,3 +190,15 @@
 	Endpoint string
 	Prefix   uint64
 }
+
+// Limit is what the sender heard of the rate limit of an endpoint.
+type Limit struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	// Limited is false if the endpoint lifted its limit.
+	Limited bool
+	// PerSecond is the limit in requests per second, for all hosts together.
+	PerSecond float64
+	// AgeMS is the time since the sender heard it, in milliseconds.
+	AgeMS uint32
+}
--- a/internal/route/quota/quota.go
+++ b/internal/route/quota/quota.go
@@ -1,8 +1,12 @@
-// Package quota divides the rate limit of a cold endpoint among the hosts that may send
-// to it, without coordination between them.
+// Package quota divides the rate limit of an endpoint among the hosts that may send to it,
+// without coordination between them: each host reckons its own share from the hosts that
+// it knows, dead ones included, as these may only be cut off. Two kinds of limit are
+// divided: that of a cold endpoint, which the published rules state, and that which an
+// endpoint in need names in its answers.
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -23,6 +27,8 @@
 	// departedTime is how long a host counts after it was last listed: its last requests
 	// fall into the same second as those that the others send.
 	departedTime = 1500 * time.Millisecond
+	// pacedDepartedTime is the same for a named limit, whose span is longer.
+	pacedDepartedTime = paceWindow + 500*time.Millisecond
 )
 
 // Table holds the hosts that share the rate limit. No other lock is taken while its lock
@@ -68,7 +74,7 @@
 		t.hosts[h.Name] = seenHost{Host: h, lastSeen: now}
 	}
 	for name, h := range t.hosts {
-		if now.Sub(h.lastSeen) > departedTime {
+		if now.Sub(h.lastSeen) > pacedDepartedTime {
 			delete(t.hosts, name)
 		}
 	}
@@ -79,6 +85,11 @@
 // equal split goes to the hosts with the most cores, among equal ones to those with the
 // highest rendezvous weights for the endpoint.
 func (t *Table) Share(now time.Time, endpoint string, rate int) int {
+	return t.share(now, endpoint, rate, departedTime)
+}
+
+// share returns Share, with the hosts that were listed within a time.
+func (t *Table) share(now time.Time, endpoint string, rate int, within time.Duration) int {
 	if now.Sub(t.started) < discoveryTime {
 		return 0
 	}
@@ -91,6 +102,9 @@
 	own := place.Weight(key, t.self.Name)
 	hosts, before := 1, 0
 	for name, h := range t.hosts {
+		if now.Sub(h.lastSeen) > within {
+			continue
+		}
 		hosts++
 		if h.Cores > t.self.Cores || (h.Cores == t.self.Cores && place.Weight(key, name) > own) {
 			before++
@@ -102,3 +116,23 @@
 	}
 	return share
 }
+
+const (
+	// paceWindow is the span in which the shares of a named limit are whole requests. A
+	// shorter one would leave most hosts without a share of a low limit.
+	paceWindow = 4 * time.Second
+	// minPace is the least rate at which an endpoint gets requests, whatever limit it
+	// names: only an answer tells that the limit has ended.
+	minPace = 0.05
+	// maxPace bounds the arithmetic; no endpoint takes more requests per second.
+	maxPace = 1e6
+)
+
+// Pace returns how many requests this host may send to an endpoint in any window, of a
+// limit of perSecond that the endpoint names for all hosts together. The counts of all
+// hosts add up to no more than the limit allows in the window.
+func (t *Table) Pace(now time.Time, endpoint string, perSecond float64) (most int, window time.Duration) {
+	perSecond = min(max(perSecond, minPace), maxPace)
+	window = max(paceWindow, time.Duration(math.Ceil(float64(time.Second)/perSecond)))
+	return t.share(now, endpoint, int(perSecond*window.Seconds()), pacedDepartedTime), window
+}
--- a/internal/serve/node/limit_test.go
+++ b/internal/serve/node/limit_test.go
@@ -101,7 +101,7 @@
 	f.eventually("all hosts have heard the limit", func() bool {
 		heard := 0
 		for host, n := range f.nodes {
-			if f.get(host, "first"); n.board.Endpoints.Limited("limited") {
+			if f.get(host, "first"); n.board.Endpoints.Limited(time.Now(), "limited") {
 				heard++
 			}
 		}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -48,21 +48,21 @@
 
 // Node is one host process.
 type Node struct {
-	settings   setup.Hosted
-	log        zerolog.Logger
-	board      *board.Board
-	meter      *meter.Meter
-	link       *link.Link
-	proxy      *proxy.Proxy
-	pool       *pool.Pool
-	front      *edge.Server
-	runner     *ctrl.Runner
-	relays     *ants.Pool
-	handlers   link.Handlers
-	feed       *feed.Feed
-	now        func() time.Time
-	started    time.Time
-	coldShares *quota.Table
+	settings setup.Hosted
+	log      zerolog.Logger
+	board    *board.Board
+	meter    *meter.Meter
+	link     *link.Link
+	proxy    *proxy.Proxy
+	pool     *pool.Pool
+	front    *edge.Server
+	runner   *ctrl.Runner
+	relays   *ants.Pool
+	handlers link.Handlers
+	feed     *feed.Feed
+	now      func() time.Time
+	started  time.Time
+	shares   *quota.Table
 	// loggedMembers is the last logged status of each peer host. Only the members
 	// controller uses it.
 	loggedMembers map[string]memberStatus
@@ -128,7 +128,10 @@
 	n.proxy.Log, n.proxy.Now, n.proxy.Budget = n.log, n.now, n.retryBudget()
 	n.proxy.Client = &pool.Client{Pool: n.pool, Terms: t, Now: n.now}
 	n.proxy.ColdShare = n.coldRateShare
-	n.coldShares = quota.New(n.started, quota.Host{Name: n.settings.Peers, Cores: n.settings.Machine.Capacity()})
+	n.proxy.LimitShare = func(endpoint string, perSecond float64) (int, time.Duration) {
+		return n.shares.Pace(n.now(), endpoint, perSecond)
+	}
+	n.shares = quota.New(n.started, quota.Host{Name: n.settings.Peers, Cores: n.settings.Machine.Capacity()})
 	n.proxy.OnLongPrompt = func() { n.runner.Trigger(inFlightName) }
 	handler := &relay.Handler{
 		Board: n.board, Meter: n.meter, Log: n.log, Pool: n.relays, MaxBody: maxBodyBytes, Now: n.now, ServeRouted: n.serveRelayed,
@@ -205,7 +208,7 @@
 // requests per second.
 func (n *Node) coldRateShare(s *rules.Service, endpoint string) int {
 	b := n.settings.Bounds
-	return n.coldShares.Share(n.now(), endpoint, int(s.ColdRate*b.ColdOver+b.ColdSlack))
+	return n.shares.Share(n.now(), endpoint, int(s.ColdRate*b.ColdOver+b.ColdSlack))
 }
 
 const (
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -43,6 +43,8 @@
 	standbyFanout     = 2
 	// maxPacketEndpoints bounds the host loads in one packet, the empty entry included.
 	maxPacketEndpoints = 32
+	// maxPacketLimits bounds the rate limits of endpoints in one packet.
+	maxPacketLimits = 8
 	// packetOverhead is the size of the IP and UDP headers, in bytes.
 	packetOverhead = 28
 )
@@ -115,6 +117,9 @@
 			list[t.Endpoint] = endpt.HostLoad{Requests: int(t.Requests), QueuedPrefill: fromMillis(t.PendingMS)}
 		}
 		n.board.Endpoints.SetPeerLoads(now, p.From, list)
+		if len(p.Limits) > 0 {
+			n.receiveLimits(now, p.From, p.Limits)
+		}
 	}
 	if p.Store != nil && m.Centre == n.board.Centre {
 		n.receiveStoreState(now, m, p.Store)
@@ -141,11 +146,46 @@
 		list = append(list, wire.HostLoad{Endpoint: l.id, Requests: uint32(l.Requests), PendingMS: toMillis(l.QueuedPrefill[:])})
 	}
 	loaded := len(list) > 1
-	if !loaded && !n.announcedLoad {
+	limits := toWireLimits(n.board.Endpoints.NamedLimits(now))
+	if !loaded && !n.announcedLoad && len(limits) == 0 {
 		return
 	}
 	n.announcedLoad = loaded
-	n.announceTo(n.randomEntries(n.board.Region, inFlightFanout), wire.Packet{HostLoads: list, SentPrefixes: n.proxy.Prefixes.Recent(now)})
+	n.announceTo(n.randomEntries(n.board.Region, inFlightFanout), wire.Packet{
+		HostLoads: list, SentPrefixes: n.proxy.Prefixes.Recent(now), Limits: limits,
+	})
+}
+
+// toWireLimits returns the first of the named limits in the form of packets.
+func toWireLimits(list []endpt.NamedLimit) []wire.Limit {
+	var out []wire.Limit
+	for _, l := range list[:min(len(list), maxPacketLimits)] {
+		w := wire.Limit{Endpoint: l.Endpoint, AgeMS: uint32(l.Age.Milliseconds())}
+		if l.PerSecond != nil {
+			w.Limited, w.PerSecond = true, *l.PerSecond
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// receiveLimits stores what a peer host of the region heard of the rate limits of
+// endpoints.
+func (n *Node) receiveLimits(now time.Time, from string, list []wire.Limit) {
+	for _, l := range list {
+		var rate *float64
+		if l.Limited {
+			if !(l.PerSecond >= 0) {
+				continue
+			}
+			rate = &l.PerSecond
+		}
+		if n.board.Endpoints.SetPeerRateLimit(l.Endpoint, rate, now.Add(-time.Duration(l.AgeMS)*time.Millisecond)) {
+			n.log.Info().Str("endpoint", l.Endpoint).Str("peer", from).Bool("limited", l.Limited).Float64("limit", l.PerSecond).
+				Msg("rate limit of endpoint changed")
+		}
+	}
+	n.meter.LimitedEndpoints.Set(float64(n.board.Endpoints.CountLimited(now)))
 }
 
 // endpointLoad is this host's load at one endpoint.
@@ -295,7 +335,7 @@
 }
 
 // updateMembers logs peer hosts whose status changed and sets the hosts that share
-// the rate limits of cold endpoints.
+// the rate limits of endpoints.
 func (n *Node) updateMembers(now time.Time, list []member.Member) {
 	current := make(map[string]memberStatus, len(n.loggedMembers))
 	var sharing []quota.Host
@@ -317,7 +357,7 @@
 		ev.Msg("peer host status changed")
 	}
 	n.loggedMembers = current
-	n.coldShares.UpdateHosts(now, sharing)
+	n.shares.UpdateHosts(now, sharing)
 }
 
 // memberStatus is the logged status of a peer host.
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -78,6 +78,8 @@
 	// RateLimit is the rate limit that the endpoint names, in requests per second; nil if it
 	// names none.
 	RateLimit *float64
+	// Failed reports whether the endpoint refused the request or failed.
+	Failed bool
 	// Malformed is the value of a field that can't be parsed, empty if there is none.
 	Malformed string
 }
@@ -195,7 +197,7 @@
 		e.result.Load = load
 	}
 	if e.attempt.OnNotice != nil {
-		e.attempt.OnNotice(e.client.notice(resp.Header))
+		e.attempt.OnNotice(e.client.notice(resp))
 	}
 	if e.failedByStatus(resp) {
 		return e.consumeAnswer(resp)
@@ -206,9 +208,10 @@
 	return e.passWhole(resp)
 }
 
-// notice returns what the header of an answer says of the endpoint.
-func (c *Client) notice(h http.Header) Notice {
-	var n Notice
+// notice returns what the head of an answer says of the endpoint.
+func (c *Client) notice(resp *http.Response) Notice {
+	h := resp.Header
+	n := Notice{Failed: resp.StatusCode >= http.StatusInternalServerError || h.Get(c.Terms.NotRun) != ""}
 	if text := h.Get(c.Terms.RateLimit); text != "" {
 		if rate, ok := c.Terms.ParseRate(text); ok {
 			n.RateLimit = &rate
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -141,7 +141,7 @@
 // now, waits, or is refused. It skips cold endpoints whose rate limit is reached.
 func (p *Proxy) chooseLocal(now time.Time, t *task, req pick.Request) decision {
 	service := p.service(t.Service)
-	list, endpoints := p.candidates(now, t, req, service)
+	list, endpoints, delay := p.candidates(now, t, req, service)
 	for len(list) > 0 {
 		choice := pick.ChooseEndpoint(req, list, p.rand)
 		if choice.Index < 0 {
@@ -161,6 +161,9 @@
 		}
 		return d
 	}
+	if delay > 0 {
+		return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "endpoints limit their rate").WithRetryAfter(delay)}
+	}
 	return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint accepts the request").WithRetryAfter(defaultRetryAfter)}
 }
 
@@ -274,9 +277,10 @@
 const minRemoteRoundTrip = 5 * time.Millisecond
 
 // candidates returns the local endpoints that may take the request, with the state
-// that the choice depends on.
-func (p *Proxy) candidates(now time.Time, t *task, req pick.Request, s *rules.Service) ([]pick.Candidate, []regis.Endpoint) {
-	var endpoints []regis.Endpoint
+// that the choice depends on. Endpoints are left out while this host has used up its share
+// of the rate limits that they name; delay is the shortest time until one of them takes a
+// request, 0 if none is left out.
+func (p *Proxy) candidates(now time.Time, t *task, req pick.Request, s *rules.Service) (list []pick.Candidate, endpoints []regis.Endpoint, delay time.Duration) {
 	for _, e := range p.Board.Registry.Endpoints(t.Service) {
 		if e.Region == p.Board.Region && p.acceptsRequests(e) && !t.tried[e.ID] {
 			endpoints = append(endpoints, e)
@@ -286,8 +290,15 @@
 	for i := range endpoints {
 		names[i] = endpoints[i].ID
 	}
-	list := make([]pick.Candidate, len(endpoints))
+	list = make([]pick.Candidate, len(endpoints))
+	var limits map[int]float64
 	p.Board.Endpoints.Each(names, func(i int, st *endpt.State) {
+		if rate, limited := st.RateLimit(now); limited {
+			if limits == nil {
+				limits = map[int]float64{}
+			}
+			limits[i] = rate
+		}
 		list[i] = pick.Candidate{
 			Name: endpoints[i].ID, Slots: endpoints[i].SlotsOf(s),
 			Load:          max(st.Load(now), st.KnownInFlight(now)) + st.RefusalLoad(now, endpoints[i].Slots),
@@ -295,7 +306,20 @@
 			Cached: req.Prefix != 0 && p.Prefixes.Cached(now, endpoints[i].ID, req.Prefix),
 		}
 	})
-	return list, endpoints
+	for i := len(list) - 1; i >= 0 && len(limits) > 0; i-- {
+		rate, limited := limits[i]
+		if !limited {
+			continue
+		}
+		most, window := p.LimitShare(names[i], rate)
+		if d := p.Board.Endpoints.LimitDelay(now, names[i], most, window); d > 0 {
+			list, endpoints = slices.Delete(list, i, i+1), slices.Delete(endpoints, i, i+1)
+			if delay == 0 || d < delay {
+				delay = d
+			}
+		}
+	}
+	return list, endpoints, delay
 }
 
 // slowdownThreshold is the ratio of measured to expected latency above which an
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -32,7 +32,8 @@
 	e := d.endpoint
 	t.report.Endpoint, t.report.Region = e.ID, p.Board.Region
 	start := p.Now()
-	if p.Board.Endpoints.Limited(e.ID) {
+	limited := p.Board.Endpoints.Limited(start, e.ID)
+	if limited {
 		p.Meter.LimitedAttempts.Inc()
 	}
 	prefill := time.Duration(0)
@@ -66,7 +67,7 @@
 	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
 		Uint64("registered", e.Revision).Dur("expected", d.expectedLatency).Dur("first", out.TimeToFirstByte).Int("status", out.Status).
 		Bool("reused", out.Reused).Int("running", out.Load.Running).Int("waiting", out.Load.Waiting).
-		Bool("limited", p.Board.Endpoints.Limited(e.ID)).Str("outcome", outcome(out)).Msg("attempt")
+		Bool("limited", limited).Str("outcome", outcome(out)).Msg("attempt")
 	if out.ErrorAnswer != nil {
 		out.ErrorAnswer.Head.Endpoint = e.ID
 	}
@@ -115,7 +116,7 @@
 	defer p.mu.Unlock()
 	req := p.placementRequest(&retried)
 	if t.Route.Allows(p.Board.Region) {
-		list, _ := p.candidates(now, &retried, req, p.service(t.Service))
+		list, _, _ := p.candidates(now, &retried, req, p.service(t.Service))
 		if c := pick.ChooseEndpoint(req, list, p.rand); c.Index >= 0 && !c.AllFailing {
 			if d := p.admit(now, &retried, c, list[c.Index]); d.refusal == nil && !d.wait {
 				return true
@@ -156,6 +157,10 @@
 		p.Log.Warn().Str("request", t.ID).Str("endpoint", e.ID).Str("value", n.Malformed).Msg("ignoring a rate limit that can't be parsed")
 		return
 	}
+	if n.RateLimit == nil && n.Failed {
+		// An answer of an endpoint that could not serve need not name its limit.
+		return
+	}
 	if !p.Board.Endpoints.SetRateLimit(now, e.ID, n.RateLimit, sent) {
 		return
 	}
@@ -164,7 +169,7 @@
 		ev = ev.Float64("limit", *n.RateLimit)
 	}
 	ev.Msg("rate limit of endpoint changed")
-	p.Meter.LimitedEndpoints.Set(float64(p.Board.Endpoints.CountLimited()))
+	p.Meter.LimitedEndpoints.Set(float64(p.Board.Endpoints.CountLimited(now)))
 }
 
 // recordResult updates the state of the endpoint and the learned speeds with the
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -90,6 +90,9 @@
 	// ColdShare returns this host's share of a cold endpoint's rate limit, in requests
 	// per second.
 	ColdShare func(s *rules.Service, endpoint string) int
+	// LimitShare returns how many requests this host may send to an endpoint in any window,
+	// of a limit of perSecond that the endpoint names for all hosts together.
+	LimitShare func(endpoint string, perSecond float64) (most int, window time.Duration)
 	// OnLongPrompt is called after a long prompt is sent to an endpoint; it may be nil.
 	OnLongPrompt func()
 
