--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -21,6 +21,8 @@
 	Region  string
 	// Slots is the number of requests that the endpoint runs in parallel.
 	Slots int
+	// Release is the version of the endpoint's software, empty if it states none.
+	Release string
 	// Draining reports whether the endpoint takes no new requests.
 	Draining bool
 	// ColdUntil is the expected end of the warm-up.
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -38,6 +38,9 @@
 	Parts  string
 	// LastEvent is the id of the last event that the caller received.
 	LastEvent string
+	// Resumes is the id of the caller's request that brought the first event of a stream that
+	// the caller takes up again.
+	Resumes string
 	// ExpectedEndpoint names the endpoint that the request is for; any other endpoint refuses it.
 	ExpectedEndpoint string
 	// NotRun is set on an answer by an endpoint that did not run the request.
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -109,6 +109,7 @@
 			return r, fault.New(fault.BadRequest, fault.RanNo, "%s %q is not a number", s.Terms.LastEvent, text)
 		}
 		r.LastEventID = n
+		r.Resumes = string(h.Peek(s.Terms.Resumes))
 	}
 	r.Fields = s.endpointFields(c)
 	return r, nil
@@ -217,6 +218,9 @@
 		ev = s.Log.Info().Str("ran", string(report.Refusal.Ran)).Str("why", report.Refusal.Message).
 			AnErr("cause", report.Refusal.Cause).Dur("retry_after", report.Refusal.RetryAfter)
 	}
+	if r.Resumes != "" {
+		ev = ev.Str("resumes", r.Resumes).Int("after", r.LastEventID)
+	}
 	ev.Str("request", r.ID).Str("route", route).Str("service", service).Uint64("version", r.Version).
 		Str("region", report.Region).Str("endpoint", report.Endpoint).Int("tries", report.Attempts).
 		Int("status", report.Status).Bool("begun", report.Started).Int("tokens", r.Prompt.Tokens).
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -117,7 +117,7 @@
 		n.proxy.Prefixes.Forget(e.ID)
 	}
 	ev := n.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Address).Str("centre", e.Centre).
-		Bool("draining", e.Draining).Int64("born", e.Incarnation).Uint64("revision", e.Revision)
+		Str("release", e.Release).Bool("draining", e.Draining).Int64("born", e.Incarnation).Uint64("revision", e.Revision)
 	if !e.ColdUntil.IsZero() {
 		ev = ev.Time("cold_until", e.ColdUntil)
 	}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -47,6 +47,9 @@
 	Prompt         terms.Prompt
 	// LastEventID is the id of the last event that the caller received, stream.NoID for none.
 	LastEventID int
+	// Resumes is the id of the caller's request that brought the first event of the stream
+	// that this request takes up, empty if the caller named none.
+	Resumes string
 	// EntryRegion is the region of the host that the caller sent the request to.
 	EntryRegion string
 	// AttemptsLeft is the number of attempts that the route still allows. Attempts that
