--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -238,8 +238,8 @@
 		if err := n.Start(); err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { _ = n.Close() })
 		f.nodes[region] = n
+		t.Cleanup(func() { f.closeHost(region) })
 	}
 	f.eventually("both hosts are ready, see each other as usable and have assigned duties", func() bool {
 		return f.getStatus("a", f.nodes["a"].settings.Ready, platTerms.ReadyPath) == http.StatusOK &&
@@ -250,6 +250,14 @@
 	return f
 }
 
+// closeHost closes the host of a region, unless it is closed.
+func (f *fleet) closeHost(region string) {
+	if n := f.nodes[region]; n != nil {
+		_ = n.Close()
+		delete(f.nodes, region)
+	}
+}
+
 func (f *fleet) startEndpoint(id, service, region string) {
 	f.t.Helper()
 	e, err := routed.New(id, platTerms)
@@ -289,12 +297,18 @@
 // call sends a request to the host of region a and returns the status, the body
 // and the error of sending it or of reading the body.
 func (f *fleet) call(method, path, id string, change func(*http.Request)) (int, string, error) {
+	f.t.Helper()
+	return f.callHost("a", method, path, id, change)
+}
+
+// callHost is like call for the host of a region.
+func (f *fleet) callHost(region, method, path, id string, change func(*http.Request)) (int, string, error) {
 	f.t.Helper()
 	body := io.Reader(nil)
 	if method == http.MethodPost {
 		body = strings.NewReader("question " + id)
 	}
-	req, err := http.NewRequest(method, "http://"+f.nodes["a"].settings.Callers+path, body)
+	req, err := http.NewRequest(method, "http://"+f.nodes[region].settings.Callers+path, body)
 	if err != nil {
 		f.t.Fatal(err)
 	}
