Continue a stream only at the release that began it

Cause: placement took any endpoint of the service for what goes on with a stream, within the answer, for a caller that takes it up, and in a relayed request.

The first head of an answer now fixes the stream's release, and later attempts get no other; a relayed request carries it, and the entry host checks what a relay of an older build answers. Where a service has several releases, the host that passes the first event on tells three others, one of its own region and two of others, so that what is known outlives the host and the region; a host to which a caller comes asks them. What stays unknown is refused as not run. While a service has one release, by a fresh view of the store, nobody tells or asks, so nothing changes on a fleet without releases.

--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -1,7 +1,7 @@
 // Package board holds the state that a host's controllers share: they read and
 // write its tables and do not call one another. Each table has its own lock. Lock
 // order when two are held: revisions, endpoints, then the leaf locks (members,
-// remotes, health, queues, registry, speeds, mixes).
+// remotes, health, queues, registry, speeds, mixes, origins).
 package board
 
 import (
@@ -12,6 +12,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/health"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/mixes"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/origin"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/revis"
@@ -38,13 +39,14 @@
 	Health    *health.Table
 	Limits    *limit.Table
 	Retries   *retry.Budget
-	// Routes, Registry, Speeds, Mixes and Duties are used only by hosts that take routes
+	// Routes, Registry, Speeds, Mixes, Duties and Origins are used only by hosts that take routes
 	// and endpoint registrations from the platform's store.
 	Routes   *routes.Table
 	Registry *regis.Table
 	Speeds   *speeds.Table
 	Mixes    *mixes.Table
 	Duties   *duties.Table
+	Origins  *origin.Table
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue.Queue
@@ -76,6 +78,7 @@
 		Speeds:       speeds.NewTable(),
 		Mixes:        mixes.NewTable(),
 		Duties:       duties.NewTable(),
+		Origins:      origin.NewTable(),
 		queues:       map[queueKey]*queue.Queue{},
 		leavingMarks: map[string]time.Time{},
 	}
--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -59,13 +59,28 @@
 	// expiring holds the endpoints whose registration was removed during or soon after
 	// an outage of the store, with the time at which they are dropped.
 	expiring map[string]time.Time
+	// releases holds when each release of a service was last registered, and only the
+	// services of which one release was registered within releaseMemory.
+	releases map[serviceRelease]time.Time
+	only     map[string]string
 }
 
+// serviceRelease identifies a release of a service.
+type serviceRelease struct {
+	service string
+	release string
+}
+
+// releaseMemory is how long a release counts after its last endpoint is gone. It exceeds
+// the time in which callers take up streams that the endpoint began.
+const releaseMemory = 30 * time.Second
+
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
 		endpoints: map[string]Endpoint{}, services: map[string][]Endpoint{},
 		evacuations: map[string]evacuation{}, expiring: map[string]time.Time{},
+		releases: map[serviceRelease]time.Time{}, only: map[string]string{},
 	}
 }
 
@@ -224,6 +239,47 @@
 	return t.services[service]
 }
 
+// Get returns the endpoint with an id and whether there is one.
+func (t *Table) Get(id string) (Endpoint, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e, ok := t.endpoints[id]
+	return e, ok
+}
+
+// RecordReleases records which releases are registered at a time. It is called after
+// each change of the registrations.
+func (t *Table) RecordReleases(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.endpoints {
+		t.releases[serviceRelease{service: e.Service, release: e.Release}] = now
+	}
+	t.only = map[string]string{}
+	mixed := map[string]bool{}
+	for r, at := range t.releases {
+		if now.Sub(at) >= releaseMemory {
+			delete(t.releases, r)
+			continue
+		}
+		if _, other := t.only[r.service]; other || mixed[r.service] {
+			mixed[r.service] = true
+			delete(t.only, r.service)
+			continue
+		}
+		t.only[r.service] = r.release
+	}
+}
+
+// OnlyRelease returns the one release of a service that was registered lately, and false
+// if there were none or several.
+func (t *Table) OnlyRelease(service string) (string, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	release, ok := t.only[service]
+	return release, ok
+}
+
 // IDs returns the ids of the endpoints in a region.
 func (t *Table) IDs(region string) []string {
 	t.mu.RLock()
--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -95,6 +95,8 @@
 	AttemptsLeft int `cbor:"5,keyasint"`
 	// AgeMS is the time since the caller's request arrived, in milliseconds.
 	AgeMS int64 `cbor:"6,keyasint"`
+	// Release is that of the endpoints which may continue the stream; nil means any.
+	Release *string `cbor:"7,keyasint,omitempty"`
 }
 
 // Head is the start of an answer: status, header fields and the endpoint that
@@ -103,6 +105,9 @@
 	Status   int     `cbor:"1,keyasint"`
 	Fields   []Field `cbor:"2,keyasint,omitempty"`
 	Endpoint string  `cbor:"3,keyasint,omitempty"`
+	// Release is the endpoint's release; nil if the sender is of a build that does not
+	// know the field.
+	Release *string `cbor:"4,keyasint,omitempty"`
 }
 
 // End is the end of an answer. An answer without an End is truncated.
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -87,6 +87,10 @@
 	// Limits are the rate limits that endpoints of the region named or lifted lately in
 	// answers to the sender. Hosts of builds that do not know the field ignore it.
 	Limits []Limit `cbor:"19,keyasint,omitempty"`
+	// Starts are streams and the releases that began them, and Asked the keys of streams
+	// whose start the sender asks for. Hosts of builds that do not know the fields ignore them.
+	Starts []Starts `cbor:"20,keyasint,omitempty"`
+	Asked  []uint64 `cbor:"21,keyasint,omitempty"`
 	// InFlight is the number of in-flight requests at the sender.
 	InFlight int `cbor:"10,keyasint,omitempty"`
 	// Leaving reports whether the sender is leaving and accepts no new requests.
@@ -202,3 +206,10 @@
 	// AgeMS is the time since the sender heard it, in milliseconds.
 	AgeMS uint32
 }
+
+// Starts are the keys of streams that one release of an endpoint began.
+type Starts struct {
+	_       struct{} `cbor:",toarray"`
+	Release string
+	Keys    []uint64
+}
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -78,6 +78,7 @@
 			}
 		}
 	}
+	n.board.Registry.RecordReleases(now)
 	n.board.Endpoints.Sync(now, n.board.Registry.IDs(n.board.Region))
 	n.setReadyOnce()
 	n.runner.Trigger(storeStateName)
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -66,6 +66,7 @@
 	})
 	add(inFlightName, inFlightPeriod, n.shareInFlight)
 	add("sums", serviceLoadPeriod, n.shareServiceLoads)
+	add("origins", originsPeriod, n.shareOrigins)
 	add("connections", sweepPeriod, n.pool.Sweep)
 	add("links", linkPeriod, n.warmLinks)
 	add(itemsName, fetchItemsPeriod, n.fetchItems)
@@ -121,6 +122,9 @@
 			n.receiveLimits(now, p.From, p.Limits)
 		}
 	}
+	if len(p.Starts) > 0 || len(p.Asked) > 0 {
+		n.receiveOrigins(now, m, p)
+	}
 	if p.Store != nil && m.Centre == n.board.Centre {
 		n.receiveStoreState(now, m, p.Store)
 	}
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -246,7 +246,7 @@
 	now := p.Now()
 	var list, cached []pick.Endpoint
 	for _, e := range p.Board.Registry.Endpoints(t.Service) {
-		if !p.acceptsRequests(e) || !t.Route.Allows(e.Region) {
+		if !p.mayServe(t, e) || !t.Route.Allows(e.Region) {
 			continue
 		}
 		m := pick.Endpoint{Name: e.ID, Region: e.Region}
@@ -282,7 +282,7 @@
 // request, 0 if none is left out.
 func (p *Proxy) candidates(now time.Time, t *task, req pick.Request, s *rules.Service) (list []pick.Candidate, endpoints []regis.Endpoint, delay time.Duration) {
 	for _, e := range p.Board.Registry.Endpoints(t.Service) {
-		if e.Region == p.Board.Region && p.acceptsRequests(e) && !t.tried[e.ID] {
+		if e.Region == p.Board.Region && p.mayServe(t, e) && !t.tried[e.ID] {
 			endpoints = append(endpoints, e)
 		}
 	}
@@ -346,7 +346,7 @@
 	slots := map[string]float64{}
 	service := p.service(t.Service)
 	for _, e := range p.Board.Registry.Endpoints(t.Service) {
-		if e.Region != p.Board.Region && p.acceptsRequests(e) && t.Route.Allows(e.Region) && !t.tried[regionKeyPrefix+e.Region] {
+		if e.Region != p.Board.Region && p.mayServe(t, e) && t.Route.Allows(e.Region) && !t.tried[regionKeyPrefix+e.Region] {
 			slots[e.Region] += float64(e.SlotsOf(service))
 		}
 	}
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -41,7 +41,7 @@
 		prefill = d.prefill
 	}
 	head := func(h wire.Head) error {
-		h.Endpoint = e.ID
+		h.Endpoint, h.Release = e.ID, &e.Release
 		return sink.Head(h)
 	}
 	prefillSink := client.Sink{Head: head, Data: func(data []byte) error {
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/origin"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
@@ -50,6 +52,9 @@
 	// Resumes is the id of the caller's request that brought the first event of the stream
 	// that this request takes up, empty if the caller named none.
 	Resumes string
+	// Release is that of the endpoints which may continue the stream, for a relayed request;
+	// nil means any.
+	Release *string
 	// EntryRegion is the region of the host that the caller sent the request to.
 	EntryRegion string
 	// AttemptsLeft is the number of attempts that the route still allows. Attempts that
@@ -96,6 +101,11 @@
 	// LimitShare returns how many requests this host may send to an endpoint in any window,
 	// of a limit of perSecond that the endpoint names for all hosts together.
 	LimitShare func(endpoint string, perSecond float64) (most int, window time.Duration)
+	// AskOrigin asks other hosts for the release that began a stream; their answers are
+	// recorded in the board.
+	AskOrigin func(key origin.Key)
+	// StoreAge returns the time since the store last confirmed this host's view.
+	StoreAge func(now time.Time) time.Duration
 	// OnLongPrompt is called after a long prompt is sent to an endpoint; it may be nil.
 	OnLongPrompt func()
 
@@ -139,6 +149,8 @@
 	report Report
 	// lastEventID is the id of the last event passed to the caller.
 	lastEventID int
+	// release is that of the endpoints which may continue the stream; nil means any.
+	release *string
 	// runs counts the attempts that may have run.
 	runs int
 	// lastRefusal is the refusal of the last failed attempt.
@@ -155,14 +167,20 @@
 func (p *Proxy) serve(ctx context.Context, r Request, sink client.Sink, mayCross bool) Report {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	t := &task{Request: r, mayCross: mayCross, tried: map[string]bool{}, ran: fault.RanNo, lastEventID: r.LastEventID}
+	t := &task{Request: r, mayCross: mayCross, tried: map[string]bool{}, ran: fault.RanNo, lastEventID: r.LastEventID, release: r.Release}
 	t.report.Region = p.Board.Region
 	if mayCross {
 		// The region that relayed a request has already counted it.
 		p.Budget.AddRequest(p.Now(), r.Service)
 	}
 	sink = p.observedSink(t, sink)
-	refusal := p.retryLoop(ctx, t, sink)
+	var refusal *fault.Refusal
+	if mayCross {
+		refusal = p.setRelease(ctx, t)
+	}
+	if refusal == nil {
+		refusal = p.retryLoop(ctx, t, sink)
+	}
 	if refusal != nil {
 		refusal = refusal.WithRan(refusal.Ran.Combine(t.ran))
 	}
@@ -201,6 +219,9 @@
 			passed = true
 			t.report.Status = h.Status
 			t.report.Started = true
+			if t.Route.Kind == rules.Stream && h.Status == http.StatusOK {
+				p.recordStart(t, h)
+			}
 			return sink.Head(h)
 		},
 		Data: func(data []byte) error {
@@ -346,6 +367,8 @@
 	switch {
 	case t.report.Started && !resumes:
 		return "answer begun"
+	case t.report.Started && t.release == nil:
+		return "release that began the stream is not known"
 	case !now.Before(t.Deadline):
 		return "deadline passed"
 	case t.ran != fault.RanNo && !t.Route.Retryable():
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -33,9 +33,7 @@
 	}
 	start := p.Now()
 	sink.Acked = func() { p.Board.Remotes.ObserveRoundTrip(d.region, p.Now().Sub(start)) }
-	end, err := flow.Exchange(ctx, p.Link, m.Name, m.Address, p.newWireRequest(t), flow.ObserveHead(sink, func(h wire.Head) {
-		t.report.Endpoint = h.Endpoint
-	}), timeout)
+	end, err := flow.Exchange(ctx, p.Link, m.Name, m.Address, p.newWireRequest(t), p.remoteSink(t, sink), timeout)
 	p.Log.Debug().Str("request", t.ID).Str("peer", m.Name).Str("region", d.region).Str("service", t.Service).
 		Dur("first", t.report.TimeToFirstByte).Dur("heard", p.Now().Sub(m.LastSeen)).AnErr("cause", err).Msg("relayed")
 	if err != nil && !errors.Is(err, flow.ErrSink) {
@@ -44,6 +42,22 @@
 	return p.relayResult(t, end, err)
 }
 
+// remoteSink returns a sink that records the endpoint of another region's answer and fails
+// if it would continue the stream at another release.
+func (p *Proxy) remoteSink(t *task, sink client.Sink) client.Sink {
+	return client.Sink{
+		Head: func(h wire.Head) error {
+			t.report.Endpoint = h.Endpoint
+			if err := p.checkRelease(t, h); err != nil {
+				return err
+			}
+			return sink.Head(h)
+		},
+		Data:  sink.Data,
+		Acked: sink.Acked,
+	}
+}
+
 // newWireRequest returns the message that relays the request to another host.
 func (p *Proxy) newWireRequest(t *task) wire.Request {
 	now := p.Now()
@@ -53,7 +67,7 @@
 		EntryRegion: t.EntryRegion, Revision: t.Version,
 		Routing: &wire.Routing{
 			Route: *t.Route, Host: t.Host, Prompt: t.Prompt, LastEventID: t.lastEventID, AttemptsLeft: t.AttemptsLeft - t.runs,
-			AgeMS: now.Sub(t.Arrived).Milliseconds(),
+			AgeMS: now.Sub(t.Arrived).Milliseconds(), Release: t.release,
 		},
 	}
 }
@@ -66,6 +80,7 @@
 		Host: msg.Routing.Host, Fields: msg.Fields, Body: msg.Body, Prompt: msg.Routing.Prompt, LastEventID: msg.Routing.LastEventID,
 		Arrived:  now.Add(-time.Duration(msg.Routing.AgeMS) * time.Millisecond),
 		Deadline: now.Add(time.Duration(msg.TimeLeftMS) * time.Millisecond), EntryRegion: msg.EntryRegion, AttemptsLeft: msg.Routing.AttemptsLeft,
+		Release: msg.Routing.Release,
 	}}
 }
 
@@ -81,6 +96,12 @@
 func (p *Proxy) relayResult(t *task, end *wire.End, err error) result {
 	started := t.report.Started
 	switch {
+	case errors.Is(err, errOtherRelease):
+		t.tried[regionKeyPrefix+t.report.Region] = true
+		return result{
+			started: started, reason: retry.Relay, ran: fault.RanUnknown,
+			refusal: newRefusal(fault.RelayError, fault.RanUnknown, err, "other region would continue the stream at another release"),
+		}
 	case errors.Is(err, flow.ErrSink):
 		return result{callerLeft: true, started: started, ran: fault.RanUnknown, reason: retry.Broken, refusal: newRefusal(fault.Cancelled, fault.RanUnknown, err, "caller disconnected")}
 	case errors.Is(err, link.ErrNotSent):
