--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -291,13 +291,14 @@
 		names[i] = endpoints[i].ID
 	}
 	list = make([]pick.Candidate, len(endpoints))
-	var limits map[int]float64
+	// Most of the time no endpoint names a limit.
+	var limits map[int]*float64
 	p.Board.Endpoints.Each(names, func(i int, st *endpt.State) {
 		if rate, limited := st.RateLimit(now); limited {
 			if limits == nil {
-				limits = map[int]float64{}
+				limits = map[int]*float64{}
 			}
-			limits[i] = rate
+			limits[i] = &rate
 		}
 		list[i] = pick.Candidate{
 			Name: endpoints[i].ID, Slots: endpoints[i].SlotsOf(s),
@@ -307,21 +308,28 @@
 		}
 	})
 	for i := len(list) - 1; i >= 0 && len(limits) > 0; i-- {
-		rate, limited := limits[i]
-		if !limited {
+		d := p.limitDelay(now, names[i], limits[i])
+		if d == 0 {
 			continue
 		}
-		most, window := p.LimitShare(names[i], rate)
-		if d := p.Board.Endpoints.LimitDelay(now, names[i], most, window); d > 0 {
-			list, endpoints = slices.Delete(list, i, i+1), slices.Delete(endpoints, i, i+1)
-			if delay == 0 || d < delay {
-				delay = d
-			}
+		list, endpoints = slices.Delete(list, i, i+1), slices.Delete(endpoints, i, i+1)
+		if delay == 0 || d < delay {
+			delay = d
 		}
 	}
 	return list, endpoints, delay
 }
 
+// limitDelay returns the time until this host may send an endpoint a request, within its
+// share of the rate limit that the endpoint names; perSecond is nil if it names none.
+func (p *Proxy) limitDelay(now time.Time, endpoint string, perSecond *float64) time.Duration {
+	if perSecond == nil {
+		return 0
+	}
+	most, window := p.LimitShare(endpoint, *perSecond)
+	return p.Board.Endpoints.LimitDelay(now, endpoint, most, window)
+}
+
 // slowdownThreshold is the ratio of measured to expected latency above which an
 // endpoint counts as slow. Lower ratios are normal variation within a batch.
 const slowdownThreshold = 2
