Follow a store that comes back from an older copy

The platform's store may come back from a copy some seconds old: revisions go back and are given out again, Store-Era rises. Hosts compared revisions alone, so they ignored what was written after a restore until the revisions had caught up: with the stand-in of the store, none of five hosts saw in 20 s that an endpoint drains and another has ended, two did not see an evacuation, and a copy that still had it brought an ended endpoint back.

A revision is now ordered by its era, then by its own number, in one value, so every comparison holds: of registrations, evacuations, copies for peer hosts, and what hosts announce. On the wire the era is a field of its own, as hosts of the build before read plain revisions. A later era is entered by a whole listing only. What a host has acknowledged and the copy lacks stays: a draining mark and an end until the endpoint writes again, an evacuation for 10 s, lapsed registrations as after an outage.

Before: TestRestoredStoreIsIgnored and TestRestoredCopyForgets are red on the code before this commit. After: green, with the race detector, three times.

--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 )
 
 // Endpoint is the registration of an endpoint. An endpoint that restarts under the
@@ -63,8 +64,17 @@
 	// services of which one release was registered within releaseMemory.
 	releases map[serviceRelease]time.Time
 	only     map[string]string
+	// restored is the revision of the first listing of the present era, 0 before the first
+	// restore of the store. A write up to it may be one of the older copy.
+	restored uint64
+	listed   uint64
+	// gone holds the ids of endpoints whose removal was acknowledged.
+	gone map[string]bool
 }
 
+// maxGone bounds the remembered ids of removed endpoints.
+const maxGone = 4096
+
 // serviceRelease identifies a release of a service.
 type serviceRelease struct {
 	service string
@@ -80,7 +90,7 @@
 	return &Table{
 		endpoints: map[string]Endpoint{}, services: map[string][]Endpoint{},
 		evacuations: map[string]evacuation{}, expiring: map[string]time.Time{},
-		releases: map[serviceRelease]time.Time{}, only: map[string]string{},
+		releases: map[serviceRelease]time.Time{}, only: map[string]string{}, gone: map[string]bool{},
 	}
 }
 
@@ -97,6 +107,14 @@
 	if ok && e.Revision < old.Revision {
 		return false
 	}
+	if e.Revision <= t.restored {
+		if t.gone[e.ID] {
+			return false
+		}
+		// The older copy does not know yet that the endpoint drains.
+		e.Draining = e.Draining || (ok && old.Draining && old.Incarnation == e.Incarnation)
+	}
+	delete(t.gone, e.ID)
 	delete(t.expiring, e.ID)
 	t.endpoints[e.ID] = e
 	if ok && Same(old, e) {
@@ -151,6 +169,10 @@
 }
 
 func (t *Table) drop(id string) {
+	if len(t.gone) >= maxGone {
+		clear(t.gone)
+	}
+	t.gone[id] = true
 	delete(t.endpoints, id)
 	delete(t.expiring, id)
 	t.reindex()
@@ -158,10 +180,15 @@
 
 // Replace stores a full listing of the store at a revision. Endpoints that are not
 // listed are removed as by Remove. It returns the changed endpoints and the ids of
-// the dropped ones.
+// the dropped ones. After a restore of the store from an older copy, an endpoint that is
+// known to be gone or to drain stays so until it is written again.
 func (t *Table) Replace(list []Endpoint, revision uint64, until time.Time) (changed []Endpoint, dropped []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.listed != 0 && eras.Of(revision) > eras.Of(t.listed) {
+		t.restored = revision
+	}
+	t.listed = revision
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
@@ -293,6 +320,13 @@
 	return out
 }
 
+// AllIDs returns the ids of all endpoints, sorted.
+func (t *Table) AllIDs() []string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return slices.Sorted(maps.Keys(t.endpoints))
+}
+
 // Len returns the number of endpoints.
 func (t *Table) Len() int {
 	t.mu.RLock()
@@ -305,8 +339,13 @@
 type evacuation struct {
 	on       bool
 	revision uint64
+	// writes holds the last writes that started one, as the store's own revisions.
+	writes []uint64
 }
 
+// maxEvacuationWrites bounds the remembered writes of evacuations of a data centre.
+const maxEvacuationWrites = 16
+
 // SetEvacuated starts or ends the evacuation of a data centre at a revision of the store,
 // unless a newer revision is stored. It reports whether the state changed.
 func (t *Table) SetEvacuated(centre string, on bool, revision uint64) bool {
@@ -316,7 +355,16 @@
 	if revision < old.revision {
 		return false
 	}
-	t.evacuations[centre] = evacuation{on: on, revision: revision}
+	own := eras.Revision(revision)
+	if on && !old.on && eras.Of(revision) > eras.Of(old.revision) && slices.Contains(old.writes, own) {
+		// The older copy does not know yet that this evacuation has ended.
+		return false
+	}
+	next := evacuation{on: on, revision: revision, writes: old.writes}
+	if on && !slices.Contains(old.writes, own) {
+		next.writes = append(slices.Clone(old.writes[max(0, len(old.writes)+1-maxEvacuationWrites):]), own)
+	}
+	t.evacuations[centre] = next
 	return on != old.on
 }
 
--- a/internal/board/regis/regis_test.go
+++ b/internal/board/regis/regis_test.go
@@ -1,10 +1,20 @@
 package regis
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/seeds"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 )
 
+func init() { seeds.Fix() }
+
 var start = time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
 
 func entry(id string, revision uint64) Endpoint {
@@ -198,3 +208,90 @@
 		t.Errorf("only release is %q, %v, want v2", got, ok)
 	}
 }
+
+// storeModel is a store with an operator and endpoints, which can be restored from a copy.
+type storeModel struct {
+	era, at uint64
+	// items are the registrations by id, and copied those of the last copy.
+	items, copied map[string]Endpoint
+	copiedAt      uint64
+}
+
+func (m *storeModel) write(id string, draining bool) Endpoint {
+	m.at++
+	e := entry(id, eras.Join(m.era, m.at))
+	e.Draining = draining
+	m.items[id] = e
+	return e
+}
+
+func (m *storeModel) list() (list []Endpoint, revision uint64) {
+	for _, id := range slices.Sorted(maps.Keys(m.items)) {
+		e := m.items[id]
+		e.Revision = eras.Join(m.era, eras.Revision(e.Revision))
+		list = append(list, e)
+	}
+	return list, eras.Join(m.era, m.at)
+}
+
+// TestRestoreRevivesNothing: through any order of changes, copies, restores and listings,
+// an endpoint whose draining or end the host has seen gets requests only after the endpoint
+// itself has written again.
+func TestRestoreRevivesNothing(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &storeModel{era: 1, at: 10, items: map[string]Endpoint{}, copied: map[string]Endpoint{}, copiedAt: 10}
+		table := NewTable()
+		table.Replace(nil, eras.Join(1, 10), time.Time{})
+		// refused holds the endpoints that must not get requests.
+		refused := map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			id := fmt.Sprint("e", rapid.IntRange(0, 3).Draw(rt, "id"))
+			switch rapid.SampledFrom([]string{"ready", "drain", "remove", "copy", "restore", "list"}).Draw(rt, "step") {
+			case "ready":
+				table.Put(m.write(id, false))
+				delete(refused, id)
+			case "drain":
+				table.Put(m.write(id, true))
+				refused[id] = true
+			case "remove":
+				m.at++
+				if _, ok := m.items[id]; ok {
+					delete(m.items, id)
+					table.Remove(id, eras.Join(m.era, m.at), time.Time{})
+					refused[id] = true
+				}
+			case "copy":
+				m.copied, m.copiedAt = maps.Clone(m.items), m.at
+			case "restore":
+				m.items, m.at, m.era = maps.Clone(m.copied), m.copiedAt, m.era+1
+				list, revision := m.list()
+				table.Replace(list, revision, start.Add(time.Hour))
+			case "list":
+				list, revision := m.list()
+				table.Replace(list, revision, start.Add(time.Hour))
+			}
+			for _, e := range table.Endpoints("s") {
+				if refused[e.ID] && !e.Draining {
+					rt.Fatalf("endpoint %s, whose draining or end was seen, is ready at %d/%d", e.ID, eras.Of(e.Revision), eras.Revision(e.Revision))
+				}
+			}
+		}
+	})
+}
+
+// TestRestoreRevivesNoEvacuation: an evacuation whose end was seen is not started by the
+// copy that still has it, and a new one is.
+func TestRestoreRevivesNoEvacuation(t *testing.T) {
+	table := NewTable()
+	table.SetEvacuated("c", true, eras.Join(1, 50))
+	table.SetEvacuated("c", false, eras.Join(1, 60))
+	if table.SetEvacuated("c", true, eras.Join(2, 50)) || table.Evacuated("c") {
+		t.Error("the older copy started the evacuation again")
+	}
+	if !table.SetEvacuated("c", true, eras.Join(2, 56)) || !table.Evacuated("c") {
+		t.Error("a new evacuation in the later era was ignored")
+	}
+	if !table.SetEvacuated("c", false, eras.Join(2, 57)) || table.Evacuated("c") {
+		t.Error("the end of the new evacuation was ignored")
+	}
+}
--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -145,6 +145,8 @@
 // FetchItems asks for the store's items that changed after a revision.
 type FetchItems struct {
 	Revision uint64 `cbor:"1,keyasint"`
+	// Era is the store's era of Revision.
+	Era uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Items is a host's answer with items of the store.
@@ -158,6 +160,8 @@
 	// since a call last failed or was slow, both in milliseconds.
 	AgeMS    uint64 `cbor:"4,keyasint,omitempty"`
 	StableMS uint64 `cbor:"5,keyasint,omitempty"`
+	// Era is the store's era of all revisions here.
+	Era uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Item is the last version of a key in the store, or its tombstone if Deleted.
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -78,6 +78,9 @@
 	Millicores []uint32 `cbor:"17,keyasint,omitempty"`
 	// Store is set by a host that reads the platform's store.
 	Store *StoreState `cbor:"18,keyasint,omitempty"`
+	// StoreEra is the era of the revisions in Store. Hosts of builds that do not know the
+	// field send none.
+	StoreEra uint64 `cbor:"22,keyasint,omitempty"`
 	// HostLoads are the sender's in-flight requests at the endpoints of its region.
 	HostLoads []HostLoad `cbor:"14,keyasint,omitempty"`
 	// ServiceLoads are service loads by name.
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -14,9 +14,13 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/items"
 )
 
+// errOlderEra is the error of an answer that was sent before the store was restored.
+var errOlderEra = errors.New("store answered with an older era")
+
 // ErrCompacted is returned by a watch if the store has dropped the history after
 // the requested revision.
 var ErrCompacted = errors.New("store has dropped this history")
@@ -48,7 +52,7 @@
 // Batch is the result of one list or watch call.
 type Batch struct {
 	Changes []Change
-	// Revision is the revision up to which the changes are complete; the next watch
+	// Revision is the ordered revision up to which the changes are complete; the next watch
 	// starts after it.
 	Revision uint64
 }
@@ -130,12 +134,15 @@
 		began, revision := f.Now(), f.currentRevision()
 		b, err := f.listOrWatch(ctx, needList, revision)
 		now := f.Now()
+		if err == nil && eras.Of(b.Revision) < eras.Of(f.currentRevision()) {
+			err = errOlderEra
+		}
 		if ctx.Err() != nil {
 			return
 		}
 		switch {
 		case errors.Is(err, ErrCompacted):
-			f.Log.Info().Str("feed", f.Name).Uint64("after", revision).Msg("store has dropped the history; listing again")
+			f.Log.Info().Str("feed", f.Name).Uint64("after", eras.Revision(revision)).Uint64("era", eras.Of(revision)).AnErr("cause", err).Msg("store has dropped the history; listing again")
 			needList = true
 			continue
 		case err != nil:
@@ -181,7 +188,7 @@
 	f.failures++
 	f.lastUnstable = now
 	if f.failures == 1 {
-		f.Log.Warn().Str("feed", f.Name).Uint64("at", f.revision).Err(err).Msg("store call failed; retrying")
+		f.Log.Warn().Str("feed", f.Name).Uint64("at", eras.Revision(f.revision)).Uint64("era", eras.Of(f.revision)).Err(err).Msg("store call failed; retrying")
 	}
 	return min(maxRetryDelay, minRetryDelay<<min(f.failures-1, 8))
 }
@@ -213,6 +220,10 @@
 		}
 		list = append(list, it)
 	}
+	if f.listed && eras.Of(b.Revision) > eras.Of(f.revision) {
+		// Registrations that the older copy lacks are written again.
+		f.lastUnstable = now
+	}
 	if listing {
 		f.items.Replace(list, b.Revision)
 		f.OnList(now, b, f.keepRemovedUntil(now))
@@ -262,6 +273,10 @@
 	if revision <= f.revision || (!f.listed && !whole) {
 		return false
 	}
+	if eras.Of(revision) > eras.Of(f.revision) && !whole {
+		// Changes within an era say nothing of what an earlier one had.
+		return false
+	}
 	b := Batch{Revision: revision}
 	for _, it := range list {
 		if c, ok := f.Decode(it); ok {
--- a/internal/plat/feed/follow.go
+++ b/internal/plat/feed/follow.go
@@ -1,6 +1,10 @@
 package feed
 
-import "time"
+import (
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
+)
 
 const (
 	// followTimeout is the age of the last confirmation from which a host that follows
@@ -44,6 +48,10 @@
 	if s.Changed > f.revision {
 		return true
 	}
+	if eras.Of(s.Revision) < eras.Of(f.revision) {
+		// The reading host has not seen the restore of the store yet.
+		return false
+	}
 	if at := now.Add(-s.Age); at.After(f.confirmed) {
 		f.confirmed = at
 	}
@@ -76,7 +84,7 @@
 	}
 	if following != f.following {
 		f.following = following
-		f.Log.Info().Str("feed", f.Name).Bool("following", following).Bool("reader", reads).Uint64("at", f.revision).
+		f.Log.Info().Str("feed", f.Name).Bool("following", following).Bool("reader", reads).Uint64("at", eras.Revision(f.revision)).
 			Dur("confirmed", now.Sub(f.confirmed)).Msg("source of store changes")
 	}
 	return following
--- a/internal/plat/items/items.go
+++ b/internal/plat/items/items.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 )
 
 // maxTombstones bounds the tombstones in a table.
@@ -55,10 +57,15 @@
 }
 
 // Replace applies a whole listing of a revision. Items missing from it get a
-// tombstone with that revision, the latest at which they can have been removed.
+// tombstone with that revision, the latest at which they can have been removed. A listing
+// of a later era replaces all, as the items of the era before may never have been written.
 func (t *Table) Replace(items []Item, revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.revision != 0 && eras.Of(revision) > eras.Of(t.revision) {
+		t.items, t.tombstones = nil, 0
+		t.revision, t.changed, t.floor = revision, revision, revision
+	}
 	listed := make(map[string]bool, len(items))
 	for _, it := range items {
 		listed[it.Key] = true
--- a/internal/plat/items/items_test.go
+++ b/internal/plat/items/items_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 )
 
 func put(key string, revision uint64) Item { return Item{Key: key, Revision: revision} }
@@ -118,6 +120,39 @@
 	})
 }
 
+// TestCopyMatchesRestoredSource: the same holds if the source is restored from older copies
+// of the store between the changes, which gives revisions out again.
+func TestCopyMatchesRestoredSource(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		source, replica := &Table{}, &Table{}
+		era, at := uint64(1), uint64(5)
+		source.Replace([]Item{put("a", eras.Join(era, 1))}, eras.Join(era, at))
+		for range rapid.IntRange(0, 40).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 5).Draw(rt, "step") {
+			case 0:
+				era, at = era+1, rapid.Uint64Range(1, at).Draw(rt, "copy")
+				var list []Item
+				for _, key := range []string{"a", "b", "c"} {
+					if rapid.Bool().Draw(rt, key) {
+						list = append(list, put(key, eras.Join(era, rapid.Uint64Range(1, at).Draw(rt, "written"))))
+					}
+				}
+				source.Replace(list, eras.Join(era, at))
+			case 1, 2:
+				syncTables(source, replica)
+			default:
+				at++
+				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "key")
+				source.Apply([]Item{{Key: key, Revision: eras.Join(era, at), Deleted: rapid.Bool().Draw(rt, "deleted")}}, eras.Join(era, at))
+			}
+		}
+		syncTables(source, replica)
+		if a, b := liveItems(source), liveItems(replica); a != b {
+			rt.Errorf("source has items %s, copy has %s", a, b)
+		}
+	})
+}
+
 // syncTables applies the changes of from since the revision of to.
 func syncTables(from, to *Table) {
 	items, revision, whole := from.Since(to.revision)
--- a/internal/serve/client/get.go
+++ b/internal/serve/client/get.go
@@ -12,6 +12,12 @@
 // Get requests a document of at most limit bytes from an endpoint or the platform. It
 // returns the status and the body.
 func Get(ctx context.Context, address, path string, limit int, timeout time.Duration) (int, []byte, error) {
+	status, _, body, err := GetWithField(ctx, address, path, "", limit, timeout)
+	return status, body, err
+}
+
+// GetWithField is like Get and also returns the value of a header field.
+func GetWithField(ctx context.Context, address, path, field string, limit int, timeout time.Duration) (status int, value string, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	e := newExchange(ctx, address, time.Now().Add(timeout), timeout)
@@ -19,17 +25,17 @@
 	e.req.SetMethod("GET")
 	e.req.SetRequestURI("http://" + address + path)
 	if err := e.client.Do(ctx, e.req, e.resp); err != nil {
-		return 0, nil, fmt.Errorf("get %s: %w", path, err)
+		return 0, "", nil, fmt.Errorf("get %s: %w", path, err)
 	}
 	r := &attemptRun{ctx: ctx, attempt: Attempt{MaxAnswerBytes: limit}}
-	body, err := r.readAll(e)
+	body, err = r.readAll(e)
 	if err != nil {
-		return 0, nil, fmt.Errorf("get %s: %w", path, err)
+		return 0, "", nil, fmt.Errorf("get %s: %w", path, err)
 	}
 	if want := e.resp.Header.ContentLength(); want >= 0 && len(body) != want {
-		return 0, nil, fmt.Errorf("get %s: %w", path, io.ErrUnexpectedEOF)
+		return 0, "", nil, fmt.Errorf("get %s: %w", path, io.ErrUnexpectedEOF)
 	}
-	return e.resp.StatusCode(), body, nil
+	return e.resp.StatusCode(), e.resp.Header.Get(field), body, nil
 }
 
 // Collect returns a sink that stores the status and the body of an answer.
--- a/internal/serve/node/items.go
+++ b/internal/serve/node/items.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/items"
 )
@@ -41,16 +42,16 @@
 		return
 	}
 	inCentre := func(m member.Member) bool { return m.Centre == n.board.Centre }
-	n.announce(math.MaxInt, inCentre, wire.Packet{Store: &wire.StoreState{
-		Revision: state.Revision, Changed: state.Changed, AgeMS: uint64(max(0, state.Age.Milliseconds())),
+	n.announce(math.MaxInt, inCentre, wire.Packet{StoreEra: eras.Of(state.Revision), Store: &wire.StoreState{
+		Revision: eras.Revision(state.Revision), Changed: eras.Revision(state.Changed), AgeMS: uint64(max(0, state.Age.Milliseconds())),
 	}})
 }
 
 // receiveStoreState compares this host's view of the store with that of a host that reads
 // it, and fetches the changes that this host lacks.
-func (n *Node) receiveStoreState(now time.Time, m member.Member, s *wire.StoreState) {
+func (n *Node) receiveStoreState(now time.Time, m member.Member, era uint64, s *wire.StoreState) {
 	behind := n.feed.Confirm(now, feed.State{
-		Revision: s.Revision, Changed: s.Changed, Age: time.Duration(min(s.AgeMS, maxStableMS)) * time.Millisecond,
+		Revision: eras.Join(era, s.Revision), Changed: eras.Join(era, s.Changed), Age: time.Duration(min(s.AgeMS, maxStableMS)) * time.Millisecond,
 	})
 	if behind && !n.board.Duties.Plan().SelfReads {
 		n.ahead.Store(&m)
@@ -60,17 +61,17 @@
 
 // itemsSince returns the store items that changed after a revision, for a peer
 // host that can't reach the store.
-func (n *Node) itemsSince(revision uint64) *wire.Items {
-	list, at, whole := n.feed.Since(revision)
+func (n *Node) itemsSince(since *wire.FetchItems) *wire.Items {
+	list, at, whole := n.feed.Since(eras.Join(since.Era, since.Revision))
 	now := n.now()
 	state, _ := n.feed.State(now)
 	out := &wire.Items{
-		Revision: at, Snapshot: whole,
+		Revision: eras.Revision(at), Era: eras.Of(at), Snapshot: whole,
 		AgeMS: uint64(max(0, state.Age.Milliseconds())), StableMS: uint64(max(0, state.Stable.Milliseconds())),
 	}
 	for _, it := range list {
 		out.List = append(out.List, wire.Item{
-			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted,
+			Key: it.Key, Value: it.Value, Revision: eras.Revision(it.Revision), Deleted: it.Deleted,
 			AgeMS: uint64(max(0, now.Sub(it.ReadAt).Milliseconds())),
 		})
 	}
@@ -108,7 +109,7 @@
 	}
 	defer s.Close()
 	deadline := time.Now().Add(fetchItemsTimeout)
-	if err := s.Write(wire.Frame{FetchItems: &wire.FetchItems{Revision: from}}, deadline); err != nil {
+	if err := s.Write(wire.Frame{FetchItems: &wire.FetchItems{Revision: eras.Revision(from), Era: eras.Of(from)}}, deadline); err != nil {
 		return nil, fmt.Errorf("request store items: %w", err)
 	}
 	fr, err := s.Read(maxItemsBytes, deadline)
@@ -127,13 +128,13 @@
 	list := make([]items.Item, 0, len(answer.List))
 	for _, it := range answer.List {
 		list = append(list, items.Item{
-			Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted,
+			Key: it.Key, Value: it.Value, Revision: eras.Join(answer.Era, it.Revision), Deleted: it.Deleted,
 			ReadAt: now.Add(-time.Duration(it.AgeMS) * time.Millisecond),
 		})
 	}
 	stable := time.Duration(min(answer.StableMS, maxStableMS)) * time.Millisecond
-	if n.feed.ApplyFromPeer(now, list, answer.Revision, answer.Snapshot, stable) {
-		n.log.Info().Str("peer", m.Name).Uint64("from", from).Uint64("at", answer.Revision).Bool("whole", answer.Snapshot).
+	if n.feed.ApplyFromPeer(now, list, eras.Join(answer.Era, answer.Revision), answer.Snapshot, stable) {
+		n.log.Info().Str("peer", m.Name).Uint64("from", eras.Revision(from)).Uint64("at", answer.Revision).Uint64("era", answer.Era).Bool("whole", answer.Snapshot).
 			Int("items", len(list)).Msg("applied store items of peer host")
 	}
 }
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -72,6 +72,10 @@
 	ahead atomic.Pointer[member.Member]
 	// assignedFor is the count of member changes that the current duties were assigned for.
 	assignedFor atomic.Uint64
+	// listedAt is the ordered revision of the last listing. Only the feed uses it.
+	listedAt        uint64
+	heldEvacuations heldEvacuations
+
 	// announcedLoad reports whether the last announced load was not empty. Only the
 	// controller inFlightName uses it.
 	announcedLoad bool
--- /dev/null
+++ b/internal/serve/node/restore_test.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/platform"
+	"github.com/hyssopspindle/hyssopspindle/platform/stand"
+)
+
+const restoreConfig = `{"version":7,"routes":[{"name":"r1","host":"h","prefix":"/p/","kind":"safe","timeout-ms":4000,"service":"s","attempts":2}],
+"services":[{"name":"s","cold-per-s":5}],"limits":{"max-body-bytes":1048576}}`
+
+// registration returns the item of an endpoint.
+func registration(state string) string {
+	return fmt.Sprintf(`{"service":"s","address":"127.0.0.1:9","zone":"z1","version":"v1","slots":8,"state":%q,"born":5}`, state)
+}
+
+// startOnStore starts hosts in one data centre that read a stand-in of the platform's store.
+func startOnStore(t *testing.T, store *stand.Store, count int) []*Node {
+	t.Helper()
+	seed := freeAddress(t)
+	var out []*Node
+	for i := range count {
+		peers := seed
+		if i > 0 {
+			peers = freeAddress(t)
+		}
+		n, err := New(setup.Hosted{
+			Name: fmt.Sprint("n", i), Region: "a", Centre: "z1", Callers: freeAddress(t), Ready: freeAddress(t), Directory: freeAddress(t),
+			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"z1": "a", "z2": "a"}, Bounds: setup.DefaultBounds(),
+		}, platTerms, (&platform.Store{Address: store.Address(), Now: time.Now}).Feed(), zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = n.Close() })
+		out = append(out, n)
+	}
+	return out
+}
+
+// storeView is what a host makes of the store.
+func storeView(n *Node) string {
+	var ready, draining []string
+	for _, e := range n.board.Registry.Endpoints("s") {
+		if e.Draining {
+			draining = append(draining, e.ID)
+		} else {
+			ready = append(ready, e.ID)
+		}
+	}
+	return fmt.Sprint("version ", n.board.Routes.Version(), " ready ", ready, " draining ", draining, " evacuated ", n.board.Registry.EvacuatedCentres())
+}
+
+func allSee(nodes []*Node, want string) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(nodes, func(n *Node) bool { return storeView(n) != want })
+	}
+}
+
+func (f *fleet) allSee(nodes []*Node, want string) {
+	f.t.Helper()
+	end := time.Now().Add(waitTimeout)
+	for !allSee(nodes, want)() {
+		if time.Now().After(end) {
+			for i, n := range nodes {
+				f.t.Errorf("host %d sees %s, want %s", i, storeView(n), want)
+			}
+			f.t.FailNow()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestRestoredStoreIsIgnored: hosts follow a store that came back from an older copy, whose
+// revisions are below those that they have seen.
+func TestRestoredStoreIsIgnored(t *testing.T) {
+	store, err := stand.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	store.Put("op/config", restoreConfig)
+	for _, id := range []string{"stays", "drains", "ends"} {
+		store.Put("servers/"+id, registration("ready"))
+	}
+	f := &fleet{t: t}
+	nodes := startOnStore(t, store, 5)
+	f.allSee(nodes, "version 7 ready [drains ends stays] draining [] evacuated []")
+	older := store.Copy()
+	for range 50 {
+		for _, id := range []string{"stays", "drains", "ends"} {
+			store.Put("servers/"+id, registration("ready"))
+		}
+	}
+	store.Put("servers/new", registration("ready"))
+	f.allSee(nodes, "version 7 ready [drains ends new stays] draining [] evacuated []")
+	store.Restore(older)
+	store.Put("servers/drains", registration("draining"))
+	store.Put("op/evacuate/z2", "{}")
+	store.Delete("servers/ends")
+	store.Put("servers/new", registration("ready"))
+	f.allSee(nodes, "version 7 ready [new stays] draining [drains] evacuated [z2]")
+	store.Restore(older)
+	store.Put("servers/new", registration("ready"))
+	store.Put("servers/newer", registration("ready"))
+	store.Put("servers/drains", registration("draining"))
+	store.Put("op/evacuate/z2", "{}")
+	store.Delete("servers/ends")
+	f.allSee(nodes, "version 7 ready [new newer stays] draining [drains] evacuated [z2]")
+}
+
+// TestRestoredCopyForgets: what hosts have acknowledged and an older copy of the store has
+// not is kept until it is written again: a draining mark, an evacuation and its end, and
+// the end of an endpoint.
+func TestRestoredCopyForgets(t *testing.T) {
+	store, err := stand.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	store.Put("op/config", restoreConfig)
+	for _, id := range []string{"drains", "ends", "stays"} {
+		store.Put("servers/"+id, registration("ready"))
+	}
+	store.Put("op/evacuate/z2", "{}")
+	f := &fleet{t: t}
+	nodes := startOnStore(t, store, 5)
+	f.allSee(nodes, "version 7 ready [drains ends stays] draining [] evacuated [z2]")
+	older := store.Copy()
+	store.Put("servers/drains", registration("draining"))
+	store.Delete("servers/ends")
+	store.Delete("op/evacuate/z2")
+	store.Put("op/evacuate/z1", "{}")
+	const want = "version 7 ready [stays] draining [drains] evacuated [z1]"
+	f.allSee(nodes, want)
+	store.Restore(older)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for i, n := range nodes {
+			if got := storeView(n); got != want {
+				t.Fatalf("host %d sees %s after the restore, want %s", i, got, want)
+			}
+		}
+	}
+	store.Put("servers/drains", registration("draining"))
+	store.Put("servers/ends", registration("ready"))
+	store.Put("op/evacuate/z1", "{}")
+	f.allSee(nodes, "version 7 ready [ends stays] draining [drains] evacuated [z1]")
+	store.Delete("op/evacuate/z1")
+	f.allSee(nodes, "version 7 ready [ends stays] draining [drains] evacuated []")
+}
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
 )
 
@@ -42,8 +43,17 @@
 			list = append(list, n.withRegion(*c.Endpoint))
 		}
 	}
+	restored := n.listedAt != 0 && eras.Of(b.Revision) > eras.Of(n.listedAt)
+	if restored {
+		n.logRestore(b, evacuated)
+	}
+	n.listedAt = b.Revision
 	for _, centre := range n.board.Registry.EvacuatedCentres() {
-		if !evacuated[centre] {
+		switch {
+		case evacuated[centre]:
+		case restored:
+			n.heldEvacuations.hold(centre, heldEvacuation{until: now.Add(evacuationHold), revision: b.Revision})
+		case !n.heldEvacuations.holds(now, centre):
 			n.setEvacuated(centre, false, b.Revision)
 		}
 	}
@@ -63,10 +73,11 @@
 	for _, c := range b.Changes {
 		switch {
 		case c.Err != nil:
-			n.log.Warn().Str("key", c.Key).Uint64("revision", c.Revision).Err(c.Err).Msg("ignoring a store item that can't be decoded")
+			n.log.Warn().Str("key", c.Key).Uint64("revision", eras.Revision(c.Revision)).Err(c.Err).Msg("ignoring a store item that can't be decoded")
 		case c.Rules != nil:
 			n.applyRules(c)
 		case c.Centre != "":
+			n.heldEvacuations.release(c.Centre)
 			n.setEvacuated(c.Centre, c.Evacuated, c.Revision)
 		case c.Endpoint != nil:
 			if e := n.withRegion(*c.Endpoint); n.board.Registry.Put(e) {
@@ -74,7 +85,7 @@
 			}
 		case c.RemovedEndpoint != "":
 			if n.board.Registry.Remove(c.RemovedEndpoint, c.Revision, until) {
-				n.log.Info().Str("endpoint", c.RemovedEndpoint).Uint64("revision", c.Revision).Msg("endpoint removed")
+				n.log.Info().Str("endpoint", c.RemovedEndpoint).Uint64("revision", eras.Revision(c.Revision)).Msg("endpoint removed")
 			}
 		}
 	}
@@ -90,7 +101,7 @@
 		names := c.Rules.RouteNames()
 		n.meter.KeepRoutes(names)
 		n.log.Info().Uint64("version", c.Rules.Version).Int("routes", len(names)).
-			Uint64("revision", c.Revision).Msg("rules in force")
+			Uint64("revision", eras.Revision(c.Revision)).Msg("rules in force")
 		return
 	}
 	if c.Rules.Version < n.board.Routes.Version() {
@@ -103,7 +114,7 @@
 	if !n.board.Registry.SetEvacuated(centre, on, revision) {
 		return
 	}
-	n.log.Info().Str("centre", centre).Bool("evacuated", on).Uint64("revision", revision).Msg("evacuation changed")
+	n.log.Info().Str("centre", centre).Bool("evacuated", on).Uint64("revision", eras.Revision(revision)).Msg("evacuation changed")
 }
 
 // withRegion returns a registration with the region of its data centre filled in.
@@ -118,7 +129,7 @@
 		n.proxy.Prefixes.Forget(e.ID)
 	}
 	ev := n.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Address).Str("centre", e.Centre).
-		Str("release", e.Release).Bool("draining", e.Draining).Int64("born", e.Incarnation).Uint64("revision", e.Revision)
+		Str("release", e.Release).Bool("draining", e.Draining).Int64("born", e.Incarnation).Uint64("revision", eras.Revision(e.Revision))
 	if !e.ColdUntil.IsZero() {
 		ev = ev.Time("cold_until", e.ColdUntil)
 	}
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -75,6 +75,7 @@
 		for _, id := range n.board.Registry.Expire(now) {
 			n.log.Info().Str("endpoint", id).Msg("endpoint removed: it did not register again after the store outage")
 		}
+		n.endHeldEvacuations(now)
 	})
 }
 
@@ -126,7 +127,7 @@
 		n.receiveOrigins(now, m, p)
 	}
 	if p.Store != nil && m.Centre == n.board.Centre {
-		n.receiveStoreState(now, m, p.Store)
+		n.receiveStoreState(now, m, p.StoreEra, p.Store)
 	}
 	n.proxy.Prefixes.RecordReported(now, p.SentPrefixes)
 	for _, s := range p.ServiceLoads {
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -12,6 +12,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
@@ -65,7 +66,7 @@
 	}
 	p.recordResult(t, d, out, start)
 	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
-		Uint64("registered", e.Revision).Str("release", e.Release).Dur("expected", d.expectedLatency).Dur("first", out.TimeToFirstByte).Int("status", out.Status).
+		Uint64("registered", eras.Revision(e.Revision)).Str("release", e.Release).Dur("expected", d.expectedLatency).Dur("first", out.TimeToFirstByte).Int("status", out.Status).
 		Bool("reused", out.Reused).Int("running", out.Load.Running).Int("waiting", out.Load.Waiting).
 		Bool("limited", limited).Str("outcome", outcome(out)).Msg("attempt")
 	if out.ErrorAnswer != nil {
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -49,7 +49,7 @@
 	ServeRouted func(ctx context.Context, msg *wire.Request, sink client.Sink) Result
 	// StoreChanges returns the changes of the platform's store after a revision; nil if hosts
 	// do not exchange them.
-	StoreChanges func(since uint64) *wire.Items
+	StoreChanges func(since *wire.FetchItems) *wire.Items
 	// OnNewerRevision is called with the name of a host that has a newer configuration.
 	OnNewerRevision func(host string)
 	// MaxBody is the largest request body, in bytes.
@@ -81,7 +81,7 @@
 	case fr.FetchParts != nil:
 		h.sendParts(fr.FetchParts, s)
 	case fr.FetchItems != nil && h.StoreChanges != nil:
-		if err := s.Write(wire.Frame{Items: h.StoreChanges(fr.FetchItems.Revision)}, time.Now().Add(frameIOTimeout)); err != nil {
+		if err := s.Write(wire.Frame{Items: h.StoreChanges(fr.FetchItems)}, time.Now().Add(frameIOTimeout)); err != nil {
 			h.Log.Debug().Err(err).Str("peer", peer).Msg("failed to send store changes")
 		}
 		s.Finish()
