Send nothing more to an endpoint that announces that it leaves

An endpoint that leaves now says so in all its answers.

The head of any answer marks the endpoint at once. The mark holds until the endpoint's next start: a registration that says ready, a lapsed one that comes back and an older copy of the store do not withdraw it. Hosts of the region hear of it from the one that got the answer, at once and again for 2 s; what is passed on of endpoints has a packet of its own, as the loads fill theirs.

--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -68,12 +68,27 @@
 	// restore of the store. A write up to it may be one of the older copy.
 	restored uint64
 	listed   uint64
+	// leaving holds the endpoints that announced that they leave, by id. It outlives their
+	// registrations.
+	leaving map[string]leavingMark
 	// gone holds the ids of endpoints whose removal was acknowledged.
 	gone map[string]bool
 }
 
-// maxGone bounds the remembered ids of removed endpoints.
-const maxGone = 4096
+// leavingMark is an endpoint's announcement that it leaves.
+type leavingMark struct {
+	incarnation int64
+	heardAt     time.Time
+	// own reports whether it was in an answer to this host.
+	own bool
+}
+
+const (
+	// maxGone bounds the remembered ids of removed endpoints, and those of leaving ones.
+	maxGone = 4096
+	// announcedLeavingAge is how long a host passes on that an endpoint leaves.
+	announcedLeavingAge = 2 * time.Second
+)
 
 // serviceRelease identifies a release of a service.
 type serviceRelease struct {
@@ -91,6 +106,7 @@
 		endpoints: map[string]Endpoint{}, services: map[string][]Endpoint{},
 		evacuations: map[string]evacuation{}, expiring: map[string]time.Time{},
 		releases: map[serviceRelease]time.Time{}, only: map[string]string{}, gone: map[string]bool{},
+		leaving: map[string]leavingMark{},
 	}
 }
 
@@ -114,6 +130,13 @@
 		// The older copy does not know yet that the endpoint drains.
 		e.Draining = e.Draining || (ok && old.Draining && old.Incarnation == e.Incarnation)
 	}
+	if mark, ok := t.leaving[e.ID]; ok {
+		if mark.incarnation == e.Incarnation {
+			e.Draining = true
+		} else {
+			delete(t.leaving, e.ID)
+		}
+	}
 	delete(t.gone, e.ID)
 	delete(t.expiring, e.ID)
 	t.endpoints[e.ID] = e
@@ -248,6 +271,50 @@
 	}
 }
 
+// Leaving is the announcement of an endpoint that it takes no new requests and ends.
+type Leaving struct {
+	ID string
+	// Incarnation is that of the endpoint when it announced it.
+	Incarnation int64
+}
+
+// MarkLeaving marks an endpoint that announced that it leaves, to this host if own is set,
+// else to a peer host. The mark holds until the endpoint's next start, whatever the store
+// says of it. MarkLeaving reports whether the mark is new.
+func (t *Table) MarkLeaving(now time.Time, l Leaving, own bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.endpoints[l.ID]
+	if ok && e.Incarnation > l.Incarnation {
+		return false
+	}
+	old, marked := t.leaving[l.ID]
+	if !marked && len(t.leaving) >= maxGone {
+		clear(t.leaving)
+	}
+	t.leaving[l.ID] = leavingMark{incarnation: l.Incarnation, heardAt: now, own: own || (marked && old.own && old.incarnation == l.Incarnation)}
+	if ok && !e.Draining && e.Incarnation == l.Incarnation {
+		e.Draining = true
+		t.endpoints[l.ID] = e
+		t.reindex()
+	}
+	return !marked || old.incarnation != l.Incarnation
+}
+
+// RecentLeaving returns the endpoints that announced to this host lately that they leave,
+// to pass on to peer hosts.
+func (t *Table) RecentLeaving(now time.Time) []Leaving {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []Leaving
+	for _, id := range slices.Sorted(maps.Keys(t.leaving)) {
+		if mark := t.leaving[id]; mark.own && now.Sub(mark.heardAt) < announcedLeavingAge {
+			out = append(out, Leaving{ID: id, Incarnation: mark.incarnation})
+		}
+	}
+	return out
+}
+
 // reindex rebuilds the lists of endpoints by service. It makes new lists, as readers hold
 // the old ones.
 func (t *Table) reindex() {
--- a/internal/board/regis/regis_test.go
+++ b/internal/board/regis/regis_test.go
@@ -295,3 +295,37 @@
 		t.Error("the end of the new evacuation was ignored")
 	}
 }
+
+// TestLeavingMarkOutlivesTheStore: what an endpoint announced of itself holds against later
+// writes and a registration that lapses, until its next start.
+func TestLeavingMarkOutlivesTheStore(t *testing.T) {
+	table := NewTable()
+	e := entry("a", 5)
+	e.Incarnation = 100
+	table.Put(e)
+	if table.MarkLeaving(start, Leaving{ID: "a", Incarnation: 90}, true) || table.Endpoints("s")[0].Draining {
+		t.Error("the announcement of an earlier start marked the endpoint")
+	}
+	if !table.MarkLeaving(start, Leaving{ID: "a", Incarnation: 100}, true) || !table.Endpoints("s")[0].Draining {
+		t.Error("the announcement did not mark the endpoint")
+	}
+	if table.MarkLeaving(start, Leaving{ID: "a", Incarnation: 100}, false) || len(table.RecentLeaving(start)) != 1 {
+		t.Error("the announcement of a peer host hides that of the endpoint")
+	}
+	e.Revision = 6
+	table.Put(e)
+	table.Remove("a", 7, time.Time{})
+	e.Revision = 8
+	table.Put(e)
+	if !table.Endpoints("s")[0].Draining {
+		t.Error("a later registration of the same start dropped the mark")
+	}
+	if len(table.RecentLeaving(start.Add(announcedLeavingAge))) != 0 {
+		t.Error("an old announcement is passed on")
+	}
+	e.Revision, e.Incarnation = 9, 200
+	table.Put(e)
+	if table.Endpoints("s")[0].Draining {
+		t.Error("the next start of the endpoint is marked")
+	}
+}
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -90,6 +90,9 @@
 	// Limits are the rate limits that endpoints of the region named or lifted lately in
 	// answers to the sender. Hosts of builds that do not know the field ignore it.
 	Limits []Limit `cbor:"19,keyasint,omitempty"`
+	// LeavingEndpoints are endpoints of the region that announced lately that they leave. Hosts of
+	// builds that do not know the field ignore it.
+	LeavingEndpoints []LeavingEndpoint `cbor:"23,keyasint,omitempty"`
 	// Starts are streams and the releases that began them, and Asked the keys of streams
 	// whose start the sender asks for. Hosts of builds that do not know the fields ignore them.
 	Starts []Starts `cbor:"20,keyasint,omitempty"`
@@ -216,3 +219,11 @@
 	Release string
 	Keys    []uint64
 }
+
+// LeavingEndpoint is an endpoint that announced that it takes no new requests and ends.
+type LeavingEndpoint struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	// Life is the incarnation of the endpoint that announced it.
+	Life int64
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -137,7 +137,7 @@
 	}
 	n.shares = quota.New(n.started, quota.Host{Name: n.settings.Peers, Cores: n.settings.Machine.Capacity()})
 	n.proxy.AskOrigin, n.proxy.StoreAge = n.askOrigin, n.storeAge
-	n.proxy.OnLongPrompt = func() { n.runner.Trigger(inFlightName) }
+	n.proxy.OnNews = func() { n.runner.Trigger(inFlightName) }
 	handler := &relay.Handler{
 		Board: n.board, Meter: n.meter, Log: n.log, Pool: n.relays, MaxBody: maxBodyBytes, Now: n.now, ServeRouted: n.serveRelayed,
 		StoreChanges: n.itemsSince,
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
@@ -45,6 +46,8 @@
 	maxPacketEndpoints = 32
 	// maxPacketLimits bounds the rate limits of endpoints in one packet.
 	maxPacketLimits = 8
+	// maxPacketLeaving bounds the leaving endpoints in one packet.
+	maxPacketLeaving = 8
 	// packetOverhead is the size of the IP and UDP headers, in bytes.
 	packetOverhead = 28
 )
@@ -119,9 +122,10 @@
 			list[t.Endpoint] = endpt.HostLoad{Requests: int(t.Requests), QueuedPrefill: fromMillis(t.PendingMS)}
 		}
 		n.board.Endpoints.SetPeerLoads(now, p.From, list)
-		if len(p.Limits) > 0 {
-			n.receiveLimits(now, p.From, p.Limits)
-		}
+	}
+	if m.Region == n.board.Region {
+		n.receiveLimits(now, p.From, p.Limits)
+		n.receiveLeaving(now, p.From, p.LeavingEndpoints)
 	}
 	if len(p.Starts) > 0 || len(p.Asked) > 0 {
 		n.receiveOrigins(now, m, p)
@@ -151,14 +155,21 @@
 		list = append(list, wire.HostLoad{Endpoint: l.id, Requests: uint32(l.Requests), PendingMS: toMillis(l.QueuedPrefill[:])})
 	}
 	loaded := len(list) > 1
+	if loaded || n.announcedLoad {
+		n.announcedLoad = loaded
+		n.announceTo(n.randomEntries(n.board.Region, inFlightFanout), wire.Packet{HostLoads: list, SentPrefixes: n.proxy.Prefixes.Recent(now)})
+	}
+	n.shareNotices(now)
+}
+
+// shareNotices passes on to peer hosts of the local region what endpoints said of
+// themselves lately in answers to this host.
+func (n *Node) shareNotices(now time.Time) {
 	limits := toWireLimits(n.board.Endpoints.NamedLimits(now))
-	if !loaded && !n.announcedLoad && len(limits) == 0 {
-		return
+	leaving := toWireLeaving(n.board.Registry.RecentLeaving(now))
+	if len(limits) > 0 || len(leaving) > 0 {
+		n.announceTo(n.randomEntries(n.board.Region, inFlightFanout), wire.Packet{Limits: limits, LeavingEndpoints: leaving})
 	}
-	n.announcedLoad = loaded
-	n.announceTo(n.randomEntries(n.board.Region, inFlightFanout), wire.Packet{
-		HostLoads: list, SentPrefixes: n.proxy.Prefixes.Recent(now), Limits: limits,
-	})
 }
 
 // toWireLimits returns the first of the named limits in the form of packets.
@@ -174,6 +185,25 @@
 	return out
 }
 
+// toWireLeaving returns the first of the leaving endpoints in the form of packets.
+func toWireLeaving(list []regis.Leaving) []wire.LeavingEndpoint {
+	var out []wire.LeavingEndpoint
+	for _, l := range list[:min(len(list), maxPacketLeaving)] {
+		out = append(out, wire.LeavingEndpoint{Endpoint: l.ID, Life: l.Incarnation})
+	}
+	return out
+}
+
+// receiveLeaving marks the endpoints that announced to a peer host of the region that they
+// leave.
+func (n *Node) receiveLeaving(now time.Time, from string, list []wire.LeavingEndpoint) {
+	for _, l := range list {
+		if n.board.Registry.MarkLeaving(now, regis.Leaving{ID: l.Endpoint, Incarnation: l.Life}, false) {
+			n.log.Info().Str("endpoint", l.Endpoint).Int64("born", l.Life).Str("peer", from).Msg("endpoint announces that it leaves")
+		}
+	}
+}
+
 // receiveLimits stores what a peer host of the region heard of the rate limits of
 // endpoints.
 func (n *Node) receiveLimits(now time.Time, from string, list []wire.Limit) {
@@ -190,7 +220,9 @@
 				Msg("rate limit of endpoint changed")
 		}
 	}
-	n.meter.LimitedEndpoints.Set(float64(n.board.Endpoints.CountLimited(now)))
+	if len(list) > 0 {
+		n.meter.LimitedEndpoints.Set(float64(n.board.Endpoints.CountLimited(now)))
+	}
 }
 
 // endpointLoad is this host's load at one endpoint.
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -35,6 +35,9 @@
 	// maxSkippedAnswers bounds the answers to other requests that an attempt skips.
 	maxSkippedAnswers = 4
 	eventStreamType   = "text/event-stream"
+	// leavingValue is the value of the header field by which endpoints announce that they
+	// leave.
+	leavingValue = "1"
 )
 
 // Attempt is one attempt of a request at one endpoint.
@@ -78,6 +81,8 @@
 	// RateLimit is the rate limit that the endpoint names, in requests per second; nil if it
 	// names none.
 	RateLimit *float64
+	// Leaving reports whether the endpoint announces that it takes no new requests and ends.
+	Leaving bool
 	// Failed reports whether the endpoint refused the request or failed.
 	Failed bool
 	// Malformed is the value of a field that can't be parsed, empty if there is none.
@@ -211,7 +216,7 @@
 // notice returns what the head of an answer says of the endpoint.
 func (c *Client) notice(resp *http.Response) Notice {
 	h := resp.Header
-	n := Notice{Failed: resp.StatusCode >= http.StatusInternalServerError || h.Get(c.Terms.NotRun) != ""}
+	n := Notice{Leaving: h.Get(c.Terms.Leaving) == leavingValue, Failed: resp.StatusCode >= http.StatusInternalServerError || h.Get(c.Terms.NotRun) != ""}
 	if text := h.Get(c.Terms.RateLimit); text != "" {
 		if rate, ok := c.Terms.ParseRate(text); ok {
 			n.RateLimit = &rate
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -132,8 +132,8 @@
 	if req.Prefix != 0 && req.PrefixPrefill >= minReportedPrefill {
 		p.Prefixes.RecordSent(now, d.endpoint.ID, req.Prefix)
 	}
-	if d.prefill > minReportedPrefill && p.OnLongPrompt != nil {
-		p.OnLongPrompt()
+	if d.prefill > minReportedPrefill {
+		p.tellPeers()
 	}
 }
 
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -154,6 +154,10 @@
 // that was sent at a time.
 func (p *Proxy) recordNotice(t *task, e regis.Endpoint, n pool.Notice, sent time.Time) {
 	now := p.Now()
+	if n.Leaving && p.Board.Registry.MarkLeaving(now, regis.Leaving{ID: e.ID, Incarnation: e.Incarnation}, true) {
+		p.Log.Info().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Int64("born", e.Incarnation).Msg("endpoint announces that it leaves")
+		p.tellPeers()
+	}
 	if n.Malformed != "" {
 		p.Log.Warn().Str("request", t.ID).Str("endpoint", e.ID).Str("value", n.Malformed).Msg("ignoring a rate limit that can't be parsed")
 		return
@@ -170,6 +174,7 @@
 		ev = ev.Float64("limit", *n.RateLimit)
 	}
 	ev.Msg("rate limit of endpoint changed")
+	p.tellPeers()
 	p.Meter.LimitedEndpoints.Set(float64(p.Board.Endpoints.CountLimited(now)))
 }
 
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -106,8 +106,9 @@
 	AskOrigin func(key origin.Key)
 	// StoreAge returns the time since the store last confirmed this host's view.
 	StoreAge func(now time.Time) time.Duration
-	// OnLongPrompt is called after a long prompt is sent to an endpoint; it may be nil.
-	OnLongPrompt func()
+	// OnNews is called when peer hosts should hear at once of a long prompt that was sent to
+	// an endpoint, or of what an endpoint says of itself; it may be nil.
+	OnNews func()
 
 	// Prefixes records which endpoints have which prompt prefixes cached.
 	Prefixes *PrefixTable
@@ -136,6 +137,12 @@
 	return p.serve(ctx, r.Request, sink, false)
 }
 
+func (p *Proxy) tellPeers() {
+	if p.OnNews != nil {
+		p.OnNews()
+	}
+}
+
 // task is the state of one request in flight.
 type task struct {
 	Request
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -64,6 +64,7 @@
 	mu        sync.Mutex
 	fault     Fault
 	rateLimit string
+	leaving   bool
 	runs      []Run
 	cancelled int
 }
@@ -100,13 +101,23 @@
 	e.rateLimit = value
 }
 
-// nameRateLimit adds the rate limit to the header of an answer.
-func (e *Endpoint) nameRateLimit(h http.Header) {
+// SetLeaving sets whether the endpoint announces in its answers that it leaves.
+func (e *Endpoint) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// describe adds what the endpoint says of itself to the header of an answer.
+func (e *Endpoint) describe(h http.Header) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.rateLimit != "" {
 		h.Set(e.Terms.RateLimit, e.rateLimit)
 	}
+	if e.leaving {
+		h.Set(e.Terms.Leaving, "1")
+	}
 }
 
 // Runs returns the requests that the endpoint ran.
@@ -145,7 +156,7 @@
 	h := w.Header()
 	h.Set(e.Terms.RequestID, id)
 	h.Set(e.Terms.Load, "1,0,8")
-	e.nameRateLimit(h)
+	e.describe(h)
 	if want := r.Header.Get(e.Terms.ExpectedEndpoint); want != "" && want != e.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
