Send nothing to an endpoint during the pause that it asks for

An endpoint that turns a request away with 503 may name in Retry-After for how long it wants nothing from that host.

The host now holds the endpoint back until the time has passed, whatever is sent: retries, resumed streams and relayed requests are all placed here. Then it gets one request at a time until one is served. Where all local endpoints hold requests back and no region serves, the refusal is immediate and its Retry-After is the earliest return, that of a remote region included.

Not measured: whether telling peer hosts of a pause would serve callers better; they are not told.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -71,6 +71,7 @@
 	// endpoint is cold.
 	coldRequests []time.Time
 	rateLimit    rateLimit
+	pause        pause
 	// limitedSends holds the times of this host's requests while the endpoint names a
 	// rate limit, oldest first.
 	limitedSends []time.Time
@@ -212,8 +213,8 @@
 }
 
 // Sync adds the named endpoints and removes all others that have none of this host's
-// requests in flight and name no rate limit: a registration that lapses comes back, and
-// the limit holds on. Endpoints added after the first call get a slow start.
+// requests in flight, name no rate limit and are not paused: a registration that lapses
+// comes back, and these hold on. Endpoints added after the first call get a slow start.
 func (t *Table) Sync(now time.Time, names []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -229,7 +230,7 @@
 	}
 	t.synced = true
 	for n, s := range t.states {
-		if !keep[n] && s.InFlight == 0 && !s.rateLimit.active(now) {
+		if !keep[n] && s.InFlight == 0 && !s.rateLimit.active(now) && !now.Before(s.pause.until) {
 			delete(t.states, n)
 		}
 	}
@@ -269,6 +270,7 @@
 	s := t.state(name)
 	s.setInFlight(now, s.InFlight+1)
 	s.recordSend(now)
+	s.recordTrial(now)
 }
 
 // Result is how an attempt at an endpoint ended.
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -68,8 +68,9 @@
 	ParsePrompt func(tokens, parts string) Prompt
 	// ParseLoad parses the value of the field Load; false means that it is malformed.
 	ParseLoad func(value string) (Load, bool)
-	// ParseRate parses the value of the field RateLimit; false means that it is malformed.
-	ParseRate func(value string) (float64, bool)
+	// ParseDecimal parses the value of the field RateLimit, or a number of seconds; false means
+	// that it is malformed or negative.
+	ParseDecimal func(value string) (float64, bool)
 	// EncodeAddresses encodes the directory's answer: listen addresses of hosts and their time to live.
 	EncodeAddresses func(addresses []string, ttl time.Duration) ([]byte, error)
 }
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -303,6 +303,12 @@
 
 // callHost is like call for the host of a region.
 func (f *fleet) callHost(region, method, path, id string, change func(*http.Request)) (int, string, error) {
+	f.t.Helper()
+	return f.callResponse(region, method, path, id, nil, change)
+}
+
+// callResponse is like callHost and passes the response to read, which may be nil.
+func (f *fleet) callResponse(region, method, path, id string, read func(*http.Response), change func(*http.Request)) (int, string, error) {
 	f.t.Helper()
 	body := io.Reader(nil)
 	if method == http.MethodPost {
@@ -324,6 +330,9 @@
 		return 0, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if read != nil {
+		read(resp)
+	}
 	text, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(text), err
 }
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -38,6 +38,10 @@
 	// leavingValue is the value of the header field by which endpoints announce that they
 	// leave.
 	leavingValue = "1"
+	// retryAfterField is the header field with the seconds for which an endpoint wants no
+	// requests; maxPauseSeconds keeps them in the range of a time.Duration.
+	retryAfterField = "Retry-After"
+	maxPauseSeconds = 1e9
 )
 
 // Attempt is one attempt of a request at one endpoint.
@@ -85,7 +89,10 @@
 	Leaving bool
 	// Failed reports whether the endpoint refused the request or failed.
 	Failed bool
-	// Malformed is the value of a field that can't be parsed, empty if there is none.
+	// Pause is the time for which the endpoint, which refused the request, wants no others;
+	// 0 if it names none.
+	Pause time.Duration
+	// Malformed is a field that can't be parsed, empty if there is none.
 	Malformed string
 }
 
@@ -103,6 +110,8 @@
 	CallerLeft bool
 	// Misdirected reports whether another endpoint now has the address (status 421).
 	Misdirected bool
+	// Pause is that of Notice.
+	Pause time.Duration
 	// Load is the load that the endpoint reported; Slots is 0 if it reported none.
 	Load terms.Load
 	// TimeToFirstByte is the time from the start of the attempt to the first byte of the body.
@@ -201,8 +210,10 @@
 	if load, ok := e.client.Terms.ParseLoad(resp.Header.Get(e.client.Terms.Load)); ok {
 		e.result.Load = load
 	}
+	n := e.client.notice(resp)
+	e.result.Pause = n.Pause
 	if e.attempt.OnNotice != nil {
-		e.attempt.OnNotice(e.client.notice(resp))
+		e.attempt.OnNotice(n)
 	}
 	if e.failedByStatus(resp) {
 		return e.consumeAnswer(resp)
@@ -218,10 +229,17 @@
 	h := resp.Header
 	n := Notice{Leaving: h.Get(c.Terms.Leaving) == leavingValue, Failed: resp.StatusCode >= http.StatusInternalServerError || h.Get(c.Terms.NotRun) != ""}
 	if text := h.Get(c.Terms.RateLimit); text != "" {
-		if rate, ok := c.Terms.ParseRate(text); ok {
+		if rate, ok := c.Terms.ParseDecimal(text); ok {
 			n.RateLimit = &rate
 		} else {
-			n.Malformed = text
+			n.Malformed = c.Terms.RateLimit + ": " + text
+		}
+	}
+	if text := h.Get(retryAfterField); text != "" && resp.StatusCode == http.StatusServiceUnavailable {
+		if seconds, ok := c.Terms.ParseDecimal(text); ok {
+			n.Pause = time.Duration(min(seconds, maxPauseSeconds) * float64(time.Second))
+		} else {
+			n.Malformed = retryAfterField + ": " + text
 		}
 	}
 	return n
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -162,7 +162,7 @@
 		return d
 	}
 	if delay > 0 {
-		return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "endpoints limit their rate").WithRetryAfter(delay)}
+		return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "endpoints want no more requests for now").WithRetryAfter(delay)}
 	}
 	return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint accepts the request").WithRetryAfter(defaultRetryAfter)}
 }
@@ -277,9 +277,9 @@
 const minRemoteRoundTrip = 5 * time.Millisecond
 
 // candidates returns the local endpoints that may take the request, with the state
-// that the choice depends on. Endpoints are left out while this host has used up its share
-// of the rate limits that they name; delay is the shortest time until one of them takes a
-// request, 0 if none is left out.
+// that the choice depends on. Endpoints are left out while they want no requests of this
+// host, or it has used up its share of the rate limits that they name; delay is the
+// shortest time until one of them takes a request, 0 if none is left out.
 func (p *Proxy) candidates(now time.Time, t *task, req pick.Request, s *rules.Service) (list []pick.Candidate, endpoints []regis.Endpoint, delay time.Duration) {
 	for _, e := range p.Board.Registry.Endpoints(t.Service) {
 		if e.Region == p.Board.Region && p.mayServe(t, e) && !t.tried[e.ID] {
@@ -291,14 +291,14 @@
 		names[i] = endpoints[i].ID
 	}
 	list = make([]pick.Candidate, len(endpoints))
-	// Most of the time no endpoint names a limit.
-	var limits map[int]*float64
+	// Most of the time no endpoint pauses or limits requests, and the map is not needed.
+	var held map[int]heldEndpoint
 	p.Board.Endpoints.Each(names, func(i int, st *endpt.State) {
-		if rate, limited := st.RateLimit(now); limited {
-			if limits == nil {
-				limits = map[int]*float64{}
+		if h := heldState(st, now); h != (heldEndpoint{}) {
+			if held == nil {
+				held = map[int]heldEndpoint{}
 			}
-			limits[i] = &rate
+			held[i] = h
 		}
 		list[i] = pick.Candidate{
 			Name: endpoints[i].ID, Slots: endpoints[i].SlotsOf(s),
@@ -307,8 +307,8 @@
 			Cached: req.Prefix != 0 && p.Prefixes.Cached(now, endpoints[i].ID, req.Prefix),
 		}
 	})
-	for i := len(list) - 1; i >= 0 && len(limits) > 0; i-- {
-		d := p.limitDelay(now, names[i], limits[i])
+	for i := len(list) - 1; i >= 0 && len(held) > 0; i-- {
+		d := p.heldDelay(now, names[i], held[i])
 		if d == 0 {
 			continue
 		}
@@ -320,14 +320,63 @@
 	return list, endpoints, delay
 }
 
-// limitDelay returns the time until this host may send an endpoint a request, within its
-// share of the rate limit that the endpoint names; perSecond is nil if it names none.
-func (p *Proxy) limitDelay(now time.Time, endpoint string, perSecond *float64) time.Duration {
-	if perSecond == nil {
-		return 0
+// heldEndpoint is what an endpoint says of the requests that it wants.
+type heldEndpoint struct {
+	// pause is the time for which it wants none of this host.
+	pause time.Duration
+	// perSecond is the rate limit that it names, nil for none.
+	perSecond *float64
+}
+
+// heldState returns what an endpoint says of the requests that it wants, zero if nothing.
+func heldState(st *endpt.State, now time.Time) heldEndpoint {
+	h := heldEndpoint{pause: st.PauseDelay(now)}
+	if rate, limited := st.RateLimit(now); limited {
+		h.perSecond = &rate
+	}
+	return h
+}
+
+// heldDelay returns the time until this host may send an endpoint a request, 0 for now.
+func (p *Proxy) heldDelay(now time.Time, endpoint string, h heldEndpoint) time.Duration {
+	if h.perSecond == nil {
+		return h.pause
+	}
+	most, window := p.LimitShare(endpoint, *h.perSecond)
+	return max(h.pause, p.Board.Endpoints.LimitDelay(now, endpoint, most, window))
+}
+
+// returnDelay returns the time until the first of the local endpoints that may serve the
+// request takes one, and false if that is not known of one of them, or there is none.
+func (p *Proxy) returnDelay(now time.Time, t *task) (time.Duration, bool) {
+	shortest, known := time.Duration(0), false
+	for _, e := range p.Board.Registry.Endpoints(t.Service) {
+		if e.Region != p.Board.Region || !p.mayServe(t, e) {
+			continue
+		}
+		st := p.Board.Endpoints.Get(e.ID)
+		d := p.heldDelay(now, e.ID, heldState(&st, now))
+		if d == 0 {
+			return 0, false
+		}
+		if !known || d < shortest {
+			shortest, known = d, true
+		}
+	}
+	return shortest, known
+}
+
+// withReturn returns a refusal with the time until an endpoint takes a request, if the
+// endpoints themselves have said when.
+func (p *Proxy) withReturn(t *task, r *fault.Refusal) *fault.Refusal {
+	d, known := p.returnDelay(p.Now(), t)
+	if !known || (r.Code != fault.NoEndpoint && r.Code != fault.Busy) {
+		return r
+	}
+	if t.report.Region != p.Board.Region {
+		d = min(d, r.RetryAfter)
 	}
-	most, window := p.LimitShare(endpoint, *perSecond)
-	return p.Board.Endpoints.LimitDelay(now, endpoint, most, window)
+	return r.WithRetryAfter(d)
 }
 
 // slowdownThreshold is the ratio of measured to expected latency above which an
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -159,9 +159,15 @@
 		p.tellPeers()
 	}
 	if n.Malformed != "" {
-		p.Log.Warn().Str("request", t.ID).Str("endpoint", e.ID).Str("value", n.Malformed).Msg("ignoring a rate limit that can't be parsed")
+		p.Log.Warn().Str("request", t.ID).Str("endpoint", e.ID).Str("field", n.Malformed).Msg("ignoring a field of an answer that can't be parsed")
 		return
 	}
+	if n.Pause > 0 && p.Board.Endpoints.SetPause(now, e.ID, n.Pause) {
+		p.Log.Info().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Dur("pause", n.Pause).Msg("endpoint wants no requests for a time")
+	}
+	if !n.Failed {
+		p.Board.Endpoints.EndPause(e.ID, sent)
+	}
 	if n.RateLimit == nil && n.Failed {
 		// An answer of an endpoint that could not serve need not name its limit.
 		return
@@ -227,7 +233,7 @@
 	case out.Reason == retry.Silent:
 		res.refusal = newRefusal(fault.EndpointSilent, out.Ran, out.Err, "endpoint did not answer in time")
 	case out.Reason == retry.Refused || out.Reason == retry.Dial:
-		res.refusal = newRefusal(fault.Busy, out.Ran, out.Err, "endpoint does not accept requests").WithRetryAfter(defaultRetryAfter)
+		res.refusal = newRefusal(fault.Busy, out.Ran, out.Err, "endpoint does not accept requests").WithRetryAfter(max(defaultRetryAfter, out.Pause))
 	default:
 		res.refusal = newRefusal(fault.EndpointError, out.Ran, out.Err, "endpoint failed")
 	}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -274,7 +274,7 @@
 		if d.refusal != nil {
 			if t.lastRefusal != nil && d.refusal.Code == fault.NoEndpoint {
 				// The last refusal tells the caller more than that no endpoint is left.
-				return t.lastRefusal
+				return p.withReturn(t, t.lastRefusal)
 			}
 			return d.refusal
 		}
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -23,6 +23,8 @@
 	Times int
 	// NotRun refuses the request and marks it as not run.
 	NotRun bool
+	// RetryAfter is the value of Retry-After of a refusal, empty for none.
+	RetryAfter string
 	// Status is sent as the response status after running the request; 0 is off.
 	Status int
 	// CutAfter closes the connection of a stream after that many events, CutBody closes
@@ -67,6 +69,7 @@
 	leaving   bool
 	runs      []Run
 	cancelled int
+	refused   int
 }
 
 // New starts an endpoint on a loopback address. The caller closes it.
@@ -134,6 +137,19 @@
 	return e.cancelled
 }
 
+// Refused returns the number of requests that the endpoint refused.
+func (e *Endpoint) Refused() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.refused
+}
+
+func (e *Endpoint) countRefused() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refused++
+}
+
 // nextFault returns the fault for a new request and counts down its Times.
 func (e *Endpoint) nextFault() Fault {
 	e.mu.Lock()
@@ -164,6 +180,10 @@
 	f := e.nextFault()
 	if f.NotRun {
 		h.Set(e.Terms.NotRun, "1")
+		if f.RetryAfter != "" {
+			h.Set("Retry-After", f.RetryAfter)
+		}
+		e.countRefused()
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
