Wait for a silent relay if no other attempt can serve the caller

After the silence the entry host now asks: has the relay's process ended or started again, then the request is given up at once at the next question; can the request be repeated and would another attempt be served, then that one is made; else it waits on, until the deadline. A repeatable request that the relay has not acknowledged is given up as before. What the wait holds is the slot that the caller holds too.

TestPausedRelayLosesAnswer is whole after 3.7 s of silence; with the answer to the question that Exchange gives, the behaviour before, it fails. Not done: a test with SIGSTOP; the links' idle time of 7 s; new requests that are still handed to a silent relay.

--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -237,6 +237,9 @@
 	return p, nil
 }
 
+// Address returns the UDP address that the link listens on.
+func (l *Link) Address() string { return l.transport.Conn.LocalAddr().String() }
+
 // Send sends a datagram to one or more addresses, without acknowledgement or
 // retransmission. It returns the size of the datagram and the number of addresses that it
 // was sent to.
--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -34,6 +34,12 @@
 	if err := s.s.SetReadDeadline(deadline); err != nil {
 		return wire.Frame{}, fmt.Errorf("set read deadline: %w", err)
 	}
+	return s.Next(limit)
+}
+
+// Next receives a frame of at most limit bytes. It waits until one arrives or Expire or
+// Abort is called.
+func (s *Stream) Next(limit int) (wire.Frame, error) {
 	f, err := wire.Read(s.s, limit)
 	if err != nil {
 		return f, fmt.Errorf("read from stream: %w", err)
@@ -41,6 +47,9 @@
 	return f, nil
 }
 
+// Expire fails the present read and all later ones.
+func (s *Stream) Expire() { _ = s.s.SetReadDeadline(time.Now()) }
+
 // Finish closes the sending direction.
 func (s *Stream) Finish() { _ = s.s.Close() }
 
--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
@@ -146,6 +147,14 @@
 // received nothing.
 func Exchange(
 	ctx context.Context, l *link.Link, host, address string, req wire.Request, sink client.Sink, ackTimeout time.Duration,
+) (*wire.End, error) {
+	return ExchangeUntil(ctx, l, host, address, req, sink, ackTimeout, func(bool) bool { return true })
+}
+
+// ExchangeUntil is like Exchange, but after a time without a frame it fails only if giveUp
+// returns true. Otherwise it waits for FrameTimeout again, until ctx ends.
+func ExchangeUntil(
+	ctx context.Context, l *link.Link, host, address string, req wire.Request, sink client.Sink, ackTimeout time.Duration, giveUp func(acked bool) bool,
 ) (*wire.End, error) {
 	s, err := l.OpenStream(ctx, host, address)
 	if err != nil {
@@ -159,9 +168,11 @@
 		return nil, fmt.Errorf("send request to %s: %w", host, err)
 	}
 	s.Finish()
-	wait, acked := ackTimeout, false
+	silence := newWatchdog(ackTimeout, giveUp, s.Expire)
+	defer silence.stop()
+	acked := false
 	for {
-		fr, err := s.Read(wire.MaxFrame, time.Now().Add(wait))
+		fr, err := s.Next(wire.MaxFrame)
 		if err != nil {
 			l.DropConn(host)
 			if !acked {
@@ -169,19 +180,82 @@
 			}
 			return nil, fmt.Errorf("read answer from %s: %w", host, err)
 		}
-		if !acked && sink.Acked != nil {
-			sink.Acked()
-		}
-		wait, acked = FrameTimeout, true
 		if fr.End != nil {
 			return fr.End, nil
 		}
-		if err := passFrame(fr, sink); err != nil {
+		err = silence.pass(func() error {
+			if !acked && sink.Acked != nil {
+				sink.Acked()
+			}
+			acked = true
+			return passFrame(fr, sink)
+		})
+		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrSink, err)
 		}
 	}
 }
 
+// watchdog asks whether to give up an answer each time that no frame has arrived for a
+// while. It does not ask while a frame is passed on.
+type watchdog struct {
+	giveUp func(acked bool) bool
+	expire func()
+	timer  *time.Timer
+
+	mu  sync.Mutex
+	due time.Time
+	// acked reports whether a frame has arrived.
+	acked bool
+	done  bool
+}
+
+// newWatchdog returns a running watchdog that first asks after ackTimeout and calls expire
+// if giveUp returns true.
+func newWatchdog(ackTimeout time.Duration, giveUp func(acked bool) bool, expire func()) *watchdog {
+	w := &watchdog{giveUp: giveUp, expire: expire, due: time.Now().Add(ackTimeout)}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(ackTimeout, w.ask)
+	return w
+}
+
+func (w *watchdog) ask() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.done {
+		return
+	}
+	if left := time.Until(w.due); left > 0 {
+		w.timer.Reset(left)
+		return
+	}
+	if w.giveUp(w.acked) {
+		w.expire()
+		return
+	}
+	w.due = time.Now().Add(FrameTimeout)
+	w.timer.Reset(FrameTimeout)
+}
+
+// pass passes a frame on.
+func (w *watchdog) pass(step func() error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	err := step()
+	w.acked = true
+	w.due = time.Now().Add(FrameTimeout)
+	return err
+}
+
+// stop ends the watchdog and waits for a running question.
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done = true
+	w.timer.Stop()
+}
+
 // passFrame passes the head or the data of a frame to sink.
 func passFrame(fr wire.Frame, sink client.Sink) error {
 	if fr.Head != nil {
--- /dev/null
+++ b/internal/serve/flow/remote_test.go
@@ -0,0 +1,74 @@
+package flow
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+)
+
+// newLink returns a link on a loopback address with credentials of the authority.
+func newLink(t *testing.T, ca *certs.Authority, name string, h link.Handlers) *link.Link {
+	t.Helper()
+	creds, err := ca.Issue(name, time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := link.New("127.0.0.1:0", creds)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Serve(h)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// TestPausedRelayLosesAnswer: the answer of a relay that is silent for longer than
+// FrameTimeout and goes on then is whole, unless the sender decides to give it up.
+func TestPausedRelayLosesAnswer(t *testing.T) {
+	const pause = FrameTimeout + 700*time.Millisecond
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	relay := newLink(t, ca, "relay", link.Handlers{Stream: func(_ context.Context, _ string, s *link.Stream) {
+		if _, err := s.Read(wire.MaxFrame, later()); err != nil {
+			return
+		}
+		_ = s.Write(wire.Frame{Head: &wire.Head{Status: 200}}, later())
+		_ = s.Write(wire.Frame{Data: []byte("first ")}, later())
+		time.Sleep(pause)
+		_ = s.Write(wire.Frame{Data: []byte("second")}, later())
+		_ = s.Write(wire.Frame{End: &wire.End{}}, later())
+		s.Finish()
+	}})
+	entry := newLink(t, ca, "entry", link.Handlers{})
+	for _, giveUp := range []bool{false, true} {
+		var body bytes.Buffer
+		sink := client.Sink{
+			Head: func(wire.Head) error { return nil },
+			Data: func(p []byte) error { _, err := body.Write(p); return err },
+		}
+		asked := 0
+		end, err := ExchangeUntil(context.Background(), entry, "relay", relay.Address(), wire.Request{ID: "r"}, sink, time.Second, func(acked bool) bool {
+			if asked++; !acked {
+				t.Error("the relay's acknowledgement was not noticed")
+			}
+			return giveUp
+		})
+		switch {
+		case asked != 1:
+			t.Errorf("give up %v: asked %d times, want once", giveUp, asked)
+		case giveUp && err == nil:
+			t.Error("the answer was not given up")
+		case !giveUp && (err != nil || end == nil || body.String() != "first second"):
+			t.Errorf("got answer %q, error %v, want the whole answer", body.String(), err)
+		}
+	}
+}
--- a/internal/serve/proxy/local_test.go
+++ b/internal/serve/proxy/local_test.go
@@ -8,6 +8,8 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 )
 
@@ -57,3 +59,44 @@
 }
 
 func duration(d time.Duration) *time.Duration { return &d }
+
+// TestGivesUpRelay: a silent relay is given up if its process has ended, or if another
+// attempt can serve the caller.
+func TestGivesUpRelay(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	const life = 900
+	for _, tt := range []struct {
+		name  string
+		kind  rules.Kind
+		other bool
+		acked bool
+		// state is what membership says of the relay, and life its incarnation.
+		state wire.State
+		life  uint64
+		want  bool
+	}{
+		{"paused, may not be repeated", rules.Unsafe, true, true, wire.Suspect, life, false},
+		{"paused, may not be repeated, not acknowledged", rules.Unsafe, true, false, wire.Alive, life, false},
+		{"ended, may not be repeated", rules.Unsafe, true, true, wire.Dead, life, true},
+		{"started again", rules.Unsafe, true, true, wire.Alive, life + 1, true},
+		{"paused, another endpoint", rules.Safe, true, true, wire.Suspect, life, true},
+		{"paused, no other endpoint", rules.Safe, false, true, wire.Suspect, life, false},
+		{"not acknowledged, no other endpoint", rules.Safe, false, false, wire.Suspect, life, true},
+	} {
+		p := releaseProxy(now)
+		p.Budget = retry.NewFleetBudget(retry.Bound{Slack: 100, Window: 10 * time.Second}, func() int { return 1 })
+		if tt.other {
+			p.Board.Registry.Put(regis.Endpoint{ID: "other", Service: "s", Centre: "c", Region: "r", Slots: 12, Revision: 1})
+		}
+		relay := member.Member{Candidate: member.Candidate{Name: "relay", Region: "x"}, Incarnation: life}
+		p.Board.Members.SetCandidates(now, []member.Candidate{relay.Candidate})
+		p.Board.Members.Receive(now, wire.Packet{Kind: wire.Announce, From: "relay", Incarnation: tt.life, Updates: []wire.Update{{Host: "relay", Life: tt.life, State: tt.state}}})
+		task := &task{
+			Request: Request{Route: &rules.Route{Kind: tt.kind}, Service: "s", Arrived: now, Deadline: now.Add(4 * time.Second), AttemptsLeft: 2},
+			tried:   map[string]bool{"relay": true},
+		}
+		if got := p.givesUpRelay(task, relay, now, tt.acked); got != tt.want {
+			t.Errorf("%s: gives up = %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
@@ -33,7 +35,8 @@
 	}
 	start := p.Now()
 	sink.Acked = func() { p.Board.Remotes.ObserveRoundTrip(d.region, p.Now().Sub(start)) }
-	end, err := flow.Exchange(ctx, p.Link, m.Name, m.Address, p.newWireRequest(t), p.remoteSink(t, sink), timeout)
+	giveUp := func(acked bool) bool { return p.givesUpRelay(t, m, start, acked) }
+	end, err := flow.ExchangeUntil(ctx, p.Link, m.Name, m.Address, p.newWireRequest(t), p.remoteSink(t, sink), timeout, giveUp)
 	p.Log.Debug().Str("request", t.ID).Str("peer", m.Name).Str("region", d.region).Str("service", t.Service).
 		Dur("first", t.report.TimeToFirstByte).Dur("heard", p.Now().Sub(m.LastSeen)).AnErr("cause", err).Msg("relayed")
 	if err != nil && !errors.Is(err, flow.ErrSink) {
@@ -42,6 +45,22 @@
 	return p.relayResult(t, end, err)
 }
 
+// givesUpRelay reports whether to give up a request at a relay that has been silent for a
+// while: the relay's process has ended, or another attempt can serve the caller. Otherwise
+// the relay may only be paused, and has the answer when it wakes.
+func (p *Proxy) givesUpRelay(t *task, relay member.Member, start time.Time, acked bool) bool {
+	m, known := p.Board.Members.Member(relay.Name)
+	if !known || m.Incarnation != relay.Incarnation || m.State == wire.Dead || m.State == wire.Left {
+		return true
+	}
+	mayResume := t.Route.Kind == rules.Stream && t.Route.Resumable && t.release != nil
+	if !t.Route.Retryable() || (t.report.Started && !mayResume) {
+		return false
+	}
+	// A relay that has not even acknowledged the request has done nothing for it yet.
+	return !acked || p.hasAlternative(t, start)
+}
+
 // remoteSink returns a sink that records the endpoint of another region's answer and fails
 // if it would continue the stream at another release.
 func (p *Proxy) remoteSink(t *task, sink client.Sink) client.Sink {
