Admit a continued stream by its deadline, not by a first token's target

The logs of two of them: the engine is silent for three target gaps, hasAlternative says that another place would serve, and then every region refuses the rest of the stream: 'expected latency 953 ms, 2341 ms since arrival, target 1000 ms'. That target is the first token's, which the caller has had for 1.7 s. Ruled out: the reset of the endpoint (it ends with 'cut', by us), the retry budget, and the release (one only).

A stream that goes on, in the answer or taken up by its caller, is now refused only if it would miss its deadline; hasAlternative still asks by the target, so that streams are not moved more often.

--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/admit"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/place"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
 // decision is the next step of a request: an endpoint, another region, waiting, or a
@@ -148,7 +149,7 @@
 			break
 		}
 		e, candidate := endpoints[choice.Index], list[choice.Index]
-		d := p.admit(now, t, choice, candidate)
+		d := p.admit(now, t, choice, candidate, t.firstTokenTarget())
 		d.endpoint = e
 		if d.refusal != nil || d.wait {
 			return d
@@ -167,9 +168,18 @@
 	return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint accepts the request").WithRetryAfter(defaultRetryAfter)}
 }
 
+// firstTokenTarget returns the latency target that a request is admitted by, 0 for none: the
+// caller already has the first token of a stream that goes on.
+func (t *task) firstTokenTarget() time.Duration {
+	if t.lastEventID != stream.NoID {
+		return 0
+	}
+	return t.Route.Target
+}
+
 // admit decides whether a request is sent to its best endpoint now, waits, or is
-// refused.
-func (p *Proxy) admit(now time.Time, t *task, choice pick.Choice, best pick.Candidate) decision {
+// refused, by a latency target.
+func (p *Proxy) admit(now time.Time, t *task, choice pick.Choice, best pick.Candidate, target time.Duration) decision {
 	d := decision{expectedLatency: choice.Score, prefill: choice.Prefill, allFailing: choice.AllFailing, queuedPrefill: best.QueuedPrefill, prefixCached: best.Cached, slowdown: max(1, best.Slowdown)}
 	if !t.Route.Prompts {
 		return d
@@ -182,7 +192,7 @@
 	q := p.serviceQueue(t.Service)
 	a := admit.Request{
 		Prefill: choice.Prefill, QueuedPrefill: best.QueuedPrefill, ExpectedLatency: d.expectedLatency, Waited: now.Sub(t.Arrived), RoundTrip: t.RelayRoundTrip, FailedTime: t.failedTime,
-		Target: t.Route.Target, TimeLeft: t.Deadline.Sub(now), QueueHead: !t.queuedAt.IsZero(),
+		Target: target, TimeLeft: t.Deadline.Sub(now), QueueHead: !t.queuedAt.IsZero(),
 	}
 	if t.queuedAt.IsZero() && choice.Prefill >= admit.LongPrefill {
 		a.Backlog = q.prefill / time.Duration(max(1, len(p.Board.Registry.Endpoints(t.Service))))
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -119,7 +119,7 @@
 	if t.Route.Allows(p.Board.Region) {
 		list, _, _ := p.candidates(now, &retried, req, p.service(t.Service))
 		if c := pick.ChooseEndpoint(req, list, p.rand); c.Index >= 0 && !c.AllFailing {
-			if d := p.admit(now, &retried, c, list[c.Index]); d.refusal == nil && !d.wait {
+			if d := p.admit(now, &retried, c, list[c.Index], t.Route.Target); d.refusal == nil && !d.wait {
 				return true
 			}
 		}
--- a/internal/serve/proxy/local_test.go
+++ b/internal/serve/proxy/local_test.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
 // TestHasAlternative loads the endpoints of a region and checks whether a stream that is
@@ -100,3 +101,32 @@
 		}
 	}
 }
+
+// TestContinuedStreamIsRefusedAsLate: a stream whose first token the caller has goes on
+// while its deadline allows it, however late a first token would be now.
+func TestContinuedStreamIsRefusedAsLate(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, tt := range []struct {
+		name  string
+		after int
+		left  time.Duration
+		want  bool
+	}{
+		{"new", stream.NoID, 3 * time.Second, false},
+		{"continued", 4, 3 * time.Second, true},
+		{"continued, deadline too near", 4, 300 * time.Millisecond, false},
+	} {
+		p := releaseProxy(now, "v1")
+		p.Board.Endpoints.AddQueuedPrefill("e-v1", 0, 900*time.Millisecond)
+		task := &task{
+			Request: Request{
+				Route: &rules.Route{Kind: rules.Stream, Resumable: true, Prompts: true, Target: time.Second}, Service: "s",
+				Prompt: terms.Prompt{Tokens: 300}, Arrived: now.Add(-2300 * time.Millisecond), Deadline: now.Add(tt.left), AttemptsLeft: 2,
+			},
+			tried: map[string]bool{}, lastEventID: tt.after,
+		}
+		if d := p.choose(task); (d.refusal == nil) != tt.want {
+			t.Errorf("%s: refusal %v, want admitted = %v", tt.name, d.refusal, tt.want)
+		}
+	}
+}
