Test that a host learns a stream's release from those that were told

TestTakenUpStreamChangesRelease has one other host, which is always told. Six hosts: each stream is taken up at a host that was not, after the one that began it has ended.

--- a/internal/serve/node/follow_test.go
+++ b/internal/serve/node/follow_test.go
@@ -35,8 +35,8 @@
 		if err := n.Start(); err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { _ = n.Close() })
 		f.nodes[name] = n
+		t.Cleanup(func() { f.closeHost(name) })
 	}
 	f.eventually("every host knows all others", func() bool {
 		for _, n := range f.nodes {
--- a/internal/serve/node/release_test.go
+++ b/internal/serve/node/release_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/board/origin"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
@@ -129,3 +130,61 @@
 		t.Errorf("%d streams of v1 went on at v2", n)
 	}
 }
+
+// TestTakenUpStreamIsLostToOtherHosts: a host that was not told which release began a stream
+// learns it from one that was, also after the host that began it has ended.
+func TestTakenUpStreamIsLostToOtherHosts(t *testing.T) {
+	const hosts, streams = 6, 12
+	f := startCentre(t, hosts)
+	f.endpoints = map[string]*routed.Endpoint{}
+	f.startRelease("model-a1", "a", "v1", false)
+	f.startRelease("model-a2", "a", "v2", true)
+	f.hostsKnow("model-a1/v1")
+	f.eventually("all hosts are ready and know both releases", func() bool {
+		for _, n := range f.nodes {
+			if n.board.Registry.Len() != 2 || !n.board.Health.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+	f.endpoints["model-a1"].SetFault(routed.Fault{Times: streams, CutAfter: 3})
+	for i := range streams {
+		if _, _, err := f.callHost("n0", "POST", "/stream/x", fmt.Sprint("s", i), nil); err == nil {
+			t.Errorf("stream %d is whole, want it cut", i)
+		}
+	}
+	f.startRelease("model-a2", "a", "v2", false)
+	f.startRelease("model-a3", "a", "v1", false)
+	f.hostsKnow("model-a1/v1", "model-a2/v2", "model-a3/v1")
+	f.eventually("the streams are announced", func() bool {
+		told := 0
+		for name, n := range f.nodes {
+			for i := range streams {
+				if _, ok := n.board.Origins.Find(n.now(), origin.KeyOf(fmt.Sprint("s", i))); ok && name != "n0" {
+					told++
+				}
+			}
+		}
+		return told >= 3*streams
+	})
+	f.closeHost("n0")
+	asked := 0
+	for i := range streams {
+		id := fmt.Sprint("s", i)
+		for name, n := range f.nodes {
+			if _, known := n.board.Origins.Find(n.now(), origin.KeyOf(id)); known {
+				continue
+			}
+			asked++
+			want := routed.Event("up-"+id, 3) + routed.Event("up-"+id, 4)
+			if _, body, err := f.callHost(name, "POST", "/stream/x", "up-"+id, takeUp(id, 2)); err != nil || body != want {
+				t.Errorf("stream %s at host %s: got body %q, error %v, want its events 3 and 4", id, name, body, err)
+			}
+			break
+		}
+	}
+	if asked == 0 || f.resumed("model-a2") != 0 {
+		t.Errorf("%d streams were taken up at hosts that did not know them, and %d went on at v2", asked, f.resumed("model-a2"))
+	}
+}
