Keep what an answer says beside a field that can't be parsed

A malformed Retry-After made the host ignore the rate limit in the same answer. Found on rereading; TestMalformedNoticeIsIgnored covers what the head of an answer says. Comments of two tables corrected.

--- a/internal/board/endpt/limit.go
+++ b/internal/board/endpt/limit.go
@@ -13,8 +13,6 @@
 	limitMemory = 60 * time.Second
 	// announcedLimitAge is how long a host passes on what it heard of an endpoint's limit.
 	announcedLimitAge = 2 * time.Second
-	// maxSendHistory bounds the span of the recorded requests to a limited endpoint.
-	maxSendHistory = limitMemory
 )
 
 // rateLimit is what is known of the rate of requests that an endpoint takes from all
@@ -79,7 +77,7 @@
 	if !s.rateLimit.active(now) {
 		return
 	}
-	for len(s.limitedSends) > 0 && now.Sub(s.limitedSends[0]) >= maxSendHistory {
+	for len(s.limitedSends) > 0 && now.Sub(s.limitedSends[0]) >= limitMemory {
 		s.limitedSends = s.limitedSends[1:]
 	}
 	s.limitedSends = append(s.limitedSends, now)
--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -60,14 +60,15 @@
 	// expiring holds the endpoints whose registration was removed during or soon after
 	// an outage of the store, with the time at which they are dropped.
 	expiring map[string]time.Time
-	// releases holds when each release of a service was last registered, and only the
-	// services of which one release was registered within releaseMemory.
+	// releases holds when each release of a service was last registered.
 	releases map[serviceRelease]time.Time
-	only     map[string]string
+	// only holds the release of each service that had one alone within releaseMemory.
+	only map[string]string
 	// restored is the revision of the first listing of the present era, 0 before the first
 	// restore of the store. A write up to it may be one of the older copy.
 	restored uint64
-	listed   uint64
+	// listed is the revision of the last listing.
+	listed uint64
 	// leaving holds the endpoints that announced that they leave, by id. It outlives their
 	// registrations.
 	leaving map[string]leavingMark
--- a/internal/fleet/duty/origin.go
+++ b/internal/fleet/duty/origin.go
@@ -36,7 +36,8 @@
 // host began it.
 func OriginSources(key uint64, others []member.Member) []member.Member {
 	ranked := rankByRegion(key, others)
-	// The host that began the stream was left out of the order and may be in it here.
+	// The order that the keepers were taken from left out the host that began the stream,
+	// which may be first in this one.
 	depth := 1 + (originCopies+len(ranked)-1)/max(1, len(ranked))
 	var out []member.Member
 	for _, r := range regionOrder(key, "", ranked) {
--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"reflect"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -353,3 +355,35 @@
 		t.Errorf("load %+v, want 3 running and 8 slots", out.Load)
 	}
 }
+
+// TestMalformedNoticeIsIgnored: a field that can't be parsed is named and changes nothing
+// else that the answer says.
+func TestMalformedNoticeIsIgnored(t *testing.T) {
+	const limit, leaving, retryAfter = "X-Limit", "X-Leaving", "Retry-After"
+	c := &Client{Terms: &terms.Terms{RateLimit: limit, Leaving: leaving, ParseDecimal: func(v string) (float64, bool) {
+		n, err := strconv.ParseFloat(v, 64)
+		return n, err == nil
+	}}}
+	rate := 2.5
+	for _, tt := range []struct {
+		name   string
+		status int
+		header map[string]string
+		want   Notice
+	}{
+		{"nothing", 200, nil, Notice{}},
+		{"all", 503, map[string]string{limit: "2.5", leaving: "1", retryAfter: "1.5"}, Notice{RateLimit: &rate, Leaving: true, Failed: true, Pause: 1500 * time.Millisecond}},
+		{"time to come back of a served request", 200, map[string]string{retryAfter: "9"}, Notice{}},
+		{"malformed time", 503, map[string]string{limit: "2.5", retryAfter: "Fri, 04 Dec 2026 09:00:00 GMT"}, Notice{RateLimit: &rate, Failed: true, Malformed: "Retry-After: Fri, 04 Dec 2026 09:00:00 GMT"}},
+		{"absurd time", 503, map[string]string{retryAfter: "1e300"}, Notice{Failed: true, Pause: maxPauseSeconds * time.Second}},
+		{"malformed limit", 200, map[string]string{limit: "few", leaving: "1"}, Notice{Leaving: true, Malformed: "X-Limit: few"}},
+	} {
+		resp := &http.Response{StatusCode: tt.status, Header: http.Header{}}
+		for name, value := range tt.header {
+			resp.Header.Set(name, value)
+		}
+		if got := c.notice(resp); !reflect.DeepEqual(got, tt.want) {
+			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -160,7 +160,6 @@
 	}
 	if n.Malformed != "" {
 		p.Log.Warn().Str("request", t.ID).Str("endpoint", e.ID).Str("field", n.Malformed).Msg("ignoring a field of an answer that can't be parsed")
-		return
 	}
 	if n.Pause > 0 && p.Board.Endpoints.SetPause(now, e.ID, n.Pause) {
 		p.Log.Info().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Dur("pause", n.Pause).Msg("endpoint wants no requests for a time")
@@ -168,7 +167,7 @@
 	if !n.Failed {
 		p.Board.Endpoints.EndPause(e.ID, sent)
 	}
-	if n.RateLimit == nil && n.Failed {
+	if n.RateLimit == nil && (n.Failed || n.Malformed != "") {
 		// An answer of an endpoint that could not serve need not name its limit.
 		return
 	}
