Refuse requests that a draining host can't finish in its grace period

Hosts accepted for 3 s after they had handled the signal, with the poll of 20 ms on top, so up to some 3.02 s after it was sent, which the rest of the grace period is not made for. They now accept for 2.8 s.

Before: TestDrainingHostAcceptsTooLong red, requests of 3.017 s.

--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -219,8 +219,10 @@
 const (
 	// acceptTime is how long a draining host still accepts new requests, because
 	// callers keep using open connections and cached directory answers. The rest of
-	// the grace period is for in-flight requests.
-	acceptTime = 3 * time.Second
+	// the grace period is for in-flight requests. It is less than 3 s, the time for which
+	// requests are certain to have enough of that rest, as a request is read some time
+	// after it was sent, and the signal is handled some time after it was.
+	acceptTime = 2800 * time.Millisecond
 	// idleTime is how long a draining host must have no in-flight requests before
 	// Drain returns.
 	idleTime = 700 * time.Millisecond
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -907,6 +907,36 @@
 	<-ended
 }
 
+// TestDrainingHostAcceptsTooLong: a host accepts no request that is sent 3 s after the signal
+// or later, as it may not be served before the grace period ends.
+func TestDrainingHostAcceptsTooLong(t *testing.T) {
+	const accepting = 3 * time.Second
+	f := startFleet(t)
+	n := f.nodes["a"]
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	signalled := time.Now()
+	go func() {
+		defer close(ended)
+		n.Drain(ctx)
+	}()
+	served := 0
+	for i := 0; time.Since(signalled) < accepting+100*time.Millisecond; i++ {
+		sent := time.Since(signalled)
+		status, _, err := f.call("GET", "/safe/x", fmt.Sprint("r", i), nil)
+		if err == nil && status == http.StatusOK {
+			if served++; sent >= accepting {
+				t.Errorf("a request that was sent %v after the signal was accepted", sent)
+			}
+		}
+	}
+	if served == 0 {
+		t.Error("no request was accepted, want those of callers that do not know yet")
+	}
+	cancel()
+	<-ended
+}
+
 // TestSmuggledRequest guards against request smuggling: a request inside the body
 // of another request never runs, also when the outer request's length is ambiguous.
 func TestSmuggledRequest(t *testing.T) {
