--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -50,8 +50,10 @@
 	// RateLimit is the rate of requests that the endpoint takes from all hosts together, in
 	// requests per second, sent with each answer while the endpoint limits it.
 	RateLimit string
-	// Leaving is set on each answer of an endpoint that takes no new requests and will end.
-	Leaving string
+	// Leaving has the value LeavingValue on each answer of an endpoint that takes no new
+	// requests and will end.
+	Leaving      string
+	LeavingValue string
 	// Priority is the priority of a request within an engine; 0 is the highest.
 	Priority string
 	// Reserved lists the fields that only the gateway may set in requests to endpoints.
--- a/internal/route/quota/quota.go
+++ b/internal/route/quota/quota.go
@@ -2,7 +2,7 @@
 // without coordination between them: each host reckons its own share from the hosts that
 // it knows, dead ones included, as these may only be cut off. Two kinds of limit are
 // divided: that of a cold endpoint, which the published rules state, and that which an
-// endpoint in need names in its answers.
+// overloaded endpoint names in its answers.
 package quota
 
 import (
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -35,9 +35,6 @@
 	// maxSkippedAnswers bounds the answers to other requests that an attempt skips.
 	maxSkippedAnswers = 4
 	eventStreamType   = "text/event-stream"
-	// leavingValue is the value of the header field by which endpoints announce that they
-	// leave.
-	leavingValue = "1"
 	// retryAfterField is the header field with the seconds for which an endpoint wants no
 	// requests; maxPauseSeconds keeps them in the range of a time.Duration.
 	retryAfterField = "Retry-After"
@@ -227,7 +224,11 @@
 // notice returns what the head of an answer says of the endpoint.
 func (c *Client) notice(resp *http.Response) Notice {
 	h := resp.Header
-	n := Notice{Leaving: h.Get(c.Terms.Leaving) == leavingValue, Failed: resp.StatusCode >= http.StatusInternalServerError || h.Get(c.Terms.NotRun) != ""}
+	leaving := h.Get(c.Terms.Leaving)
+	n := Notice{
+		Leaving: leaving != "" && leaving == c.Terms.LeavingValue,
+		Failed:  resp.StatusCode >= http.StatusInternalServerError || h.Get(c.Terms.NotRun) != "",
+	}
 	if text := h.Get(c.Terms.RateLimit); text != "" {
 		if rate, ok := c.Terms.ParseDecimal(text); ok {
 			n.RateLimit = &rate
--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -360,7 +360,7 @@
 // else that the answer says.
 func TestMalformedNoticeIsIgnored(t *testing.T) {
 	const limit, leaving, retryAfter = "X-Limit", "X-Leaving", "Retry-After"
-	c := &Client{Terms: &terms.Terms{RateLimit: limit, Leaving: leaving, ParseDecimal: func(v string) (float64, bool) {
+	c := &Client{Terms: &terms.Terms{RateLimit: limit, Leaving: leaving, LeavingValue: "1", ParseDecimal: func(v string) (float64, bool) {
 		n, err := strconv.ParseFloat(v, 64)
 		return n, err == nil
 	}}}
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -119,7 +119,7 @@
 		h.Set(e.Terms.RateLimit, e.rateLimit)
 	}
 	if e.leaving {
-		h.Set(e.Terms.Leaving, "1")
+		h.Set(e.Terms.Leaving, e.Terms.LeavingValue)
 	}
 }
 
