Add a failing test of streams that are cut when their continuation fails

Callers of a stream whose endpoint falls silent or breaks lose the rest of it if the endpoint that is to continue it refuses, however much time is left: 200, two of five events, connection closed, on all four ways (silent or broken, at the host's own region or at a relay). The stand-in endpoint can now be silent in the middle of a stream and go on.

--- /dev/null
+++ b/internal/serve/node/silence_test.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+)
+
+// TestStreamIsCutWhenItsContinuationFails: a stream that is silent for seconds or breaks at
+// its endpoint reaches its caller whole although the endpoint that is to continue it refuses.
+func TestStreamIsCutWhenItsContinuationFails(t *testing.T) {
+	silent := routed.Fault{Times: 1, PauseAfter: 2, Pause: 4 * time.Second}
+	broken := routed.Fault{Times: 1, CutAfter: 2}
+	for _, tt := range []struct {
+		name string
+		// host is the region of the host that the caller sends the request to; both endpoints
+		// are in region a.
+		host  string
+		fault routed.Fault
+	}{
+		{"silent", "a", silent},
+		{"silent at a relay", "b", silent},
+		{"broken", "a", broken},
+		{"broken at a relay", "b", broken},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := startFleet(t)
+			f.store.put(feed.Change{RemovedEndpoint: "model-b1"})
+			f.eventually("one endpoint is registered", func() bool { return len(f.nodes[tt.host].board.Registry.Endpoints("model")) == 1 })
+			f.endpoints["model-a1"].EventGap = 50 * time.Millisecond
+			f.endpoints["model-a1"].SetFault(tt.fault)
+			done := make(chan error, 1)
+			go func() {
+				status, body, err := f.callHost(tt.host, http.MethodPost, "/stream-gap/x", "r", nil)
+				if status != http.StatusOK || body != wholeStream("r") || err != nil {
+					err = fmt.Errorf("got status %d, body %q, error %v, want the whole stream", status, body, err)
+				}
+				done <- err
+			}()
+			f.eventually("the stream runs", func() bool { return len(f.runs("model-a1")) == 1 })
+			f.startEndpoint("model-a2", "model", "a")
+			f.endpoints["model-a2"].SetFault(routed.Fault{Times: 5, NotRun: true})
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -31,6 +31,9 @@
 	// it before the end of a plain body.
 	CutAfter int
 	CutBody  bool
+	// PauseAfter makes a stream silent for Pause after that many events; 0 is off.
+	PauseAfter int
+	Pause      time.Duration
 	// Silent runs the request and never responds.
 	Silent bool
 	// Drop runs the request and closes the connection without a response.
@@ -260,8 +263,12 @@
 		}
 		_, _ = w.Write([]byte(Event(id, n)))
 		_ = flush.Flush()
+		gap := e.EventGap
+		if f.PauseAfter > 0 && n+1 == f.PauseAfter {
+			gap = f.Pause
+		}
 		select {
-		case <-time.After(e.EventGap):
+		case <-time.After(gap):
 		case <-r.Context().Done():
 			e.countCancelled()
 			return
