Add a failing test of streams that run twice as their endpoint pauses

An endpoint that is silent for 1.5 s loses a stream of a route with a short gap: the host gives it up after three gaps and starts a second run elsewhere.

--- a/internal/serve/node/silence_test.go
+++ b/internal/serve/node/silence_test.go
@@ -50,3 +50,21 @@
 		})
 	}
 }
+
+// TestBrieflySilentStreamRunsTwice: an endpoint that is silent for a second or so in the
+// middle of a stream keeps it, although another endpoint would continue it.
+func TestBrieflySilentStreamRunsTwice(t *testing.T) {
+	f := startFleet(t)
+	f.startEndpoint("model-a2", "model", "a")
+	f.eventually("three endpoints are registered", func() bool { return len(f.nodes["a"].board.Registry.Endpoints("model")) == 3 })
+	for _, e := range f.endpoints {
+		e.SetFault(routed.Fault{Times: 1, PauseAfter: 2, Pause: 1500 * time.Millisecond})
+	}
+	status, body, err := f.call(http.MethodPost, "/stream-gap/x", "r", nil)
+	if status != http.StatusOK || body != wholeStream("r") || err != nil {
+		t.Errorf("got status %d, body %q, error %v, want the whole stream", status, body, err)
+	}
+	if n := len(f.runs("model-a1", "model-a2", "model-b1")); n != 1 {
+		t.Errorf("the stream ran %d times, want once", n)
+	}
+}
