Hold a begun stream for an endpoint instead of cutting it

What callers saw: a stream whose endpoint was silent for a second or so ended in the middle, without the rest and without a refusal, though its deadline was far.

Cause: the host gives up the silent attempt because another endpoint would continue the stream now. That endpoint may refuse, be in its cold rate, have filled up, or the retry budget may be used up by then; each of these ended the request as if its answer had not begun, by a refusal, which for a begun answer is a cut. The class: a step that can't be taken back (ending the attempt that holds the answer) was taken on a forecast, and no path led back.

Ruled out: the target of a first token, which refused every continued stream on and which mended, is not the only one: the failing test has no target.

Attempts that may have run stay bounded by the route; the wait ends with the deadline or the caller. A request whose answer has not begun is refused as before.

--- /dev/null
+++ b/internal/serve/proxy/hold_test.go
@@ -0,0 +1,46 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+)
+
+// TestBegunStreamIsCutForBusyEndpoints: of the requests whose attempt failed, only a begun
+// stream of this host's caller waits beyond the limits of attempts that did not run and of
+// retries; all others are refused at once.
+func TestBegunStreamIsCutForBusyEndpoints(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	release := "v1"
+	for _, tt := range []struct {
+		name               string
+		kind               rules.Kind
+		resumable, started bool
+		mayCross           bool
+		release            *string
+		want               bool
+	}{
+		{"begun stream", rules.Stream, true, true, true, &release, true},
+		{"begun stream of a release that is not known", rules.Stream, true, true, true, nil, false},
+		{"begun stream at a relay", rules.Stream, true, true, false, &release, false},
+		{"begun stream that may not be resumed", rules.Stream, false, true, true, &release, false},
+		{"stream that has not begun", rules.Stream, true, false, true, &release, false},
+		{"safe request", rules.Safe, false, false, true, nil, false},
+	} {
+		p := releaseProxy(now, release)
+		p.Meter = meter.New()
+		p.Budget = retry.NewFleetBudget(retry.Bound{Window: 10 * time.Second}, func() int { return 1 })
+		task := &task{
+			Request:  Request{Route: &rules.Route{Kind: tt.kind, Resumable: tt.resumable}, Service: "s", Deadline: now.Add(time.Second), AttemptsLeft: 2},
+			mayCross: tt.mayCross, release: tt.release, report: Report{Started: tt.started, Attempts: 9},
+		}
+		refusal := p.afterFailure(t.Context(), task, result{reason: retry.Refused, refusal: fault.New(fault.Busy, fault.RanNo, "endpoint does not accept requests")})
+		if held := refusal == nil && task.unpaid; held != tt.want {
+			t.Errorf("%s: held = %v, refusal %v, want held = %v", tt.name, held, refusal, tt.want)
+		}
+	}
+}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -167,6 +167,10 @@
 	queuedAt time.Time
 	// failedTime is the total duration of failed attempts.
 	failedTime time.Duration
+	// unpaid reports whether the retry that comes next is not yet charged to the budget.
+	unpaid bool
+	// heldSince is when the request first waited for an endpoint to continue its stream.
+	heldSince time.Time
 	// errorAnswer is the last error response of an endpoint that was not passed on.
 	errorAnswer *wire.Answer
 }
@@ -270,8 +274,19 @@
 		if r := p.gate(ctx, t); r != nil {
 			return r
 		}
+		if t.unpaid {
+			if !p.Budget.Spend(p.Now(), t.Service) {
+				p.hold(ctx, t, "retry budget used up")
+				continue
+			}
+			t.unpaid = false
+		}
 		d := p.choose(t)
 		if d.refusal != nil {
+			if p.mayHold(t) {
+				p.hold(ctx, t, d.refusal.Message)
+				continue
+			}
 			if t.lastRefusal != nil && d.refusal.Code == fault.NoEndpoint {
 				// The last refusal tells the caller more than that no endpoint is left.
 				return p.withReturn(t, t.lastRefusal)
@@ -348,7 +363,11 @@
 	}
 	why := p.noRetryReason(t)
 	if why == "" && !res.uncharged && !p.Budget.Spend(p.Now(), t.Service) {
-		why = "retry budget used up"
+		if p.mayHold(t) {
+			t.unpaid = true
+		} else {
+			why = "retry budget used up"
+		}
 	}
 	verdict := "retried"
 	if why != "" {
@@ -370,9 +389,8 @@
 // it may be. The text is logged under the key outcome.
 func (p *Proxy) noRetryReason(t *task) string {
 	now := p.Now()
-	resumes := t.report.Started && t.Route.Kind == rules.Stream && t.Route.Resumable
 	switch {
-	case t.report.Started && !resumes:
+	case t.report.Started && !t.resumes():
 		return "answer begun"
 	case t.report.Started && t.release == nil:
 		return "release that began the stream is not known"
@@ -382,7 +400,7 @@
 		return "may have run and may not be repeated"
 	case t.runs >= t.AttemptsLeft:
 		return "route's attempts used up"
-	case t.report.Attempts >= t.AttemptsLeft+extraAttempts:
+	case t.report.Attempts >= t.AttemptsLeft+extraAttempts && !p.mayHold(t):
 		return "refused too often"
 	}
 	return ""
