Give up a stream as silent only after a silence that sound endpoints do not have

What callers saw: a stream of a route with a short gap was given up after three gaps (0.9 s and 1.2 s on the users' sites) and run a second time elsewhere, though its endpoint went on a moment later; when the second run failed, the rest was lost. The users' pages now say that a sound endpoint may be silent for a second or so and go on.

Cause: the bound on silence came from the route's gap alone, which is what callers want to wait, not what endpoints may need. It is now 1.75 s at least. An answer with such a gap is late either way; callers wait for 2.4 s and longer.

TestBrieflySilentStreamRunsTwice, red before, passes. TestSilentStream played silences of 0.5 s and demanded that they are given up, which contradicts the new line: it now plays 2 s, with the same demands.

--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -24,8 +24,10 @@
 	// of its answer.
 	returnMargin = 10 * time.Millisecond
 	// silentGaps is the multiple of the route's target gap between events after which a
-	// stream counts as silent.
+	// stream counts as silent, at least minSilence: sound endpoints are silent for a second or
+	// so at times and go on.
 	silentGaps = 3
+	minSilence = 1750 * time.Millisecond
 )
 
 // attemptLocal makes an attempt at a local endpoint, at which choose has counted it.
@@ -97,7 +99,7 @@
 		attempt.HeadTimeout = t.Route.Target + d.expectedLatency
 	}
 	if t.Route.Kind == rules.Stream && t.Route.Resumable && t.Route.Gap > 0 {
-		attempt.IdleTimeout = silentGaps * t.Route.Gap
+		attempt.IdleTimeout = max(silentGaps*t.Route.Gap, minSilence)
 	}
 	attempt.RetryServerErrors, attempt.Resuming = retryable, t.report.Started
 	return attempt
