--- a/internal/serve/node/silence_test.go
+++ b/internal/serve/node/silence_test.go
@@ -1,8 +1,8 @@
 package node
 
 import (
-	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,20 +33,17 @@
 			f.eventually("one endpoint is registered", func() bool { return len(f.nodes[tt.host].board.Registry.Endpoints("model")) == 1 })
 			f.endpoints["model-a1"].EventGap = 50 * time.Millisecond
 			f.endpoints["model-a1"].SetFault(tt.fault)
-			done := make(chan error, 1)
-			go func() {
+			var call sync.WaitGroup
+			call.Go(func() {
 				status, body, err := f.callHost(tt.host, http.MethodPost, "/stream-gap/x", "r", nil)
 				if status != http.StatusOK || body != wholeStream("r") || err != nil {
-					err = fmt.Errorf("got status %d, body %q, error %v, want the whole stream", status, body, err)
+					t.Errorf("got status %d, body %q, error %v, want the whole stream", status, body, err)
 				}
-				done <- err
-			}()
+			})
 			f.eventually("the stream runs", func() bool { return len(f.runs("model-a1")) == 1 })
 			f.startEndpoint("model-a2", "model", "a")
 			f.endpoints["model-a2"].SetFault(routed.Fault{Times: 5, NotRun: true})
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
+			call.Wait()
 		})
 	}
 }
