Answer the caller of a request that its relay counts as cancelled

What callers would see: their connection closed without an answer or a refusal, though they had not left. Cause: to a relay, the host that relays is the caller; a refusal "cancelled" that it sends (its write to that host failed, or it is closing its link) came through as if this host's caller had left, and such connections are closed without a word.

TestRelayCancellationClosesCallersConnection failed before.

--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -118,9 +118,14 @@
 	}
 }
 
-// RefusalFromEnd returns the refusal that an End carries.
+// RefusalFromEnd returns the refusal that an End carries. To the other host, this host is
+// the caller: a request that it counts as cancelled may still have a caller here.
 func RefusalFromEnd(end *wire.End) *fault.Refusal {
-	return fault.New(end.Code, end.Ran, "%s", end.Message).
+	code := end.Code
+	if code == fault.Cancelled {
+		code = fault.RelayError
+	}
+	return fault.New(code, end.Ran, "%s", end.Message).
 		WithRetryAfter(time.Duration(end.RetryAfterMS) * time.Millisecond)
 }
 
--- a/internal/serve/flow/remote_test.go
+++ b/internal/serve/flow/remote_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
@@ -72,3 +73,14 @@
 		}
 	}
 }
+
+// TestRelayCancellationClosesCallersConnection: a request that its relay counts as cancelled
+// ends with a refusal for the caller, who has not left.
+func TestRelayCancellationClosesCallersConnection(t *testing.T) {
+	for code, want := range map[fault.Code]fault.Code{fault.Cancelled: fault.RelayError, fault.Busy: fault.Busy} {
+		got := RefusalFromEnd(&wire.End{Code: code, Ran: fault.RanUnknown, Message: "ended"})
+		if got.Code != want || got.Ran != fault.RanUnknown {
+			t.Errorf("end with code %s: refusal with code %s, ran %s, want %s, unknown", code, got.Code, got.Ran, want)
+		}
+	}
+}
