Answer requests whose handler panics, and log the panic

What callers would see: their connection closed without an answer or a refusal, as the HTTP library recovers from a panic, writes it to standard error in a form of its own, and closes the connection. On both interfaces the request is now refused with status 500, ran unknown; a begun answer is cut off as before. The log has a line with the request's id and the stack.

TestPanicEndsRequestWithoutAnswer failed before on both interfaces: EOF in the fleet of published routes, an uncaught panic in the one of the inventory.

--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,18 +32,34 @@
 	if s.Board.Health.Leaving() {
 		c.SetConnectionClose()
 	}
+	a := &answerWriter{c: c}
+	defer func() {
+		if v := recover(); v != nil {
+			s.endAfterPanic(c, a, start, v)
+		}
+	}()
 	r, refusal := s.routedRequest(c, start)
 	if refusal != nil {
 		s.sendRefusal(c, refusal)
 		s.recordRequest(r, proxy.Report{Refusal: refusal, Region: s.Board.Region}, start)
 		return
 	}
-	a := &answerWriter{c: c, stream: r.Route.Kind == rules.Stream}
+	a.stream = r.Route.Kind == rules.Stream
 	report := s.Proxy.Serve(ctx, r, a.sink())
 	s.finish(c, a, report)
 	s.recordRequest(r, report, start)
 }
 
+// endAfterPanic ends a request whose handler panicked: the HTTP library would close the
+// connection without an answer.
+func (s *Server) endAfterPanic(c *app.RequestContext, a *answerWriter, start time.Time, v any) {
+	id := string(c.Request.Header.Peek(s.Terms.RequestID))
+	s.Log.Error().Str("request", id).Any("panic", v).Bytes("stack", debug.Stack()).Msg("handler of a request panicked")
+	report := proxy.Report{Refusal: fault.New(fault.Internal, fault.RanUnknown, "host failed"), Region: s.Board.Region, Started: a.started}
+	s.finish(c, a, report)
+	s.recordRequest(proxy.Request{ID: id}, report, start)
+}
+
 // routedRequest returns a caller's request with its route, or a refusal. With a refusal,
 // the request has only the fields that were known until then.
 func (s *Server) routedRequest(c *app.RequestContext, now time.Time) (proxy.Request, *fault.Refusal) {
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
@@ -104,6 +105,7 @@
 
 func (f *Front) registerRoutes() {
 	h := f.server
+	h.Use(recovery.Recovery(recovery.WithRecoveryHandler(f.endAfterPanic)))
 	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
 	h.GET("/readyz", f.serveReady)
 	h.GET("/v1/entry", f.serveEntry)
@@ -117,6 +119,18 @@
 	})
 }
 
+// endAfterPanic ends a request whose handler panicked: the HTTP library would close the
+// connection without an answer. A begun answer is cut off, so that it does not look whole.
+func (f *Front) endAfterPanic(_ context.Context, c *app.RequestContext, v any, stack []byte) {
+	f.Log.Error().Str("request", requestID(c)).Any("panic", v).Bytes("stack", stack).Msg("handler of a request panicked")
+	if c.Response.GetHijackWriter() != nil {
+		_ = c.GetConn().Close()
+		return
+	}
+	c.Response.Reset()
+	f.refuse(c, fault.New(fault.Internal, fault.RanUnknown, "host failed"))
+}
+
 // Close closes the listener. The host waits for in-flight requests before it calls
 // Close.
 func (f *Front) Close() error {
