Pace held streams and leave them a share of the retry budget

Found by the review of the hold: one stream whose five endpoints refused used up the host's retry budget of its service in half a second (13 arrivals), so that no request of the service was retried, and then stood still until the window had passed, though endpoints were free (9.8 s in the review's test).

Cause: the bound on refused attempts did not hold for held streams, and each wait was 100 ms.

TestHeldStreamUsesUpRetryBudget failed before (13 attempts); TestHeldStreamsRetryTogether plays the waits without a network.

--- a/internal/route/retry/window.go
+++ b/internal/route/retry/window.go
@@ -92,11 +92,16 @@
 
 // Spend counts one retry if the budget allows it, and reports whether it does.
 func (b *FleetBudget) Spend(now time.Time, service string) bool {
+	return b.SpendWithin(now, service, 1)
+}
+
+// SpendWithin is like Spend, with a budget that is reduced to a share.
+func (b *FleetBudget) SpendWithin(now time.Time, service string, share float64) bool {
 	hosts := b.hosts()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.current(now, service)
-	if !b.allows(w, hosts) {
+	if !b.allows(w, hosts, share) {
 		return false
 	}
 	w.retries[w.newest%buckets]++
@@ -108,11 +113,11 @@
 	hosts := b.hosts()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.allows(b.current(now, service), hosts)
+	return b.allows(b.current(now, service), hosts, 1)
 }
 
-// allows reports whether a window has room for one more retry.
-func (b *FleetBudget) allows(w *window, hosts int) bool {
-	limit := safetyFactor * (b.bound.Ratio*sum(w.requests) + b.bound.Slack/float64(max(1, hosts)))
+// allows reports whether a window has room for one more retry in a share of the budget.
+func (b *FleetBudget) allows(w *window, hosts int, share float64) bool {
+	limit := share * safetyFactor * (b.bound.Ratio*sum(w.requests) + b.bound.Slack/float64(max(1, hosts)))
 	return sum(w.retries)+1 <= limit
 }
--- /dev/null
+++ b/internal/serve/node/hold_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+)
+
+// brokenStream starts a fleet with five endpoints of a service in region a and a stream there
+// that breaks after its third event. From then on, all endpoints refuse requests. wait waits
+// until the stream has ended, and returns its body.
+func brokenStream(t *testing.T) (f *fleet, ids []string, wait func() string) {
+	t.Helper()
+	f = startFleet(t)
+	f.store.put(feed.Change{RemovedEndpoint: "model-b1"})
+	ids = []string{"model-a1", "model-a2", "model-a3", "model-a4", "model-a5"}
+	for _, id := range ids[1:] {
+		f.startEndpoint(id, "model", "a")
+	}
+	f.eventually("five endpoints are registered", func() bool { return len(f.nodes["a"].board.Registry.Endpoints("model")) == len(ids) })
+	for _, id := range ids {
+		f.endpoints[id].EventGap = 100 * time.Millisecond
+		f.endpoints[id].SetFault(routed.Fault{Times: 1, CutAfter: 3})
+	}
+	body := ""
+	var call sync.WaitGroup
+	call.Go(func() { _, body, _ = f.call(http.MethodPost, "/stream-gap/x", "r", nil) })
+	f.eventually("the stream runs", func() bool { return len(f.runs(ids...)) == 1 })
+	for _, id := range ids {
+		f.endpoints[id].SetFault(routed.Fault{Times: 1 << 20, NotRun: true})
+	}
+	return f, ids, func() string {
+		call.Wait()
+		return body
+	}
+}
+
+// refusals returns the number of requests that endpoints refused.
+func (f *fleet) refusals(ids []string) int {
+	n := 0
+	for _, id := range ids {
+		n += f.endpoints[id].Refused()
+	}
+	return n
+}
+
+// TestHeldStreamUsesUpRetryBudget: one stream that waits for an endpoint leaves retries to the
+// other requests of its service, and goes on soon after an endpoint takes it.
+func TestHeldStreamUsesUpRetryBudget(t *testing.T) {
+	f, ids, wait := brokenStream(t)
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		if !f.nodes["a"].proxy.Budget.Available(time.Now(), "model") {
+			t.Fatalf("the stream has used up the retry budget with %d attempts", f.refusals(ids))
+		}
+	}
+	for _, id := range ids {
+		f.endpoints[id].SetFault(routed.Fault{})
+	}
+	free := time.Now()
+	if body := wait(); body != wholeStream("r") || time.Since(free) > 2*time.Second {
+		t.Errorf("got body %q, %v after endpoints were free, want the whole stream within 2 s", body, time.Since(free))
+	}
+}
--- a/internal/serve/proxy/hold_test.go
+++ b/internal/serve/proxy/hold_test.go
@@ -39,8 +39,27 @@
 			mayCross: tt.mayCross, release: tt.release, report: Report{Started: tt.started, Attempts: 9},
 		}
 		refusal := p.afterFailure(t.Context(), task, result{reason: retry.Refused, refusal: fault.New(fault.Busy, fault.RanNo, "endpoint does not accept requests")})
-		if held := refusal == nil && task.unpaid; held != tt.want {
+		if held := refusal == nil && task.paced && task.unpaid; held != tt.want {
 			t.Errorf("%s: held = %v, refusal %v, want held = %v", tt.name, held, refusal, tt.want)
 		}
 	}
 }
+
+// TestHeldStreamsRetryTogether: the wait of a held stream grows with each attempt, honours the
+// delay of the last refusal, stays within its bound and differs from that of other streams.
+func TestHeldStreamsRetryTogether(t *testing.T) {
+	for _, tt := range []struct {
+		holds     int
+		delay     time.Duration
+		low, high time.Duration
+	}{
+		{0, 0, 75 * time.Millisecond, 125 * time.Millisecond},
+		{2, 0, 300 * time.Millisecond, 500 * time.Millisecond},
+		{0, 600 * time.Millisecond, 450 * time.Millisecond, 750 * time.Millisecond},
+		{1 << 30, time.Hour, 750 * time.Millisecond, 1250 * time.Millisecond},
+	} {
+		if low, high := holdTime(tt.holds, tt.delay, 0), holdTime(tt.holds, tt.delay, 1); low != tt.low || high != tt.high {
+			t.Errorf("after %d waits, delay %v: waits %v to %v, want %v to %v", tt.holds, tt.delay, low, high, tt.low, tt.high)
+		}
+	}
+}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -169,8 +169,11 @@
 	failedTime time.Duration
 	// unpaid reports whether the retry that comes next is not yet charged to the budget.
 	unpaid bool
-	// heldSince is when the request first waited for an endpoint to continue its stream.
-	heldSince time.Time
+	// paced reports whether the request waits before its next attempt, as endpoints refused it
+	// too often.
+	paced bool
+	// holds counts the times that the request waited for an endpoint to continue its stream.
+	holds int
 	// errorAnswer is the last error response of an endpoint that was not passed on.
 	errorAnswer *wire.Answer
 }
@@ -274,12 +277,8 @@
 		if r := p.gate(ctx, t); r != nil {
 			return r
 		}
-		if t.unpaid {
-			if !p.Budget.Spend(p.Now(), t.Service) {
-				p.hold(ctx, t, "retry budget used up")
-				continue
-			}
-			t.unpaid = false
+		if p.mustHold(ctx, t) {
+			continue
 		}
 		d := p.choose(t)
 		if d.refusal != nil {
@@ -362,12 +361,18 @@
 		return fault.New(fault.Cancelled, res.ran, "caller disconnected")
 	}
 	why := p.noRetryReason(t)
-	if why == "" && !res.uncharged && !p.Budget.Spend(p.Now(), t.Service) {
-		if p.mayHold(t) {
-			t.unpaid = true
-		} else {
-			why = "retry budget used up"
-		}
+	refusedOften := t.report.Attempts >= t.AttemptsLeft+extraAttempts
+	switch {
+	case why != "":
+	case refusedOften && p.mayHold(t):
+		t.paced, t.unpaid = true, !res.uncharged
+	case refusedOften:
+		why = "refused too often"
+	case res.uncharged || p.Budget.Spend(p.Now(), t.Service):
+	case p.mayHold(t):
+		t.unpaid = true
+	default:
+		why = "retry budget used up"
 	}
 	verdict := "retried"
 	if why != "" {
@@ -400,8 +405,6 @@
 		return "may have run and may not be repeated"
 	case t.runs >= t.AttemptsLeft:
 		return "route's attempts used up"
-	case t.report.Attempts >= t.AttemptsLeft+extraAttempts && !p.mayHold(t):
-		return "refused too often"
 	}
 	return ""
 }
