Count the runs of a relay towards the route's attempts

Found by the review of the hold: a stream held by its caller's host ran three times on a route that allows two. A relay may make all attempts that are left, but the host that relays counted them as one; until streams were held, the mark of the region kept it from being asked again.

Relays now report how many of their attempts may have run. Of hosts of older builds, all attempts that reached an endpoint count.

TestHeldRelayedStreamExceedsItsAttempts failed before (3 runs, 2 allowed).

--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -121,6 +121,8 @@
 	// Answer is an error answer of an endpoint. The sender returns it to the
 	// caller if no other attempt gives a better answer.
 	Answer *Answer `cbor:"6,keyasint,omitempty"`
+	// Runs is the number of attempts that may have run; hosts of older builds do not send it.
+	Runs int `cbor:"7,keyasint,omitempty"`
 }
 
 // Answer is a complete answer, head and body.
--- a/internal/serve/node/hold_test.go
+++ b/internal/serve/node/hold_test.go
@@ -66,3 +66,24 @@
 		t.Errorf("got body %q, %v after endpoints were free, want the whole stream within 2 s", body, time.Since(free))
 	}
 }
+
+// TestHeldRelayedStreamExceedsItsAttempts: a begun stream whose runs break one after the other
+// in another region runs no more often than its route allows.
+func TestHeldRelayedStreamExceedsItsAttempts(t *testing.T) {
+	f := startFleet(t)
+	f.store.put(feed.Change{RemovedEndpoint: "model-b1"})
+	ids := []string{"model-a1", "model-a2", "model-a3", "model-a4"}
+	for _, id := range ids[1:] {
+		f.startEndpoint(id, "model", "a")
+	}
+	f.eventually("four endpoints are registered", func() bool {
+		return len(f.nodes["b"].board.Registry.Endpoints("model")) == len(ids) && len(f.nodes["a"].board.Registry.Endpoints("model")) == len(ids)
+	})
+	for _, id := range ids {
+		f.endpoints[id].SetFault(routed.Fault{Times: 100, CutAfter: 1})
+	}
+	_, _, _ = f.callHost("b", http.MethodPost, "/stream-gap/x", "r", nil)
+	if n := len(f.runs(ids...)); n > 2 {
+		t.Errorf("the stream ran %d times, its route allows 2", n)
+	}
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -170,7 +170,7 @@
 	report := n.proxy.ServeRelayed(ctx, r, sink)
 	n.log.Debug().Str("request", o.ID).Str("service", o.Service).Str("from", o.EntryRegion).Str("endpoint", report.Endpoint).
 		Int("tries", report.Attempts).Dur("first", report.TimeToFirstByte).Msg("relayed request finished")
-	return relay.Result{Refusal: report.Refusal, Sent: report.Sent, ErrorAnswer: report.ErrorAnswer}
+	return relay.Result{Refusal: report.Refusal, Sent: report.Sent, Runs: report.Runs, ErrorAnswer: report.ErrorAnswer}
 }
 
 // Start starts the listeners and controllers. The host becomes ready once it has
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -75,7 +75,9 @@
 	Status   int
 	Attempts int
 	// Sent counts the attempts that reached an endpoint.
-	Sent     int
+	Sent int
+	// Runs counts the attempts that may have run.
+	Runs     int
 	Endpoint string
 	Region   string
 	// TimeToFirstByte is the time from the arrival to the first byte of the answer's body.
@@ -205,7 +207,7 @@
 	case refusal.Code != fault.Cancelled:
 		refusal = passAnswer(t.errorAnswer, sink)
 	}
-	t.report.Refusal = refusal
+	t.report.Refusal, t.report.Runs = refusal, t.runs
 	return t.report
 }
 
@@ -262,6 +264,8 @@
 	started bool
 	reason  retry.Reason
 	ran     fault.Ran
+	// relayRuns is the number of attempts of a relay that may have run, 0 if not known.
+	relayRuns int
 	// uncharged reports whether the next attempt is not charged to the retry budget,
 	// as this one reached no endpoint.
 	uncharged bool
@@ -308,7 +312,7 @@
 		}
 		t.ran = t.ran.Combine(res.ran)
 		if res.ran != fault.RanNo {
-			t.runs++
+			t.runs += max(1, res.relayRuns)
 		}
 		t.lastRefusal = res.refusal
 		if r := p.afterFailure(ctx, t, res); r != nil {
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -138,7 +138,12 @@
 		t.tried[regionKeyPrefix+t.report.Region] = true
 	}
 	t.report.Sent += end.Attempts
+	runs := end.Runs
+	if runs == 0 {
+		// A host of an older build reports only how many attempts reached an endpoint.
+		runs = end.Attempts
+	}
 	return result{
-		started: started, reason: retry.Relay, ran: end.Ran, uncharged: end.Attempts == 0, refusal: flow.RefusalFromEnd(end), errorAnswer: end.Answer,
+		relayRuns: runs, started: started, reason: retry.Relay, ran: end.Ran, uncharged: end.Attempts == 0, refusal: flow.RefusalFromEnd(end), errorAnswer: end.Answer,
 	}
 }
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -63,6 +63,8 @@
 	Refusal *fault.Refusal
 	// Sent counts the attempts that reached an endpoint.
 	Sent int
+	// Runs counts the attempts that may have run.
+	Runs int
 	// ErrorAnswer is an endpoint's error response that was not passed on.
 	ErrorAnswer *wire.Answer
 }
@@ -140,7 +142,7 @@
 		h.Meter.CountRefusal(done.Refusal)
 	}
 	end := flow.NewWireEnd(done.Refusal)
-	end.Attempts, end.Answer = done.Sent, done.ErrorAnswer
+	end.Attempts, end.Answer, end.Runs = done.Sent, done.ErrorAnswer, done.Runs
 	_ = w.write(wire.Frame{End: end})
 }
 
