Keep away from a region of another release while a stream is held

Found by the review of the hold: after each wait all marks of the request were dropped, also that of a region which would continue the stream at another release (its hosts run the build before). It was asked again at once, each such run counted, and the attempts were used up. The mark is now one of its own.

TestHoldForgetsOtherRelease failed before.

--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -413,7 +413,7 @@
 	slots := map[string]float64{}
 	service := p.service(t.Service)
 	for _, e := range p.Board.Registry.Endpoints(t.Service) {
-		if e.Region != p.Board.Region && p.mayServe(t, e) && t.Route.Allows(e.Region) && !t.tried[regionKeyPrefix+e.Region] {
+		if e.Region != p.Board.Region && p.mayServe(t, e) && t.Route.Allows(e.Region) && !t.tried[regionKeyPrefix+e.Region] && !t.barred[e.Region] {
 			slots[e.Region] += float64(e.SlotsOf(service))
 		}
 	}
--- a/internal/serve/proxy/hold_test.go
+++ b/internal/serve/proxy/hold_test.go
@@ -1,11 +1,15 @@
 package proxy
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 )
@@ -63,3 +67,36 @@
 		}
 	}
 }
+
+// begunStream returns a proxy and the task of a begun stream whose last attempt was relayed to
+// region x.
+func begunStream(now time.Time) (*Proxy, *task) {
+	release := "v1"
+	p := releaseProxy(now, release)
+	p.Meter = meter.New()
+	p.Budget = retry.NewFleetBudget(retry.Bound{Window: 10 * time.Second, Slack: 100}, func() int { return 1 })
+	return p, &task{
+		Request:  Request{Route: &rules.Route{Kind: rules.Stream, Resumable: true}, Service: "s", Deadline: now.Add(30 * time.Second), AttemptsLeft: 2},
+		mayCross: true, release: &release, runs: 1, tried: map[string]bool{}, ran: fault.RanUnknown,
+		report: Report{Started: true, Status: http.StatusOK, Attempts: 1, Region: "x"},
+	}
+}
+
+// TestHoldForgetsOtherRelease: a region that would continue the stream at another release is
+// not asked again after a wait.
+func TestHoldForgetsOtherRelease(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, task := begunStream(now)
+	peer := member.Candidate{Name: "relay", Region: "x"}
+	p.Board.Members.SetCandidates(now, []member.Candidate{peer})
+	p.Board.Members.Receive(now, wire.Packet{Kind: wire.Announce, From: peer.Name, Incarnation: 1, Updates: []wire.Update{{Host: peer.Name, Life: 1, State: wire.Alive}}})
+	p.Board.Registry.Put(regis.Endpoint{ID: "remote", Service: "s", Centre: "x1", Region: "x", Slots: 12, Release: "v1", Revision: 9})
+	if n := len(p.remoteRegions(now, task)); n != 1 {
+		t.Fatalf("%d other regions before the answer, want 1", n)
+	}
+	p.relayResult(task, nil, errOtherRelease)
+	p.hold(t.Context(), task, "test")
+	if n := len(p.remoteRegions(now, task)); n != 0 {
+		t.Errorf("%d other regions after the answer at another release, want none", n)
+	}
+}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -153,6 +153,8 @@
 	// tried holds the endpoints, hosts and regions that were tried. The keys of regions
 	// start with regionKeyPrefix.
 	tried map[string]bool
+	// barred holds the regions that would continue the stream at another release.
+	barred map[string]bool
 	// ran combines what all attempts so far report about the run.
 	ran    fault.Ran
 	report Report
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -116,7 +116,10 @@
 	started := t.report.Started
 	switch {
 	case errors.Is(err, errOtherRelease):
-		t.tried[regionKeyPrefix+t.report.Region] = true
+		if t.barred == nil {
+			t.barred = map[string]bool{}
+		}
+		t.barred[t.report.Region] = true
 		return result{
 			started: started, reason: retry.Relay, ran: fault.RanUnknown,
 			refusal: newRefusal(fault.RelayError, fault.RanUnknown, err, "other region would continue the stream at another release"),
