Continue only streams that began with success

Found by the review of the hold: an endpoint's failure whose head a relay passed on before the link broke counted as a begun stream, so that another endpoint's events would have followed under status 500. TestFailureGoesOnAsStream failed before.

--- a/internal/serve/proxy/hold.go
+++ b/internal/serve/proxy/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
@@ -19,7 +20,7 @@
 
 // resumes reports whether the answer is a begun stream that may go on at another endpoint.
 func (t *task) resumes() bool {
-	return t.report.Started && t.Route.Kind == rules.Stream && t.Route.Resumable
+	return t.report.Started && t.report.Status == http.StatusOK && t.Route.Kind == rules.Stream && t.Route.Resumable
 }
 
 // mayHold reports whether the request waits for an endpoint to continue its stream when
--- a/internal/serve/proxy/hold_test.go
+++ b/internal/serve/proxy/hold_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -40,7 +41,7 @@
 		p.Budget = retry.NewFleetBudget(retry.Bound{Window: 10 * time.Second}, func() int { return 1 })
 		task := &task{
 			Request:  Request{Route: &rules.Route{Kind: tt.kind, Resumable: tt.resumable}, Service: "s", Deadline: now.Add(time.Second), AttemptsLeft: 2},
-			mayCross: tt.mayCross, release: tt.release, report: Report{Started: tt.started, Attempts: 9},
+			mayCross: tt.mayCross, release: tt.release, report: Report{Started: tt.started, Status: http.StatusOK, Attempts: 9},
 		}
 		refusal := p.afterFailure(t.Context(), task, result{reason: retry.Refused, refusal: fault.New(fault.Busy, fault.RanNo, "endpoint does not accept requests")})
 		if held := refusal == nil && task.paced && task.unpaid; held != tt.want {
@@ -100,3 +101,14 @@
 		t.Errorf("%d other regions after the answer at another release, want none", n)
 	}
 }
+
+// TestFailureGoesOnAsStream: an endpoint's failure whose body a relay did not bring is not
+// continued by the events of another endpoint.
+func TestFailureGoesOnAsStream(t *testing.T) {
+	p, task := begunStream(time.Unix(1_000_000, 0))
+	task.report.Status, task.AttemptsLeft = http.StatusInternalServerError, 3
+	res := p.relayResult(task, nil, errors.New("connection lost"))
+	if refusal := p.afterFailure(t.Context(), task, res); refusal == nil {
+		t.Error("the request is sent on, want a refusal")
+	}
+}
