Leave a begun stream its attempts when a relay does not acknowledge it

Found by the review: one continuation sent to another region that was not acknowledged in 700 ms used up a route of two attempts, and the begun stream was cut. Such an attempt was not charged to the retry budget already, as it most likely reached no endpoint; for a begun stream it no longer counts as a run either. Ran stays unknown.

--- a/internal/serve/proxy/hold_test.go
+++ b/internal/serve/proxy/hold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
 )
 
 // TestBegunStreamIsCutForBusyEndpoints: of the requests whose attempt failed, only a begun
@@ -112,3 +114,14 @@
 		t.Error("the request is sent on, want a refusal")
 	}
 }
+
+// TestBegunStreamIsCutForUnackedRelay: a relay that does not acknowledge the continuation of a
+// stream does not cost the stream one of its route's attempts.
+func TestBegunStreamIsCutForUnackedRelay(t *testing.T) {
+	p, task := begunStream(time.Unix(1_000_000, 0))
+	res := p.relayResult(task, nil, fmt.Errorf("%w: timeout", flow.ErrUnacked))
+	task.addRuns(res)
+	if refusal := p.afterFailure(t.Context(), task, res); refusal != nil || task.ran != fault.RanUnknown {
+		t.Errorf("refusal %v, ran %s, want none and unknown", refusal, task.ran)
+	}
+}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -312,10 +312,7 @@
 		if res.errorAnswer != nil {
 			t.errorAnswer = res.errorAnswer
 		}
-		t.ran = t.ran.Combine(res.ran)
-		if res.ran != fault.RanNo {
-			t.runs += max(1, res.relayRuns)
-		}
+		t.addRuns(res)
 		t.lastRefusal = res.refusal
 		if r := p.afterFailure(ctx, t, res); r != nil {
 			return r
@@ -323,6 +320,15 @@
 	}
 }
 
+// addRuns records what a failed attempt says of the runs of the request.
+func (t *task) addRuns(res result) {
+	t.ran = t.ran.Combine(res.ran)
+	// An attempt that most likely reached no endpoint does not cost a begun stream its rest.
+	if res.ran != fault.RanNo && !(res.uncharged && t.resumes()) {
+		t.runs += max(1, res.relayRuns)
+	}
+}
+
 func (p *Proxy) attempt(ctx context.Context, t *task, d decision, sink client.Sink) result {
 	if d.region != "" {
 		return p.attemptRemote(ctx, t, d, sink)
