Keep silent attempts of begun answers while the host shuts down

Found by the review: a host that drains gave up a silent stream, could not continue it elsewhere, held it, and ended with it, although the endpoint went on after 3 s, well within the time to drain. A draining host has no time to wait for another endpoint, so it keeps the attempt that it has, here and at a relay.

TestDrainingHostCutsSilentStream failed before.

--- a/internal/serve/node/hold_test.go
+++ b/internal/serve/node/hold_test.go
@@ -87,3 +87,27 @@
 		t.Errorf("the stream ran %d times, its route allows 2", n)
 	}
 }
+
+// TestDrainingHostCutsSilentStream: a host that shuts down keeps the attempt of a silent stream,
+// which goes on before the host ends.
+func TestDrainingHostCutsSilentStream(t *testing.T) {
+	f := startFleet(t)
+	f.store.put(feed.Change{RemovedEndpoint: "model-b1"})
+	f.eventually("one endpoint is registered", func() bool { return len(f.nodes["a"].board.Registry.Endpoints("model")) == 1 })
+	first := f.endpoints["model-a1"]
+	first.EventGap = 50 * time.Millisecond
+	first.SetFault(routed.Fault{Times: 1, PauseAfter: 2, Pause: 3 * time.Second})
+	body := ""
+	var call sync.WaitGroup
+	call.Go(func() { _, body, _ = f.call(http.MethodPost, "/stream-gap/x", "r", nil) })
+	f.eventually("the stream runs", func() bool { return len(f.runs("model-a1")) == 1 })
+	first.SetFault(routed.Fault{Times: 1 << 20, NotRun: true})
+	f.startEndpoint("model-a2", "model", "a")
+	f.endpoints["model-a2"].SetFault(routed.Fault{Times: 1 << 20, NotRun: true})
+	f.nodes["a"].Drain(t.Context())
+	f.closeHost("a")
+	call.Wait()
+	if body != wholeStream("r") {
+		t.Errorf("got body %q, want the whole stream", body)
+	}
+}
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -57,7 +57,7 @@
 	}}
 	attempt := p.endpointAttempt(t, d)
 	attempt.OnNotice = func(n pool.Notice) { p.recordNotice(t, e, n, start) }
-	attempt.Abandon = func() bool { return p.hasAlternative(t, start) }
+	attempt.Abandon = func() bool { return p.mayAbandon(t, e, start) }
 	out := p.Client.Do(ctx, attempt, prefillSink)
 	if prefill > 0 {
 		p.Board.Endpoints.AddQueuedPrefill(e.ID, t.Route.Priority, -prefill)
@@ -105,6 +105,16 @@
 	return attempt
 }
 
+// mayAbandon reports whether a silent attempt at an endpoint is given up: another endpoint
+// would serve the request at once. A host that shuts down keeps it, as it has no time to
+// wait should the other endpoint refuse.
+func (p *Proxy) mayAbandon(t *task, e regis.Endpoint, start time.Time) bool {
+	if p.Board.Health.Leaving() {
+		return false
+	}
+	return p.hasAlternative(t, start)
+}
+
 // hasAlternative reports whether a request whose attempt has been silent since start would
 // be served elsewhere at once. If not, the attempt goes on: an engine is silent while it
 // prefills prompts that are more urgent.
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -57,6 +57,9 @@
 	if !t.Route.Retryable() || (t.report.Started && !mayResume) {
 		return false
 	}
+	if p.Board.Health.Leaving() && t.report.Started {
+		return false
+	}
 	// A relay that has not even acknowledged the request has done nothing for it yet.
 	return !acked || p.hasAlternative(t, start)
 }
