Keep a silent attempt at an endpoint that would not take its stream back

Found by the review: a begun stream was given up at a silent endpoint that drains, is evacuated or asked for a pause; if the other endpoint then refused, the one that would have gone on could not be asked again, and the rest was lost.

TestSilentAttemptIsEndedForNoOther, two rows of which failed before.

--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -107,14 +107,26 @@
 
 // mayAbandon reports whether a silent attempt at an endpoint is given up: another endpoint
 // would serve the request at once. A host that shuts down keeps it, as it has no time to
-// wait should the other endpoint refuse.
+// wait should the other endpoint refuse. A begun stream stays at an endpoint that would not
+// take it back: one that drains, is in an evacuated data centre or wants no requests.
 func (p *Proxy) mayAbandon(t *task, e regis.Endpoint, start time.Time) bool {
-	if p.Board.Health.Leaving() {
+	if p.Board.Health.Leaving() || (t.report.Started && !p.takesBack(t, e.ID)) {
 		return false
 	}
 	return p.hasAlternative(t, start)
 }
 
+// takesBack reports whether an endpoint that is registered would get the request again. An
+// endpoint that is not registered any more has most likely ended with the attempt.
+func (p *Proxy) takesBack(t *task, id string) bool {
+	e, ok := p.Board.Registry.Get(id)
+	if !ok {
+		return true
+	}
+	state := p.Board.Endpoints.Get(id)
+	return p.mayServe(t, e) && state.PauseDelay(p.Now()) == 0
+}
+
 // hasAlternative reports whether a request whose attempt has been silent since start would
 // be served elsewhere at once. If not, the attempt goes on: an engine is silent while it
 // prefills prompts that are more urgent.
--- a/internal/serve/proxy/local_test.go
+++ b/internal/serve/proxy/local_test.go
@@ -59,6 +59,34 @@
 	}
 }
 
+// TestSilentAttemptIsEndedForNoOther: a silent attempt of a begun stream is kept at an endpoint
+// that would not take the stream back, and by a host that shuts down.
+func TestSilentAttemptIsEndedForNoOther(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, tt := range []struct {
+		name    string
+		started bool
+		change  func(p *Proxy)
+		want    bool
+	}{
+		{"sound", true, func(*Proxy) {}, true},
+		{"draining", true, func(p *Proxy) { p.Board.Registry.MarkDraining("e-v1") }, false},
+		{"draining, not begun", false, func(p *Proxy) { p.Board.Registry.MarkDraining("e-v1") }, true},
+		{"wants no requests", true, func(p *Proxy) { p.Board.Endpoints.SetPause(now, "e-v1", time.Second) }, false},
+		{"ended", true, func(p *Proxy) { p.Board.Registry.Remove("e-v1", 99, now) }, true},
+		{"host shuts down", true, func(p *Proxy) { p.Board.Health.SetLeaving() }, false},
+	} {
+		p, task := begunStream(now)
+		p.Board.Registry.Put(regis.Endpoint{ID: "other", Service: "s", Centre: "c", Region: "r", Slots: 12, Release: "v1", Revision: 5})
+		e, _ := p.Board.Registry.Get("e-v1")
+		task.tried[e.ID], task.report.Started, task.runs = true, tt.started, 0
+		tt.change(p)
+		if got := p.mayAbandon(task, e, now.Add(-2*time.Second)); got != tt.want {
+			t.Errorf("%s: may be abandoned = %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 func duration(d time.Duration) *time.Duration { return &d }
 
 // TestGivesUpRelay: a silent relay is given up if its process has ended, or if another
