Count a silence from the event that is due

Found by the review: the bound on silence, 1.75 s, ran from the last event, so that a usual gap of 0.4 s left 1.35 s for a silence of a second or so; and the attempt that continues a stream was given up at the target of a first token, which no longer counts. TestContinuationIsGivenUpBriefly failed before on both.

--- a/internal/serve/proxy/hold_test.go
+++ b/internal/serve/proxy/hold_test.go
@@ -10,6 +10,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
@@ -125,3 +126,19 @@
 		t.Errorf("refusal %v, ran %s, want none and unknown", refusal, task.ran)
 	}
 }
+
+// TestContinuationIsGivenUpBriefly: an attempt that continues a stream has as much time to its
+// first event as sound endpoints are silent for, and a usual gap more between two events.
+func TestContinuationIsGivenUpBriefly(t *testing.T) {
+	p, task := begunStream(time.Unix(1_000_000, 0))
+	p.Terms = &terms.Terms{}
+	task.Route = &rules.Route{Kind: rules.Stream, Resumable: true, Target: 300 * time.Millisecond, Gap: 300 * time.Millisecond}
+	task.AttemptsLeft = 3
+	a := p.endpointAttempt(task, decision{endpoint: regis.Endpoint{ID: "e"}})
+	if a.HeadTimeout < minSilence {
+		t.Errorf("given up after %v without a head, want at least %v", a.HeadTimeout, minSilence)
+	}
+	if want := minSilence + task.Route.Gap; a.IdleTimeout < want {
+		t.Errorf("given up after %v without an event, want at least %v", a.IdleTimeout, want)
+	}
+}
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -24,8 +24,8 @@
 	// of its answer.
 	returnMargin = 10 * time.Millisecond
 	// silentGaps is the multiple of the route's target gap between events after which a
-	// stream counts as silent, at least minSilence: sound endpoints are silent for a second or
-	// so at times and go on.
+	// stream counts as silent, at least one and minSilence: sound endpoints are silent for a
+	// second or so at times and go on.
 	silentGaps = 3
 	minSilence = 1750 * time.Millisecond
 )
@@ -99,9 +99,13 @@
 		attempt.HeadTimeout = t.Route.Target + d.expectedLatency
 	}
 	if t.Route.Kind == rules.Stream && t.Route.Resumable && t.Route.Gap > 0 {
-		attempt.IdleTimeout = max(silentGaps*t.Route.Gap, minSilence)
+		attempt.IdleTimeout = max(silentGaps*t.Route.Gap, t.Route.Gap+minSilence)
 	}
 	attempt.RetryServerErrors, attempt.Resuming = retryable, t.report.Started
+	if attempt.Resuming && attempt.HeadTimeout > 0 {
+		// The target of the first token is met or missed already.
+		attempt.HeadTimeout = max(attempt.HeadTimeout, minSilence)
+	}
 	return attempt
 }
 
