Send a request back to its silent endpoint if no other one takes it

The class is that of the cut streams: an attempt ended on a forecast with no way back. The silent endpoint is now tried once more if no other takes the request, within the route's attempts and the retry budget.

TestSilentAnswerIsLostToRefusal failed before for both kinds.

--- a/internal/serve/node/silence_test.go
+++ b/internal/serve/node/silence_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
 )
@@ -65,3 +66,39 @@
 		t.Errorf("the stream ran %d times, want once", n)
 	}
 }
+
+// TestSilentAnswerIsLostToRefusal: a request that may be repeated and whose endpoint is silent
+// for a second or so before its answer is answered, although the other endpoint refuses.
+func TestSilentAnswerIsLostToRefusal(t *testing.T) {
+	const target = 200 * time.Millisecond
+	shares := func(service string) []rules.Share { return []rules.Share{{Service: service, Weight: 1}} }
+	for _, tt := range []struct{ name, path, service string }{
+		{"safe", "/safe/x", "plain"},
+		{"stream before its first event", "/stream/x", "model"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := startFleet(t)
+			f.store.put(feed.Change{RemovedEndpoint: tt.service + "-b1"})
+			f.store.put(feed.Change{Rules: rules.New(8, []rules.Route{
+				{Name: "safe", Host: "h", Prefix: "/safe/", Shares: shares("plain"), Kind: rules.Safe, Attempts: 2, Timeout: 3 * waitTimeout, Target: target},
+				{Name: "stream", Host: "h", Prefix: "/stream/", Shares: shares("model"), Kind: rules.Stream, Resumable: true, Attempts: 2, Timeout: 3 * waitTimeout, Target: target},
+			}, []rules.Service{{Name: "plain"}, {Name: "model"}}, rules.Limits{})})
+			f.eventually("the rules are in force and one endpoint is registered", func() bool {
+				b := f.nodes["a"].board
+				return b.Routes.Version() == 8 && len(b.Registry.Endpoints(tt.service)) == 1
+			})
+			e := f.endpoints[tt.service+"-a1"]
+			e.SetHeadDelay(1300 * time.Millisecond)
+			var call sync.WaitGroup
+			call.Go(func() {
+				if status, body, err := f.call(http.MethodPost, tt.path, "r", nil); status != http.StatusOK || err != nil {
+					t.Errorf("got status %d, body %q, error %v, want the answer of the silent endpoint", status, body, err)
+				}
+			})
+			f.eventually("the request runs", func() bool { return len(e.Runs()) == 1 })
+			f.startEndpoint("other", tt.service, "a")
+			f.endpoints["other"].SetFault(routed.Fault{Times: 1 << 20, NotRun: true})
+			call.Wait()
+		})
+	}
+}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -173,6 +173,9 @@
 	failedTime time.Duration
 	// unpaid reports whether the retry that comes next is not yet charged to the budget.
 	unpaid bool
+	// silent is the endpoint that was given up as silent and may be tried once more, empty if
+	// there is none.
+	silent string
 	// paced reports whether the request waits before its next attempt, as endpoints refused it
 	// too often.
 	paced bool
@@ -292,6 +295,9 @@
 				p.hold(ctx, t, d.refusal.Message)
 				continue
 			}
+			if t.goBack(d.refusal) {
+				continue
+			}
 			if t.lastRefusal != nil && d.refusal.Code == fault.NoEndpoint {
 				// The last refusal tells the caller more than that no endpoint is left.
 				return p.withReturn(t, t.lastRefusal)
@@ -314,12 +320,26 @@
 		}
 		t.addRuns(res)
 		t.lastRefusal = res.refusal
+		if d.region == "" && res.reason == retry.Silent && t.silent == "" {
+			t.silent = d.endpoint.ID
+		}
 		if r := p.afterFailure(ctx, t, res); r != nil {
 			return r
 		}
 	}
 }
 
+// goBack reports whether a request that no other endpoint takes may be sent once more to the
+// one that was given up as silent, which may have gone on by now.
+func (t *task) goBack(refusal *fault.Refusal) bool {
+	if t.silent == "" || refusal.Code != fault.NoEndpoint {
+		return false
+	}
+	delete(t.tried, t.silent)
+	t.silent = ""
+	return true
+}
+
 // addRuns records what a failed attempt says of the runs of the request.
 func (t *task) addRuns(res result) {
 	t.ran = t.ran.Combine(res.ran)
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -72,6 +72,7 @@
 	leaving   bool
 	runs      []Run
 	cancelled int
+	headDelay time.Duration
 	refused   int
 }
 
@@ -153,6 +154,20 @@
 	e.refused++
 }
 
+// SetHeadDelay sets how long the endpoint is silent before the head of each answer.
+func (e *Endpoint) SetHeadDelay(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.headDelay = d
+}
+
+func (e *Endpoint) delayHead() {
+	e.mu.Lock()
+	d := e.headDelay
+	e.mu.Unlock()
+	time.Sleep(d)
+}
+
 // nextFault returns the fault for a new request and counts down its Times.
 func (e *Endpoint) nextFault() Fault {
 	e.mu.Lock()
@@ -191,6 +206,7 @@
 		return
 	}
 	from := e.recordRun(r, id)
+	e.delayHead()
 	h.Set(SignedBy, e.ID)
 	switch {
 	case f.Silent:
