Leave an endpoint that reads nothing for a while its long requests

Found by the review: TCP_USER_TIMEOUT of 1.5 s also ends a connection whose receive window stays closed, so an endpoint that read nothing for two seconds broke long bodies, and a request that may not be repeated failed with ran unknown. It is 3 s now. A connection that a middlebox has dropped fails 1.5 s later; attempts that may be repeated are given up by their own bounds before.

TestSilentReaderBreaksLongRequest failed before.

--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"reflect"
 	"strconv"
 	"strings"
@@ -387,3 +390,23 @@
 		}
 	}
 }
+
+// TestSilentReaderBreaksLongRequest: an endpoint that reads nothing for two seconds gets the
+// whole of a body that exceeds the receive window.
+func TestSilentReaderBreaksLongRequest(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(2 * time.Second)
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Id", "r")
+		_, _ = w.Write([]byte("ok"))
+	}))
+	defer s.Close()
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	out := c.Do(context.Background(), Attempt{
+		Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Body: bytes.Repeat([]byte("x"), 16<<20), ID: "r",
+		Deadline: time.Now().Add(testTimeout), LastEventID: stream.NoID, MaxAnswerBytes: 1 << 20,
+	}, client.Sink{Head: func(wire.Head) error { return nil }, Data: func([]byte) error { return nil }})
+	if !out.Whole {
+		t.Errorf("reason %s, ran %s, %v, want the whole answer", out.Reason, out.Ran, out.Err)
+	}
+}
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -22,9 +22,10 @@
 	keepAliveMargin = 500 * time.Millisecond
 	// defaultKeepAlive is the keep-alive timeout if the endpoint states none.
 	defaultKeepAlive = 4 * time.Second
-	// unackedTimeout is how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT),
-	// so that a connection whose state a middlebox has dropped fails soon.
-	unackedTimeout       = 1500 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged or unread while the
+	// receive window is closed (TCP_USER_TIMEOUT). A connection whose state a middlebox has
+	// dropped fails soon, one whose endpoint is silent for a second or so does not.
+	unackedTimeout       = 3 * time.Second
 	tcpUserTimeoutOption = 0x12
 )
 
