Read what arrived during a pause before a silent attempt is given up

Found by the review: after a pause of the process a read's passed deadline is reported before the bytes that have arrived, so a sound stream was given up. The read is tried once more first. TestPausedHostGivesUpSoundStream failed before.

--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -410,3 +410,46 @@
 		t.Errorf("reason %s, ran %s, %v, want the whole answer", out.Reason, out.Ran, out.Err)
 	}
 }
+
+// lateConn delays its second read, as a pause of the process between the read's deadline and
+// the read does.
+type lateConn struct {
+	net.Conn
+	reads int
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	if c.reads++; c.reads == 2 {
+		time.Sleep(400 * time.Millisecond)
+	}
+	n, err := c.Conn.Read(p)
+	return n, err //nolint:wrapcheck // The client looks at the error as the connection returns it.
+}
+
+// TestPausedHostGivesUpSoundStream: a stream whose events arrived while the host's process was
+// paused is not given up as silent.
+func TestPausedHostGivesUpSoundStream(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Id", "r")
+		w.Header().Set("Content-Type", eventStreamType)
+		for n := range 5 {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}))
+	defer s.Close()
+	dialer := net.Dialer{}
+	p := New(WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, "tcp", address)
+		return &lateConn{Conn: c}, err
+	}))
+	c := &Client{Pool: p, Terms: testTerms, Now: time.Now}
+	out := c.Do(context.Background(), Attempt{
+		Address: s.Listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", ID: "r", IdleTimeout: 200 * time.Millisecond,
+		Abandon: func() bool { return true }, Deadline: time.Now().Add(testTimeout), LastEventID: stream.NoID, MaxAnswerBytes: 1 << 20,
+	}, client.Sink{Head: func(wire.Head) error { return nil }, Data: func([]byte) error { return nil }})
+	if !out.Whole {
+		t.Errorf("reason %s after event %d: %v, want the whole stream", out.Reason, out.LastEventID, out.Err)
+	}
+}
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -27,6 +27,8 @@
 	// dropped fails soon, one whose endpoint is silent for a second or so does not.
 	unackedTimeout       = 3 * time.Second
 	tcpUserTimeoutOption = 0x12
+	// arrivedTimeout is the time to read bytes that have already arrived.
+	arrivedTimeout = time.Millisecond
 )
 
 // conn is a pooled connection to an endpoint. It carries one exchange at a time.
@@ -41,6 +43,7 @@
 	// onTimeout is called when a read times out. If it returns true, it has set a new
 	// deadline and the read goes on. It may be nil.
 	onTimeout func() bool
+	now       func() time.Time
 }
 
 // Read reads from the connection. A timeout that onTimeout extends is not seen by the
@@ -48,13 +51,33 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		var netErr net.Error
-		if n > 0 || err == nil || c.onTimeout == nil || !errors.As(err, &netErr) || !netErr.Timeout() || !c.onTimeout() {
+		if n > 0 || err == nil || c.onTimeout == nil || !isTimeout(err) {
+			return n, err
+		}
+		if n := c.readArrived(p); n > 0 {
+			return n, nil
+		}
+		if !c.onTimeout() {
 			return n, err
 		}
 	}
 }
 
+// readArrived reads bytes that have arrived although the read timed out: after a pause of
+// the process, a passed deadline is reported first.
+func (c *conn) readArrived(p []byte) int {
+	if c.SetReadDeadline(c.now().Add(arrivedTimeout)) != nil {
+		return 0
+	}
+	n, _ := c.Conn.Read(p)
+	return n
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // Pool holds idle connections to endpoints for reuse.
 type Pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
@@ -164,7 +187,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	c := &conn{Conn: nc, address: address}
+	c := &conn{Conn: nc, address: address, now: p.now}
 	c.reader = bufio.NewReaderSize(c, connReadBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		if rawConn, err := sc.SyscallConn(); err == nil {
