--- a/internal/serve/proxy/hold_test.go
+++ b/internal/serve/proxy/hold_test.go
@@ -121,7 +121,7 @@
 func TestBegunStreamIsCutForUnackedRelay(t *testing.T) {
 	p, task := begunStream(time.Unix(1_000_000, 0))
 	res := p.relayResult(task, nil, fmt.Errorf("%w: timeout", flow.ErrUnacked))
-	task.addRuns(res)
+	task.recordFailure(decision{region: "x"}, res, time.Second)
 	if refusal := p.afterFailure(t.Context(), task, res); refusal != nil || task.ran != fault.RanUnknown {
 		t.Errorf("refusal %v, ran %s, want none and unknown", refusal, task.ran)
 	}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -314,15 +314,7 @@
 		if res.whole {
 			return nil
 		}
-		t.failedTime += p.Now().Sub(start)
-		if res.errorAnswer != nil {
-			t.errorAnswer = res.errorAnswer
-		}
-		t.addRuns(res)
-		t.lastRefusal = res.refusal
-		if d.region == "" && res.reason == retry.Silent && t.silent == "" {
-			t.silent = d.endpoint.ID
-		}
+		t.recordFailure(d, res, p.Now().Sub(start))
 		if r := p.afterFailure(ctx, t, res); r != nil {
 			return r
 		}
@@ -340,11 +332,20 @@
 	return true
 }
 
-// addRuns records what a failed attempt says of the runs of the request.
-func (t *task) addRuns(res result) {
+// recordFailure records the result of a failed attempt, which took a while.
+func (t *task) recordFailure(d decision, res result, took time.Duration) {
+	t.failedTime += took
+	t.lastRefusal = res.refusal
+	if res.errorAnswer != nil {
+		t.errorAnswer = res.errorAnswer
+	}
+	if d.region == "" && res.reason == retry.Silent {
+		t.silent = d.endpoint.ID
+	}
 	t.ran = t.ran.Combine(res.ran)
 	// An attempt that most likely reached no endpoint does not cost a begun stream its rest.
-	if res.ran != fault.RanNo && !(res.uncharged && t.resumes()) {
+	notReached := res.uncharged && t.resumes()
+	if res.ran != fault.RanNo && !notReached {
 		t.runs += max(1, res.relayRuns)
 	}
 }
