Log the ends of endpoints with the prompt parts in flight there

After a broken attempt the address is probed: refused connections, or a registration that is gone, are an end. One line an endpoint and end, at most 8 parts.

--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -34,6 +34,7 @@
 	sweepPeriod       = time.Second
 	expirePeriod      = 200 * time.Millisecond
 	linkPeriod        = time.Second
+	endsPeriod        = 100 * time.Millisecond
 	connectTimeout    = 900 * time.Millisecond
 
 	// inFlightFanout is the number of entry hosts of the local region that get this
@@ -72,6 +73,7 @@
 	add("origins", originsPeriod, n.shareOrigins)
 	add("connections", sweepPeriod, n.pool.Sweep)
 	add("links", linkPeriod, n.warmLinks)
+	n.runner.Add(ctrl.Controller{Name: "ends", Period: endsPeriod, Step: n.proxy.CheckEnds})
 	add(itemsName, fetchItemsPeriod, n.fetchItems)
 	add(storeStateName, storeStatePeriod, n.shareStoreState)
 	add("registry", expirePeriod, func(now time.Time) {
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -122,6 +122,9 @@
 	EventWrites int
 	// Reused reports whether the attempt used a pooled connection.
 	Reused bool
+	// Unframed reports whether the answer stated no length and ended with its connection, so
+	// that its end does not show whether it is complete.
+	Unframed bool
 }
 
 // Client sends attempts to endpoints.
@@ -204,6 +207,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	e.result.Status = resp.StatusCode
+	e.result.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if load, ok := e.client.Terms.ParseLoad(resp.Header.Get(e.client.Terms.Load)); ok {
 		e.result.Load = load
 	}
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -176,6 +176,18 @@
 	return c, nil
 }
 
+// Probe opens a connection to an address and closes it.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err := c.Close(); err != nil {
+		return fmt.Errorf("close connection to %s: %w", address, err)
+	}
+	return nil
+}
+
 // put returns a connection to the pool after a complete exchange. It can be reused
 // within keepAlive.
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -65,6 +65,9 @@
 		t.report.Sent++
 	}
 	p.recordResult(t, d, out, start)
+	if brokeAtBegin(out) && len(sharedParts(t.Prompt)) > 0 {
+		p.recordBroken(t, e, out, start)
+	}
 	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
 		Uint64("registered", eras.Revision(e.Revision)).Str("release", e.Release).Dur("expected", d.expectedLatency).Dur("first", out.TimeToFirstByte).Int("status", out.Status).
 		Bool("reused", out.Reused).Int("running", out.Load.Running).Int("waiting", out.Load.Waiting).
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -113,6 +113,8 @@
 	// Prefixes records which endpoints have which prompt prefixes cached.
 	Prefixes *PrefixTable
 
+	ends endTable
+
 	mu     sync.Mutex
 	rand   *rand.Rand
 	queues map[string]*waitQueue
