Reproduce: requests with one prompt part end endpoint after endpoint

The stand-in for an endpoint ends on a prompt part as it begins to write an answer, with or without the head.

--- /dev/null
+++ b/internal/serve/node/crash_test.go
@@ -0,0 +1,249 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+)
+
+const (
+	// agreeTime is the time in which hosts in touch have to agree.
+	agreeTime = 5 * time.Second
+	// endsToAgree is the number of ends after which that time begins, and lateRequests what
+	// may reach endpoints later.
+	endsToAgree  = 5
+	lateRequests = 3
+	// endpointDownTime is the time after which an endpoint that ended is back under a new id.
+	endpointDownTime = 1500 * time.Millisecond
+	badPart          = "0badbad0"
+)
+
+// crashLoad is a fleet whose endpoints end on a prompt part and start again.
+type crashLoad struct {
+	*fleet
+	head bool
+
+	mu      sync.Mutex
+	started int
+	closed  bool
+	ends    []time.Time
+	wg      sync.WaitGroup
+	all     []*routed.Endpoint
+}
+
+func startCrashLoad(f *fleet, regions []string, perRegion int, head bool) *crashLoad {
+	l := &crashLoad{fleet: f, head: head}
+	for _, region := range regions {
+		for range perRegion {
+			l.start(region)
+		}
+	}
+	f.t.Cleanup(l.stop)
+	f.eventually("all hosts are ready and know the endpoints", func() bool {
+		for _, n := range f.nodes {
+			if len(n.board.Registry.Endpoints("model")) != perRegion*len(regions) || !n.board.Health.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+	return l
+}
+
+// start starts an endpoint under a new id, and another one some time after it has ended.
+func (l *crashLoad) start(region string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
+	l.started++
+	id := fmt.Sprintf("model-%s-%d", region, l.started)
+	e, err := routed.New(id, platTerms)
+	if err != nil {
+		l.t.Error(err)
+		return
+	}
+	e.EventGap, e.AnswerTime = 30*time.Millisecond, 100*time.Millisecond
+	e.SetCrash(routed.Crash{Part: badPart, Head: l.head, Ended: func() {
+		l.mu.Lock()
+		l.ends = append(l.ends, time.Now())
+		l.mu.Unlock()
+		l.wg.Go(func() {
+			time.Sleep(endpointDownTime)
+			l.store.put(feed.Change{Key: id, Deleted: true, RemovedEndpoint: id})
+			l.start(region)
+		})
+	}})
+	l.all = append(l.all, e)
+	l.store.put(feed.Change{Key: id, Endpoint: &regis.Endpoint{
+		ID: id, Service: "model", Address: e.Address(), Centre: region + "1", Slots: 8, Incarnation: time.Now().UnixMilli(),
+	}})
+}
+
+func (l *crashLoad) stop() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.wg.Wait()
+	for _, e := range l.all {
+		_ = e.Close()
+	}
+}
+
+// send sends a request with prompt parts to a host and reports whether it was served, and the
+// status and header of its answer.
+func (l *crashLoad) send(host, id string, parts ...string) (served bool, status int, header http.Header) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+l.nodes[host].settings.Callers+"/stream/x", nil)
+	if err != nil {
+		l.t.Error(err)
+		return false, 0, nil
+	}
+	req.Host = "h"
+	req.Header.Set(platTerms.RequestID, id)
+	req.Header.Set(platTerms.Deadline, "5000")
+	req.Header.Set(platTerms.Tokens, "40,10")
+	req.Header.Set(platTerms.Parts, strings.Join(append(parts, id), ":10,")+":10")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return false, 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK && string(body) == wholeStream(id), resp.StatusCode, resp.Header
+}
+
+// badArrivals returns the times at which requests with the bad part reached endpoints.
+func (l *crashLoad) badArrivals() []time.Time {
+	l.mu.Lock()
+	all := slices.Clone(l.all)
+	l.mu.Unlock()
+	var out []time.Time
+	for _, e := range all {
+		for _, r := range e.Runs() {
+			if strings.Contains(r.Header.Get(platTerms.Parts), badPart) {
+				out = append(out, r.At)
+			}
+		}
+	}
+	return out
+}
+
+// fifthEnd returns when the fifth endpoint ended, and false before.
+func (l *crashLoad) fifthEnd() (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.ends) < endsToAgree {
+		return time.Time{}, false
+	}
+	return l.ends[endsToAgree-1], true
+}
+
+func (l *crashLoad) endCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.ends)
+}
+
+// soundCount counts sound requests in a span.
+type soundCount struct {
+	mu           sync.Mutex
+	sent, served int
+}
+
+func (c *soundCount) add(served bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent++
+	if served {
+		c.served++
+	}
+}
+
+// share returns the share of the requests that were served.
+func (c *soundCount) share() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.served) / float64(max(1, c.sent))
+}
+
+// TestPromptPartEndsEndpointAfterEndpoint: requests with a part on which endpoints end are no
+// longer sent once the hosts had time to agree, and sound ones with the same first part are.
+func TestPromptPartEndsEndpointAfterEndpoint(t *testing.T) {
+	for _, head := range []bool{true, false} {
+		t.Run(fmt.Sprintf("head_%v", head), func(t *testing.T) {
+			testCrashes(t, startCrashLoad(startCentre(t, 4), []string{"a"}, 8, head))
+		})
+	}
+	t.Run("regions", func(t *testing.T) {
+		f := startFleet(t)
+		for _, id := range []string{"model-a1", "model-b1"} {
+			f.store.put(feed.Change{Key: id, Deleted: true, RemovedEndpoint: id})
+		}
+		testCrashes(t, startCrashLoad(f, []string{"a", "b"}, 4, true))
+	})
+}
+
+func testCrashes(t *testing.T, l *crashLoad) {
+	hosts := make([]string, 0, len(l.nodes))
+	for name := range l.nodes {
+		hosts = append(hosts, name)
+	}
+	var calm, late soundCount
+	var wg sync.WaitGroup
+	begin := time.Now()
+	fifth, agreed := time.Time{}, false
+	for i := 0; ; i++ {
+		now := time.Now()
+		if !agreed {
+			fifth, agreed = l.fifthEnd()
+		}
+		if agreed && now.Sub(fifth) > 2*agreeTime+3*time.Second {
+			break
+		}
+		if now.Sub(begin) > 2*waitTimeout {
+			t.Fatalf("%d endpoints ended in %v, want %d or more", l.endCount(), now.Sub(begin), endsToAgree)
+		}
+		isCalm, isLate := now.Sub(begin) < 2*time.Second, agreed && now.Sub(fifth) > 2*agreeTime
+		for _, host := range hosts {
+			id := fmt.Sprintf("sound-%s-%d", host, i)
+			wg.Go(func() {
+				served, _, _ := l.send(host, id, "first", fmt.Sprintf("talk-%s-%d", host, i/10))
+				switch {
+				case isCalm:
+					calm.add(served)
+				case isLate:
+					late.add(served)
+				}
+			})
+		}
+		if now.Sub(begin) > 2*time.Second && i%4 == 0 {
+			host, id := hosts[i/4%len(hosts)], fmt.Sprintf("bad-%d", i)
+			wg.Go(func() { l.send(host, id, "first", badPart) })
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	reached := 0
+	for _, at := range l.badArrivals() {
+		if at.Sub(fifth) > agreeTime {
+			reached++
+		}
+	}
+	t.Logf("%d endpoints ended, %d requests reached endpoints late; sound ones served: %.3f calm, %.3f late", l.endCount(), reached, calm.share(), late.share())
+	if reached > lateRequests {
+		t.Errorf("%d requests with the part reached endpoints later than %v after the fifth end, %d are allowed", reached, agreeTime, lateRequests)
+	}
+	if late.share() < calm.share()/2 {
+		t.Errorf("of the sound requests %.3f are served, want half of %.3f or more", late.share(), calm.share())
+	}
+}
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +38,16 @@
 	Drop bool
 }
 
+// Crash makes the endpoint end as it begins to write an answer to a request with a prompt
+// part, unless the part is the prompt's last.
+type Crash struct {
+	Part string
+	// Head sends the head of the answer before the end.
+	Head bool
+	// Ended is called once the endpoint has ended; it may be nil.
+	Ended func()
+}
+
 // Run is one request that the endpoint ran.
 type Run struct {
 	ID     string
@@ -65,6 +76,8 @@
 
 	mu        sync.Mutex
 	fault     Fault
+	crash     Crash
+	ended     bool
 	rateLimit string
 	leaving   bool
 	runs      []Run
@@ -89,6 +102,42 @@
 // Close stops the endpoint and closes its connections.
 func (e *Endpoint) Close() error { return e.server.Close() }
 
+// SetCrash sets on which prompt part the endpoint ends; the zero value is none.
+func (e *Endpoint) SetCrash(c Crash) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash = c
+}
+
+// crashOn returns the crash that a request with a prompt causes, and false if it causes none.
+func (e *Endpoint) crashOn(p terms.Prompt) (Crash, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.crash
+	return c, slices.ContainsFunc(p.Parts[:max(0, len(p.Parts)-1)], func(part terms.Part) bool { return part.ID == c.Part })
+}
+
+// end ends the endpoint within a request, with all its connections.
+func (e *Endpoint) end(w http.ResponseWriter, c Crash) {
+	if c.Head {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+	}
+	e.mu.Lock()
+	first := !e.ended
+	e.ended = true
+	e.mu.Unlock()
+	if first {
+		// The error is ignored: the listener may be closed already.
+		_ = e.server.Close()
+		if c.Ended != nil {
+			c.Ended()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // SetFault replaces the injected fault.
 func (e *Endpoint) SetFault(f Fault) {
 	e.mu.Lock()
@@ -189,6 +238,10 @@
 	}
 	from := e.recordRun(r, id)
 	h.Set(SignedBy, e.ID)
+	if c, ends := e.crashOn(e.Terms.ParsePrompt(r.Header.Get(e.Terms.Tokens), r.Header.Get(e.Terms.Parts))); ends {
+		httpd.Sleep(r.Context(), e.AnswerTime)
+		e.end(w, c)
+	}
 	switch {
 	case f.Silent:
 		<-r.Context().Done()
