Quarantine prompt parts under which endpoints end one after the other

Cause: a request that ends its endpoint was retried at the next one, and nothing kept the next such request from endpoints: hosts judged endpoints by their failures, never requests. Now hosts record which prompt parts (the last left out) were in flight, at the beginning of an answer, at an endpoint that ended (its address refuses connections or its registration is gone). Ends count if each came under a request sent after the end before; an answer clears a part, as the fault does not depend on chance. Three links, of two requests or more, quarantine a part (five, if it was answered before): its requests are refused as not run, with the time until the next trial. Hosts pass the evidence on at random in both regions; merging it needs no order. Ruled out: judging by the first part or the caller (sound requests share them); counting ends alone (a common part is in flight at each end); counting endpoints that end together (mass crashes).

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -62,6 +62,8 @@
 	HomeGone       Code = "home_gone"
 	HomeFull       Code = "home_full"
 	Cancelled      Code = "cancelled"
+	// Poisoned refuses a request under whose prompt parts endpoints end.
+	Poisoned Code = "poisoned"
 )
 
 // statuses maps each refusal code to its HTTP status.
@@ -70,7 +72,7 @@
 	RateLimit: 429, Busy: 503, QueueFull: 503, Deadline: 504, NoRegion: 503, NoEndpoint: 503,
 	Leaving: 503, NotReady: 503, EndpointError: 502, EndpointSilent: 504,
 	Truncated: 502, RelayError: 502, KeyMissing: 428, KeyInvalid: 400, KeyExpired: 410,
-	KeyReused: 422, HomeLost: 502, HomeGone: 410, HomeFull: 503, Cancelled: 499,
+	KeyReused: 422, HomeLost: 502, HomeGone: 410, HomeFull: 503, Cancelled: 499, Poisoned: 503,
 }
 
 // Codes returns every refusal code, in no particular order.
--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -1,7 +1,7 @@
 // Package board holds the state that a host's controllers share: they read and
 // write its tables and do not call one another. Each table has its own lock. Lock
 // order when two are held: revisions, endpoints, then the leaf locks (members,
-// remotes, health, queues, registry, speeds, mixes, origins).
+// remotes, health, queues, registry, speeds, mixes, origins, poison).
 package board
 
 import (
@@ -13,6 +13,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/health"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/mixes"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/origin"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/poison"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/revis"
@@ -39,7 +40,7 @@
 	Health    *health.Table
 	Limits    *limit.Table
 	Retries   *retry.Budget
-	// Routes, Registry, Speeds, Mixes, Duties and Origins are used only by hosts that take routes
+	// Routes, Registry, Speeds, Mixes, Duties, Origins and Poison are used only by hosts that take routes
 	// and endpoint registrations from the platform's store.
 	Routes   *routes.Table
 	Registry *regis.Table
@@ -47,6 +48,7 @@
 	Mixes    *mixes.Table
 	Duties   *duties.Table
 	Origins  *origin.Table
+	Poison   *poison.Table
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue.Queue
@@ -79,6 +81,7 @@
 		Mixes:        mixes.NewTable(),
 		Duties:       duties.NewTable(),
 		Origins:      origin.NewTable(),
+		Poison:       poison.NewTable(),
 		queues:       map[queueKey]*queue.Queue{},
 		leavingMarks: map[string]time.Time{},
 	}
--- /dev/null
+++ b/internal/board/poison/table.go
@@ -0,0 +1,243 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// entry is a record with its state in the table.
+type entry struct {
+	Record
+	changed time.Time
+	sent    time.Time
+	// shared reports whether other hosts may have ends of the part.
+	shared bool
+	// cleared is when an answer cleared the part of ends that other hosts may have.
+	cleared time.Time
+}
+
+// Table holds the evidence against prompt parts. Its lock is a leaf.
+type Table struct {
+	mu      sync.Mutex
+	entries map[Key]*entry
+	// young and old are two generations of the times of answers by part.
+	young, old map[Key]time.Time
+	turned     time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: map[Key]*entry{}, young: map[Key]time.Time{}, old: map[Key]time.Time{}}
+}
+
+// RecordEnd records the end of an endpoint under a request with a part.
+func (t *Table) RecordEnd(now time.Time, key Key, e End) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.merge(now, Record{Key: key, Ends: []End{e}}, false)
+}
+
+// RecordServed records that a request with the parts was answered.
+func (t *Table) RecordServed(now time.Time, keys []Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.turn(now)
+	for _, k := range keys {
+		t.young[k] = now
+		if e := t.entries[k]; e != nil && (len(e.Ends) > 0 || e.Trials > 0) {
+			t.merge(now, Record{Key: k, Served: now}, false)
+		}
+	}
+}
+
+// Merge adds the records of a peer host.
+func (t *Table) Merge(now time.Time, list []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range list {
+		t.merge(now, r, true)
+	}
+}
+
+func (t *Table) merge(now time.Time, r Record, fromPeer bool) {
+	e := t.entries[r.Key]
+	if e == nil {
+		e = &entry{Record: Record{Key: r.Key, Served: t.served(r.Key)}}
+	}
+	merged := e.Merge(r)
+	e.shared = e.shared || fromPeer && len(r.Ends) > 0
+	if dropsEnds(e.Ends, merged.Served) || dropsEnds(r.Ends, merged.Served) {
+		if e.shared {
+			e.cleared = now
+		}
+	}
+	if merged.Trials != e.Trials || !slices.EqualFunc(merged.Ends, e.Ends, func(a, b End) bool { return a.Life == b.Life }) {
+		e.changed = now
+	}
+	e.Record = merged
+	if len(merged.Ends) == 0 && merged.Trials == 0 && now.Sub(e.cleared) >= hotTime {
+		// Nothing is held against the part and no other host needs to be told so.
+		if !merged.Served.IsZero() {
+			t.young[r.Key] = later(t.served(r.Key), merged.Served)
+		}
+		delete(t.entries, r.Key)
+		return
+	}
+	t.entries[r.Key] = e
+	if len(t.entries) > maxRecords {
+		t.evict()
+	}
+}
+
+// dropsEnds reports whether an answer at a time clears a part of any of the ends.
+func dropsEnds(ends []End, served time.Time) bool {
+	return slices.ContainsFunc(ends, func(e End) bool { return !e.At.After(served) })
+}
+
+// evict removes the part with the least evidence.
+func (t *Table) evict() {
+	var least *entry
+	for _, e := range t.entries {
+		if least == nil || cmp.Or(cmp.Compare(len(e.Ends), len(least.Ends)), e.lastTry().Compare(least.lastTry()), cmp.Compare(e.Key, least.Key)) < 0 {
+			least = e
+		}
+	}
+	delete(t.entries, least.Key)
+}
+
+// served returns when this host last had an answer to a request with a part.
+func (t *Table) served(k Key) time.Time { return later(t.young[k], t.old[k]) }
+
+// turn starts a new generation of answers.
+func (t *Table) turn(now time.Time) {
+	if now.Sub(t.turned) < servedTurn && len(t.young) < maxServed {
+		return
+	}
+	t.old, t.young, t.turned = t.young, map[Key]time.Time{}, now
+}
+
+// Verdict is the decision on a request.
+type Verdict struct {
+	// Refused reports whether the request is not sent, because of the part Key.
+	Refused bool
+	Key     Key
+	// RetryAfter is the time until the next trial of the part.
+	RetryAfter time.Duration
+	// Trial reports whether the request is the trial of a part. It may be sent once.
+	Trial bool
+}
+
+// Check decides on a request with the parts. The function chosen returns whether this host
+// makes the trial of a part in the slot of a number.
+func (t *Table) Check(now time.Time, keys []Key, chosen func(k Key, slot int) bool) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.entries) == 0 {
+		return Verdict{}
+	}
+	var v Verdict
+	var tried []*entry
+	for _, k := range keys {
+		e := t.entries[k]
+		if e == nil || !e.quarantined(now) || e.expired(now) {
+			continue
+		}
+		wait, ok := e.untilTrial(now, chosen)
+		if ok {
+			tried = append(tried, e)
+		} else if !v.Refused || wait > v.RetryAfter {
+			v.Refused, v.Key, v.RetryAfter = true, k, wait
+		}
+	}
+	if v.Refused {
+		return v
+	}
+	for _, e := range tried {
+		e.Trials, e.TriedAt, e.changed = e.Trials+1, now, now
+		v.Trial, v.Key = true, e.Key
+	}
+	return v
+}
+
+// untilTrial returns the time until the part's next trial, or true if it is made now.
+func (e *entry) untilTrial(now time.Time, chosen func(k Key, slot int) bool) (time.Duration, bool) {
+	over := now.Sub(e.lastTry()) - e.trialWait()
+	if over < 0 {
+		return -over, false
+	}
+	slot, offset := int(over/trialSlot), over%trialSlot
+	if offset >= trialGuard && chosen(e.Key, slot) {
+		return 0, true
+	}
+	if offset < trialGuard {
+		return trialGuard - offset, false
+	}
+	return trialSlot - offset + trialGuard, false
+}
+
+// Outgoing returns the records to send to peer hosts now, with up to limit ends and records
+// together. Those that clear a part come first, then those with the longest chains.
+func (t *Table) Outgoing(now time.Time, limit int) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []*entry
+	for _, e := range t.entries {
+		gap := steadyGap
+		if now.Sub(e.changed) < hotTime || now.Sub(e.cleared) < hotTime {
+			gap = 0
+		}
+		if now.Sub(e.sent) >= gap && (len(e.Ends) > 0 || now.Sub(e.cleared) < hotTime) {
+			due = append(due, e)
+		}
+	}
+	slices.SortFunc(due, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.sendClass(now), b.sendClass(now)), a.sent.Compare(b.sent), cmp.Compare(a.Key, b.Key))
+	})
+	var out []Record
+	for _, e := range due {
+		if limit -= 1 + len(e.Ends); limit < 0 {
+			break
+		}
+		e.sent = now
+		e.shared = e.shared || len(e.Ends) > 0
+		out = append(out, e.Record)
+	}
+	return out
+}
+
+// sendClass orders records by their urgency for other hosts.
+func (e *entry) sendClass(now time.Time) int {
+	switch {
+	case now.Sub(e.cleared) < hotTime:
+		return 0
+	case len(e.Ends) > 1:
+		return 1
+	}
+	return 2
+}
+
+// Sweep removes evidence that no longer counts, and returns the parts that are quarantined and
+// the number of those with evidence.
+func (t *Table) Sweep(now time.Time) (quarantined []Record, suspects int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, e := range t.entries {
+		if len(e.Ends) == 0 && now.Sub(e.cleared) >= hotTime || len(e.Ends) > 0 && e.expired(now) {
+			if e.Served.After(t.served(k)) {
+				t.young[k] = e.Served
+			}
+			delete(t.entries, k)
+			continue
+		}
+		if len(e.Ends) > 0 {
+			suspects++
+		}
+		if e.quarantined(now) {
+			quarantined = append(quarantined, e.Record)
+		}
+	}
+	slices.SortFunc(quarantined, func(a, b Record) int { return cmp.Compare(a.Key, b.Key) })
+	return quarantined, suspects
+}
--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -97,6 +97,8 @@
 	AgeMS int64 `cbor:"6,keyasint"`
 	// Release is that of the endpoints which may continue the stream; nil means any.
 	Release *string `cbor:"7,keyasint,omitempty"`
+	// Trial reports whether the request is the trial of a quarantined prompt part.
+	Trial bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Head is the start of an answer: status, header fields and the endpoint that
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -97,6 +97,9 @@
 	// whose start the sender asks for. Hosts of builds that do not know the fields ignore them.
 	Starts []Starts `cbor:"20,keyasint,omitempty"`
 	Asked  []uint64 `cbor:"21,keyasint,omitempty"`
+	// Poison is the evidence against prompt parts. Hosts of builds that do not know the field
+	// ignore it.
+	Poison []PoisonPart `cbor:"24,keyasint,omitempty"`
 	// InFlight is the number of in-flight requests at the sender.
 	InFlight int `cbor:"10,keyasint,omitempty"`
 	// Leaving reports whether the sender is leaving and accepts no new requests.
@@ -220,6 +223,31 @@
 	Keys    []uint64
 }
 
+// PoisonPart is the evidence against a prompt part under which endpoints ended. Ages are in
+// milliseconds, 0 for none.
+type PoisonPart struct {
+	_ struct{} `cbor:",toarray"`
+	// Part is the hash of the part's id.
+	Part uint64
+	// ServedMS is the age of the last answer to a request with the part.
+	ServedMS uint32
+	// Trials counts the trials of the part, TriedMS is the age of the last.
+	Trials  uint32
+	TriedMS uint32
+	Ends    []PoisonEnd
+}
+
+// PoisonEnd is the end of an endpoint under a prompt part.
+type PoisonEnd struct {
+	_ struct{} `cbor:",toarray"`
+	// Life is the hash of the endpoint's id and incarnation, Request that of the request's id.
+	Life    uint64
+	Request uint32
+	AgeMS   uint32
+	// FlightMS is how long the request had been in flight, in milliseconds.
+	FlightMS uint32
+}
+
 // LeavingEndpoint is an endpoint that announced that it takes no new requests and ends.
 type LeavingEndpoint struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -49,7 +49,12 @@
 	// limit and this host's attempts at them.
 	LimitedEndpoints prometheus.Gauge
 	LimitedAttempts  prometheus.Counter
-	Revision         prometheus.Gauge
+	// SuspectParts and QuarantinedParts are the prompt parts with evidence against them and
+	// those of them that are refused, QuarantineRefusals counts the refused requests.
+	SuspectParts       prometheus.Gauge
+	QuarantinedParts   prometheus.Gauge
+	QuarantineRefusals prometheus.Counter
+	Revision           prometheus.Gauge
 
 	mu sync.Mutex
 	// routes are the names of the routes that have series in requestTime.
@@ -79,19 +84,22 @@
 		requestTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time of a whole request by route and outcome.", Buckets: requestTimeBuckets,
 		}, []string{"route", "outcome"}),
-		controlBytes:     counters("control_bytes_total", "Bytes of datagrams between hosts.", "direction"),
-		Pauses:           counter("pauses_total", "Pauses of the process that were noticed."),
-		DedupHits:        counter("operation_repeats_total", "Requests answered from a remembered operation."),
-		StaleHeads:       counter("stale_heads_total", "Older revisions that were ignored."),
-		RejectedHeads:    counter("rejected_heads_total", "Revisions that were not accepted."),
-		LimitedEndpoints: gauge("limited_endpoints", "Endpoints of the region that name a rate limit."),
-		LimitedAttempts:  counter("limited_attempts_total", "Attempts at endpoints that name a rate limit."),
-		InFlight:         gauge("open_requests", "Requests in flight."),
-		Revision:         gauge("revision", "Configuration revision in force."),
+		controlBytes:       counters("control_bytes_total", "Bytes of datagrams between hosts.", "direction"),
+		Pauses:             counter("pauses_total", "Pauses of the process that were noticed."),
+		DedupHits:          counter("operation_repeats_total", "Requests answered from a remembered operation."),
+		StaleHeads:         counter("stale_heads_total", "Older revisions that were ignored."),
+		RejectedHeads:      counter("rejected_heads_total", "Revisions that were not accepted."),
+		LimitedEndpoints:   gauge("limited_endpoints", "Endpoints of the region that name a rate limit."),
+		LimitedAttempts:    counter("limited_attempts_total", "Attempts at endpoints that name a rate limit."),
+		SuspectParts:       gauge("suspect_parts", "Prompt parts under which endpoints ended since they were last answered."),
+		QuarantinedParts:   gauge("quarantined_parts", "Prompt parts whose requests are refused."),
+		QuarantineRefusals: counter("quarantine_refusals_total", "Refused requests with quarantined prompt parts."),
+		InFlight:           gauge("open_requests", "Requests in flight."),
+		Revision:           gauge("revision", "Configuration revision in force."),
 	}
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
-		m.LimitedEndpoints, m.LimitedAttempts,
+		m.LimitedEndpoints, m.LimitedAttempts, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
 		for _, ran := range []fault.Ran{fault.RanNo, fault.RanYes, fault.RanUnknown} {
--- a/internal/serve/node/crash_test.go
+++ b/internal/serve/node/crash_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -228,7 +229,12 @@
 		}
 		if now.Sub(begin) > 2*time.Second && i%4 == 0 {
 			host, id := hosts[i/4%len(hosts)], fmt.Sprintf("bad-%d", i)
-			wg.Go(func() { l.send(host, id, "first", badPart) })
+			wg.Go(func() {
+				_, status, header := l.send(host, id, "first", badPart)
+				if seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64); isLate && (status != http.StatusServiceUnavailable || err != nil || seconds <= 0) {
+					t.Errorf("a request with the part got status %d and Retry-After %q, want a refusal that names a time", status, header.Get("Retry-After"))
+				}
+			})
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/poison"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
@@ -66,6 +67,9 @@
 	// loggedMembers is the last logged status of each peer host. Only the members
 	// controller uses it.
 	loggedMembers map[string]memberStatus
+	// loggedQuarantine holds the prompt parts that were last logged as quarantined. Only the
+	// controller of sharePoison uses it.
+	loggedQuarantine map[poison.Key]bool
 
 	// ahead is the host that announced changes of the store that this host lacks, nil if
 	// none did since the last fetch.
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -71,6 +71,7 @@
 	add(inFlightName, inFlightPeriod, n.shareInFlight)
 	add("sums", serviceLoadPeriod, n.shareServiceLoads)
 	add("origins", originsPeriod, n.shareOrigins)
+	add("poison", poisonPeriod, n.sharePoison)
 	add("connections", sweepPeriod, n.pool.Sweep)
 	add("links", linkPeriod, n.warmLinks)
 	n.runner.Add(ctrl.Controller{Name: "ends", Period: endsPeriod, Step: n.proxy.CheckEnds})
@@ -135,6 +136,7 @@
 	if p.Store != nil && m.Centre == n.board.Centre {
 		n.receiveStoreState(now, m, p.StoreEra, p.Store)
 	}
+	n.board.Poison.Merge(now, fromWirePoison(now, p.Poison))
 	n.proxy.Prefixes.RecordReported(now, p.SentPrefixes)
 	for _, s := range p.ServiceLoads {
 		if s.Region != n.board.Region {
--- a/internal/serve/proxy/ends.go
+++ b/internal/serve/proxy/ends.go
@@ -188,6 +188,9 @@
 	p.ends.mu.Lock()
 	defer p.ends.mu.Unlock()
 	for key, w := range p.ends.list {
+		if w.ended {
+			p.recordEvidence(now, key, w)
+		}
 		if now.Sub(w.first) < endWatch {
 			continue
 		}
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -45,7 +45,11 @@
 		h.Endpoint, h.Release = e.ID, &e.Release
 		return sink.Head(h)
 	}
+	writes := 0
 	prefillSink := client.Sink{Head: head, Data: func(data []byte) error {
+		if writes++; writes == beginWrites+1 {
+			p.Board.Poison.RecordServed(p.Now(), partKeys(t.Prompt))
+		}
 		if prefill > 0 {
 			p.Board.Endpoints.AddQueuedPrefill(e.ID, t.Route.Priority, -prefill)
 			prefill = 0
@@ -65,6 +69,9 @@
 		t.report.Sent++
 	}
 	p.recordResult(t, d, out, start)
+	if passedBegin(out) {
+		p.Board.Poison.RecordServed(p.Now(), partKeys(t.Prompt))
+	}
 	if brokeAtBegin(out) && len(sharedParts(t.Prompt)) > 0 {
 		p.recordBroken(t, e, out, start)
 	}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -57,6 +57,8 @@
 	Release *string
 	// EntryRegion is the region of the host that the caller sent the request to.
 	EntryRegion string
+	// Trial reports whether the request is the trial of a quarantined prompt part.
+	Trial bool
 	// AttemptsLeft is the number of attempts that the route still allows. Attempts that
 	// certainly did not run do not count.
 	AttemptsLeft int
@@ -316,7 +318,8 @@
 // after a pause of the process.
 const stalePollInterval = 10 * time.Millisecond
 
-// gate returns a refusal if the deadline has passed or the caller has disconnected.
+// gate returns a refusal if the deadline has passed, the caller has disconnected, or a part
+// of the prompt is quarantined.
 // After a pause of the process it blocks until the state of endpoints and hosts is
 // refreshed.
 func (p *Proxy) gate(ctx context.Context, t *task) *fault.Refusal {
@@ -330,7 +333,7 @@
 	if ctx.Err() != nil || !p.Now().Before(t.Deadline) {
 		return p.contextRefusal(ctx)
 	}
-	return nil
+	return p.quarantineRefusal(t)
 }
 
 // contextRefusal returns the refusal of a request whose caller disconnected or whose
