Count an end from the head of the answer, and not against parts that share it

Where the head of an answer arrived before its endpoint ended, the link of the chain begins at the head: the time in an engine's queue tells nothing, and with it links of busy endpoints overlap (TestEndIsTimedFromHead; the subtest slow of TestPromptPartEndsEndpointAfterEndpoint passes without it too, with 6 ends). Ends in the span of a quarantined part that was never answered no longer count against one that was: with few endpoints a sound first part may have no answer between two ends (TestSharedPartIsExplained fails without the rule).

--- a/internal/board/poison/poison.go
+++ b/internal/board/poison/poison.go
@@ -29,6 +29,8 @@
 	// minGap is the least time between two links. Times that come from other hosts are late by
 	// the way of the message.
 	minGap = 150 * time.Millisecond
+	// explainedAfter is how long after the chain of a part other ends may still be due to it.
+	explainedAfter = 5 * time.Second
 	// settleTime is the time from the last link needed to the quarantine, in which hosts
 	// that had an answer can say so.
 	settleTime = time.Second
@@ -73,7 +75,8 @@
 	// Request identifies the request that was sent there last.
 	Request uint32
 	At      time.Time
-	// Flight is how long that request had been in flight.
+	// Flight is how long that request had been in flight, or, if the head of its answer
+	// arrived, the time since then.
 	Flight time.Duration
 }
 
@@ -160,6 +163,18 @@
 	return ok && now.Sub(at) >= settleTime
 }
 
+// explains reports whether an end at a time may be due to the part.
+func (r Record) explains(at time.Time) bool {
+	n := len(r.Ends)
+	return n > 0 && !at.Before(r.Ends[0].At.Add(-minGap)) && at.Sub(r.Ends[n-1].At) < explainedAfter
+}
+
+// without returns the record without the ends that another part explains.
+func (r Record) without(other Record) Record {
+	r.Ends = slices.DeleteFunc(slices.Clone(r.Ends), func(e End) bool { return other.explains(e.At) })
+	return r
+}
+
 // lastTry returns when an endpoint was last known to end under the part or a trial was made.
 func (r Record) lastTry() time.Time {
 	if len(r.Ends) == 0 {
--- a/internal/board/poison/poison_test.go
+++ b/internal/board/poison/poison_test.go
@@ -61,6 +61,31 @@
 	}
 }
 
+// TestSharedPartIsExplained: ends under a part that was never answered are not held against a
+// sound one that shares its requests, and later ends are.
+func TestSharedPartIsExplained(t *testing.T) {
+	const shared, bad = 1, 7
+	table := NewTable()
+	table.RecordServed(at(0), []Key{shared})
+	for i := range 6 {
+		e := end(uint64(i), uint32(i), 500*i+10, 500*i+400)
+		table.RecordEnd(at(3000), shared, e)
+		if i < chainNeeded {
+			table.RecordEnd(at(3000), bad, e)
+		}
+	}
+	if !refused(table, at(4000), bad) || refused(table, at(4000), shared) {
+		t.Errorf("refused: bad %v, shared %v, want the first only", refused(table, at(4000), bad), refused(table, at(4000), shared))
+	}
+	table.Sweep(at(5000))
+	for i := range chainIfServed {
+		table.RecordEnd(at(20_000), shared, end(uint64(100+i), uint32(100+i), 10_000+500*i+10, 10_000+500*i+400))
+	}
+	if !refused(table, at(20_000), shared) {
+		t.Error("ends that nothing else explains do not count")
+	}
+}
+
 // quarantinedTable returns a table in which part 7 is quarantined by ends up to at(900).
 func quarantinedTable() *Table {
 	table := NewTable()
--- a/internal/board/poison/table.go
+++ b/internal/board/poison/table.go
@@ -141,7 +141,7 @@
 	var tried []*entry
 	for _, k := range keys {
 		e := t.entries[k]
-		if e == nil || !e.quarantined(now) || e.expired(now) {
+		if e == nil || !t.quarantined(now, e) || e.expired(now) {
 			continue
 		}
 		wait, ok := e.untilTrial(now, chosen)
@@ -161,6 +161,24 @@
 	return v
 }
 
+// quarantined reports whether no request with a part is sent.
+func (t *Table) quarantined(now time.Time, e *entry) bool {
+	return e.quarantined(now) && (e.Served.IsZero() || t.unexplained(now, e).quarantined(now))
+}
+
+// unexplained returns the record of a part that was answered before, without the ends that are
+// due to a quarantined part that never was: sound requests share parts with those that end
+// endpoints.
+func (t *Table) unexplained(now time.Time, e *entry) Record {
+	left := e.Record
+	for _, other := range t.entries {
+		if other.Served.IsZero() && other.quarantined(now) {
+			left = left.without(other.Record)
+		}
+	}
+	return left
+}
+
 // untilTrial returns the time until the part's next trial, or true if it is made now.
 func (e *entry) untilTrial(now time.Time, chosen func(k Key, slot int) bool) (time.Duration, bool) {
 	over := now.Sub(e.lastTry()) - e.trialWait()
@@ -224,6 +242,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, e := range t.entries {
+		if !e.Served.IsZero() && len(e.Ends) > 0 {
+			// Makes room for later ends.
+			e.Record = t.unexplained(now, e)
+		}
 		if len(e.Ends) == 0 && now.Sub(e.cleared) >= hotTime || len(e.Ends) > 0 && e.expired(now) {
 			if e.Served.After(t.served(k)) {
 				t.young[k] = e.Served
@@ -234,7 +256,7 @@
 		if len(e.Ends) > 0 {
 			suspects++
 		}
-		if e.quarantined(now) {
+		if t.quarantined(now, e) {
 			quarantined = append(quarantined, e.Record)
 		}
 	}
--- a/internal/serve/node/crash_test.go
+++ b/internal/serve/node/crash_test.go
@@ -32,6 +32,8 @@
 type crashLoad struct {
 	*fleet
 	head bool
+	// begin is the time until an answer begins to a request that ends its endpoint.
+	begin time.Duration
 
 	mu      sync.Mutex
 	started int
@@ -41,8 +43,8 @@
 	all     []*routed.Endpoint
 }
 
-func startCrashLoad(f *fleet, regions []string, perRegion int, head bool) *crashLoad {
-	l := &crashLoad{fleet: f, head: head}
+func startCrashLoad(f *fleet, regions []string, perRegion int, head bool, begin time.Duration) *crashLoad {
+	l := &crashLoad{fleet: f, head: head, begin: begin}
 	for _, region := range regions {
 		for range perRegion {
 			l.start(region)
@@ -74,7 +76,7 @@
 		l.t.Error(err)
 		return
 	}
-	e.EventGap, e.AnswerTime = 30*time.Millisecond, 100*time.Millisecond
+	e.EventGap, e.AnswerTime = 30*time.Millisecond, l.begin
 	e.SetCrash(routed.Crash{Part: badPart, Head: l.head, Ended: func() {
 		l.mu.Lock()
 		l.ends = append(l.ends, time.Now())
@@ -182,15 +184,18 @@
 func TestPromptPartEndsEndpointAfterEndpoint(t *testing.T) {
 	for _, head := range []bool{true, false} {
 		t.Run(fmt.Sprintf("head_%v", head), func(t *testing.T) {
-			testCrashes(t, startCrashLoad(startCentre(t, 4), []string{"a"}, 8, head))
+			testCrashes(t, startCrashLoad(startCentre(t, 4), []string{"a"}, 8, head, 100*time.Millisecond))
 		})
 	}
+	t.Run("slow", func(t *testing.T) {
+		testCrashes(t, startCrashLoad(startCentre(t, 4), []string{"a"}, 8, true, 2*time.Second))
+	})
 	t.Run("regions", func(t *testing.T) {
 		f := startFleet(t)
 		for _, id := range []string{"model-a1", "model-b1"} {
 			f.store.put(feed.Change{Key: id, Deleted: true, RemovedEndpoint: id})
 		}
-		testCrashes(t, startCrashLoad(f, []string{"a", "b"}, 4, true))
+		testCrashes(t, startCrashLoad(f, []string{"a", "b"}, 4, true, 100*time.Millisecond))
 	})
 }
 
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -113,6 +113,9 @@
 	Load terms.Load
 	// TimeToFirstByte is the time from the start of the attempt to the first byte of the body.
 	TimeToFirstByte time.Duration
+	// TimeToHead is the time from the start of the attempt to the head of the answer, 0 if
+	// none arrived.
+	TimeToHead time.Duration
 	// LastEventID is the id of the last event passed on, Attempt.LastEventID if none was.
 	LastEventID int
 	// ErrorAnswer is the endpoint's error answer (status 500 or above) if it was not passed
@@ -206,7 +209,7 @@
 		return 0
 	}
 	defer func() { _ = resp.Body.Close() }()
-	e.result.Status = resp.StatusCode
+	e.result.Status, e.result.TimeToHead = resp.StatusCode, e.client.Now().Sub(e.start)
 	e.result.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if load, ok := e.client.Terms.ParseLoad(resp.Header.Get(e.client.Terms.Load)); ok {
 		e.result.Load = load
--- a/internal/serve/proxy/ends.go
+++ b/internal/serve/proxy/ends.go
@@ -43,7 +43,7 @@
 type brokenPart struct {
 	id       string
 	attempts int
-	// request is the attempt that was sent last.
+	// request is the attempt that was sent, or got the head of its answer, last; sent is when.
 	request string
 	sent    time.Time
 	broken  time.Time
@@ -97,6 +97,9 @@
 		// It ends as planned.
 		return
 	}
+	// An endpoint that ends under a request does so as it begins to answer, so the time before
+	// the head tells nothing.
+	sent = sent.Add(out.TimeToHead)
 	now := p.Now()
 	p.ends.mu.Lock()
 	defer p.ends.mu.Unlock()
--- a/internal/serve/proxy/ends_test.go
+++ b/internal/serve/proxy/ends_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -76,3 +77,27 @@
 		t.Errorf("got %v, want the parts first and rare of 3 attempts", lines[0])
 	}
 }
+
+// TestEndIsTimedFromHead: requests that waited long at endpoints that end one after the other
+// count as separate ends from the heads of their answers on, without a head they overlap.
+func TestEndIsTimedFromHead(t *testing.T) {
+	for _, head := range []bool{true, false} {
+		now := time.Now()
+		p := New()
+		p.Board = board.New(now, "n", "a", "a1", 1)
+		p.Client, p.Log, p.Now = &pool.Client{Pool: pool.New()}, zerolog.Nop(), func() time.Time { return now }
+		for i := range 3 {
+			out := pool.Result{Reason: retry.Broken}
+			if head {
+				out.Status, out.TimeToHead = 200, 1950*time.Millisecond
+			}
+			p.recordBroken(&task{Request: Request{ID: fmt.Sprint(i), Prompt: testPrompt("bad", "own")}}, regis.Endpoint{ID: fmt.Sprint(i)}, out, now.Add(-2*time.Second))
+			p.CheckEnds(context.Background(), now)
+			now = now.Add(300 * time.Millisecond)
+		}
+		now = now.Add(time.Second)
+		if quarantined, _ := p.Board.Poison.Sweep(now); (len(quarantined) == 1) != head {
+			t.Errorf("head %v: %d parts quarantined", head, len(quarantined))
+		}
+	}
+}
