Count only trials under which an endpoint ended

A trial that was refused or timed out put the next one off tenfold. A refusal of another region for evidence that has not arrived here is final.

--- a/internal/board/poison/poison.go
+++ b/internal/board/poison/poison.go
@@ -35,8 +35,8 @@
 	// that had an answer can say so.
 	settleTime = time.Second
 
-	// firstTrial is the time from the last end to the first trial; each further wait is
-	// longer by trialFactor.
+	// firstTrial is the time from the last end to the first trial; after each trial under which
+	// an endpoint ended the wait is longer by trialFactor.
 	firstTrial  = time.Minute
 	trialFactor = 10
 	// trialSlot is the time for which one host of the fleet may make the trial. At the
@@ -90,7 +90,8 @@
 	Ends []End
 	// Served is when a request with the part was last answered, zero if never.
 	Served time.Time
-	// Trials counts the trials since then, TriedAt is the time of the last.
+	// Trials counts the trials since then under which an endpoint ended, TriedAt is the time of
+	// the last trial.
 	Trials  int
 	TriedAt time.Time
 }
--- a/internal/board/poison/table.go
+++ b/internal/board/poison/table.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// RecordFailedTrial records that an endpoint ended under the trial of a part.
+func (t *Table) RecordFailedTrial(now time.Time, key Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[key]; e != nil {
+		e.Trials, e.TriedAt, e.changed = e.Trials+1, now, now
+	}
+}
+
 // Merge adds the records of a peer host.
 func (t *Table) Merge(now time.Time, list []Record) {
 	t.mu.Lock()
@@ -73,7 +82,7 @@
 			e.cleared = now
 		}
 	}
-	if merged.Trials != e.Trials || !slices.EqualFunc(merged.Ends, e.Ends, func(a, b End) bool { return a.Life == b.Life }) {
+	if merged.Trials != e.Trials || merged.TriedAt.Sub(e.TriedAt) > trialGuard || !slices.EqualFunc(merged.Ends, e.Ends, func(a, b End) bool { return a.Life == b.Life }) {
 		e.changed = now
 	}
 	e.Record = merged
@@ -155,7 +164,7 @@
 		return v
 	}
 	for _, e := range tried {
-		e.Trials, e.TriedAt, e.changed = e.Trials+1, now, now
+		e.TriedAt, e.changed = now, now
 		v.Trial, v.Key = true, e.Key
 	}
 	return v
--- a/internal/serve/proxy/ends.go
+++ b/internal/serve/proxy/ends.go
@@ -47,6 +47,8 @@
 	request string
 	sent    time.Time
 	broken  time.Time
+	// trial reports whether one of the attempts was the trial of a quarantined part.
+	trial bool
 	// reported reports whether the part was recorded for the endpoint's end.
 	reported bool
 }
@@ -129,6 +131,7 @@
 			w.parts[part.ID] = b
 		}
 		b.attempts++
+		b.trial = b.trial || t.Trial
 		if sent.After(b.sent) {
 			b.sent, b.request, b.broken, b.reported = sent, t.ID, now, false
 		}
--- a/internal/serve/proxy/poison.go
+++ b/internal/serve/proxy/poison.go
@@ -28,6 +28,10 @@
 	if len(t.Prompt.Parts) < 2 || t.Trial && t.report.Attempts == 0 {
 		return nil
 	}
+	if t.lastRefusal != nil && t.lastRefusal.Code == fault.Poisoned {
+		// A host of another region refused for evidence that has not arrived here yet.
+		return t.lastRefusal
+	}
 	v := p.Board.Poison.Check(p.Now(), partKeys(t.Prompt), func(k poison.Key, slot int) bool { return p.makesTrial(t, k, slot) })
 	if v.Trial {
 		t.Trial = t.report.Attempts == 0
@@ -76,5 +80,8 @@
 		p.Board.Poison.RecordEnd(now, poison.KeyOf(b.id), poison.End{
 			Life: key.key(), Request: uint32(xxhash.Sum64String(b.request)), At: b.broken, Flight: b.broken.Sub(b.sent),
 		})
+		if b.trial {
+			p.Board.Poison.RecordFailedTrial(now, poison.KeyOf(b.id))
+		}
 	}
 }
