Keep echoes of evidence from moving answers and trials forward

Cause: hosts took the later of two reports of a part's last answer or trial, and each report is late by its message, so a record that hosts send to and fro grew younger by a delay a round. In a minute of 200 ms rounds that cleared a quarantined part by an answer from before its ends, and put off trials. Answers and trials now have ids: of two reports of one event the earlier holds.

--- a/internal/board/poison/poison.go
+++ b/internal/board/poison/poison.go
@@ -83,29 +83,49 @@
 // sent returns when the last request was sent.
 func (e End) sent() time.Time { return e.At.Add(-e.Flight) }
 
+// Event is an answer or a trial. Its id tells a later event from the same one that other hosts
+// report with the delay of their messages.
+type Event struct {
+	ID uint32
+	At time.Time
+}
+
+// Latest returns the later of two events, and of two reports of the same one the earlier.
+func (e Event) Latest(other Event) Event {
+	if e.At.IsZero() || other.At.IsZero() || e.ID != other.ID {
+		if c := e.At.Compare(other.At); c > 0 || c == 0 && e.ID > other.ID {
+			return e
+		}
+		return other
+	}
+	if other.At.Before(e.At) {
+		return other
+	}
+	return e
+}
+
 // Record is what a host knows of a part.
 type Record struct {
 	Key Key
 	// Ends is the chain of ends since the part was last answered.
 	Ends []End
-	// Served is when a request with the part was last answered, zero if never.
-	Served time.Time
-	// Trials counts the trials since then under which an endpoint ended, TriedAt is the time of
-	// the last trial.
-	Trials  int
-	TriedAt time.Time
+	// Served is the last answer to a request with the part, zero if there was none.
+	Served Event
+	// Trials counts the trials since then under which an endpoint ended, Tried is the last trial.
+	Trials int
+	Tried  Event
 }
 
 // Merge returns the knowledge of two hosts of one part. Merging more never shortens the chain
 // but for an answer, and the same knowledge again changes nothing.
 func (r Record) Merge(other Record) Record {
-	out := Record{Key: r.Key, Served: later(r.Served, other.Served)}
-	if t := later(r.TriedAt, other.TriedAt); t.After(out.Served) {
-		out.TriedAt, out.Trials = t, max(r.Trials, other.Trials)
+	out := Record{Key: r.Key, Served: r.Served.Latest(other.Served)}
+	if t := r.Tried.Latest(other.Tried); t.At.After(out.Served.At) {
+		out.Tried, out.Trials = t, max(r.Trials, other.Trials)
 	}
 	byLife := map[uint64]End{}
 	for _, e := range slices.Concat(r.Ends, other.Ends) {
-		if !e.At.After(out.Served) {
+		if !e.At.After(out.Served.At) {
 			continue
 		}
 		if known, ok := byLife[e.Life]; ok {
@@ -145,7 +165,7 @@
 // quarantinedAt returns when the chain was long enough, and false if it is not.
 func (r Record) quarantinedAt() (time.Time, bool) {
 	needed := chainNeeded
-	if !r.Served.IsZero() {
+	if !r.Served.At.IsZero() {
 		needed = chainIfServed
 	}
 	requests := map[uint32]bool{}
@@ -179,9 +199,9 @@
 // lastTry returns when an endpoint was last known to end under the part or a trial was made.
 func (r Record) lastTry() time.Time {
 	if len(r.Ends) == 0 {
-		return r.TriedAt
+		return r.Tried.At
 	}
-	return later(r.TriedAt, r.Ends[len(r.Ends)-1].At)
+	return later(r.Tried.At, r.Ends[len(r.Ends)-1].At)
 }
 
 // trialWait returns the time from the last try to the next trial.
--- a/internal/board/poison/poison_test.go
+++ b/internal/board/poison/poison_test.go
@@ -147,6 +147,36 @@
 	}
 }
 
+// TestEchoesDelayEvents: records that hosts send to and fro, each time with a delay, neither clear
+// a part by an old answer nor put off its trial.
+func TestEchoesDelayEvents(t *testing.T) {
+	p := newPlay(2)
+	a := p.hosts[0]
+	a.RecordServed(at(0), []Key{7})
+	for i := range chainIfServed {
+		a.RecordEnd(at(5000), 7, end(uint64(i), uint32(i), 500*i+1010, 500*i+1400))
+	}
+	now := at(5000).Add(firstTrial + trialGuard)
+	for at := at(5000); at.Before(now); at = at.Add(200 * time.Millisecond) {
+		p.gossip(at)
+	}
+	for i, h := range p.hosts {
+		if !refused(h, now, 7) {
+			t.Errorf("host %d has cleared the part", i)
+		}
+	}
+	if v := a.Check(now, []Key{7}, func(Key, int) bool { return true }); !v.Trial {
+		t.Fatalf("%+v, want a trial", v)
+	}
+	tried := now
+	for now = now.Add(200 * time.Millisecond); now.Before(tried.Add(firstTrial + 2*trialGuard)); now = now.Add(200 * time.Millisecond) {
+		p.gossip(now)
+	}
+	if v := p.hosts[1].Check(now, []Key{7}, func(Key, int) bool { return true }); !v.Trial {
+		t.Errorf("%+v, want the next trial", v)
+	}
+}
+
 // TestOneHostTries: of many hosts with the same evidence each slot's host makes the trial, and no
 // other once it is known.
 func TestOneHostTries(t *testing.T) {
@@ -259,6 +289,13 @@
 	}
 }
 
+func addDelay(t time.Time, d time.Duration) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return t.Add(d)
+}
+
 // delayed returns records as a host reads them that receives them some time later.
 func (p *play) delayed(records []Record) []Record {
 	d := time.Duration(p.rnd.IntN(100)) * time.Millisecond
@@ -269,12 +306,7 @@
 		for j := range r.Ends {
 			r.Ends[j].At = r.Ends[j].At.Add(d)
 		}
-		if !r.Served.IsZero() {
-			r.Served = r.Served.Add(d)
-		}
-		if !r.TriedAt.IsZero() {
-			r.TriedAt = r.TriedAt.Add(d)
-		}
+		r.Served.At, r.Tried.At = addDelay(r.Served.At, d), addDelay(r.Tried.At, d)
 	}
 	return out
 }
--- a/internal/board/poison/table.go
+++ b/internal/board/poison/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -23,13 +24,16 @@
 	mu      sync.Mutex
 	entries map[Key]*entry
 	// young and old are two generations of the times of answers by part.
-	young, old map[Key]time.Time
+	young, old map[Key]Event
 	turned     time.Time
+	// lastID is the id of the last event of this host. It begins at random, as the ids of
+	// hosts are compared.
+	lastID uint32
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{entries: map[Key]*entry{}, young: map[Key]time.Time{}, old: map[Key]time.Time{}}
+	return &Table{entries: map[Key]*entry{}, young: map[Key]Event{}, old: map[Key]Event{}, lastID: rand.Uint32()}
 }
 
 // RecordEnd records the end of an endpoint under a request with a part.
@@ -44,10 +48,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.turn(now)
+	served := t.event(now)
 	for _, k := range keys {
-		t.young[k] = now
+		t.young[k] = served
 		if e := t.entries[k]; e != nil && (len(e.Ends) > 0 || e.Trials > 0) {
-			t.merge(now, Record{Key: k, Served: now}, false)
+			t.merge(now, Record{Key: k, Served: served}, false)
 		}
 	}
 }
@@ -57,10 +62,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[key]; e != nil {
-		e.Trials, e.TriedAt, e.changed = e.Trials+1, now, now
+		e.Trials, e.Tried, e.changed = e.Trials+1, t.event(now), now
 	}
 }
 
+// event returns a new event of this host.
+func (t *Table) event(now time.Time) Event {
+	t.lastID++
+	return Event{ID: t.lastID, At: now}
+}
+
 // Merge adds the records of a peer host.
 func (t *Table) Merge(now time.Time, list []Record) {
 	t.mu.Lock()
@@ -77,19 +88,19 @@
 	}
 	merged := e.Merge(r)
 	e.shared = e.shared || fromPeer && len(r.Ends) > 0
-	if dropsEnds(e.Ends, merged.Served) || dropsEnds(r.Ends, merged.Served) {
+	if dropsEnds(e.Ends, merged.Served.At) || dropsEnds(r.Ends, merged.Served.At) {
 		if e.shared {
 			e.cleared = now
 		}
 	}
-	if merged.Trials != e.Trials || merged.TriedAt.Sub(e.TriedAt) > trialGuard || !slices.EqualFunc(merged.Ends, e.Ends, func(a, b End) bool { return a.Life == b.Life }) {
+	if merged.Trials != e.Trials || merged.Tried.ID != e.Tried.ID || !slices.EqualFunc(merged.Ends, e.Ends, func(a, b End) bool { return a.Life == b.Life }) {
 		e.changed = now
 	}
 	e.Record = merged
 	if len(merged.Ends) == 0 && merged.Trials == 0 && now.Sub(e.cleared) >= hotTime {
 		// Nothing is held against the part and no other host needs to be told so.
-		if !merged.Served.IsZero() {
-			t.young[r.Key] = later(t.served(r.Key), merged.Served)
+		if !merged.Served.At.IsZero() {
+			t.young[r.Key] = t.served(r.Key).Latest(merged.Served)
 		}
 		delete(t.entries, r.Key)
 		return
@@ -117,14 +128,14 @@
 }
 
 // served returns when this host last had an answer to a request with a part.
-func (t *Table) served(k Key) time.Time { return later(t.young[k], t.old[k]) }
+func (t *Table) served(k Key) Event { return t.young[k].Latest(t.old[k]) }
 
 // turn starts a new generation of answers.
 func (t *Table) turn(now time.Time) {
 	if now.Sub(t.turned) < servedTurn && len(t.young) < maxServed {
 		return
 	}
-	t.old, t.young, t.turned = t.young, map[Key]time.Time{}, now
+	t.old, t.young, t.turned = t.young, map[Key]Event{}, now
 }
 
 // Verdict is the decision on a request.
@@ -164,7 +175,7 @@
 		return v
 	}
 	for _, e := range tried {
-		e.TriedAt, e.changed = now, now
+		e.Tried, e.changed = t.event(now), now
 		v.Trial, v.Key = true, e.Key
 	}
 	return v
@@ -172,7 +183,7 @@
 
 // quarantined reports whether no request with a part is sent.
 func (t *Table) quarantined(now time.Time, e *entry) bool {
-	return e.quarantined(now) && (e.Served.IsZero() || t.unexplained(now, e).quarantined(now))
+	return e.quarantined(now) && (e.Served.At.IsZero() || t.unexplained(now, e).quarantined(now))
 }
 
 // unexplained returns the record of a part that was answered before, without the ends that are
@@ -181,7 +192,7 @@
 func (t *Table) unexplained(now time.Time, e *entry) Record {
 	left := e.Record
 	for _, other := range t.entries {
-		if other.Served.IsZero() && other.quarantined(now) {
+		if other.Served.At.IsZero() && other.quarantined(now) {
 			left = left.without(other.Record)
 		}
 	}
@@ -251,12 +262,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, e := range t.entries {
-		if !e.Served.IsZero() && len(e.Ends) > 0 {
+		if !e.Served.At.IsZero() && len(e.Ends) > 0 {
 			// Makes room for later ends.
 			e.Record = t.unexplained(now, e)
 		}
 		if len(e.Ends) == 0 && now.Sub(e.cleared) >= hotTime || len(e.Ends) > 0 && e.expired(now) {
-			if e.Served.After(t.served(k)) {
+			if e.Served.At.After(t.served(k).At) {
 				t.young[k] = e.Served
 			}
 			delete(t.entries, k)
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -234,7 +234,10 @@
 	// Trials counts the trials of the part, TriedMS is the age of the last.
 	Trials  uint32
 	TriedMS uint32
-	Ends    []PoisonEnd
+	// Served and Tried are the ids of that answer and that trial.
+	Served uint32
+	Tried  uint32
+	Ends   []PoisonEnd
 }
 
 // PoisonEnd is the end of an endpoint under a prompt part.
--- a/internal/serve/node/poison.go
+++ b/internal/serve/node/poison.go
@@ -64,7 +64,10 @@
 func toWirePoison(now time.Time, list []poison.Record) []wire.PoisonPart {
 	out := make([]wire.PoisonPart, len(list))
 	for i, r := range list {
-		out[i] = wire.PoisonPart{Part: uint64(r.Key), ServedMS: toAge(now, r.Served), Trials: uint32(r.Trials), TriedMS: toAge(now, r.TriedAt)}
+		out[i] = wire.PoisonPart{
+			Part:     uint64(r.Key),
+			ServedMS: toAge(now, r.Served.At), Served: r.Served.ID, Trials: uint32(r.Trials), TriedMS: toAge(now, r.Tried.At), Tried: r.Tried.ID,
+		}
 		for _, e := range r.Ends {
 			out[i].Ends = append(out[i].Ends, wire.PoisonEnd{
 				Life: e.Life, Request: e.Request, AgeMS: toAge(now, e.At), FlightMS: uint32(max(0, e.Flight.Milliseconds())),
@@ -77,7 +80,10 @@
 func fromWirePoison(now time.Time, list []wire.PoisonPart) []poison.Record {
 	out := make([]poison.Record, len(list))
 	for i, w := range list {
-		out[i] = poison.Record{Key: poison.Key(w.Part), Served: fromAge(now, w.ServedMS), Trials: int(w.Trials), TriedAt: fromAge(now, w.TriedMS)}
+		out[i] = poison.Record{
+			Key:    poison.Key(w.Part),
+			Served: poison.Event{ID: w.Served, At: fromAge(now, w.ServedMS)}, Trials: int(w.Trials), Tried: poison.Event{ID: w.Tried, At: fromAge(now, w.TriedMS)},
+		}
 		for _, e := range w.Ends {
 			out[i].Ends = append(out[i].Ends, poison.End{
 				Life: e.Life, Request: e.Request, At: fromAge(now, e.AgeMS), Flight: time.Duration(e.FlightMS) * time.Millisecond,
--- a/internal/serve/node/poison_test.go
+++ b/internal/serve/node/poison_test.go
@@ -41,7 +41,7 @@
 	}
 	back := fromWirePoison(now, got.Poison)
 	for i, r := range back {
-		if r.Key != list[i].Key || !r.Served.IsZero() || len(r.Ends) != 1 || r.Ends[0].Life != list[i].Ends[0].Life || list[i].Ends[0].At.Sub(r.Ends[0].At).Abs() > time.Millisecond {
+		if r.Key != list[i].Key || !r.Served.At.IsZero() || len(r.Ends) != 1 || r.Ends[0].Life != list[i].Ends[0].Life || list[i].Ends[0].At.Sub(r.Ends[0].At).Abs() > time.Millisecond {
 			t.Errorf("record %d is %+v, want %+v", i, r, list[i])
 		}
 	}
