--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -63,6 +63,8 @@
 	HomeFull       Code = "home_full"
 	Cancelled      Code = "cancelled"
 	Internal       Code = "internal"
+	// Poisoned refuses a request under whose prompt parts endpoints end.
+	Poisoned Code = "poisoned"
 )
 
 // statuses maps each refusal code to its HTTP status.
@@ -72,6 +74,7 @@
 	Leaving: 503, NotReady: 503, EndpointError: 502, EndpointSilent: 504,
 	Truncated: 502, RelayError: 502, KeyMissing: 428, KeyInvalid: 400, KeyExpired: 410,
 	KeyReused: 422, HomeLost: 502, HomeGone: 410, HomeFull: 503, Cancelled: 499, Internal: 500,
+	Poisoned: 503,
 }
 
 // Codes returns every refusal code, in no particular order.
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -34,6 +34,7 @@
 	sweepPeriod       = time.Second
 	expirePeriod      = 200 * time.Millisecond
 	linkPeriod        = time.Second
+	endsPeriod        = 100 * time.Millisecond
 	connectTimeout    = 900 * time.Millisecond
 
 	// inFlightFanout is the number of entry hosts of the local region that get this
@@ -70,8 +71,10 @@
 	add(inFlightName, inFlightPeriod, n.shareInFlight)
 	add("sums", serviceLoadPeriod, n.shareServiceLoads)
 	add("origins", originsPeriod, n.shareOrigins)
+	add("poison", poisonPeriod, n.sharePoison)
 	add("connections", sweepPeriod, n.pool.Sweep)
 	add("links", linkPeriod, n.warmLinks)
+	n.runner.Add(ctrl.Controller{Name: "ends", Period: endsPeriod, Step: n.proxy.CheckEnds})
 	add(itemsName, fetchItemsPeriod, n.fetchItems)
 	add(storeStateName, storeStatePeriod, n.shareStoreState)
 	add("registry", expirePeriod, func(now time.Time) {
@@ -133,6 +136,7 @@
 	if p.Store != nil && m.Centre == n.board.Centre {
 		n.receiveStoreState(now, m, p.StoreEra, p.Store)
 	}
+	n.board.Poison.Merge(now, fromWirePoison(now, p.Poison))
 	n.proxy.Prefixes.RecordReported(now, p.SentPrefixes)
 	for _, s := range p.ServiceLoads {
 		if s.Region != n.board.Region {
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -47,7 +47,11 @@
 		h.Endpoint, h.Release = e.ID, &e.Release
 		return sink.Head(h)
 	}
+	writes := 0
 	prefillSink := client.Sink{Head: head, Data: func(data []byte) error {
+		if writes++; writes == beginWrites+1 {
+			p.Board.Poison.RecordServed(p.Now(), partKeys(t.Prompt))
+		}
 		if prefill > 0 {
 			p.Board.Endpoints.AddQueuedPrefill(e.ID, t.Route.Priority, -prefill)
 			prefill = 0
@@ -67,6 +71,12 @@
 		t.report.Sent++
 	}
 	p.recordResult(t, d, out, start)
+	if passedBegin(out) {
+		p.Board.Poison.RecordServed(p.Now(), partKeys(t.Prompt))
+	}
+	if brokeAtBegin(out) && len(sharedParts(t.Prompt)) > 0 {
+		p.recordBroken(t, e, out, start)
+	}
 	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
 		Uint64("registered", eras.Revision(e.Revision)).Str("release", e.Release).Dur("expected", d.expectedLatency).Dur("first", out.TimeToFirstByte).Int("status", out.Status).
 		Bool("reused", out.Reused).Int("running", out.Load.Running).Int("waiting", out.Load.Waiting).
