Ask endpoints whether they are cold while the store can't be read

Cause: the endpoints became cold at 13.36 s (their own answers: 2.78 s left at 13.58 s), shortly before the end of an evacuation that the hosts never heard of. The store is the only source for that, and three ways to read it late were wrong: no view until 15.2 s; then that of a peer host, with the endpoints removed; then, at 15.7 s, their first registrations after the cut, which said nothing of a warm-up, and only 0.9 s later the next ones, which did.

Ruled out: counting them as cold from the pause on until the view is confirmed. They are warm for most of that time, which cost worth, and the first registration after a cut is still wrong. Slow answers do not tell either: a cold engine answers as fast as a warm one.

Endpoints of the region whose registration can't be trusted (the store is out of reach, or it lapsed, or either held within the last 2.5 s, two heartbeats) are now asked by their health checks, which say how long they stay cold. Hosts of a region pass on what they learn and share the checks: 0.3 s apart from one host, about 7 a second for an endpoint from any number of them. Only the rate of endpoints that say so is limited.

--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -36,11 +36,22 @@
 	// Lapsed reports whether the registration was removed during an outage of the store
 	// and the endpoint is kept for a while. It may have restarted meanwhile.
 	Lapsed bool
+	// announced is what the endpoint itself answered of its warm-up.
+	announced announcedCold
+}
+
+// announcedCold is the end of a warm-up that an endpoint announced.
+type announcedCold struct {
+	until time.Time
+	// own reports whether it was in an answer to this host.
+	own bool
 }
 
 // Cold reports whether the endpoint may be cold: it is warming up, or what it does since
 // its registration lapsed is not known.
-func (e Endpoint) Cold(now time.Time) bool { return e.Lapsed || now.Before(e.ColdUntil) }
+func (e Endpoint) Cold(now time.Time) bool {
+	return e.Lapsed || now.Before(e.ColdUntil) || now.Before(e.announced.until)
+}
 
 // SlotsOf returns the number of slots of an endpoint of a service. An endpoint that
 // reports none has those of the service's engine.
@@ -138,6 +149,9 @@
 			delete(t.leaving, e.ID)
 		}
 	}
+	if ok && old.Incarnation == e.Incarnation {
+		e.announced = old.announced
+	}
 	delete(t.gone, e.ID)
 	delete(t.expiring, e.ID)
 	t.endpoints[e.ID] = e
@@ -316,6 +330,47 @@
 	return out
 }
 
+// Cold is an endpoint's announcement that it is cold until a time.
+type Cold struct {
+	ID string
+	// Incarnation is that of the endpoint when it announced it.
+	Incarnation int64
+	Until       time.Time
+}
+
+// MarkCold marks an endpoint that announced that it is cold, to this host if own is set,
+// else to a peer host. It reports whether that prolongs the warm-up by more than coldSlack.
+func (t *Table) MarkCold(c Cold, own bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.endpoints[c.ID]
+	if !ok || e.Incarnation != c.Incarnation || !c.Until.After(e.announced.until) {
+		return false
+	}
+	known := e.ColdUntil
+	if e.announced.until.After(known) {
+		known = e.announced.until
+	}
+	e.announced = announcedCold{until: c.Until, own: own}
+	t.endpoints[c.ID] = e
+	t.reindex()
+	return c.Until.Sub(known) > coldSlack
+}
+
+// AnnouncedCold returns the endpoints that announced to this host that they are cold, to
+// pass on to peer hosts.
+func (t *Table) AnnouncedCold(now time.Time) []Cold {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []Cold
+	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
+		if e := t.endpoints[id]; e.announced.own && now.Before(e.announced.until) {
+			out = append(out, Cold{ID: id, Incarnation: e.Incarnation, Until: e.announced.until})
+		}
+	}
+	return out
+}
+
 // reindex rebuilds the lists of endpoints by service. It makes new lists, as readers hold
 // the old ones.
 func (t *Table) reindex() {
--- a/internal/board/regis/regis_test.go
+++ b/internal/board/regis/regis_test.go
@@ -329,3 +329,35 @@
 		t.Error("the next start of the endpoint is marked")
 	}
 }
+
+// TestAnnouncedColdOutlivesTheStore: what an endpoint answered of its warm-up holds against
+// an older write that lacks it, until its end or the endpoint's next start.
+func TestAnnouncedColdOutlivesTheStore(t *testing.T) {
+	table := NewTable()
+	e := entry("a", 5)
+	e.Incarnation = 100
+	table.Put(e)
+	until := start.Add(3 * time.Second)
+	if table.MarkCold(Cold{ID: "a", Incarnation: 90, Until: until}, true) || table.MarkCold(Cold{ID: "b", Until: until}, true) {
+		t.Error("the announcement of another start or of an unknown endpoint was taken")
+	}
+	if !table.MarkCold(Cold{ID: "a", Incarnation: 100, Until: until}, true) || len(table.AnnouncedCold(start)) != 1 {
+		t.Error("the announcement was not taken")
+	}
+	if table.MarkCold(Cold{ID: "a", Incarnation: 100, Until: until.Add(coldSlack)}, true) {
+		t.Error("the same announcement made again is news")
+	}
+	until = until.Add(coldSlack)
+	e.Revision = 6
+	if table.Put(e) {
+		t.Error("a write without a change counts as one because of the announcement")
+	}
+	if got, _ := table.Get("a"); !got.Cold(until.Add(-1)) || got.Cold(until) || len(table.AnnouncedCold(until)) != 0 {
+		t.Error("after a write the endpoint is not cold until the end that it announced")
+	}
+	e.Revision, e.Incarnation = 7, 200
+	table.Put(e)
+	if got, _ := table.Get("a"); got.Cold(start) {
+		t.Error("the next start of the endpoint is marked")
+	}
+}
--- a/internal/conf/rules/rules.go
+++ b/internal/conf/rules/rules.go
@@ -89,6 +89,8 @@
 	// ColdRate is the number of requests per second that a cold endpoint can serve; 0 is
 	// no limit.
 	ColdRate float64
+	// HealthPath is the path of its endpoints' health checks, empty if it is not known.
+	HealthPath string
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -54,6 +54,10 @@
 	// requests and will end.
 	Leaving      string
 	LeavingValue string
+	// EndpointID is the endpoint's id and ColdTime the time for which it stays cold, in
+	// milliseconds, in its answers to health checks.
+	EndpointID string
+	ColdTime   string
 	// Priority is the priority of a request within an engine; 0 is the highest.
 	Priority string
 	// Reserved lists the fields that only the gateway may set in requests to endpoints.
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -93,6 +93,9 @@
 	// LeavingEndpoints are endpoints of the region that announced lately that they leave. Hosts of
 	// builds that do not know the field ignore it.
 	LeavingEndpoints []LeavingEndpoint `cbor:"23,keyasint,omitempty"`
+	// ColdEndpoints are endpoints of the region that answered the sender that they are cold.
+	// Hosts of builds that do not know the field ignore it.
+	ColdEndpoints []ColdEndpoint `cbor:"24,keyasint,omitempty"`
 	// Starts are streams and the releases that began them, and Asked the keys of streams
 	// whose start the sender asks for. Hosts of builds that do not know the fields ignore them.
 	Starts []Starts `cbor:"20,keyasint,omitempty"`
@@ -227,3 +230,13 @@
 	// Life is the incarnation of the endpoint that announced it.
 	Life int64
 }
+
+// ColdEndpoint is an endpoint that announced that it is cold.
+type ColdEndpoint struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	// Life is the incarnation of the endpoint that announced it.
+	Life int64
+	// RemainingMS is the time for which it stays cold, in milliseconds.
+	RemainingMS uint32
+}
--- /dev/null
+++ b/internal/serve/node/cold.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
+)
+
+const (
+	coldCheckPeriod = 100 * time.Millisecond
+	// minCheckInterval is the least time between two checks of an endpoint by one host.
+	// With several hosts in a region it is at least hostCheckInterval for each of them.
+	minCheckInterval  = 300 * time.Millisecond
+	hostCheckInterval = 150 * time.Millisecond
+	// checkTail is how long endpoints are still checked once the store answers again: they
+	// may not have been able to write before.
+	checkTail = 2500 * time.Millisecond
+	// checkTimeout bounds a check; endpoints answer in a few milliseconds.
+	checkTimeout = 300 * time.Millisecond
+	// maxHealthBytes bounds the body of an answer to a check, maxWarmUp the time for which
+	// an endpoint counts as cold by one answer.
+	maxHealthBytes = 64 << 10
+	maxWarmUp      = time.Minute
+)
+
+// coldChecks decides when to ask endpoints whether they are cold. The store says so as long
+// as it can be read; an endpoint that becomes cold meanwhile fails under the usual load.
+type coldChecks struct {
+	// endpoints holds the endpoints whose state may be unknown, by id.
+	endpoints map[string]coldCheck
+}
+
+type coldCheck struct {
+	// unsureUntil is the time until which the endpoint is checked, next that of its next
+	// check.
+	unsureUntil time.Time
+	next        time.Time
+}
+
+// due returns the endpoints to check now, given those whose state the store does not say
+// at present. hosts is the number of hosts of the region, which share the checks and what
+// they learn; random returns a number in [0, 1) that spreads their first checks.
+func (c *coldChecks) due(now time.Time, unsure []string, hosts int, random func() float64) []string {
+	interval := max(minCheckInterval, time.Duration(hosts)*hostCheckInterval)
+	for _, id := range unsure {
+		check, known := c.endpoints[id]
+		if !known {
+			check.next = now.Add(time.Duration(random() * float64(interval-minCheckInterval)))
+		}
+		check.unsureUntil = now.Add(checkTail)
+		if c.endpoints == nil {
+			c.endpoints = map[string]coldCheck{}
+		}
+		c.endpoints[id] = check
+	}
+	var out []string
+	for id, check := range c.endpoints {
+		switch {
+		case !now.Before(check.unsureUntil):
+			delete(c.endpoints, id)
+		case !now.Before(check.next):
+			check.next = now.Add(interval)
+			c.endpoints[id] = check
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// checkCold asks endpoints of the region whether they are cold while the store does not
+// say so: it can't be read, or their registrations lapsed.
+func (n *Node) checkCold(now time.Time) {
+	_, unreachable := n.feed.Unreachable(now)
+	var unsure []string
+	for _, id := range n.board.Registry.IDs(n.board.Region) {
+		if e, ok := n.board.Registry.Get(id); ok && (unreachable || e.Lapsed) {
+			unsure = append(unsure, id)
+		}
+	}
+	if len(unsure) == 0 && len(n.coldChecks.endpoints) == 0 {
+		return
+	}
+	var wait sync.WaitGroup
+	for _, id := range n.coldChecks.due(now, unsure, n.regionHosts(), rand.Float64) {
+		e, ok := n.board.Registry.Get(id)
+		if path := n.healthPath(e); ok && path != "" {
+			wait.Go(func() { n.askCold(e, path) })
+		}
+	}
+	wait.Wait()
+}
+
+// regionHosts returns the number of hosts of the region, this one included.
+func (n *Node) regionHosts() int {
+	hosts := 1
+	for _, m := range n.board.Members.Members() {
+		if m.Region == n.board.Region && m.State != wire.Left {
+			hosts++
+		}
+	}
+	return hosts
+}
+
+// healthPath returns the path of an endpoint's health checks, empty if it is not checked: it
+// gets no requests, or as many while it is cold.
+func (n *Node) healthPath(e regis.Endpoint) string {
+	inForce := n.board.Routes.Rules()
+	if inForce == nil || e.Draining || n.board.Registry.Evacuated(e.Centre) {
+		return ""
+	}
+	s, ok := inForce.Service(e.Service)
+	if !ok || s.ColdRate == 0 {
+		return ""
+	}
+	return s.HealthPath
+}
+
+// askCold asks an endpoint whether it is cold.
+func (n *Node) askCold(e regis.Endpoint, path string) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	var id, cold string
+	terms := n.proxy.Terms
+	sink := client.Sink{
+		Head: func(h wire.Head) error {
+			for _, f := range h.Fields {
+				switch f.Name {
+				case terms.EndpointID:
+					id = f.Value
+				case terms.ColdTime:
+					cold = f.Value
+				}
+			}
+			return nil
+		},
+		Data: func([]byte) error { return nil },
+	}
+	now := n.now()
+	out := n.proxy.Client.Do(ctx, pool.Attempt{
+		Address: e.Address, Method: http.MethodGet, Target: path, Host: e.Address, Deadline: now.Add(checkTimeout),
+		LastEventID: stream.NoID, MaxAnswerBytes: maxHealthBytes,
+	}, sink)
+	if id != e.ID || cold == "" {
+		n.log.Debug().Str("endpoint", e.ID).Str("answered", id).Int("status", out.Status).AnErr("cause", out.Err).Msg("endpoint checked")
+		return
+	}
+	ms, err := strconv.ParseFloat(cold, 64)
+	if err != nil || !(ms >= 0) {
+		n.log.Warn().Str("endpoint", e.ID).Str("value", cold).Msg("ignoring a malformed warm-up time")
+		return
+	}
+	n.markCold(now, regis.Cold{ID: e.ID, Incarnation: e.Incarnation, Until: now.Add(min(maxWarmUp, time.Duration(min(ms, 1e9)*float64(time.Millisecond))))}, "")
+}
+
+// markCold records that an endpoint announced that it is cold, to this host or to a peer.
+func (n *Node) markCold(now time.Time, c regis.Cold, peer string) {
+	if n.board.Registry.MarkCold(c, peer == "") {
+		n.log.Info().Str("endpoint", c.ID).Int64("born", c.Incarnation).Dur("cold", c.Until.Sub(now)).Str("peer", peer).Msg("endpoint announces that it is cold")
+	}
+}
+
+// toWireCold returns the first of the cold endpoints in the form of packets.
+func toWireCold(now time.Time, list []regis.Cold) []wire.ColdEndpoint {
+	var out []wire.ColdEndpoint
+	for _, c := range list[:min(len(list), maxPacketCold)] {
+		out = append(out, wire.ColdEndpoint{Endpoint: c.ID, Life: c.Incarnation, RemainingMS: uint32(c.Until.Sub(now).Milliseconds())})
+	}
+	return out
+}
+
+// receiveCold marks the endpoints that announced to a peer host of the region that they are
+// cold.
+func (n *Node) receiveCold(now time.Time, from string, list []wire.ColdEndpoint) {
+	for _, c := range list {
+		until := now.Add(min(maxWarmUp, time.Duration(c.RemainingMS)*time.Millisecond))
+		n.markCold(now, regis.Cold{ID: c.Endpoint, Incarnation: c.Life, Until: until}, from)
+	}
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -75,6 +75,8 @@
 	// listedAt is the ordered revision of the last listing. Only the feed uses it.
 	listedAt        uint64
 	heldEvacuations heldEvacuations
+	// coldChecks is only used by its controller.
+	coldChecks coldChecks
 
 	// announcedLoad reports whether the last announced load was not empty. Only the
 	// controller inFlightName uses it.
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -46,8 +46,9 @@
 	maxPacketEndpoints = 32
 	// maxPacketLimits bounds the rate limits of endpoints in one packet.
 	maxPacketLimits = 8
-	// maxPacketLeaving bounds the leaving endpoints in one packet.
+	// maxPacketLeaving bounds the leaving endpoints in one packet, maxPacketCold the cold ones.
 	maxPacketLeaving = 8
+	maxPacketCold    = 8
 	// packetOverhead is the size of the IP and UDP headers, in bytes.
 	packetOverhead = 28
 )
@@ -72,6 +73,7 @@
 	add("origins", originsPeriod, n.shareOrigins)
 	add("connections", sweepPeriod, n.pool.Sweep)
 	add("links", linkPeriod, n.warmLinks)
+	add("cold checks", coldCheckPeriod, n.checkCold)
 	add(itemsName, fetchItemsPeriod, n.fetchItems)
 	add(storeStateName, storeStatePeriod, n.shareStoreState)
 	add("registry", expirePeriod, func(now time.Time) {
@@ -126,6 +128,7 @@
 	if m.Region == n.board.Region {
 		n.receiveLimits(now, p.From, p.Limits)
 		n.receiveLeaving(now, p.From, p.LeavingEndpoints)
+		n.receiveCold(now, p.From, p.ColdEndpoints)
 	}
 	if len(p.Starts) > 0 || len(p.Asked) > 0 {
 		n.receiveOrigins(now, m, p)
@@ -167,8 +170,9 @@
 func (n *Node) shareNotices(now time.Time) {
 	limits := toWireLimits(n.board.Endpoints.NamedLimits(now))
 	leaving := toWireLeaving(n.board.Registry.RecentLeaving(now))
-	if len(limits) > 0 || len(leaving) > 0 {
-		n.announceTo(n.randomEntries(n.board.Region, inFlightFanout), wire.Packet{Limits: limits, LeavingEndpoints: leaving})
+	cold := toWireCold(now, n.board.Registry.AnnouncedCold(now))
+	if len(limits) > 0 || len(leaving) > 0 || len(cold) > 0 {
+		n.announceTo(n.randomEntries(n.board.Region, inFlightFanout), wire.Packet{Limits: limits, LeavingEndpoints: leaving, ColdEndpoints: cold})
 	}
 }
 
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -18,6 +18,9 @@
 // SignedBy is the response header with the id of the endpoint.
 const SignedBy = "X-Signed-By"
 
+// HealthPath is the path of health checks.
+const HealthPath = "/health"
+
 // Fault is an injected fault for the next Times requests.
 type Fault struct {
 	Times int
@@ -67,6 +70,7 @@
 	fault     Fault
 	rateLimit string
 	leaving   bool
+	coldUntil time.Time
 	runs      []Run
 	cancelled int
 	refused   int
@@ -111,6 +115,23 @@
 	e.leaving = leaving
 }
 
+// SetCold sets the time for which the endpoint says in its health answers that it is cold.
+func (e *Endpoint) SetCold(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldUntil = time.Now().Add(d)
+}
+
+// serveHealth answers a health check, which is no run.
+func (e *Endpoint) serveHealth(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.Header().Set(e.Terms.EndpointID, e.ID)
+	if cold := time.Until(e.coldUntil); cold > 0 {
+		w.Header().Set(e.Terms.ColdTime, strconv.FormatInt(cold.Milliseconds(), 10))
+	}
+}
+
 // describe adds what the endpoint says of itself to the header of an answer.
 func (e *Endpoint) describe(h http.Header) {
 	e.mu.Lock()
@@ -177,6 +198,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == HealthPath {
+		e.serveHealth(w)
+		return
+	}
 	f := e.nextFault()
 	if f.NotRun {
 		h.Set(e.Terms.NotRun, "1")
