Count requests sent before an endpoint was known to be cold

A host now counts what it sent to endpoints with a cold rate in the last 1.1 s, whatever it knew then.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -67,11 +67,11 @@
 	queuedPrefill QueuedPrefill
 	// peerLoads holds the announced loads of the region's other hosts, by host.
 	peerLoads map[string]HostLoad
-	// coldRequests holds the times of this host's requests within coldWindow while the
-	// endpoint is cold.
-	coldRequests []time.Time
-	rateLimit    rateLimit
-	pause        pause
+	// recentRequests holds the times of this host's requests within coldWindow, if the rate
+	// of the endpoint is limited while it is cold.
+	recentRequests []time.Time
+	rateLimit      rateLimit
+	pause          pause
 	// limitedSends holds the times of this host's requests while the endpoint names a
 	// rate limit, oldest first.
 	limitedSends []time.Time
@@ -335,7 +335,7 @@
 	out := *s
 	out.history = slices.Clone(s.history)
 	out.peerLoads = maps.Clone(s.peerLoads)
-	out.coldRequests = slices.Clone(s.coldRequests)
+	out.recentRequests = slices.Clone(s.recentRequests)
 	out.limitedSends = slices.Clone(s.limitedSends)
 	return out
 }
--- a/internal/board/endpt/peers.go
+++ b/internal/board/endpt/peers.go
@@ -122,16 +122,31 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(name)
-	for len(s.coldRequests) > 0 && now.Sub(s.coldRequests[0]) >= coldWindow {
-		s.coldRequests = s.coldRequests[1:]
-	}
-	if len(s.coldRequests) >= most {
+	s.trimRequests(now)
+	if len(s.recentRequests) >= most {
 		return false
 	}
-	s.coldRequests = append(s.coldRequests, now)
+	s.recentRequests = append(s.recentRequests, now)
 	return true
 }
 
+// RecordWarm counts a request to an endpoint that is warm as far as this host knows. If it
+// turns out to be cold, the request counts towards its rate limit.
+func (t *Table) RecordWarm(now time.Time, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(name)
+	s.trimRequests(now)
+	s.recentRequests = append(s.recentRequests, now)
+}
+
+// trimRequests drops the requests that are older than coldWindow.
+func (s *State) trimRequests(now time.Time) {
+	for len(s.recentRequests) > 0 && now.Sub(s.recentRequests[0]) >= coldWindow {
+		s.recentRequests = s.recentRequests[1:]
+	}
+}
+
 // coldWindow is the window of the cold-endpoint rate limit. The part beyond a second
 // allows for requests that are delayed on the way to the endpoint.
 const coldWindow = 1100 * time.Millisecond
--- a/internal/board/endpt/peers_test.go
+++ b/internal/board/endpt/peers_test.go
@@ -90,3 +90,25 @@
 		t.Errorf("%d requests in 5 s, want at least 12", len(sent))
 	}
 }
+
+// TestColdRateLimitIgnoresEarlierRequests: requests sent shortly before it became known that
+// the endpoint is cold count towards its rate.
+func TestColdRateLimitIgnoresEarlierRequests(t *testing.T) {
+	const share = 3
+	table, now := NewTable(), time.Unix(1000, 0)
+	for range share + 2 {
+		table.RecordWarm(now, "e")
+	}
+	if table.AdmitCold(now.Add(coldWindow/2), "e", share) {
+		t.Error("AdmitCold = true right after a share of requests, want false")
+	}
+	now = now.Add(coldWindow)
+	for i := range share {
+		if !table.AdmitCold(now, "e", share) {
+			t.Errorf("request %d a window later was not admitted", i)
+		}
+	}
+	if table.AdmitCold(now, "e", share) {
+		t.Error("AdmitCold = true beyond the share, want false")
+	}
+}
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -160,6 +160,9 @@
 			endpoints = append(endpoints[:choice.Index:choice.Index], endpoints[choice.Index+1:]...)
 			continue
 		}
+		if !e.Cold(now) && service.ColdRate > 0 {
+			p.Board.Endpoints.RecordWarm(now, e.ID)
+		}
 		return d
 	}
 	if delay > 0 {
