Give callers leaving hosts near their homes while all ready ones are elsewhere

A region without a ready host got the ready hosts of any region, as "callers would reach nobody else".

The callers' own hosts still ran: a leaving host takes requests for 2.8 s, then refuses them, and starts again within 8 s.

Ruled out: preferring homes among the ready hosts, which the directory does already (Regions takes those that may serve the largest share); no home had a ready host. No answer at all: callers without an older one would wait.

Callers of a region without a ready host now get the leaving hosts of their region and of the homes, if the ready ones would lead over 1 in 20 of their requests with homes astray. Hosts that failed do not leave, so nothing changes after a failure; nor while a home has a ready host, nor for names without homes.

TestDirectoryLeadsCallersAstray failed before: the callers of the home got the other region's host.

--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -79,6 +79,11 @@
 	return m.Incarnation != 0 && !m.Leaving && (m.State == wire.Alive || m.State == wire.Suspect)
 }
 
+// Draining reports whether the member announced that it leaves and still runs.
+func (m Member) Draining() bool {
+	return m.Incarnation != 0 && m.Leaving && (m.State == wire.Alive || m.State == wire.Suspect)
+}
+
 // Outgoing is an outgoing packet with its destination.
 type Outgoing struct {
 	Host    string
--- a/internal/route/steer/steer_test.go
+++ b/internal/route/steer/steer_test.go
@@ -65,3 +65,38 @@
 		}
 	})
 }
+
+// TestCallersLedAstray: callers of a region without a ready host are not given hosts that
+// lie neither there nor in a home of their requests while leaving ones do.
+func TestCallersLedAstray(t *testing.T) {
+	homes := []Load{{Homes: []string{"a", "b"}, Amount: 6}, {Amount: 4}}
+	few := []Load{{Homes: []string{"a", "b"}, Amount: 1}, {Amount: 40}, {Homes: []string{"c"}, Amount: 60}}
+	tests := []struct {
+		name    string
+		local   string
+		chosen  []string
+		leaving []string
+		loads   []Load
+		want    []string
+	}{
+		{"ready host in the region", "c", []string{"c"}, []string{"a"}, homes, nil},
+		{"ready host in a home", "c", []string{"b"}, []string{"a", "c"}, homes, nil},
+		{"leaving hosts in the region and in a home", "a", []string{"c"}, []string{"a", "b", "d"}, homes, []string{"a", "b"}},
+		{"leaving hosts in the region, which is no home", "d", []string{"c"}, []string{"d"}, homes, []string{"d"}},
+		{"leaving hosts elsewhere", "a", []string{"c"}, []string{"d"}, homes, nil},
+		{"hosts that failed", "a", []string{"c"}, nil, homes, nil},
+		{"few requests with such homes", "d", []string{"c"}, []string{"a"}, few, nil},
+		{"no homes", "a", []string{"c"}, []string{"a"}, []Load{{Amount: 4}}, nil},
+		{"no ready host at all", "a", nil, []string{"b", "c"}, []Load{{Amount: 4}}, []string{"b", "c"}},
+		{"no ready host at all, with homes", "a", nil, []string{"b", "c"}, homes, []string{"b"}},
+		{"no ready host at all, none near the homes", "a", nil, []string{"c"}, homes, []string{"c"}},
+		{"unknown loads", "a", []string{"c"}, []string{"a"}, nil, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := LeavingRegions(tt.local, tt.chosen, tt.leaving, tt.loads); !slices.Equal(got, tt.want) {
+				t.Errorf("LeavingRegions = %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/serve/edge/resolve.go
+++ b/internal/serve/edge/resolve.go
@@ -27,7 +27,14 @@
 	now := s.Now()
 	name, region := c.Query(s.Terms.ResolveName), c.Query(s.Terms.ResolveRegion)
 	hosts := s.servingHosts(now, region)
-	regions, why := steer.Regions(region, slices.Sorted(maps.Keys(hosts)), s.routeLoads(now, name))
+	loads := s.routeLoads(now, name)
+	regions, why := steer.Regions(region, slices.Sorted(maps.Keys(hosts)), loads)
+	if why == steer.NoLocalHost {
+		leaving := s.leavingHosts()
+		if list := steer.LeavingRegions(region, regions, slices.Sorted(maps.Keys(leaving)), loads); len(list) > 0 {
+			hosts, regions, why = leaving, list, steer.LeavingHost
+		}
+	}
 	var list []string
 	for _, r := range regions {
 		for _, m := range duty.Sample(hosts[r], rand.Float64) {
@@ -67,6 +74,21 @@
 	return out
 }
 
+// leavingHosts returns the hosts that are draining and have not ended, by region.
+func (s *Server) leavingHosts() map[string][]member.Member {
+	out := map[string][]member.Member{}
+	if s.Board.Health.Ready() && s.Board.Health.Leaving() {
+		self := member.Candidate{Callers: s.Settings.Callers, Cores: s.Settings.Machine.Capacity()}
+		out[s.Board.Region] = []member.Member{{Candidate: self}}
+	}
+	for _, m := range s.Board.Members.Members() {
+		if m.Draining() && m.Callers != "" {
+			out[m.Region] = append(out[m.Region], m)
+		}
+	}
+	return out
+}
+
 // routeLoads returns the requests for a host name by route, as received by this host.
 // Each route counts the same if too few requests were received.
 func (s *Server) routeLoads(now time.Time, name string) []steer.Load {
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -858,6 +858,35 @@
 	f.eventually("callers of a get the host of a after b ended", func() bool { return lists("a", "a") })
 }
 
+// TestDirectoryLeadsCallersAstray: while the only host of a home is leaving, its callers are
+// not given hosts elsewhere; once it has ended, they are.
+func TestDirectoryLeadsCallersAstray(t *testing.T) {
+	f := startFleet(t)
+	n := f.nodes["b"]
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.Drain(ctx)
+	}()
+	f.eventually("the peer host records that it is leaving", func() bool {
+		m, ok := f.nodes["a"].board.Members.Member(n.settings.Peers)
+		return ok && m.Leaving && len(f.nodes["a"].board.Duties.Plan().Entries["b"]) == 0
+	})
+	if got := f.resolve("h", "b"); !strings.Contains(got, n.settings.Callers) || strings.Count(got, "127.0.0.1") != 1 {
+		t.Errorf("callers of the home got %s, want its leaving host only", got)
+	}
+	if got := f.resolve("free", "b"); !strings.Contains(got, f.nodes["a"].settings.Callers) || strings.Count(got, "127.0.0.1") != 1 {
+		t.Errorf("callers without homes got %s, want the ready host only", got)
+	}
+	cancel()
+	<-ended
+	f.closeHost("b")
+	f.eventually("callers of the home get the other host", func() bool {
+		return strings.Contains(f.resolve("h", "b"), f.nodes["a"].settings.Callers)
+	})
+}
+
 func TestDirectory(t *testing.T) {
 	f := startFleet(t)
 	for _, region := range []string{"a", "b"} {
