--- a/internal/serve/node/cold.go
+++ b/internal/serve/node/cold.go
@@ -111,14 +111,15 @@
 }
 
 // healthPath returns the path of an endpoint's health checks, empty if it is not checked: it
-// gets no requests, or as many while it is cold.
+// gets no requests, as it asked for a pause for example, or as many while it is cold.
 func (n *Node) healthPath(e regis.Endpoint) string {
 	inForce := n.board.Routes.Rules()
 	if inForce == nil || e.Draining || n.board.Registry.Evacuated(e.Centre) {
 		return ""
 	}
+	state := n.board.Endpoints.Get(e.ID)
 	s, ok := inForce.Service(e.Service)
-	if !ok || s.ColdRate == 0 {
+	if !ok || s.ColdRate == 0 || state.PauseDelay(n.now()) > 0 {
 		return ""
 	}
 	return s.HealthPath
--- a/internal/serve/node/cold_test.go
+++ b/internal/serve/node/cold_test.go
@@ -106,3 +106,22 @@
 		t.Errorf("the other host passes on %v, want nothing, as the endpoint did not answer it", list)
 	}
 }
+
+// TestPausedEndpointGetsColdChecks: an endpoint that asked for a pause gets no checks either.
+func TestPausedEndpointGetsColdChecks(t *testing.T) {
+	f := startFleet(t)
+	cold := testRules(8)
+	s, _ := cold.Service("plain")
+	s.ColdRate, s.HealthPath = 1, routed.HealthPath
+	f.store.put(feed.Change{Rules: cold})
+	n := f.nodes["a"]
+	f.eventually("the rules are in force", func() bool { return n.board.Routes.Version() == 8 })
+	e, _ := n.board.Registry.Get("plain-a1")
+	if got := n.healthPath(e); got != routed.HealthPath {
+		t.Errorf("the path of checks is %q, want %q", got, routed.HealthPath)
+	}
+	n.board.Endpoints.SetPause(time.Now(), e.ID, time.Minute)
+	if got := n.healthPath(e); got != "" {
+		t.Errorf("the path of checks in a pause is %q, want none", got)
+	}
+}
