Do not blame a relay for a caller that disconnects

Callers saw: after one caller had disconnected from a relayed answer, the entry host dropped its healthy link to the relay, so that the next request paid a handshake, and counted the relay's region as silent (full, the last resort) until its next packet.

Cause: the read that fails because the exchange's context ended was taken for a failure of the link (ExchangeUntil) and of the region (attemptRemote, in flow and proxy); likewise the deadline of a request that the relay had acknowledged. Ruled out: a caller that stops reading is ErrSink, which was handled.

An exchange that its context ended fails with ErrCancelled, unless the relay had been silent for longer than its time, in which case the link is dropped as before, or the deadline of an unacknowledged request has passed. TestLeavingCallerBlamesRelay failed before (link not kept, counted as a failure) and passes; its second case, a silent relay, passed before too.

--- a/internal/fleet/link/conns.go
+++ b/internal/fleet/link/conns.go
@@ -35,7 +35,9 @@
 	}
 	s, err := p.conn.OpenStreamSync(ctx)
 	if err != nil {
-		l.DropConn(host)
+		if ctx.Err() == nil {
+			l.DropConn(host)
+		}
 		l.release(p)
 		return nil, fmt.Errorf("%w %s: %w", ErrNotSent, host, err)
 	}
@@ -53,6 +55,14 @@
 	return nil
 }
 
+// Connected reports whether there is an open connection to a host.
+func (l *Link) Connected(host string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.conns[host]
+	return ok && p.conn.Context().Err() == nil
+}
+
 // connect returns a connection to a host, an existing one if possible, and counts
 // one stream on it. The caller must release it.
 func (l *Link) connect(ctx context.Context, host, address string) (*peerConn, error) {
--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -39,7 +39,7 @@
 	end, err := f.Exchange(ctx, m.Name, m.Address, req, f.observedSink(t, ObserveHead(sink, func(h wire.Head) {
 		t.report.Endpoint, t.report.Status = h.Endpoint, h.Status
 	})), f.ackTimeout(t, d.region))
-	if err != nil && !errors.Is(err, ErrSink) {
+	if HostFailed(err) {
 		f.board.Remotes.MarkFailed(f.now(), d.region)
 	}
 	return f.relayResult(t, end, err)
@@ -92,6 +92,16 @@
 // ErrSink is the error of an answer that could not be passed to the caller.
 var ErrSink = errors.New("pass answer on")
 
+// ErrCancelled is the error of an exchange that was ended by its context, not by the other
+// host.
+var ErrCancelled = errors.New("exchange was cancelled")
+
+// HostFailed reports whether an error of Exchange is a failure of the other host or of the
+// link to it.
+func HostFailed(err error) bool {
+	return err != nil && !errors.Is(err, ErrSink) && !errors.Is(err, ErrCancelled)
+}
+
 // relayResult returns the result of a relayed attempt that ended with end or err.
 func (f *Flow) relayResult(t *task, end *wire.End, err error) result {
 	switch {
@@ -158,13 +168,15 @@
 ) (*wire.End, error) {
 	s, err := l.OpenStream(ctx, host, address)
 	if err != nil {
-		return nil, fmt.Errorf("open stream: %w", err)
+		return nil, fmt.Errorf("open stream: %w", markCancelled(ctx, err, false))
 	}
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	if err := s.Write(wire.Frame{Request: &req}, time.Now().Add(FrameTimeout)); err != nil {
-		l.DropConn(host)
+		if err = markCancelled(ctx, err, false); HostFailed(err) {
+			l.DropConn(host)
+		}
 		return nil, fmt.Errorf("send request to %s: %w", host, err)
 	}
 	s.Finish()
@@ -174,7 +186,12 @@
 	for {
 		fr, err := s.Next(wire.MaxFrame)
 		if err != nil {
-			l.DropConn(host)
+			if !silence.asked() {
+				err = markCancelled(ctx, err, acked)
+			}
+			if HostFailed(err) {
+				l.DropConn(host)
+			}
 			if !acked {
 				err = fmt.Errorf("%w: %w", ErrUnacked, err)
 			}
@@ -196,6 +213,16 @@
 	}
 }
 
+// markCancelled wraps ErrCancelled if the caller has disconnected, or if the deadline of a
+// request that the other host had acknowledged has passed. An unacknowledged one may have
+// been lost on the link.
+func markCancelled(ctx context.Context, err error, acked bool) error {
+	if errors.Is(ctx.Err(), context.Canceled) || (acked && ctx.Err() != nil) {
+		return fmt.Errorf("%w: %w", ErrCancelled, err)
+	}
+	return err
+}
+
 // watchdog asks whether to give up an answer each time that no frame has arrived for a
 // while. It does not ask while a frame is passed on.
 type watchdog struct {
@@ -207,7 +234,9 @@
 	due time.Time
 	// acked reports whether a frame has arrived.
 	acked bool
-	done  bool
+	// silent reports whether none has arrived since the last question.
+	silent bool
+	done   bool
 }
 
 // newWatchdog returns a running watchdog that first asks after ackTimeout and calls expire
@@ -230,6 +259,7 @@
 		w.timer.Reset(left)
 		return
 	}
+	w.silent = true
 	if w.giveUp(w.acked) {
 		w.expire()
 		return
@@ -243,11 +273,18 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	err := step()
-	w.acked = true
+	w.acked, w.silent = true, false
 	w.due = time.Now().Add(FrameTimeout)
 	return err
 }
 
+// asked reports whether no frame has arrived since the last question.
+func (w *watchdog) asked() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.silent
+}
+
 // stop ends the watchdog and waits for a running question.
 func (w *watchdog) stop() {
 	w.mu.Lock()
--- a/internal/serve/flow/remote_test.go
+++ b/internal/serve/flow/remote_test.go
@@ -28,6 +28,52 @@
 	return l
 }
 
+// TestLeavingCallerBlamesRelay: a caller that disconnects while a relay serves it costs
+// neither the link to the relay nor the relay's good name.
+func TestLeavingCallerBlamesRelay(t *testing.T) {
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	relay := newLink(t, ca, "relay", link.Handlers{Stream: func(ctx context.Context, _ string, s *link.Stream) {
+		if _, err := s.Read(wire.MaxFrame, later()); err != nil {
+			return
+		}
+		_ = s.Write(wire.Frame{Head: &wire.Head{Status: 200}}, later())
+		<-ctx.Done()
+	}})
+	for _, tt := range []struct {
+		name string
+		// silent reports whether the relay is silent for too long before the caller leaves.
+		silent     bool
+		wantFailed bool
+	}{
+		{"relay serves", false, false},
+		{"relay is silent", true, true},
+	} {
+		entry := newLink(t, ca, "entry", link.Handlers{})
+		ctx, leave := context.WithCancel(context.Background())
+		sink := client.Sink{Head: func(wire.Head) error {
+			if !tt.silent {
+				leave()
+			}
+			return nil
+		}}
+		_, err := ExchangeUntil(ctx, entry, "relay", relay.Address(), wire.Request{ID: "r"}, sink, time.Second, func(bool) bool {
+			leave()
+			return false
+		})
+		leave()
+		if err == nil || HostFailed(err) != tt.wantFailed {
+			t.Errorf("%s: got error %v, counted as a failure of the relay: %v, want %v", tt.name, err, HostFailed(err), tt.wantFailed)
+		}
+		if entry.Connected("relay") == tt.wantFailed {
+			t.Errorf("%s: the link to the relay is kept: %v, want %v", tt.name, !tt.wantFailed, tt.wantFailed)
+		}
+	}
+}
+
 // TestPausedRelayLosesAnswer: the answer of a relay that is silent for longer than
 // FrameTimeout and goes on then is whole, unless the sender decides to give it up.
 func TestPausedRelayLosesAnswer(t *testing.T) {
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -39,7 +39,7 @@
 	end, err := flow.ExchangeUntil(ctx, p.Link, m.Name, m.Address, p.newWireRequest(t), p.remoteSink(t, sink), timeout, giveUp)
 	p.Log.Debug().Str("request", t.ID).Str("peer", m.Name).Str("region", d.region).Str("service", t.Service).
 		Dur("first", t.report.TimeToFirstByte).Dur("heard", p.Now().Sub(m.LastSeen)).AnErr("cause", err).Msg("relayed")
-	if err != nil && !errors.Is(err, flow.ErrSink) {
+	if flow.HostFailed(err) {
 		p.Board.Remotes.MarkFailed(p.Now(), d.region)
 	}
 	return p.relayResult(t, end, err)
