Keep the streams of a silent link for 20 s

Cause: the idle time did two things, keep new requests from a dead link and end the old ones. Now a link without any packet for 7 checks of a second gets no new stream, as before, but its open streams go on for up to 20 s without a packet. Checks are counted, not time, so that a pause of this process does not retire its links. Ruled out: the relay, which went on when it woke.

Weighed: 60 s. A relay serves on for up to the idle time for an entry host that was killed, which makes 20 s instead of 9 s the price.

Beside a fleet of two hosts only: membership declares a silent host dead after 6 s to 12 s, by its size, and answers are given up then.

--- a/internal/fleet/link/conns.go
+++ b/internal/fleet/link/conns.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/quic-go/quic-go"
 )
@@ -20,6 +21,54 @@
 	// it has none.
 	streams int
 	dropped bool
+	silence silence
+}
+
+// silence counts the checks since a connection last received a packet. It counts checks
+// instead of time, so that a pause of this process is not taken for one of the peer.
+type silence struct {
+	received uint64
+	checks   int
+}
+
+// observe records the number of packets received until a check and returns the number of
+// checks since it last grew.
+func (s *silence) observe(received uint64) int {
+	s.checks++
+	if received != s.received {
+		s.received, s.checks = received, 0
+	}
+	return s.checks
+}
+
+// retireSilentConns drops connections that receive nothing, until ctx ends.
+func (l *Link) retireSilentConns(ctx context.Context) {
+	tick := time.NewTicker(silenceCheckPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, host := range l.silentHosts() {
+			l.DropConn(host)
+		}
+	}
+}
+
+// silentHosts checks all connections and returns the hosts whose connection has received
+// nothing for too long.
+func (l *Link) silentHosts() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for host, p := range l.conns {
+		if p.silence.observe(p.conn.ConnectionStats().PacketsReceived) >= l.maxSilentChecks {
+			out = append(out, host)
+		}
+	}
+	return out
 }
 
 // ErrNotSent is wrapped by errors after which nothing can have reached the
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -31,6 +31,8 @@
 	socketBufferBytes = 4 << 20
 	// sendSocketMaxAge is how long datagrams are sent from the same local port.
 	sendSocketMaxAge = 5 * time.Second
+	// silenceCheckPeriod is the period of the checks whether connections received a packet.
+	silenceCheckPeriod = time.Second
 	// closeNormal and streamCancelled are QUIC application error codes.
 	closeNormal     = 0
 	streamCancelled = 1
@@ -61,10 +63,12 @@
 	// served, if set, is called when an incoming connection accepts no further stream.
 	served func()
 
-	// keepAlive is the period of keep-alive packets on a connection, and maxIdle
-	// the time without any packet after which the connection counts as dead.
-	keepAlive time.Duration
-	maxIdle   time.Duration
+	// keepAlive is the period of keep-alive packets on a connection, and maxSilentChecks
+	// the number of checks without any packet after which it gets no new stream; 0 is off.
+	keepAlive       time.Duration
+	maxSilentChecks int
+	// maxIdle is the time without any packet after which a connection is closed.
+	maxIdle time.Duration
 
 	mu    sync.Mutex
 	conns map[string]*peerConn
@@ -80,10 +84,14 @@
 // Option configures a Link.
 type Option func(*Link)
 
-// WithKeepAlive sends a keep-alive packet on each connection every period, so
-// that a dead connection is detected after maxIdle even if it has no request.
-func WithKeepAlive(period, maxIdle time.Duration) Option {
-	return func(l *Link) { l.keepAlive, l.maxIdle = period, maxIdle }
+// WithKeepAlive sends a keep-alive packet on each connection every period. A connection
+// without any packet for maxSilence gets no new stream. It is closed after maxIdle, as until
+// then its peer may only be paused and go on with the open streams.
+func WithKeepAlive(period, maxSilence, maxIdle time.Duration) Option {
+	return func(l *Link) {
+		l.keepAlive, l.maxIdle = period, maxIdle
+		l.maxSilentChecks = int(maxSilence / silenceCheckPeriod)
+	}
 }
 
 // New returns a link that listens on a UDP address. Serve starts its receivers.
@@ -176,6 +184,9 @@
 	l.handlers = h
 	l.accepting.Go(func() { l.acceptConns(ctx) })
 	l.tasks.Go(func() { l.receivePackets(ctx) })
+	if l.maxSilentChecks > 0 {
+		l.tasks.Go(func() { l.retireSilentConns(ctx) })
+	}
 }
 
 func (l *Link) acceptConns(ctx context.Context) {
--- a/internal/load/soak/pause_test.go
+++ b/internal/load/soak/pause_test.go
@@ -60,7 +60,7 @@
 // TestPausedRelayLosesAnswer: the answer of an endpoint in another region reaches its
 // caller whole although the relay's process is paused while the answer is sent.
 func TestPausedRelayLosesAnswer(t *testing.T) {
-	for _, pause := range []time.Duration{4 * time.Second} {
+	for _, pause := range []time.Duration{4 * time.Second, 11 * time.Second} {
 		t.Run(pause.String(), func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t)
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -39,10 +39,13 @@
 	maxRelayedRequests = 2048
 	relayWorkerIdle    = 10 * time.Second
 	maxBodyBytes       = 16 << 20
-	// linkKeepAlive and linkIdleTimeout detect a dead link to a peer host before a
-	// request uses it.
-	linkKeepAlive   = 2 * time.Second
-	linkIdleTimeout = 7 * time.Second
+	// linkKeepAlive and linkMaxSilence detect a dead link to a peer host before a request
+	// uses it.
+	linkKeepAlive  = 2 * time.Second
+	linkMaxSilence = 7 * time.Second
+	// linkIdleTimeout is how long the streams of a silent link are kept, as its peer may only
+	// be paused.
+	linkIdleTimeout = 20 * time.Second
 	drainPollPeriod = 20 * time.Millisecond
 )
 
@@ -93,7 +96,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
 	}
-	l, err := link.New(s.Peers, creds, link.WithKeepAlive(linkKeepAlive, linkIdleTimeout))
+	l, err := link.New(s.Peers, creds, link.WithKeepAlive(linkKeepAlive, linkMaxSilence, linkIdleTimeout))
 	if err != nil {
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
 	}
--- a/internal/stand/netem/proxy.go
+++ b/internal/stand/netem/proxy.go
@@ -71,6 +71,9 @@
 	return c, nil
 }
 
+// Address returns the address that the proxy listens on.
+func (c *Proxy) Address() string { return c.listener.LocalAddr().String() }
+
 // Close stops the proxy and waits for its goroutines.
 func (c *Proxy) Close() error {
 	err := c.listener.Close()
