Hand no more requests to a relay that is silent

Callers saw: a host went on to hand requests to a relay that was paused, for the whole pause: each waited for the relay's acknowledgement, 0.7 s if it may be repeated, until the relay woke or the deadline passed if not.

Cause: a relay was left out only for the request that it had failed, and a region only while none of its hosts sends packets. Now each host counts the requests that are open at a relay: with 4 that are not acknowledged and no frame for a round trip and 250 ms, or with any open one and no frame for a second more (acknowledged streams bring one each second), the relay gets no further one until it sends a frame, the open ones end, or it starts again. Other hosts of the region are taken, then other regions; else the request is refused at once as not run.

--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -1,13 +1,15 @@
 // Package board holds the state that a host's controllers share: they read and
 // write its tables and do not call one another. Each table has its own lock. Lock
 // order when two are held: revisions, endpoints, then the leaf locks (members,
-// remotes, health, queues, registry, speeds, mixes, origins).
+// remotes, health, queues, registry, speeds, mixes, origins,
+// acks). The lock of acks may be taken while that of members is held.
 package board
 
 import (
 	"sync"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/board/acks"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/duties"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/health"
@@ -47,6 +49,8 @@
 	Mixes    *mixes.Table
 	Duties   *duties.Table
 	Origins  *origin.Table
+	// Acks is used only by hosts that relay requests of published routes.
+	Acks *acks.Table
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue.Queue
@@ -79,6 +83,7 @@
 		Mixes:        mixes.NewTable(),
 		Duties:       duties.NewTable(),
 		Origins:      origin.NewTable(),
+		Acks:         acks.NewTable(),
 		queues:       map[queueKey]*queue.Queue{},
 		leavingMarks: map[string]time.Time{},
 	}
--- a/internal/serve/client/client.go
+++ b/internal/serve/client/client.go
@@ -64,6 +64,8 @@
 	// Acked is called when a peer host confirms that it received the request. It can
 	// be nil.
 	Acked func()
+	// Received is called for each frame from a peer host. It can be nil.
+	Received func()
 }
 
 // Result is the outcome of an attempt.
--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -64,7 +64,7 @@
 			return s.Head(h)
 		},
 		Data:  s.Data,
-		Acked: s.Acked,
+		Acked: s.Acked, Received: s.Received,
 	}
 }
 
@@ -205,6 +205,9 @@
 				sink.Acked()
 			}
 			acked = true
+			if sink.Received != nil {
+				sink.Received()
+			}
 			return passFrame(fr, sink)
 		})
 		if err != nil {
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/acks"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
@@ -458,13 +459,17 @@
 	return list[:min(maxRelayHosts, len(list))]
 }
 
-// relayHost chooses a host of a region that was not tried: of two random relay
-// hosts, the one with fewer in-flight requests. If all relay hosts were tried, it
-// returns any other usable host.
+// relayHost chooses a host of a region that was not tried and is not silent: of two random
+// relay hosts, the one with fewer in-flight requests. If there is none among the relay
+// hosts, it returns any other usable host.
 func (p *Proxy) relayHost(t *task, region string) (member.Member, bool) {
-	list := slices.DeleteFunc(p.RelayHosts(region), func(m member.Member) bool { return t.tried[m.Name] })
+	now, roundTrip := p.Now(), p.Board.Remotes.RoundTrip(region)
+	skip := func(m member.Member) bool {
+		return t.tried[m.Name] || p.Board.Acks.Silent(now, acks.Peer{Host: m.Name, Incarnation: m.Incarnation}, roundTrip)
+	}
+	list := slices.DeleteFunc(p.RelayHosts(region), skip)
 	if len(list) == 0 {
-		list = p.Board.Members.RandomUsable(1, func(m member.Member) bool { return m.Region == region && !t.tried[m.Name] })
+		list = p.Board.Members.RandomUsable(1, func(m member.Member) bool { return m.Region == region && !skip(m) })
 	}
 	if len(list) == 0 {
 		return member.Member{}, false
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/acks"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
@@ -35,6 +36,9 @@
 	}
 	start := p.Now()
 	sink.Acked = func() { p.Board.Remotes.ObserveRoundTrip(d.region, p.Now().Sub(start)) }
+	open := p.Board.Acks.Open(start, acks.Peer{Host: m.Name, Incarnation: m.Incarnation})
+	defer open.Close()
+	sink.Received = func() { open.Receive(p.Now()) }
 	giveUp := func(acked bool) bool { return p.givesUpRelay(t, m, start, acked) }
 	end, err := flow.ExchangeUntil(ctx, p.Link, m.Name, m.Address, p.newWireRequest(t), p.remoteSink(t, sink), timeout, giveUp)
 	p.Log.Debug().Str("request", t.ID).Str("peer", m.Name).Str("region", d.region).Str("service", t.Service).
@@ -73,7 +77,7 @@
 			return sink.Head(h)
 		},
 		Data:  sink.Data,
-		Acked: sink.Acked,
+		Acked: sink.Acked, Received: sink.Received,
 	}
 }
 
