Do not take a silent relay for one that has ended

Callers saw: in a fleet of five hosts, answers that passed a relay which was paused for 11 s were cut or lost (502) after 9 s, though their link is now kept: the entry host had given them up.

Cause: a host is declared dead for its silence, after 6 s where several hosts notice it, and givesUpRelay took that for the end of its process. In the fleet of two hosts of the test so far that took 10 s, so that it passed. Now only a new start, a leave, or a host that is no longer listed counts as ended. A request at a relay that was killed and does not start again waits for the link's idle time, 20 s, or its deadline, instead of up to 9 s; new requests do not go there. Where another attempt can serve the caller, a silent relay is given up after 3 s, as before.

--- a/internal/load/soak/pause_test.go
+++ b/internal/load/soak/pause_test.go
@@ -74,6 +74,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			for _, name := range []string{"a2", "a3", "a4"} {
+				if _, err := f.AddHost(name, "a"); err != nil {
+					t.Fatal(err)
+				}
+			}
 			e, err := f.AddEndpoint("e", "s", "b", func(e *routed.Endpoint) {
 				e.EventCount, e.EventGap, e.AnswerTime = 6, 300*time.Millisecond, 2*time.Second
 			})
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -51,10 +51,11 @@
 
 // givesUpRelay reports whether to give up a request at a relay that has been silent for a
 // while: the relay's process has ended, or another attempt can serve the caller. Otherwise
-// the relay may only be paused, and has the answer when it wakes.
+// the relay may only be paused, and has the answer when it wakes. A host is declared dead for
+// its silence, so that does not mean that its process has ended.
 func (p *Proxy) givesUpRelay(t *task, relay member.Member, start time.Time, acked bool) bool {
 	m, known := p.Board.Members.Member(relay.Name)
-	if !known || m.Incarnation != relay.Incarnation || m.State == wire.Dead || m.State == wire.Left {
+	if !known || m.Incarnation != relay.Incarnation || m.State == wire.Left {
 		return true
 	}
 	mayResume := t.Route.Kind == rules.Stream && t.Route.Resumable && t.release != nil
