--- a/internal/load/soak/fleet.go
+++ b/internal/load/soak/fleet.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -145,6 +146,18 @@
 	return nil
 }
 
+// hasEnded reports whether the process of a host has ended.
+func (h *Host) hasEnded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-h.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait waits until the process of a host has ended and returns its error.
 func (h *Host) Wait() error {
 	h.mu.Lock()
@@ -162,18 +175,32 @@
 
 // WaitReady waits until all hosts report that they are ready.
 func (f *Fleet) WaitReady() error {
+	var left []string
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
-		ready := 0
+		left = nil
 		for _, h := range f.Hosts {
-			if f.ready(h) {
-				ready++
+			switch {
+			case h.hasEnded():
+				return fmt.Errorf("%s has ended: %s", h.Name, f.lastLine(h))
+			case !f.ready(h):
+				left = append(left, h.Name)
 			}
 		}
-		if ready == len(f.Hosts) {
+		if len(left) == 0 {
 			return nil
 		}
 	}
-	return errors.New("hosts are not ready in time")
+	return fmt.Errorf("hosts %v are not ready in %v", left, startTimeout)
+}
+
+// lastLine returns the last line of a host's log.
+func (f *Fleet) lastLine(h *Host) string {
+	data, err := os.ReadFile(filepath.Join(f.folder, h.Name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	text := strings.TrimSpace(string(data))
+	return text[strings.LastIndex(text, "\n")+1:]
 }
 
 func (f *Fleet) ready(h *Host) bool {
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -26,7 +26,7 @@
 	m, ok := p.relayHost(t, d.region)
 	if !ok {
 		t.tried[regionKeyPrefix+d.region] = true
-		return notSentResult(fmt.Errorf("no usable host in region %s", d.region))
+		return notSentResult(fmt.Errorf("no host in region %s is usable and not silent", d.region))
 	}
 	t.tried[m.Name] = true
 	t.report.Endpoint, t.report.Region = m.Name, d.region
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -67,9 +67,17 @@
 	fault     Fault
 	rateLimit string
 	leaving   bool
-	runs      []Run
-	cancelled int
-	refused   int
+	// leavingSince is when an answer first announced that the endpoint leaves.
+	leavingSince time.Time
+	// pauseUntil is the end of the time in which the endpoint turns requests away, and
+	// turnedAway is when it did.
+	pauseUntil time.Time
+	turnedAway []time.Time
+	// silentUntil is the end of the time in which the endpoint sends nothing.
+	silentUntil time.Time
+	runs        []Run
+	cancelled   int
+	refused     int
 }
 
 // New starts an endpoint on a loopback address. The caller closes it.
@@ -108,7 +116,58 @@
 func (e *Endpoint) SetLeaving(leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leaving = leaving
+	e.leaving, e.leavingSince = leaving, time.Time{}
+}
+
+// LeavingSince returns when an answer first announced that the endpoint leaves, zero if none
+// has.
+func (e *Endpoint) LeavingSince() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leavingSince
+}
+
+// SetPause makes the endpoint turn all requests away until a time, which it names to each.
+func (e *Endpoint) SetPause(until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pauseUntil = until
+}
+
+// TurnedAway returns when the endpoint turned requests away in a pause.
+func (e *Endpoint) TurnedAway() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.turnedAway...)
+}
+
+// turnAway returns the value of Retry-After for a request that is turned away, empty if it is
+// not.
+func (e *Endpoint) turnAway() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	left := e.pauseUntil.Sub(now)
+	if left <= 0 {
+		return ""
+	}
+	e.turnedAway = append(e.turnedAway, now)
+	return strconv.FormatFloat(left.Seconds(), 'f', 3, 64)
+}
+
+// SetSilent makes the endpoint send nothing until a time, also of answers that have begun.
+func (e *Endpoint) SetSilent(until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silentUntil = until
+}
+
+// awaitVoice waits until the endpoint is not silent. It returns false if the client leaves.
+func (e *Endpoint) awaitVoice(r *http.Request) bool {
+	e.mu.Lock()
+	until := e.silentUntil
+	e.mu.Unlock()
+	return httpd.Sleep(r.Context(), time.Until(until))
 }
 
 // describe adds what the endpoint says of itself to the header of an answer.
@@ -119,6 +178,9 @@
 		h.Set(e.Terms.RateLimit, e.rateLimit)
 	}
 	if e.leaving {
+		if e.leavingSince.IsZero() {
+			e.leavingSince = time.Now()
+		}
 		h.Set(e.Terms.Leaving, e.Terms.LeavingValue)
 	}
 }
@@ -178,6 +240,9 @@
 		return
 	}
 	f := e.nextFault()
+	if after := e.turnAway(); after != "" {
+		f = Fault{NotRun: true, RetryAfter: after}
+	}
 	if f.NotRun {
 		h.Set(e.Terms.NotRun, "1")
 		if f.RetryAfter != "" {
@@ -241,6 +306,10 @@
 		e.countCancelled()
 		return
 	}
+	if !e.awaitVoice(r) {
+		e.countCancelled()
+		return
+	}
 	if f.CutBody {
 		w.Header().Set("Content-Length", "1000")
 		_, _ = w.Write([]byte("part"))
@@ -258,6 +327,10 @@
 			_ = flush.Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if !e.awaitVoice(r) {
+			e.countCancelled()
+			return
+		}
 		_, _ = w.Write([]byte(Event(id, n)))
 		_ = flush.Flush()
 		select {
