--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -1,13 +1,15 @@
 // Package board holds the state that a host's controllers share: they read and
 // write its tables and do not call one another. Each table has its own lock. Lock
 // order when two are held: revisions, endpoints, then the leaf locks (members,
-// remotes, health, queues, registry, speeds, mixes, origins, poison).
+// remotes, health, queues, registry, speeds, mixes, origins, poison,
+// acks). The lock of acks may be taken while that of members is held.
 package board
 
 import (
 	"sync"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/board/acks"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/duties"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/health"
@@ -49,6 +51,8 @@
 	Duties   *duties.Table
 	Origins  *origin.Table
 	Poison   *poison.Table
+	// Acks is used only by hosts that relay requests of published routes.
+	Acks *acks.Table
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue.Queue
@@ -82,6 +86,7 @@
 		Duties:       duties.NewTable(),
 		Origins:      origin.NewTable(),
 		Poison:       poison.NewTable(),
+		Acks:         acks.NewTable(),
 		queues:       map[queueKey]*queue.Queue{},
 		leavingMarks: map[string]time.Time{},
 	}
--- a/internal/fleet/link/conns.go
+++ b/internal/fleet/link/conns.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/quic-go/quic-go"
 )
@@ -20,6 +21,54 @@
 	// it has none.
 	streams int
 	dropped bool
+	silence silence
+}
+
+// silence counts the checks since a connection last received a packet. It counts checks
+// instead of time, so that a pause of this process is not taken for one of the peer.
+type silence struct {
+	received uint64
+	checks   int
+}
+
+// observe records the number of packets received until a check and returns the number of
+// checks since it last grew.
+func (s *silence) observe(received uint64) int {
+	s.checks++
+	if received != s.received {
+		s.received, s.checks = received, 0
+	}
+	return s.checks
+}
+
+// retireSilentConns drops connections that receive nothing, until ctx ends.
+func (l *Link) retireSilentConns(ctx context.Context) {
+	tick := time.NewTicker(silenceCheckPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, host := range l.silentHosts() {
+			l.DropConn(host)
+		}
+	}
+}
+
+// silentHosts checks all connections and returns the hosts whose connection has received
+// nothing for too long.
+func (l *Link) silentHosts() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for host, p := range l.conns {
+		if p.silence.observe(p.conn.ConnectionStats().PacketsReceived) >= l.maxSilentChecks {
+			out = append(out, host)
+		}
+	}
+	return out
 }
 
 // ErrNotSent is wrapped by errors after which nothing can have reached the
@@ -35,7 +84,9 @@
 	}
 	s, err := p.conn.OpenStreamSync(ctx)
 	if err != nil {
-		l.DropConn(host)
+		if ctx.Err() == nil {
+			l.DropConn(host)
+		}
 		l.release(p)
 		return nil, fmt.Errorf("%w %s: %w", ErrNotSent, host, err)
 	}
@@ -53,6 +104,14 @@
 	return nil
 }
 
+// Connected reports whether there is an open connection to a host.
+func (l *Link) Connected(host string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.conns[host]
+	return ok && p.conn.Context().Err() == nil
+}
+
 // connect returns a connection to a host, an existing one if possible, and counts
 // one stream on it. The caller must release it.
 func (l *Link) connect(ctx context.Context, host, address string) (*peerConn, error) {
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/acks"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
@@ -25,7 +26,7 @@
 	m, ok := p.relayHost(t, d.region)
 	if !ok {
 		t.tried[regionKeyPrefix+d.region] = true
-		return notSentResult(fmt.Errorf("no usable host in region %s", d.region))
+		return notSentResult(fmt.Errorf("no host in region %s is usable and not silent", d.region))
 	}
 	t.tried[m.Name] = true
 	t.report.Endpoint, t.report.Region = m.Name, d.region
@@ -35,11 +36,14 @@
 	}
 	start := p.Now()
 	sink.Acked = func() { p.Board.Remotes.ObserveRoundTrip(d.region, p.Now().Sub(start)) }
+	open := p.Board.Acks.Open(start, acks.Peer{Host: m.Name, Incarnation: m.Incarnation})
+	defer open.Close()
+	sink.Received = func() { open.Receive(p.Now()) }
 	giveUp := func(acked bool) bool { return p.givesUpRelay(t, m, start, acked) }
 	end, err := flow.ExchangeUntil(ctx, p.Link, m.Name, m.Address, p.newWireRequest(t), p.remoteSink(t, sink), timeout, giveUp)
 	p.Log.Debug().Str("request", t.ID).Str("peer", m.Name).Str("region", d.region).Str("service", t.Service).
 		Dur("first", t.report.TimeToFirstByte).Dur("heard", p.Now().Sub(m.LastSeen)).AnErr("cause", err).Msg("relayed")
-	if err != nil && !errors.Is(err, flow.ErrSink) {
+	if flow.HostFailed(err) {
 		p.Board.Remotes.MarkFailed(p.Now(), d.region)
 	}
 	return p.relayResult(t, end, err)
@@ -47,10 +51,11 @@
 
 // givesUpRelay reports whether to give up a request at a relay that has been silent for a
 // while: the relay's process has ended, or another attempt can serve the caller. Otherwise
-// the relay may only be paused, and has the answer when it wakes.
+// the relay may only be paused, and has the answer when it wakes. A host is declared dead for
+// its silence, so that does not mean that its process has ended.
 func (p *Proxy) givesUpRelay(t *task, relay member.Member, start time.Time, acked bool) bool {
 	m, known := p.Board.Members.Member(relay.Name)
-	if !known || m.Incarnation != relay.Incarnation || m.State == wire.Dead || m.State == wire.Left {
+	if !known || m.Incarnation != relay.Incarnation || m.State == wire.Left {
 		return true
 	}
 	mayResume := t.Route.Kind == rules.Stream && t.Route.Resumable && t.release != nil
@@ -76,7 +81,7 @@
 			return sink.Head(h)
 		},
 		Data:  sink.Data,
-		Acked: sink.Acked,
+		Acked: sink.Acked, Received: sink.Received,
 	}
 }
 
