Bound the head of an endpoint's answer

What callers saw: an endpoint that sends a status line, a header line, header lines or interim answers without end made its host allocate up to 2.7 GB for one attempt, until the timeout of the head; the retry brought the same to the next endpoint.

Cause: http.ReadResponse has no bound on a head, and readHead had none on interim answers. An answer to another request was skipped up to the limit of a whole answer, four times.

Ruled out: the limit of the body (MaxAnswerBytes) does not apply to heads. A bound on the reads of the connection alone would count the body that arrives with the head.

The conn counts bytes and lines of heads up to their empty line; a head with the interim answers before it may have 64 KiB, 512 lines and 16 interim answers, a skipped answer 256 KiB. Past them the attempt ends with reason oversize (log, retries_total, retries_denied_total) and may have run; so does an answer or an event beyond its own limit, which was 'broken' before.

--- a/internal/route/retry/retry.go
+++ b/internal/route/retry/retry.go
@@ -20,11 +20,13 @@
 	Status  Reason = "status"
 	Relay   Reason = "relay"
 	Resume  Reason = "resume"
+	// Oversize is the reason of an answer that exceeds a limit.
+	Oversize Reason = "oversize"
 )
 
 // Reasons returns every retry reason.
 func Reasons() []Reason {
-	return []Reason{Dial, Refused, Silent, Broken, Status, Relay, Resume}
+	return []Reason{Dial, Refused, Silent, Broken, Status, Relay, Resume, Oversize}
 }
 
 // Failure is an attempt without a complete answer.
--- /dev/null
+++ b/internal/serve/pool/bounds_test.go
@@ -0,0 +1,125 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+)
+
+// countingConn counts the bytes that are read from a connection.
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// floodClient returns a client whose connections count what they read.
+func floodClient(read *atomic.Int64) *Client {
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		return countingConn{Conn: c, read: read}, err
+	}
+	return &Client{Pool: New(WithDial(dial)), Terms: testTerms, Now: time.Now}
+}
+
+// listenFlood starts an endpoint that sends the flood on each connection. The channel gets a
+// value when the client has closed the connection.
+func listenFlood(t *testing.T, f routed.Flood) (address string, closed <-chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	done := make(chan struct{}, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			f.Send(c, testTerms.RequestID)
+		}
+		done <- struct{}{}
+	}()
+	return l.Addr().String(), done
+}
+
+func TestEndlessHeadEndsTheAttempt(t *testing.T) {
+	const maxRead, maxAllocated = 512 << 10, 4 << 20 // bytes
+	for _, f := range routed.HeadFloods() {
+		t.Run(string(f), func(t *testing.T) {
+			var read atomic.Int64
+			c := floodClient(&read)
+			defer c.Pool.Close()
+			address, closed := listenFlood(t, f)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			out, _ := do(c, address, func(a *Attempt) { a.MaxAnswerBytes, a.Deadline = 64<<20, time.Now().Add(3*time.Second) })
+			runtime.ReadMemStats(&after)
+			if out.Whole || out.Started || out.Ran != fault.RanUnknown || out.Reason != retry.Oversize {
+				t.Errorf("got whole %v, started %v, ran %s, reason %q (error %v)", out.Whole, out.Started, out.Ran, out.Reason, out.Err)
+			}
+			if n := read.Load(); n > maxRead {
+				t.Errorf("read %d bytes, want at most %d", n, maxRead)
+			}
+			if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
+				t.Errorf("allocated %d bytes, want at most %d", n, maxAllocated)
+			}
+			t.Logf("read %d, allocated %d", read.Load(), after.TotalAlloc-before.TotalAlloc)
+			select {
+			case <-closed:
+			case <-time.After(testTimeout):
+				t.Error("connection is still open")
+			}
+		})
+	}
+}
+
+func TestHeadMeter(t *testing.T) {
+	line := "X-Filler: " + strings.Repeat("x", 1000) + "\r\n"
+	tests := []struct {
+		name  string
+		bytes string
+		rest  string
+		long  bool
+	}{
+		{"head and body", "HTTP/1.1 200 OK\r\nA: b\r\n\r\n", strings.Repeat("x", 2*maxHeadBytes), false},
+		{"lines without a carriage return", "HTTP/1.1 200 OK\nA: b\n\n", strings.Repeat("\n", 2*maxHeadLines), false},
+		{"long head", "HTTP/1.1 200 OK\r\n" + strings.Repeat(line, maxHeadBytes/len(line)-1) + "\r\n", "", false},
+		{"too many bytes", "HTTP/1.1 200 OK\r\n" + strings.Repeat(line, maxHeadBytes/len(line)+1) + "\r\n", "", true},
+		{"too many lines", "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", maxHeadLines), "", true},
+		{"carriage returns do not end a head", "HTTP/1.1 200 OK\r\n\r\r\n", strings.Repeat("x", maxHeadBytes), true},
+	}
+	for _, tt := range tests {
+		for _, part := range []int{1, 2, 3, connReadBufferBytes} {
+			m := &headMeter{open: true}
+			var err error
+			for text := tt.bytes + tt.rest; len(text) > 0 && err == nil; {
+				n := min(part, len(text))
+				err = m.add([]byte(text[:n]))
+				text = text[n:]
+			}
+			if errors.Is(err, ErrTooLong) != tt.long {
+				t.Errorf("%s in parts of %d bytes: error %v, want too long %v", tt.name, part, err, tt.long)
+			}
+		}
+	}
+}
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -40,6 +40,8 @@
 	// onTimeout is called when a read times out. If it returns true, it has set a new
 	// deadline and the read goes on. It may be nil.
 	onTimeout func() bool
+	// head counts the bytes that are read as the head of an answer, nil outside of heads.
+	head *headMeter
 }
 
 // Read reads from the connection. A timeout that onTimeout extends is not seen by the
@@ -47,6 +49,11 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		if n > 0 && c.head != nil {
+			if err := c.head.add(p[:n]); err != nil {
+				return 0, err
+			}
+		}
 		var netErr net.Error
 		if n > 0 || err == nil || c.onTimeout == nil || !errors.As(err, &netErr) || !netErr.Timeout() || !c.onTimeout() {
 			return n, err
@@ -180,7 +187,7 @@
 // within keepAlive.
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
 	c.exchanges++
-	c.onTimeout = nil
+	c.onTimeout, c.head = nil, nil
 	c.reuseBefore = p.now().Add(keepAlive)
 	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -35,6 +35,8 @@
 	Silent bool
 	// Drop runs the request and closes the connection without a response.
 	Drop bool
+	// Flood runs the request and sends bytes without end.
+	Flood Flood
 }
 
 // Run is one request that the endpoint ran.
@@ -195,6 +197,8 @@
 		e.countCancelled()
 	case f.Drop:
 		panic(http.ErrAbortHandler)
+	case f.Flood != "":
+		e.sendFlood(w, f.Flood)
 	case f.Status != 0:
 		w.WriteHeader(f.Status)
 		_, _ = w.Write([]byte("failed"))
