Close the connection of an answer that is not read to its end

What callers saw: nothing at first. An attempt that ended within a chunked answer (limit, event too long, caller gone) went on reading it until the deadline, so the endpoint went on with a run that nobody reads, its place stayed taken, and an endless answer cost a core for that time.

Cause: run closed the body before Do closed the connection, and the Close of net/http reads a chunked body to its end.

Ruled out: cancelling the caller's context, which closes the connection first; the sink fails without it when the caller resets its connection.

The connection is closed before the body unless it can be reused, which needs a body that was read to its end.

--- a/internal/serve/pool/bounds_test.go
+++ b/internal/serve/pool/bounds_test.go
@@ -13,7 +13,10 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
 )
 
@@ -93,6 +96,60 @@
 	}
 }
 
+func TestEndlessBodyEndsTheAttempt(t *testing.T) {
+	const maxAnswer, maxRead, maxAllocated = 256 << 10, 2 << 20, 16 << 20 // bytes
+	for _, f := range routed.BodyFloods() {
+		t.Run(string(f), func(t *testing.T) {
+			var read atomic.Int64
+			c := floodClient(&read)
+			defer c.Pool.Close()
+			address, closed := listenFlood(t, f)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			out, _ := do(c, address, func(a *Attempt) { a.MaxAnswerBytes = maxAnswer })
+			runtime.ReadMemStats(&after)
+			if out.Whole || out.Ran != fault.RanUnknown || read.Load() > maxRead || after.TotalAlloc-before.TotalAlloc > maxAllocated {
+				t.Errorf("got whole %v, ran %s, read %d bytes, allocated %d (error %v)",
+					out.Whole, out.Ran, read.Load(), after.TotalAlloc-before.TotalAlloc, out.Err)
+			}
+			select {
+			case <-closed:
+			case <-time.After(testTimeout):
+				t.Error("connection is still open")
+			}
+			if f != routed.FloodTrailer && f != routed.FloodChunk && out.Reason != retry.Oversize {
+				t.Errorf("reason %q, want %q", out.Reason, retry.Oversize)
+			}
+		})
+	}
+}
+
+// The endpoint would go on with a run that nobody reads.
+func TestStreamIsNotReadOnAfterItsCallerLeft(t *testing.T) {
+	s := listen(t, events("id: 0\ndata: x\n\n"))
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	ended := make(chan Result, 1)
+	go func() {
+		attempt := Attempt{
+			Address: s.Addr().String(), Method: "POST", Target: "/", Host: "h", ID: "a", Deadline: time.Now().Add(2 * testTimeout),
+			LastEventID: stream.NoID, MaxAnswerBytes: 1 << 20,
+		}
+		ended <- c.Do(context.Background(), attempt, client.Sink{
+			Head: func(wire.Head) error { return nil },
+			Data: func([]byte) error { return net.ErrClosed },
+		})
+	}()
+	select {
+	case out := <-ended:
+		if !out.CallerLeft {
+			t.Errorf("caller left false (error %v)", out.Err)
+		}
+	case <-time.After(testTimeout):
+		t.Error("attempt goes on")
+	}
+}
+
 func TestHeadMeter(t *testing.T) {
 	line := "X-Filler: " + strings.Repeat("x", 1000) + "\r\n"
 	tests := []struct {
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -186,7 +186,7 @@
 
 // run sends the request and passes the answer on. It returns the keep-alive timeout
 // of the connection, 0 if it must be closed.
-func (e *exchange) run() time.Duration {
+func (e *exchange) run() (keepAlive time.Duration) {
 	if err := e.conn.SetDeadline(e.attempt.Deadline); err != nil {
 		e.fail(fmt.Errorf("set deadline: %w", err))
 		return 0
@@ -202,7 +202,13 @@
 		e.fail(fmt.Errorf("read answer: %w", err))
 		return 0
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() {
+		if keepAlive == 0 {
+			// Otherwise closing the body would read the rest of it.
+			_ = e.conn.Close()
+		}
+		_ = resp.Body.Close()
+	}()
 	e.result.Status = resp.StatusCode
 	if load, ok := e.client.Terms.ParseLoad(resp.Header.Get(e.client.Terms.Load)); ok {
 		e.result.Load = load
