Keep the error of a head that is too long, in a package of its own

What callers saw: nothing yet; found by the table test of the bounds. A head that exceeded a limit within the last read before its end was taken as a whole one, or failed as malformed.

Cause: net/textproto peeks ahead, and bufio returns the error of a read once only, so the parser could read on after it.

The meter keeps its error and ReadAnswer returns it whatever the parser made of the rest. Both live in serve/head now, for package client too.

--- a/internal/serve/pool/bounds_test.go
+++ b/internal/serve/pool/bounds_test.go
@@ -3,11 +3,9 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"runtime"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -149,34 +147,3 @@
 		t.Error("attempt goes on")
 	}
 }
-
-func TestHeadMeter(t *testing.T) {
-	line := "X-Filler: " + strings.Repeat("x", 1000) + "\r\n"
-	tests := []struct {
-		name  string
-		bytes string
-		rest  string
-		long  bool
-	}{
-		{"head and body", "HTTP/1.1 200 OK\r\nA: b\r\n\r\n", strings.Repeat("x", 2*maxHeadBytes), false},
-		{"lines without a carriage return", "HTTP/1.1 200 OK\nA: b\n\n", strings.Repeat("\n", 2*maxHeadLines), false},
-		{"long head", "HTTP/1.1 200 OK\r\n" + strings.Repeat(line, maxHeadBytes/len(line)-1) + "\r\n", "", false},
-		{"too many bytes", "HTTP/1.1 200 OK\r\n" + strings.Repeat(line, maxHeadBytes/len(line)+1) + "\r\n", "", true},
-		{"too many lines", "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", maxHeadLines), "", true},
-		{"carriage returns do not end a head", "HTTP/1.1 200 OK\r\n\r\r\n", strings.Repeat("x", maxHeadBytes), true},
-	}
-	for _, tt := range tests {
-		for _, part := range []int{1, 2, 3, connReadBufferBytes} {
-			m := &headMeter{open: true}
-			var err error
-			for text := tt.bytes + tt.rest; len(text) > 0 && err == nil; {
-				n := min(part, len(text))
-				err = m.add([]byte(text[:n]))
-				text = text[n:]
-			}
-			if errors.Is(err, ErrTooLong) != tt.long {
-				t.Errorf("%s in parts of %d bytes: error %v, want too long %v", tt.name, part, err, tt.long)
-			}
-		}
-	}
-}
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -22,6 +22,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -34,7 +35,9 @@
 	asyncWriteBytes = 8 << 10
 	// maxSkippedAnswers bounds the answers to other requests that an attempt skips.
 	maxSkippedAnswers = 4
-	eventStreamType   = "text/event-stream"
+	// maxSkippedBytes bounds the body of each of them.
+	maxSkippedBytes = 256 << 10
+	eventStreamType = "text/event-stream"
 	// retryAfterField is the header field with the seconds for which an endpoint wants no
 	// requests; maxPauseSeconds keeps them in the range of a time.Duration.
 	retryAfterField = "Retry-After"
@@ -327,23 +330,11 @@
 // readHead reads the head of the answer. It skips interim answers, and whole answers
 // to other requests.
 func (e *exchange) readHead() (*http.Response, error) {
-	req := &http.Request{Method: e.attempt.Method}
-	meter, interim := &headMeter{}, 0
 	for skipped := 0; ; {
-		if err := e.conn.startHead(meter); err != nil {
-			return nil, err
-		}
-		resp, err := http.ReadResponse(e.conn.reader, req)
-		e.conn.head = nil
+		resp, err := e.conn.reader.ReadAnswer(e.attempt.Method)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			if interim++; interim > maxInterimAnswers {
-				return nil, fmt.Errorf("%w: more than %d interim answers", ErrTooLong, maxInterimAnswers)
-			}
-			continue
-		}
 		id := resp.Header.Get(e.client.Terms.RequestID)
 		if id == e.attempt.ID || id == "" {
 			return resp, nil
@@ -356,7 +347,7 @@
 			return nil, fmt.Errorf("skip answer to another request: %w", err)
 		}
 		if n > maxSkippedBytes {
-			return nil, fmt.Errorf("%w: answer to another request exceeds %d bytes", ErrTooLong, maxSkippedBytes)
+			return nil, fmt.Errorf("%w: answer to another request exceeds %d bytes", head.ErrTooLong, maxSkippedBytes)
 		}
 	}
 }
@@ -405,7 +396,7 @@
 	case e.ctx.Err() != nil:
 		e.result.CallerLeft = errors.Is(e.ctx.Err(), context.Canceled)
 		e.result.Reason = retry.Silent
-	case errors.Is(err, ErrTooLong) || errors.Is(err, stream.ErrTooLong):
+	case errors.Is(err, head.ErrTooLong) || errors.Is(err, stream.ErrTooLong):
 		e.result.Reason = retry.Oversize
 	case errors.As(err, &netErr) && netErr.Timeout():
 		e.result.Reason = retry.Silent
@@ -472,7 +463,7 @@
 		}
 		body.Write(buf[:n])
 		if body.Len() > e.attempt.MaxAnswerBytes {
-			return nil, fmt.Errorf("%w: exceeds %d bytes", ErrTooLong, e.attempt.MaxAnswerBytes)
+			return nil, fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, e.attempt.MaxAnswerBytes)
 		}
 		if errors.Is(err, io.EOF) {
 			return body.Bytes(), nil
@@ -504,7 +495,7 @@
 			}
 		}
 		if err == nil && total > e.attempt.MaxAnswerBytes {
-			err = fmt.Errorf("%w: exceeds %d bytes", ErrTooLong, e.attempt.MaxAnswerBytes)
+			err = fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, e.attempt.MaxAnswerBytes)
 		}
 		if errors.Is(err, io.EOF) {
 			if splitter.Partial() {
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 )
 
 const (
@@ -32,7 +33,7 @@
 type conn struct {
 	net.Conn
 	address   string
-	reader    *bufio.Reader
+	reader    *head.Reader
 	rawConn   syscall.RawConn
 	exchanges int
 	// reuseBefore is the time from which the idle connection is no longer reused.
@@ -40,8 +41,6 @@
 	// onTimeout is called when a read times out. If it returns true, it has set a new
 	// deadline and the read goes on. It may be nil.
 	onTimeout func() bool
-	// head counts the bytes that are read as the head of an answer, nil outside of heads.
-	head *headMeter
 }
 
 // Read reads from the connection. A timeout that onTimeout extends is not seen by the
@@ -49,11 +48,6 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if n > 0 && c.head != nil {
-			if err := c.head.add(p[:n]); err != nil {
-				return 0, err
-			}
-		}
 		var netErr net.Error
 		if n > 0 || err == nil || c.onTimeout == nil || !errors.As(err, &netErr) || !netErr.Timeout() || !c.onTimeout() {
 			return n, err
@@ -171,7 +165,7 @@
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
 	c := &conn{Conn: nc, address: address}
-	c.reader = bufio.NewReaderSize(c, connReadBufferBytes)
+	c.reader = head.NewReader(c, connReadBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		if rawConn, err := sc.SyscallConn(); err == nil {
 			c.rawConn = rawConn
@@ -187,7 +181,7 @@
 // within keepAlive.
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
 	c.exchanges++
-	c.onTimeout, c.head = nil, nil
+	c.onTimeout = nil
 	c.reuseBefore = p.now().Add(keepAlive)
 	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
