Read the answers of endpoints of the inventory with bounds, as they arrive

What callers of services of the inventory saw: an answer that came without a length and was broken off by a reset was shown as whole. A stream without chunks arrived in one piece at its end. An interim answer (103) was passed on as the answer, with an empty body. A host that read an endless head, trailer or unframed body (also of the platform: store documents, the watch, load reports) held all of it until its time-out: 1.5 to 4.4 GB allocated in 3 s, a limit of 256 KiB notwithstanding.

Cause: hertz's client. It bounds no head; with neither a length nor chunks it reads the body to the end before it returns the answer (the limit of a part of it is the negative length), and takes any error there for the end; it skips one 100 and no other interim answer.

Ruled out: its options (MaxResponseBodySize is overridden by the negative length); a wrapper around its connection, which can bound heads but mends none of the rest.

The exchange, which opens one connection each anyway, writes the request with net/http and reads the answer with serve/head; package pool does the same. Too long an answer has the reason oversize here too. One nolint of bodyclose: the body is closed by another method of the exchange.

--- a/internal/serve/client/client.go
+++ b/internal/serve/client/client.go
@@ -1,6 +1,5 @@
 // Package client sends one attempt of a request to an endpoint. It opens a new
-// connection for each attempt, because the HTTP library retries some requests by
-// itself on pooled connections, and a pooled connection may have stopped responding.
+// connection for each attempt, because a pooled connection may have stopped responding.
 // Services of the inventory use it; published routes use package pool.
 package client
 
@@ -9,21 +8,23 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
 const (
-	dialTimeout     = time.Second
-	connIdleTimeout = time.Second
-	readChunkBytes  = 32 << 10
-	cancelTimeout   = 2 * time.Second
-	maxResumes      = 2
+	dialTimeout    = time.Second
+	readChunkBytes = 32 << 10
+	cancelTimeout  = 2 * time.Second
+	maxResumes     = 2
 )
 
 // The header fields and paths of the protocol between the gateway and its endpoints.
@@ -126,15 +127,17 @@
 	case r.ctx.Err() != nil:
 		r.result.CallerLeft = true
 		r.result.Reason = retry.Broken
-	case !e.dialer.connected.Load():
+	case !e.connected():
 		r.result.Reason = retry.Dial
+	case errors.Is(err, head.ErrTooLong) || errors.Is(err, stream.ErrTooLong):
+		r.result.Reason = retry.Oversize
 	case e.watchdog.fired.Load():
 		r.result.Reason = retry.Silent
 		r.result.Err = fmt.Errorf("%w: %w", ErrNoProgress, err)
 	default:
 		r.result.Reason = retry.Broken
 	}
-	if !e.dialer.connected.Load() {
+	if !e.connected() {
 		r.result.Ran = fault.RanNo
 	}
 }
@@ -145,13 +148,7 @@
 	defer cancel()
 	e := newExchange(ctx, r.attempt.Address, r.attempt.Deadline, r.attempt.IdleTimeout)
 	defer e.close()
-	e.req.SetMethod(r.attempt.Method)
-	e.req.SetRequestURI("http://" + r.attempt.Address + r.attempt.Path)
-	for _, f := range r.attempt.Fields {
-		e.req.Header.Set(f.Name, f.Value)
-	}
-	e.req.SetBody(r.attempt.Body)
-	if err := e.client.Do(ctx, e.req, e.resp); err != nil {
+	if err := e.do(r.attempt.Method, r.attempt.Path, r.attempt.Fields, r.attempt.Body); err != nil {
 		r.recordFailure(e, fmt.Errorf("send to endpoint: %w", err))
 		return
 	}
@@ -169,7 +166,7 @@
 // failedByStatus reports whether the status of the answer is a failure of the attempt
 // instead of an answer to pass on, and records the failure.
 func (r *attemptRun) failedByStatus(e *exchange) bool {
-	r.result.Status = e.resp.StatusCode()
+	r.result.Status = e.resp.StatusCode
 	r.result.Leaving = e.resp.Header.Get(LeavingField) != ""
 	for _, s := range r.attempt.NotRunStatuses {
 		if s == r.result.Status {
@@ -191,11 +188,14 @@
 // answerHead returns the status of an answer and the header fields that callers get.
 func (r *attemptRun) answerHead(e *exchange) wire.Head {
 	h := wire.Head{Status: r.result.Status}
-	e.resp.Header.VisitAll(func(k, v []byte) {
-		if !isDroppedField(string(k)) {
-			h.Fields = append(h.Fields, wire.Field{Name: string(k), Value: string(v)})
+	for name, values := range e.resp.Header {
+		if isDroppedField(name) {
+			continue
+		}
+		for _, v := range values {
+			h.Fields = append(h.Fields, wire.Field{Name: name, Value: v})
 		}
-	})
+	}
 	return h
 }
 
@@ -212,8 +212,7 @@
 
 // passAnswer passes the head and the body of an answer on.
 func (r *attemptRun) passAnswer(e *exchange) {
-	isEvents := len(e.resp.Header.ContentType()) >= len(eventStreamType) &&
-		string(e.resp.Header.ContentType()[:len(eventStreamType)]) == eventStreamType
+	isEvents := strings.HasPrefix(e.resp.Header.Get("Content-Type"), eventStreamType)
 	headSent := false
 	sendHead := func() error {
 		if headSent || r.result.Started {
@@ -233,11 +232,7 @@
 // passWhole reads the whole body of an answer that is not a stream before it passes
 // anything on: the body is small, and until then the request can be retried.
 func (r *attemptRun) passWhole(e *exchange, sendHead func() error) {
-	wantBytes := e.resp.Header.ContentLength()
 	body, err := r.readAll(e)
-	if err == nil && wantBytes >= 0 && len(body) != wantBytes && r.attempt.Method != "HEAD" {
-		err = fmt.Errorf("answer has %d of %d bytes: %w", len(body), wantBytes, io.ErrUnexpectedEOF)
-	}
 	if err != nil {
 		r.recordFailure(e, fmt.Errorf("read answer: %w", err))
 		return
@@ -255,7 +250,7 @@
 
 func (r *attemptRun) readAll(e *exchange) ([]byte, error) {
 	var body []byte
-	src := e.resp.BodyStream()
+	src := e.resp.Body
 	buf := make([]byte, readChunkBytes)
 	for {
 		n, err := src.Read(buf)
@@ -264,7 +259,7 @@
 			body = append(body, buf[:n]...)
 		}
 		if len(body) > r.attempt.MaxAnswerBytes {
-			return nil, fmt.Errorf("answer exceeds %d bytes", r.attempt.MaxAnswerBytes)
+			return nil, fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, r.attempt.MaxAnswerBytes)
 		}
 		if errors.Is(err, io.EOF) {
 			return body, nil
@@ -293,7 +288,7 @@
 // passEvents passes complete events on as they arrive. The closing event is passed
 // on only if the stream is unbroken up to it.
 func (r *attemptRun) passEvents(e *exchange, sendHead func() error) {
-	src := e.resp.BodyStream()
+	src := e.resp.Body
 	buf := make([]byte, readChunkBytes)
 	for {
 		n, err := src.Read(buf)
@@ -331,7 +326,7 @@
 		}
 	}
 	if splitErr == nil && r.receivedBytes > r.attempt.MaxAnswerBytes {
-		splitErr = fmt.Errorf("answer exceeds %d bytes", r.attempt.MaxAnswerBytes)
+		splitErr = fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, r.attempt.MaxAnswerBytes)
 	}
 	if splitErr == nil {
 		return true
@@ -361,12 +356,9 @@
 	defer cancel()
 	e := newExchange(ctx, r.attempt.Address, r.attempt.Deadline, r.attempt.IdleTimeout)
 	defer e.close()
-	e.req.SetMethod("GET")
-	e.req.SetRequestURI("http://" + r.attempt.Address + resumePath + "?stream=" + r.streamID +
-		"&from=" + strconv.Itoa(r.splitter.LastID()+1))
-	err := e.client.Do(ctx, e.req, e.resp)
-	if err == nil && e.resp.StatusCode() != 200 {
-		err = fmt.Errorf("endpoint answered status %d", e.resp.StatusCode())
+	err := e.do(http.MethodGet, resumePath+"?stream="+r.streamID+"&from="+strconv.Itoa(r.splitter.LastID()+1), nil, nil)
+	if err == nil && e.resp.StatusCode != 200 {
+		err = fmt.Errorf("endpoint answered status %d", e.resp.StatusCode)
 		r.result.Resumes = maxResumes
 	}
 	if err != nil {
@@ -384,7 +376,5 @@
 	defer cancel()
 	e := newExchange(ctx, r.attempt.Address, time.Now().Add(cancelTimeout), cancelTimeout)
 	defer e.close()
-	e.req.SetMethod("POST")
-	e.req.SetRequestURI("http://" + r.attempt.Address + cancelPath + "?stream=" + r.streamID)
-	_ = e.client.Do(ctx, e.req, e.resp)
+	_ = e.do(http.MethodPost, cancelPath+"?stream="+r.streamID, nil, nil)
 }
--- a/internal/serve/client/exchange.go
+++ b/internal/serve/client/exchange.go
@@ -1,64 +1,30 @@
 package client
 
 import (
+	"bytes"
 	"context"
-	"crypto/tls"
 	"fmt"
-	"sync"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
-	hclient "github.com/cloudwego/hertz/pkg/protocol/client"
-	"github.com/cloudwego/hertz/pkg/protocol/http1"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 )
 
 // exchange is one HTTP exchange on a new connection.
 type exchange struct {
-	req              *protocol.Request
-	resp             *protocol.Response
-	client           *http1.HostClient
-	dialer           *dialer
-	watchdog         *watchdog
-	stopContextWatch func() bool
-}
-
-// dialer holds the connection that it opened, so that another goroutine can close it.
-type dialer struct {
-	network.Dialer
-	mu     sync.Mutex
-	conn   network.Conn
-	closed bool
-	// connected reports whether a connection was established.
-	connected atomic.Bool
-}
-
-// DialConnection implements network.Dialer.
-func (d *dialer) DialConnection(n, address string, timeout time.Duration, conf *tls.Config) (network.Conn, error) {
-	conn, err := d.Dialer.DialConnection(n, address, timeout, conf)
-	if err != nil {
-		return nil, fmt.Errorf("dial endpoint: %w", err)
-	}
-	d.connected.Store(true)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.conn = conn
-	if d.closed {
-		_ = conn.Close()
-	}
-	return conn, nil
-}
-
-// close closes the connection, also one that is still being established.
-func (d *dialer) close() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.closed = true
-	if d.conn != nil {
-		_ = d.conn.Close()
-	}
+	ctx      context.Context
+	cancel   context.CancelFunc
+	address  string
+	watchdog *watchdog
+	conn     net.Conn
+	// resp is the answer, whose body has not been read yet.
+	resp *http.Response
 }
 
 // watchdog calls a function after idleTimeout without progress.
@@ -86,30 +52,63 @@
 // closed when ctx ends, at the deadline if no progress is made before, and after
 // idleTimeout without progress.
 func newExchange(ctx context.Context, address string, deadline time.Time, idleTimeout time.Duration) *exchange {
-	e := &exchange{
-		req: protocol.AcquireRequest(), resp: protocol.AcquireResponse(),
-		dialer: &dialer{Dialer: standard.NewDialer()},
-	}
-	httpClient, _ := http1.NewHostClient(&http1.ClientOptions{
-		Dialer: e.dialer, DialTimeout: dialTimeout, ResponseBodyStream: true,
-		MaxConns: 1, MaxIdleConnDuration: connIdleTimeout, NoDefaultUserAgentHeader: true,
-		DisablePathNormalizing: true,
-		RetryIfFunc:            func(*protocol.Request, *protocol.Response, error) bool { return false },
-	}).(*http1.HostClient)
-	httpClient.SetDynamicConfig(&hclient.DynamicConfig{Addr: address})
-	e.client = httpClient
-	e.req.SetConnectionClose()
-	e.watchdog = newWatchdog(min(idleTimeout, max(0, time.Until(deadline))), e.dialer.close)
+	e := &exchange{address: address}
+	e.ctx, e.cancel = context.WithCancel(ctx)
+	e.watchdog = newWatchdog(min(idleTimeout, max(0, time.Until(deadline))), e.cancel)
 	e.watchdog.idleTimeout = idleTimeout
-	e.stopContextWatch = context.AfterFunc(ctx, e.dialer.close)
 	return e
 }
 
+// connected reports whether a connection was established.
+func (e *exchange) connected() bool { return e.conn != nil }
+
+// do sends a request and reads the head of the answer.
+func (e *exchange) do(method, path string, fields []wire.Field, body []byte) error {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(e.ctx, "tcp", e.address)
+	if err != nil {
+		return fmt.Errorf("dial endpoint: %w", err)
+	}
+	e.conn = conn
+	context.AfterFunc(e.ctx, func() { _ = conn.Close() })
+	if err := newRequest(e.address, method, path, fields, body).Write(conn); err != nil {
+		return fmt.Errorf("write request: %w", err)
+	}
+	if e.resp, err = head.NewReader(conn, readChunkBytes).ReadAnswer(method); err != nil { //nolint:bodyclose // Method close does.
+		return fmt.Errorf("read head of answer: %w", err)
+	}
+	return nil
+}
+
+// newRequest returns a request that ends its connection. The path is sent as it is.
+func newRequest(address, method, path string, fields []wire.Field, body []byte) *http.Request {
+	r := &http.Request{
+		Method: method, URL: &url.URL{Scheme: "http", Opaque: path}, Host: address,
+		// An empty value keeps the default from being sent.
+		Header: http.Header{"User-Agent": {""}}, Close: true,
+	}
+	for _, f := range fields {
+		if strings.EqualFold(f.Name, "Host") {
+			r.Host = f.Value
+			continue
+		}
+		r.Header.Set(f.Name, f.Value)
+	}
+	if len(body) > 0 {
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	}
+	return r
+}
+
+// close ends the exchange. The connection is closed before the body of the answer, which
+// would else be read to its end.
 func (e *exchange) close() {
 	e.watchdog.stop()
-	e.stopContextWatch()
-	e.dialer.close()
-	_ = e.resp.CloseBodyStream()
-	protocol.ReleaseRequest(e.req)
-	protocol.ReleaseResponse(e.resp)
+	e.cancel()
+	if e.conn != nil {
+		_ = e.conn.Close()
+	}
+	if e.resp != nil {
+		_ = e.resp.Body.Close()
+	}
 }
--- a/internal/serve/client/get.go
+++ b/internal/serve/client/get.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
+	"net/http"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
@@ -22,9 +22,7 @@
 	defer cancel()
 	e := newExchange(ctx, address, time.Now().Add(timeout), timeout)
 	defer e.close()
-	e.req.SetMethod("GET")
-	e.req.SetRequestURI("http://" + address + path)
-	if err := e.client.Do(ctx, e.req, e.resp); err != nil {
+	if err := e.do(http.MethodGet, path, nil, nil); err != nil {
 		return 0, "", nil, fmt.Errorf("get %s: %w", path, err)
 	}
 	r := &attemptRun{ctx: ctx, attempt: Attempt{MaxAnswerBytes: limit}}
@@ -32,10 +30,7 @@
 	if err != nil {
 		return 0, "", nil, fmt.Errorf("get %s: %w", path, err)
 	}
-	if want := e.resp.Header.ContentLength(); want >= 0 && len(body) != want {
-		return 0, "", nil, fmt.Errorf("get %s: %w", path, io.ErrUnexpectedEOF)
-	}
-	return e.resp.StatusCode(), e.resp.Header.Get(field), body, nil
+	return e.resp.StatusCode, e.resp.Header.Get(field), body, nil
 }
 
 // Collect returns a sink that stores the status and the body of an answer.
--- a/internal/serve/head/head.go
+++ b/internal/serve/head/head.go
@@ -10,9 +10,9 @@
 	"net/http"
 )
 
+// Bounds of the head of an answer together with the interim answers before it. The bytes
+// are as many as callers may send.
 const (
-	// MaxBytes, MaxLines and MaxInterim bound the head of an answer together with the
-	// interim answers before it. The bytes are as many as callers may send.
 	MaxBytes   = 64 << 10
 	MaxLines   = 512
 	MaxInterim = 16
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -35,6 +35,8 @@
 	Silent bool
 	// Drop runs the request and closes the connection without a response.
 	Drop bool
+	// Ending sends an answer without a length or chunks, up to the ending.
+	Ending Ending
 	// Flood runs the request and sends bytes without end.
 	Flood Flood
 }
@@ -245,6 +247,10 @@
 		e.countCancelled()
 		return
 	}
+	if f.Ending != "" {
+		e.sendUnframed(w, f.Ending, PlainParts(id))
+		return
+	}
 	if f.CutBody {
 		w.Header().Set("Content-Length", "1000")
 		_, _ = w.Write([]byte("part"))
@@ -255,6 +261,10 @@
 
 func (e *Endpoint) sendStream(w http.ResponseWriter, r *http.Request, id string, from int, f Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if f.Ending != "" {
+		e.sendUnframed(w, f.Ending, e.events(id, from+1))
+		return
+	}
 	flush := http.NewResponseController(w)
 	for n := from + 1; n < e.EventCount; n++ {
 		if f.CutAfter > 0 && n >= f.CutAfter {
