Send streams to callers of HTTP/1.0 without chunks, and reset broken ones

What callers saw: a caller of HTTP/1.0 got a stream in chunks, which its version does not have: sizes of chunks between the events. A broken one ended with the close of the connection, which is the regular end for such a caller, so it looked whole.

Cause: both HTTP interfaces wrote every stream with the library's chunked writer, and closed the connection of a broken one.

Ruled out: collecting the stream to send it with a length, which gives up that events are passed on as they arrive.

A stream to HTTP/1.0 is written up to the end of its connection; a broken one is reset (SO_LINGER 0 before the close). Within the handler the descriptor can't be closed by the library, so the option can't hit another connection. Streams by inventory end with an error event as before.

Evidence: TestBrokenUnframedAnswerIsNotShownAsWhole, a table of local and relayed answers, HTTP/1.1 and 1.0, resumed or not, that come with neither a length nor chunks and end whole, within an event, within a character or by a reset: 44 cases.

--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
@@ -161,7 +161,7 @@
 	}
 	a.streaming = a.stream && h.Status == http.StatusOK
 	if a.streaming {
-		a.c.Response.HijackWriter(resp.NewChunkedBodyWriter(&a.c.Response, a.c.GetWriter()))
+		socket.StartStream(a.c)
 	}
 	return nil
 }
@@ -194,7 +194,7 @@
 		s.sendRefusal(c, r)
 	default:
 		s.Meter.CountRefusal(r)
-		_ = c.GetConn().Close()
+		socket.BreakStream(c)
 	}
 }
 
--- a/internal/serve/front/request.go
+++ b/internal/serve/front/request.go
@@ -9,9 +9,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
@@ -209,7 +209,7 @@
 		a.c.Header(ServedByField, h.Endpoint)
 	}
 	if a.streaming {
-		a.c.Response.HijackWriter(resp.NewChunkedBodyWriter(&a.c.Response, a.c.GetWriter()))
+		socket.StartStream(a.c)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/serve/node/ending_test.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+)
+
+// received is what a caller received.
+type received struct {
+	status int
+	body   string
+	// whole reports whether the answer ended as its framing demands.
+	whole bool
+	// chunked reports whether the answer came in chunks.
+	chunked bool
+}
+
+// callRaw sends a request of a version of HTTP to the host of region a, on a connection of
+// its own.
+func (f *fleet) callRaw(version, path, id string) received {
+	f.t.Helper()
+	c, err := net.Dial("tcp", f.nodes["a"].settings.Callers)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(waitTimeout))
+	if _, err := fmt.Fprintf(c, "POST %s %s\r\nHost: h\r\n%s: %s\r\nContent-Length: 1\r\n\r\nx", path, version, platTerms.RequestID, id); err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return received{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return received{status: resp.StatusCode, body: string(body), whole: err == nil, chunked: len(resp.TransferEncoding) > 0}
+}
+
+// onlyIn removes the endpoints of a service in the other region and adds one in this region.
+// Requests are sent to the first endpoint before the second.
+func (f *fleet) onlyIn(region, service string) (first, second string) {
+	f.t.Helper()
+	removed := service + "-" + map[string]string{"a": "b", "b": "a"}[region] + "1"
+	first, second = service+"-"+region+"1", service+"-2"
+	f.store.put(feed.Change{RemovedEndpoint: removed})
+	f.startEndpoint(second, service, region)
+	f.eventually("only the endpoints of one region are registered", func() bool {
+		for _, n := range f.nodes {
+			list := n.board.Registry.Endpoints(service)
+			if len(list) != 2 || slices.ContainsFunc(list, func(e regis.Endpoint) bool { return e.ID == removed }) {
+				return false
+			}
+		}
+		return true
+	})
+	for range 4 {
+		f.nodes[region].board.Endpoints.StartRequest(time.Now(), second)
+	}
+	return first, second
+}
+
+func TestBrokenUnframedAnswerIsNotShownAsWhole(t *testing.T) {
+	first, all := routed.Event("r", 0), wholeStream("r")
+	tests := []struct {
+		path   string
+		ending routed.Ending
+		whole  bool
+		status int
+		body   string
+	}{
+		{"/stream-once/x", routed.EndWhole, true, 200, all},
+		{"/stream-once/x", routed.EndEvent, false, 200, first},
+		{"/stream-once/x", routed.EndRune, false, 200, first},
+		{"/stream-once/x", routed.EndReset, false, 200, first},
+		{"/stream/x", routed.EndWhole, true, 200, all},
+		{"/stream/x", routed.EndEvent, true, 200, all},
+		{"/stream/x", routed.EndRune, true, 200, all},
+		{"/stream/x", routed.EndReset, true, 200, all},
+		{"/unsafe/x", routed.EndWhole, true, 200, routed.PlainAnswer("r")},
+		{"/unsafe/x", routed.EndReset, true, 502, "endpoint failed\n"},
+		{"/safe/x", routed.EndReset, true, 200, routed.PlainAnswer("r")},
+	}
+	for _, region := range []string{"a", "b"} {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			for _, tt := range tests {
+				where := map[string]string{"a": "local", "b": "relayed"}[region]
+				t.Run(strings.Join([]string{where, version, tt.path, string(tt.ending)}, " "), func(t *testing.T) {
+					t.Parallel()
+					service := "model"
+					if !strings.HasPrefix(tt.path, "/stream") {
+						service = "plain"
+					}
+					f := startFleet(t)
+					first, second := f.onlyIn(region, service)
+					f.endpoints[first].SetFault(routed.Fault{Times: 1, Ending: tt.ending})
+					f.endpoints[second].SetFault(routed.Fault{Times: 1, Ending: routed.EndWhole})
+					got := f.callRaw(version, tt.path, "r")
+					if n := len(f.runs(first)); n != 1 {
+						t.Fatalf("got %d runs at the endpoint with the fault, want 1", n)
+					}
+					if got.status != tt.status || got.whole != tt.whole || got.body != tt.body {
+						t.Errorf("got %+v, want status %d, whole %v, body %q", got, tt.status, tt.whole, tt.body)
+					}
+					if got.chunked && version == "HTTP/1.0" {
+						t.Error("got chunks, which HTTP/1.0 does not have")
+					}
+				})
+			}
+		}
+	}
+}
