Bound the bytes of answers that a host holds before it passes them on

What callers saw: each whole answer might take 64 MiB before its first byte was passed on, and a stream 1 MiB for an event, whatever the host held already.

Cause: the limits were for one answer each; the buffer of an answer grew by doubling, which holds it up to three times over.

Ruled out: passing a long whole answer on as it comes. It bounds memory for one answer and gives up the retry for all of them; the account bounds the host and costs only what goes beyond it.

Rule (serve/held): the answers of a host hold at most 64 MiB, those of one endpoint 16 MiB, the partial events of streams included. Beyond either, the answer that grows without an announced length goes first, the longest of them; then the longest of the others. It ends with reason oversize, its connection is closed and it may have run. One answer has at most 16 MiB, as a request of a caller. Bodies are read in blocks and joined once. The metric is held_answer_bytes.

Evidence: TestEndlessAnswersLeaveTheHostItsMemory, 66 endless answers of 11 kinds at once and one answer with a length, which is passed on. TestAccountStaysBelowItsLimits is a property test of the account, TestEndlessAnswerIsServedElsewhere plays the floods at a host: the caller gets another endpoint's answer, the log names request, reason, endpoint.

Not included: relayed frames, request bodies, answers of endpoints of the inventory, and bytes that wait for a slow caller.

--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -45,6 +45,8 @@
 	StaleHeads    prometheus.Counter
 	RejectedHeads prometheus.Counter
 	InFlight      prometheus.Gauge
+	// HeldBytes are the bytes of answers that were read and not passed on yet.
+	HeldBytes prometheus.Gauge
 	// LimitedEndpoints and LimitedAttempts are the endpoints of the region that name a rate
 	// limit and this host's attempts at them.
 	LimitedEndpoints prometheus.Gauge
@@ -86,12 +88,13 @@
 		RejectedHeads:    counter("rejected_heads_total", "Revisions that were not accepted."),
 		LimitedEndpoints: gauge("limited_endpoints", "Endpoints of the region that name a rate limit."),
 		LimitedAttempts:  counter("limited_attempts_total", "Attempts at endpoints that name a rate limit."),
+		HeldBytes:        gauge("held_answer_bytes", "Bytes of answers that were read and not passed on yet."),
 		InFlight:         gauge("open_requests", "Requests in flight."),
 		Revision:         gauge("revision", "Configuration revision in force."),
 	}
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
-		m.LimitedEndpoints, m.LimitedAttempts,
+		m.LimitedEndpoints, m.LimitedAttempts, m.HeldBytes,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
 		for _, ran := range []fault.Ran{fault.RanNo, fault.RanYes, fault.RanUnknown} {
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/edge"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/proxy"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/relay"
@@ -97,7 +98,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
 	}
-	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, started: now(), pool: pool.New(pool.WithNow(now))}
+	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, started: now()}
+	account := held.New(proxy.MaxHeld, proxy.MaxAnswer, func(bytes int) { n.meter.HeldBytes.Set(float64(bytes)) })
+	n.pool = pool.New(pool.WithNow(now), pool.WithHeld(account))
 	n.board = board.New(now(), s.Peers, s.Region, s.Centre, 1)
 	n.board.Members.EnableDiscovery(now(), member.Candidate{
 		Name: s.Peers, Address: s.Peers, Region: s.Region, Centre: s.Centre, Callers: s.Callers, Cores: s.Machine.Capacity(),
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -23,6 +23,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -396,7 +397,7 @@
 	case e.ctx.Err() != nil:
 		e.result.CallerLeft = errors.Is(e.ctx.Err(), context.Canceled)
 		e.result.Reason = retry.Silent
-	case errors.Is(err, head.ErrTooLong) || errors.Is(err, stream.ErrTooLong):
+	case errors.Is(err, head.ErrTooLong) || errors.Is(err, stream.ErrTooLong) || errors.Is(err, held.ErrFull):
 		e.result.Reason = retry.Oversize
 	case errors.As(err, &netErr) && netErr.Timeout():
 		e.result.Reason = retry.Silent
@@ -434,7 +435,12 @@
 // passWhole reads the whole body of an answer that is not a stream and passes it on.
 // It returns the keep-alive timeout of the connection, 0 if it must be closed.
 func (e *exchange) passWhole(resp *http.Response) time.Duration {
-	body, err := e.readAll(resp)
+	hold := e.client.Pool.held.Open(e.attempt.Address, resp.ContentLength >= 0, func() { _ = e.conn.Close() })
+	defer hold.Close()
+	body, err := e.readAll(resp, hold)
+	if hold.Dropped() {
+		err = held.ErrFull
+	}
 	if err != nil {
 		e.fail(fmt.Errorf("read body: %w", err))
 		return 0
@@ -452,21 +458,36 @@
 	return keepAliveTimeout(resp)
 }
 
-func (e *exchange) readAll(resp *http.Response) ([]byte, error) {
-	size := max(0, min(resp.ContentLength, readChunkBytes))
-	body := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	buf := make([]byte, min(readChunkBytes, max(size, 512)))
+// readAll reads a body in blocks, as a buffer that grows would hold it several times over.
+func (e *exchange) readAll(resp *http.Response, hold *held.Answer) ([]byte, error) {
+	blockBytes := readChunkBytes
+	if resp.ContentLength >= 0 {
+		// One more byte leaves room for the read that finds the end.
+		blockBytes = int(min(resp.ContentLength+1, readChunkBytes))
+	}
+	var blocks [][]byte
+	block, total := make([]byte, 0, blockBytes), 0
 	for {
-		n, err := resp.Body.Read(buf)
+		if len(block) == cap(block) {
+			blocks = append(blocks, block)
+			block = make([]byte, 0, readChunkBytes)
+		}
+		n, err := resp.Body.Read(block[len(block):cap(block)])
 		if n > 0 && e.result.TimeToFirstByte == 0 {
 			e.result.TimeToFirstByte = e.client.Now().Sub(e.start)
 		}
-		body.Write(buf[:n])
-		if body.Len() > e.attempt.MaxAnswerBytes {
+		block = block[:len(block)+n]
+		if total += n; total > e.attempt.MaxAnswerBytes {
 			return nil, fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, e.attempt.MaxAnswerBytes)
 		}
+		if err := hold.Grow(n); err != nil {
+			return nil, err
+		}
 		if errors.Is(err, io.EOF) {
-			return body.Bytes(), nil
+			if len(blocks) == 0 {
+				return block, nil
+			}
+			return bytes.Join(append(blocks, block), nil), nil
 		}
 		if err != nil {
 			return nil, err
@@ -483,8 +504,10 @@
 		splitter.SkipTo(e.attempt.LastEventID)
 	}
 	e.result.Ran = fault.RanUnknown
+	hold := e.client.Pool.held.Open(e.attempt.Address, false, func() { _ = e.conn.Close() })
+	defer hold.Close()
 	buf := make([]byte, 2<<10)
-	total := 0
+	total, partial := 0, 0
 	for {
 		e.setReadDeadline(e.attempt.IdleTimeout)
 		n, err := resp.Body.Read(buf)
@@ -493,6 +516,13 @@
 			if !e.passChunk(resp, splitter, buf[:n]) {
 				return 0
 			}
+			if growErr := hold.Grow(splitter.Buffered() - partial); growErr != nil {
+				err = growErr
+			}
+			partial = splitter.Buffered()
+		}
+		if err != nil && hold.Dropped() {
+			err = held.ErrFull
 		}
 		if err == nil && total > e.attempt.MaxAnswerBytes {
 			err = fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, e.attempt.MaxAnswerBytes)
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 )
 
 const (
@@ -59,6 +61,7 @@
 type Pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
 	now  func() time.Time
+	held *held.Account
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -77,12 +80,16 @@
 // WithNow sets the pool's clock.
 func WithNow(now func() time.Time) Option { return func(p *Pool) { p.now = now } }
 
+// WithHeld sets the account of the whole answers that are read before they are passed on.
+// Without it they are bounded one by one only.
+func WithHeld(a *held.Account) Option { return func(p *Pool) { p.held = a } }
+
 // New returns an empty pool.
 func New(opts ...Option) *Pool {
 	d := &net.Dialer{KeepAlive: -1, Control: setUserTimeout}
 	p := &Pool{
 		dial: func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
-		now:  time.Now, idle: map[string][]*conn{},
+		now:  time.Now, idle: map[string][]*conn{}, held: held.New(math.MaxInt, math.MaxInt, func(int) {}),
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -118,8 +118,13 @@
 	queues map[string]*waitQueue
 }
 
-// MaxAnswer is the largest answer of an endpoint, in bytes.
-const MaxAnswer = 64 << 20
+// MaxAnswer is the largest answer of an endpoint, in bytes, as large as a caller's request
+// may be. The answers that one endpoint sends at the same time share it until they are
+// passed on; MaxHeld bounds those of all endpoints of a host.
+const (
+	MaxAnswer = 16 << 20
+	MaxHeld   = 64 << 20
+)
 
 // New returns a Proxy. The caller sets the exported fields before use.
 func New() *Proxy {
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -130,6 +130,9 @@
 // SkipTo leaves out the events up to an id, which a caller that resumes already has.
 func (s *Splitter) SkipTo(lastID int) { s.lastID = lastID }
 
+// Buffered returns the length of the partial event that is buffered.
+func (s *Splitter) Buffered() int { return len(s.buf) }
+
 // Partial reports whether a partial event is buffered.
 func (s *Splitter) Partial() bool { return len(s.buf) > 0 }
 
