Take empty lines after the last event of a stream for its end

What callers saw: a stream whose endpoint sent an empty line more after the last event was taken for broken off: run again, or cut.

Cause: any bytes after the last event counted as a partial event.

Evidence: TestOutcomes 'stream with an empty line at its end' was red; the new cases of streams without chunks and of connections that are not reused after answers without a length passed before.

--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -154,6 +154,9 @@
 		{"only an answer to another request", answer("z", "foreign", "Connection: close\r\n"), nil, false, fault.RanUnknown, retry.Broken, ""},
 		{"whole stream", events("id: 0\ndata: x\n\n", "id: 1\ndata: y\n\n") + lastChunk, nil, true, fault.RanYes, "", "id: 0\ndata: x\n\nid: 1\ndata: y\n\n"},
 		{"stream cut within an event", events("id: 0\ndata: x\n\n", "id: 1\nda") + lastChunk, nil, false, fault.RanUnknown, retry.Broken, "id: 0\ndata: x\n\n"},
+		{"stream without chunks", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: x\n\n", nil, true, fault.RanYes, "", "data: x\n\n"},
+		{"stream with an empty line at its end", events("data: x\n\n", "\r\n") + lastChunk, nil, true, fault.RanYes, "", "data: x\n\n"},
+		{"stream without chunks cut within an event", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: x\n\ndata: y\n", nil, false, fault.RanUnknown, retry.Broken, "data: x\n\n"},
 		{"stream without its end", events("id: 0\ndata: x\n\n") + "Connection: close", nil, false, fault.RanUnknown, retry.Broken, "id: 0\ndata: x\n\n"},
 		{"too large", answer("a", strings.Repeat("x", 100)), func(a *Attempt) { a.MaxAnswerBytes = 10 }, false, fault.RanUnknown, retry.Oversize, ""},
 	}
@@ -194,6 +197,9 @@
 		{"endpoint's keep-alive timeout is 0", answer("a", "x", "Keep-Alive: timeout=0\r\n"), 2},
 		{"bytes after the answer", answer("a", "x") + answer("z", "extra"), 2},
 		{"stream", events("id: 0\ndata: x\n\n") + lastChunk, 1},
+		{"answer without a length", "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nx", 2},
+		{"stream without chunks", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: text/event-stream\r\n\r\ndata: x\n\n", 2},
+		{"answer without a length that asks to keep the connection", "HTTP/1.0 200 OK\r\nX-Id: a\r\nConnection: keep-alive\r\n\r\nx", 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -133,8 +133,8 @@
 // Buffered returns the length of the partial event that is buffered.
 func (s *Splitter) Buffered() int { return len(s.buf) }
 
-// Partial reports whether a partial event is buffered.
-func (s *Splitter) Partial() bool { return len(s.buf) > 0 }
+// Partial reports whether a partial event is buffered. Empty lines after an event are none.
+func (s *Splitter) Partial() bool { return len(bytes.Trim(s.buf, "\r\n")) > 0 }
 
 // LastID returns the last event id in whole events, NoID if there is none.
 func LastID(events []byte) int {
