Bound the trailer and the chunk sizes of a caller's request

What callers saw: nothing at first. A caller that sent a trailer, trailers or the padding of a chunk's size without end was read into memory for the 20 s of the read time-out: 0.9 to 3 GB went in within 5 s.

Cause: hertz bounds the header and the body of a request, not what follows the last chunk or a chunk's size; its parser of trailers looks at all that has arrived, from the start, until it finds their end.

Ruled out: WithMaxHeaderBytes (headers only); the limit of the body (checked by size of chunk only).

The listeners for callers without TLS use a network layer that ends a request whose parser looks at more than the limit of the header twice without taking any, or takes more than that byte by byte. A body is looked at once and taken.

Evidence: TestEndlessRequestIsClosed, 11 kinds; 'chunk padding', 'trailer', 'trailers' were red; the others were bounded before. TLS listeners use another network layer and were not tested.

--- a/internal/base/socket/body.go
+++ b/internal/base/socket/body.go
@@ -33,7 +33,10 @@
 
 // resetOnClose makes the closing of a connection reset it.
 func resetOnClose(c network.Conn) {
-	if wrapped, ok := c.(*netpoll.Conn); ok {
+	switch wrapped := c.(type) {
+	case *boundedConn:
+		c = wrapped.Conn.Conn
+	case *netpoll.Conn:
 		c = wrapped.Conn
 	}
 	if fd, ok := c.(interface{ Fd() int }); ok {
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -93,6 +93,7 @@
 	}
 	opts := append([]config.Option{
 		server.WithListener(l),
+		server.WithTransport(socket.NewTransporter),
 		server.WithMaxRequestBodySize(maxBody),
 		server.WithMaxHeaderBytes(maxHeader),
 		server.WithReadTimeout(readTimeout),
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -85,7 +85,7 @@
 		if err != nil {
 			return fmt.Errorf("start listener for callers: %w", err)
 		}
-		opts = append(opts, server.WithListener(l))
+		opts = append(opts, server.WithListener(l), server.WithTransport(socket.NewTransporter))
 	} else {
 		cert, err := tls.LoadX509KeyPair(f.Settings.CallerCert, f.Settings.CallerKey)
 		if err != nil {
