--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -22,6 +22,8 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -34,7 +36,9 @@
 	asyncWriteBytes = 8 << 10
 	// maxSkippedAnswers bounds the answers to other requests that an attempt skips.
 	maxSkippedAnswers = 4
-	eventStreamType   = "text/event-stream"
+	// maxSkippedBytes bounds the body of each of them.
+	maxSkippedBytes = 256 << 10
+	eventStreamType = "text/event-stream"
 	// retryAfterField is the header field with the seconds for which an endpoint wants no
 	// requests; maxPauseSeconds keeps them in the range of a time.Duration.
 	retryAfterField = "Retry-After"
@@ -192,7 +196,7 @@
 
 // run sends the request and passes the answer on. It returns the keep-alive timeout
 // of the connection, 0 if it must be closed.
-func (e *exchange) run() time.Duration {
+func (e *exchange) run() (keepAlive time.Duration) {
 	if err := e.conn.SetDeadline(e.attempt.Deadline); err != nil {
 		e.fail(fmt.Errorf("set deadline: %w", err))
 		return 0
@@ -208,7 +212,13 @@
 		e.fail(fmt.Errorf("read answer: %w", err))
 		return 0
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() {
+		if keepAlive == 0 {
+			// Otherwise closing the body would read the rest of it.
+			_ = e.conn.Close()
+		}
+		_ = resp.Body.Close()
+	}()
 	e.result.Status, e.result.TimeToHead = resp.StatusCode, e.client.Now().Sub(e.start)
 	e.result.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if load, ok := e.client.Terms.ParseLoad(resp.Header.Get(e.client.Terms.Load)); ok {
@@ -328,15 +338,11 @@
 // readHead reads the head of the answer. It skips interim answers, and whole answers
 // to other requests.
 func (e *exchange) readHead() (*http.Response, error) {
-	req := &http.Request{Method: e.attempt.Method}
 	for skipped := 0; ; {
-		resp, err := http.ReadResponse(e.conn.reader, req)
+		resp, err := e.conn.reader.ReadAnswer(e.attempt.Method)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
-		}
 		id := resp.Header.Get(e.client.Terms.RequestID)
 		if id == e.attempt.ID || id == "" {
 			return resp, nil
@@ -344,9 +350,13 @@
 		if skipped++; skipped > maxSkippedAnswers || keepAliveTimeout(resp) == 0 {
 			return nil, fmt.Errorf("answer belongs to another request: %q", id)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, int64(e.attempt.MaxAnswerBytes))); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
+		if err != nil {
 			return nil, fmt.Errorf("skip answer to another request: %w", err)
 		}
+		if n > maxSkippedBytes {
+			return nil, fmt.Errorf("%w: answer to another request exceeds %d bytes", head.ErrTooLong, maxSkippedBytes)
+		}
 	}
 }
 
@@ -394,6 +404,8 @@
 	case e.ctx.Err() != nil:
 		e.result.CallerLeft = errors.Is(e.ctx.Err(), context.Canceled)
 		e.result.Reason = retry.Silent
+	case errors.Is(err, head.ErrTooLong) || errors.Is(err, stream.ErrTooLong) || errors.Is(err, held.ErrFull):
+		e.result.Reason = retry.Oversize
 	case errors.As(err, &netErr) && netErr.Timeout():
 		e.result.Reason = retry.Silent
 	default:
@@ -430,7 +442,12 @@
 // passWhole reads the whole body of an answer that is not a stream and passes it on.
 // It returns the keep-alive timeout of the connection, 0 if it must be closed.
 func (e *exchange) passWhole(resp *http.Response) time.Duration {
-	body, err := e.readAll(resp)
+	hold := e.client.Pool.held.Open(e.attempt.Address, resp.ContentLength >= 0, func() { _ = e.conn.Close() })
+	defer hold.Close()
+	body, err := e.readAll(resp, hold)
+	if hold.Dropped() {
+		err = held.ErrFull
+	}
 	if err != nil {
 		e.fail(fmt.Errorf("read body: %w", err))
 		return 0
@@ -448,21 +465,36 @@
 	return keepAliveTimeout(resp)
 }
 
-func (e *exchange) readAll(resp *http.Response) ([]byte, error) {
-	size := max(0, min(resp.ContentLength, readChunkBytes))
-	body := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	buf := make([]byte, min(readChunkBytes, max(size, 512)))
+// readAll reads a body in blocks, as a buffer that grows would hold it several times over.
+func (e *exchange) readAll(resp *http.Response, hold *held.Answer) ([]byte, error) {
+	blockBytes := readChunkBytes
+	if resp.ContentLength >= 0 {
+		// One more byte leaves room for the read that finds the end.
+		blockBytes = int(min(resp.ContentLength+1, readChunkBytes))
+	}
+	var blocks [][]byte
+	block, total := make([]byte, 0, blockBytes), 0
 	for {
-		n, err := resp.Body.Read(buf)
+		if len(block) == cap(block) {
+			blocks = append(blocks, block)
+			block = make([]byte, 0, readChunkBytes)
+		}
+		n, err := resp.Body.Read(block[len(block):cap(block)])
 		if n > 0 && e.result.TimeToFirstByte == 0 {
 			e.result.TimeToFirstByte = e.client.Now().Sub(e.start)
 		}
-		body.Write(buf[:n])
-		if body.Len() > e.attempt.MaxAnswerBytes {
-			return nil, fmt.Errorf("answer exceeds %d bytes", e.attempt.MaxAnswerBytes)
+		block = block[:len(block)+n]
+		if total += n; total > e.attempt.MaxAnswerBytes {
+			return nil, fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, e.attempt.MaxAnswerBytes)
+		}
+		if err := hold.Grow(n); err != nil {
+			return nil, err
 		}
 		if errors.Is(err, io.EOF) {
-			return body.Bytes(), nil
+			if len(blocks) == 0 {
+				return block, nil
+			}
+			return bytes.Join(append(blocks, block), nil), nil
 		}
 		if err != nil {
 			return nil, err
@@ -479,8 +511,10 @@
 		splitter.SkipTo(e.attempt.LastEventID)
 	}
 	e.result.Ran = fault.RanUnknown
+	hold := e.client.Pool.held.Open(e.attempt.Address, false, func() { _ = e.conn.Close() })
+	defer hold.Close()
 	buf := make([]byte, 2<<10)
-	total := 0
+	total, partial := 0, 0
 	for {
 		e.setReadDeadline(e.attempt.IdleTimeout)
 		n, err := resp.Body.Read(buf)
@@ -489,9 +523,16 @@
 			if !e.passChunk(resp, splitter, buf[:n]) {
 				return 0
 			}
+			if growErr := hold.Grow(splitter.Buffered() - partial); growErr != nil {
+				err = growErr
+			}
+			partial = splitter.Buffered()
+		}
+		if err != nil && hold.Dropped() {
+			err = held.ErrFull
 		}
 		if err == nil && total > e.attempt.MaxAnswerBytes {
-			err = fmt.Errorf("answer exceeds %d bytes", e.attempt.MaxAnswerBytes)
+			err = fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, e.attempt.MaxAnswerBytes)
 		}
 		if errors.Is(err, io.EOF) {
 			if splitter.Partial() {
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -1,10 +1,10 @@
 package pool
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,6 +12,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 )
 
 const (
@@ -35,7 +38,7 @@
 type conn struct {
 	net.Conn
 	address   string
-	reader    *bufio.Reader
+	reader    *head.Reader
 	rawConn   syscall.RawConn
 	exchanges int
 	// reuseBefore is the time from which the idle connection is no longer reused.
@@ -82,6 +85,7 @@
 type Pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
 	now  func() time.Time
+	held *held.Account
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -100,12 +104,16 @@
 // WithNow sets the pool's clock.
 func WithNow(now func() time.Time) Option { return func(p *Pool) { p.now = now } }
 
+// WithHeld sets the account of the whole answers that are read before they are passed on.
+// Without it they are bounded one by one only.
+func WithHeld(a *held.Account) Option { return func(p *Pool) { p.held = a } }
+
 // New returns an empty pool.
 func New(opts ...Option) *Pool {
 	d := &net.Dialer{KeepAlive: -1, Control: setUserTimeout}
 	p := &Pool{
 		dial: func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
-		now:  time.Now, idle: map[string][]*conn{},
+		now:  time.Now, idle: map[string][]*conn{}, held: held.New(math.MaxInt, math.MaxInt, func(int) {}),
 	}
 	for _, o := range opts {
 		o(p)
@@ -188,7 +196,7 @@
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
 	c := &conn{Conn: nc, address: address, now: p.now}
-	c.reader = bufio.NewReaderSize(c, connReadBufferBytes)
+	c.reader = head.NewReader(c, connReadBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		if rawConn, err := sc.SyscallConn(); err == nil {
 			c.rawConn = rawConn
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -130,8 +130,11 @@
 // SkipTo leaves out the events up to an id, which a caller that resumes already has.
 func (s *Splitter) SkipTo(lastID int) { s.lastID = lastID }
 
-// Partial reports whether a partial event is buffered.
-func (s *Splitter) Partial() bool { return len(s.buf) > 0 }
+// Buffered returns the length of the partial event that is buffered.
+func (s *Splitter) Buffered() int { return len(s.buf) }
+
+// Partial reports whether a partial event is buffered. Empty lines after an event are none.
+func (s *Splitter) Partial() bool { return len(bytes.Trim(s.buf, "\r\n")) > 0 }
 
 // LastID returns the last event id in whole events, NoID if there is none.
 func LastID(events []byte) int {
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -42,6 +42,10 @@
 	Silent bool
 	// Drop runs the request and closes the connection without a response.
 	Drop bool
+	// Ending sends an answer without a length or chunks, up to the ending.
+	Ending Ending
+	// Flood runs the request and sends bytes without end.
+	Flood Flood
 }
 
 // Crash makes the endpoint end as it begins to write an answer to a request with a prompt
@@ -219,8 +223,8 @@
 	e.silentUntil = until
 }
 
-// awaitVoice waits until the endpoint is not silent. It returns false if the client leaves.
-func (e *Endpoint) awaitVoice(r *http.Request) bool {
+// waitWhileSilent waits until the endpoint is not silent. It returns false if the client leaves.
+func (e *Endpoint) waitWhileSilent(r *http.Request) bool {
 	e.mu.Lock()
 	until := e.silentUntil
 	e.mu.Unlock()
@@ -357,6 +361,8 @@
 		e.countCancelled()
 	case f.Drop:
 		panic(http.ErrAbortHandler)
+	case f.Flood != "":
+		e.sendFlood(w, f.Flood)
 	case f.Status != 0:
 		w.WriteHeader(f.Status)
 		_, _ = w.Write([]byte("failed"))
@@ -403,10 +409,14 @@
 		e.countCancelled()
 		return
 	}
-	if !e.awaitVoice(r) {
+	if !e.waitWhileSilent(r) {
 		e.countCancelled()
 		return
 	}
+	if f.Ending != "" {
+		e.sendUnframed(w, f.Ending, PlainParts(id))
+		return
+	}
 	if f.CutBody {
 		w.Header().Set("Content-Length", "1000")
 		_, _ = w.Write([]byte("part"))
@@ -417,6 +427,10 @@
 
 func (e *Endpoint) sendStream(w http.ResponseWriter, r *http.Request, id string, from int, f Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if f.Ending != "" {
+		e.sendUnframed(w, f.Ending, e.events(id, from+1))
+		return
+	}
 	flush := http.NewResponseController(w)
 	for n := from + 1; n < e.EventCount; n++ {
 		if f.CutAfter > 0 && n >= f.CutAfter {
@@ -424,7 +438,7 @@
 			_ = flush.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if !e.awaitVoice(r) {
+		if !e.waitWhileSilent(r) {
 			e.countCancelled()
 			return
 		}
