--- a/internal/board/poison/poison.go
+++ b/internal/board/poison/poison.go
@@ -83,7 +83,7 @@
 // sent returns when the last request was sent.
 func (e End) sent() time.Time { return e.At.Add(-e.Flight) }
 
-// Event is an answer or a trial. Its id tells a later event from the same one that other hosts
+// Event is an answer or a trial. Its id distinguishes a later event from the same one that other hosts
 // report with the delay of their messages.
 type Event struct {
 	ID uint32
@@ -104,7 +104,7 @@
 	return e
 }
 
-// Record is what a host knows of a part.
+// Record is the evidence of one host about a part.
 type Record struct {
 	Key Key
 	// Ends is the chain of ends since the part was last answered.
@@ -116,8 +116,8 @@
 	Tried  Event
 }
 
-// Merge returns the knowledge of two hosts of one part. Merging more never shortens the chain
-// but for an answer, and the same knowledge again changes nothing.
+// Merge returns the evidence of two hosts about one part. Merging more never shortens the chain
+// but for an answer, and merging the same evidence again changes nothing.
 func (r Record) Merge(other Record) Record {
 	out := Record{Key: r.Key, Served: r.Served.Latest(other.Served)}
 	if t := r.Tried.Latest(other.Tried); t.At.After(out.Served.At) {
--- a/internal/board/poison/table.go
+++ b/internal/board/poison/table.go
@@ -98,7 +98,7 @@
 	}
 	e.Record = merged
 	if len(merged.Ends) == 0 && merged.Trials == 0 && now.Sub(e.cleared) >= hotTime {
-		// Nothing is held against the part and no other host needs to be told so.
+		// There is no evidence against the part, and no other host needs the clearance.
 		if !merged.Served.At.IsZero() {
 			t.young[r.Key] = t.served(r.Key).Latest(merged.Served)
 		}
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -86,7 +86,7 @@
 
 // WithKeepAlive sends a keep-alive packet on each connection every period. A connection
 // without any packet for maxSilence gets no new stream. It is closed after maxIdle, as until
-// then its peer may only be paused and go on with the open streams.
+// then its peer may only be paused and resume the open streams.
 func WithKeepAlive(period, maxSilence, maxIdle time.Duration) Option {
 	return func(l *Link) {
 		l.keepAlive, l.maxIdle = period, maxIdle
--- a/internal/fleet/link/silent_test.go
+++ b/internal/fleet/link/silent_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestSilentPeerLosesStreams: a connection whose peer is silent for too long gets no new
-// stream, and the open ones go on when the peer does.
+// stream, and the open ones resume when the peer does.
 func TestSilentPeerLosesStreams(t *testing.T) {
 	const keepAlive, maxSilence, idle = 200 * time.Millisecond, 2 * time.Second, 30 * time.Second
 	ca, err := certs.NewAuthority(time.Now(), time.Hour)
--- a/internal/serve/node/cold_test.go
+++ b/internal/serve/node/cold_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// TestColdChecksEndEarly: checks go on for checkTail after the store answers again, as
+// TestColdChecksEndEarly: checks continue for checkTail after the store answers again, as
 // registrations written before may be old, and then end.
 func TestColdChecksEndEarly(t *testing.T) {
 	var c coldChecks
--- a/internal/serve/node/hold_test.go
+++ b/internal/serve/node/hold_test.go
@@ -49,7 +49,7 @@
 }
 
 // TestHeldStreamUsesUpRetryBudget: one stream that waits for an endpoint leaves retries to the
-// other requests of its service, and goes on soon after an endpoint takes it.
+// other requests of its service, and resumes soon after an endpoint takes it.
 func TestHeldStreamUsesUpRetryBudget(t *testing.T) {
 	f, ids, wait := brokenStream(t)
 	for range 30 {
@@ -89,7 +89,7 @@
 }
 
 // TestDrainingHostCutsSilentStream: a host that shuts down keeps the attempt of a silent stream,
-// which goes on before the host ends.
+// which resumes before the host ends.
 func TestDrainingHostCutsSilentStream(t *testing.T) {
 	f := startFleet(t)
 	f.store.put(feed.Change{RemovedEndpoint: "model-b1"})
--- a/internal/serve/node/poison_test.go
+++ b/internal/serve/node/poison_test.go
@@ -72,7 +72,7 @@
 }
 
 // TestQuarantinedPartReachesNoEndpoint: neither new requests, nor resumed streams, nor requests
-// that another region relays reach an endpoint, whichever host knows of the quarantine.
+// that another region relays reach an endpoint, whichever host has the evidence.
 func TestQuarantinedPartReachesNoEndpoint(t *testing.T) {
 	for _, knows := range []string{"a", "b"} {
 		f := startFleet(t)
--- a/internal/serve/pool/bounds_test.go
+++ b/internal/serve/pool/bounds_test.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// The endpoint would go on with a run that nobody reads.
+// The endpoint would continue a run whose answer is not read.
 func TestStreamIsNotReadOnAfterItsCallerLeft(t *testing.T) {
 	s := listen(t, events("id: 0\ndata: x\n\n"))
 	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
--- a/internal/serve/proxy/ends.go
+++ b/internal/serve/proxy/ends.go
@@ -100,7 +100,7 @@
 		return
 	}
 	// An endpoint that ends under a request does so as it begins to answer, so the time before
-	// the head tells nothing.
+	// the head is no evidence.
 	sent = sent.Add(out.TimeToHead)
 	now := p.Now()
 	p.ends.mu.Lock()
--- a/internal/serve/proxy/ends_test.go
+++ b/internal/serve/proxy/ends_test.go
@@ -54,7 +54,7 @@
 	return lines
 }
 
-// TestEndOfEndpointNamesParts: the log tells which shared prompt parts were in flight at an
+// TestEndOfEndpointNamesParts: the log says which shared prompt parts were in flight at an
 // endpoint that ended, and reports no end of one that only broke connections.
 func TestEndOfEndpointNamesParts(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/serve/proxy/hold.go
+++ b/internal/serve/proxy/hold.go
@@ -18,7 +18,7 @@
 	heldBudgetShare = 0.7
 )
 
-// resumes reports whether the answer is a begun stream that may go on at another endpoint.
+// resumes reports whether the answer is a begun stream that may be resumed at another endpoint.
 func (t *task) resumes() bool {
 	return t.report.Started && t.report.Status == http.StatusOK && t.Route.Kind == rules.Stream && t.Route.Resumable
 }
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -25,7 +25,7 @@
 	returnMargin = 10 * time.Millisecond
 	// silentGaps is the multiple of the route's target gap between events after which a
 	// stream counts as silent, at least one and minSilence: sound endpoints are silent for a
-	// second or so at times and go on.
+	// second or so at times and then continue.
 	silentGaps = 3
 	minSilence = 1750 * time.Millisecond
 )
