--- a/internal/load/soak/calls.go
+++ b/internal/load/soak/calls.go
@@ -25,11 +25,11 @@
 // routes are the published routes. Requests of those that are unsafe run at most once.
 func routes() []stand.Route {
 	list := []stand.Route{
-		{Name: "safe", Kind: "safe", Attempts: 2},
-		{Name: "once", Kind: "unsafe", Attempts: 1},
-		{Name: "stream", Kind: "streaming", Attempts: 2, Resumable: true},
-		{Name: "far-once", Kind: "unsafe", Attempts: 1, Homes: []string{farRegion}},
-		{Name: "far-stream", Kind: "streaming", Attempts: 1, Homes: []string{farRegion}},
+		{Name: "safe", Kind: stand.KindSafe, Attempts: 2},
+		{Name: "once", Kind: stand.KindUnsafe, Attempts: 1},
+		{Name: "stream", Kind: stand.KindStream, Attempts: 2, Resumable: true},
+		{Name: "far-once", Kind: stand.KindUnsafe, Attempts: 1, Homes: []string{farRegion}},
+		{Name: "far-stream", Kind: stand.KindStream, Attempts: 1, Homes: []string{farRegion}},
 	}
 	for i := range list {
 		r := &list[i]
@@ -55,7 +55,7 @@
 
 // want returns the whole answer to the call.
 func (c *call) want() string {
-	if c.route.Kind != "streaming" {
+	if c.route.Kind != stand.KindStream {
 		return routed.PlainAnswer(c.id)
 	}
 	var out strings.Builder
@@ -149,7 +149,7 @@
 		case !strings.HasPrefix(want, c.body):
 			out = append(out, fmt.Sprintf("answer is not the request's own: %v", c))
 		}
-		if c.route.Kind != "unsafe" {
+		if c.route.Kind != stand.KindUnsafe {
 			continue
 		}
 		if runs[c.id] > 1 {
--- a/internal/load/soak/pause_test.go
+++ b/internal/load/soak/pause_test.go
@@ -86,8 +86,8 @@
 				t.Fatal(err)
 			}
 			f.Store.Publish(1, []string{"s"},
-				stand.Route{Name: "once", Host: HostName, Prefix: "/once/", Kind: "unsafe", Service: "s", Timeout: startTimeout, Attempts: 1},
-				stand.Route{Name: "stream", Host: HostName, Prefix: "/stream/", Kind: "streaming", Service: "s", Timeout: startTimeout, Attempts: 1},
+				stand.Route{Name: "once", Host: HostName, Prefix: "/once/", Kind: stand.KindUnsafe, Service: "s", Timeout: startTimeout, Attempts: 1},
+				stand.Route{Name: "stream", Host: HostName, Prefix: "/stream/", Kind: stand.KindStream, Service: "s", Timeout: startTimeout, Attempts: 1},
 			)
 			for _, h := range f.Hosts {
 				if err := f.Start(h); err != nil {
