--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -71,7 +71,7 @@
 		t.report.Sent++
 	}
 	p.recordResult(t, d, out, start)
-	if passedBegin(out) {
+	if writes <= beginWrites && passedBegin(out) {
 		p.Board.Poison.RecordServed(p.Now(), partKeys(t.Prompt))
 	}
 	if brokeAtBegin(out) && len(sharedParts(t.Prompt)) > 0 {
