--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -73,7 +73,7 @@
 	RateLimit: 429, Busy: 503, QueueFull: 503, Deadline: 504, NoRegion: 503, NoEndpoint: 503,
 	Leaving: 503, NotReady: 503, EndpointError: 502, EndpointSilent: 504,
 	Truncated: 502, RelayError: 502, KeyMissing: 428, KeyInvalid: 400, KeyExpired: 410,
-	KeyReused: 422, HomeLost: 502, HomeGone: 410, HomeFull: 503, Cancelled: 499, Internal: 500,
+	KeyReused: 422, HomeLost: 502, HomeGone: 410, HomeFull: 503, Cancelled: 499, Internal: 502,
 	Poisoned: 503,
 }
 
--- a/internal/serve/node/panic_test.go
+++ b/internal/serve/node/panic_test.go
@@ -17,13 +17,13 @@
 func TestPanicEndsRequestWithoutAnswer(t *testing.T) {
 	f := startFleet(t)
 	n := f.nodes["a"]
+	n.proxy.ColdShare = func(*rules.Service, string) int { panic("no share") }
 	cold := testRules(8)
 	s, _ := cold.Service("plain")
 	s.ColdRate = 1
 	f.store.put(feed.Change{Rules: cold})
 	f.eventually("the rules are in force", func() bool { return n.board.Routes.Version() == 8 })
 	n.board.Registry.Remove("plain-a1", math.MaxUint64, time.Now().Add(time.Hour))
-	n.proxy.ColdShare = func(*rules.Service, string) int { panic("no share") }
 	status, _, err := f.call(http.MethodGet, "/safe/x", "r", nil)
 	if err != nil || status != fault.Internal.Status() {
 		t.Errorf("got status %d, error %v, want %d", status, err, fault.Internal.Status())
