Leave a held stream the budget for the attempt after a long refusal

Traced: in 3 s of refusals a stream makes four attempts at once and five or six in waits of 100 ms to 1 s, whose spread decides; 0.7 of the budget of this fleet's host allows nine, so that the next one waited for the window of 10 s. 0.8 allows eleven, one more than the least waits need, and leaves others theirs.

--- a/internal/serve/proxy/hold.go
+++ b/internal/serve/proxy/hold.go
@@ -15,7 +15,7 @@
 	maxHold = time.Second
 	// heldBudgetShare is the share of the retry budget that held streams may use; the rest is
 	// left to the retries of other requests.
-	heldBudgetShare = 0.7
+	heldBudgetShare = 0.8
 )
 
 // resumes reports whether the answer is a begun stream that may be resumed at another endpoint.
