--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -91,17 +91,17 @@
 	// answers to the sender. Hosts of builds that do not know the field ignore it.
 	Limits []Limit `cbor:"19,keyasint,omitempty"`
 	// LeavingEndpoints are endpoints of the region that announced lately that they leave. Hosts of
-	// builds that do not know the field ignore it.
+	// older builds ignore the field.
 	LeavingEndpoints []LeavingEndpoint `cbor:"23,keyasint,omitempty"`
 	// ColdEndpoints are endpoints of the region that answered the sender that they are cold.
-	// Hosts of builds that do not know the field ignore it.
+	// Hosts of older builds ignore the field.
 	ColdEndpoints []ColdEndpoint `cbor:"25,keyasint,omitempty"`
 	// Starts are streams and the releases that began them, and Asked the keys of streams
 	// whose start the sender asks for. Hosts of builds that do not know the fields ignore them.
 	Starts []Starts `cbor:"20,keyasint,omitempty"`
 	Asked  []uint64 `cbor:"21,keyasint,omitempty"`
-	// Poison is the evidence against prompt parts. Hosts of builds that do not know the field
-	// ignore it.
+	// Poison is the evidence against prompt parts. Hosts of older builds
+	// ignore the field.
 	Poison []PoisonPart `cbor:"24,keyasint,omitempty"`
 	// InFlight is the number of in-flight requests at the sender.
 	InFlight int `cbor:"10,keyasint,omitempty"`
