Log which requests were in flight at an endpoint that ended

The line of an end now names up to 8 of the broken requests by method, host, target, caller and a hash of the body, also of requests without prompt parts. Relays pass the caller's address on; hosts of older builds ignore the field.

--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -99,6 +99,9 @@
 	Release *string `cbor:"7,keyasint,omitempty"`
 	// Trial reports whether the request is the trial of a quarantined prompt part.
 	Trial bool `cbor:"8,keyasint,omitempty"`
+	// Caller is the caller's address without the port, empty if the sender is of a build that
+	// does not have the field.
+	Caller string `cbor:"9,keyasint,omitempty"`
 }
 
 // Head is the start of an answer: status, header fields and the endpoint that
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -66,7 +67,7 @@
 	h := &c.Request.Header
 	r := proxy.Request{
 		ID: string(h.Peek(s.Terms.RequestID)), Method: string(c.Method()), Target: string(h.RequestURI()),
-		Host: string(c.Host()), Arrived: now, EntryRegion: s.Board.Region, LastEventID: stream.NoID,
+		Host: string(c.Host()), Caller: callerAddress(c), Arrived: now, EntryRegion: s.Board.Region, LastEventID: stream.NoID,
 	}
 	published := s.Board.Routes.Rules()
 	if published == nil || !s.Board.Health.Ready() {
@@ -95,6 +96,15 @@
 	return s.parseRequest(c, r, now)
 }
 
+// callerAddress returns the address of the caller without its port, empty if it has none.
+func callerAddress(c *app.RequestContext) string {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 // hasConflictingLengths reports whether a chunked request also has a Content-Length. The
 // two can disagree on where the request ends, which allows request smuggling.
 func hasConflictingLengths(c *app.RequestContext) bool {
--- a/internal/serve/proxy/ends.go
+++ b/internal/serve/proxy/ends.go
@@ -4,12 +4,15 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
@@ -26,8 +29,9 @@
 	// prompt parts of the broken attempts at each.
 	maxWatched     = 64
 	maxBrokenParts = 512
-	// maxLoggedParts bounds the prompt parts in a log line.
-	maxLoggedParts = 8
+	// maxLoggedParts bounds the prompt parts in a log line, maxLoggedRequests the requests.
+	maxLoggedParts    = 8
+	maxLoggedRequests = 8
 	// beginWrites is the number of writes of events that still count as the beginning of a
 	// stream.
 	beginWrites = 1
@@ -64,6 +68,8 @@
 	// begun counts the attempts that had the head of an answer.
 	begun int
 	parts map[string]*brokenPart
+	// requests describes some of the requests of the attempts, as callers would recognise them.
+	requests []string
 }
 
 // endTable holds the endpoints at which attempts broke lately.
@@ -76,6 +82,12 @@
 // last.
 func sharedParts(p terms.Prompt) []terms.Part { return p.Parts[:max(0, len(p.Parts)-1)] }
 
+// describe returns what identifies a request when its caller sends it again under a new id.
+func (r *Request) describe() string {
+	target := r.Target[:min(len(r.Target), 64)]
+	return fmt.Sprintf("%s %s%s from %s, body %016x", r.Method, r.Host, target, r.Caller, xxhash.Sum64(r.Body))
+}
+
 // brokeAtBegin reports whether an answer broke off, or may have, before the endpoint got past
 // the beginning of it.
 func brokeAtBegin(out pool.Result) bool {
@@ -121,6 +133,9 @@
 	if out.Status != 0 {
 		w.begun++
 	}
+	if len(w.requests) < maxLoggedRequests {
+		w.requests = append(w.requests, t.describe())
+	}
 	for _, part := range sharedParts(t.Prompt) {
 		b := w.parts[part.ID]
 		if b == nil {
@@ -203,7 +218,7 @@
 		delete(p.ends.list, key)
 		if w.ended {
 			p.Log.Warn().Str("endpoint", key.id).Int64("born", key.incarnation).Str("service", w.endpoint.Service).Int("broken", w.attempts).
-				Int("begun", w.begun).Int("parts", len(w.parts)).Strs("most", w.mostBroken()).Msg("endpoint ended with requests in flight")
+				Int("begun", w.begun).Int("parts", len(w.parts)).Strs("most", w.mostBroken()).Strs("requests", w.requests).Msg("endpoint ended with requests in flight")
 		}
 	}
 }
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -74,7 +74,7 @@
 	if writes <= beginWrites && passedBegin(out) {
 		p.Board.Poison.RecordServed(p.Now(), partKeys(t.Prompt))
 	}
-	if brokeAtBegin(out) && len(sharedParts(t.Prompt)) > 0 {
+	if brokeAtBegin(out) {
 		p.recordBroken(t, e, out, start)
 	}
 	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -41,6 +41,8 @@
 	Host   string
 	Fields []wire.Field
 	Body   []byte
+	// Caller is the caller's address without the port.
+	Caller string
 	// Arrived is when the request arrived at the host that the caller sent it to.
 	Arrived  time.Time
 	Deadline time.Time
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -94,7 +94,7 @@
 		EntryRegion: t.EntryRegion, Revision: t.Version,
 		Routing: &wire.Routing{
 			Route: *t.Route, Host: t.Host, Prompt: t.Prompt, LastEventID: t.lastEventID, AttemptsLeft: t.AttemptsLeft - t.runs,
-			AgeMS: now.Sub(t.Arrived).Milliseconds(), Release: t.release, Trial: t.Trial && t.report.Attempts <= 1,
+			AgeMS: now.Sub(t.Arrived).Milliseconds(), Release: t.release, Trial: t.Trial && t.report.Attempts <= 1, Caller: t.Caller,
 		},
 	}
 }
@@ -107,7 +107,7 @@
 		Host: msg.Routing.Host, Fields: msg.Fields, Body: msg.Body, Prompt: msg.Routing.Prompt, LastEventID: msg.Routing.LastEventID,
 		Arrived:  now.Add(-time.Duration(msg.Routing.AgeMS) * time.Millisecond),
 		Deadline: now.Add(time.Duration(msg.TimeLeftMS) * time.Millisecond), EntryRegion: msg.EntryRegion, AttemptsLeft: msg.Routing.AttemptsLeft,
-		Release: msg.Routing.Release, Trial: msg.Routing.Trial,
+		Release: msg.Routing.Release, Trial: msg.Routing.Trial, Caller: msg.Routing.Caller,
 	}}
 }
 
