--- a/internal/serve/node/crash_test.go
+++ b/internal/serve/node/crash_test.go
@@ -28,10 +28,12 @@
 	badPart          = "0badbad0"
 )
 
-// crashLoad is a fleet whose endpoints end on a prompt part and start again.
+// crashLoad is a fleet whose endpoints end on some requests and start again.
 type crashLoad struct {
 	*fleet
-	head bool
+	service string
+	// crash says on which requests the endpoints end.
+	crash routed.Crash
 	// begin is the time until an answer begins to a request that ends its endpoint.
 	begin time.Duration
 
@@ -43,8 +45,14 @@
 	all     []*routed.Endpoint
 }
 
-func startCrashLoad(f *fleet, regions []string, perRegion int, head bool, begin time.Duration) *crashLoad {
-	l := &crashLoad{fleet: f, head: head, begin: begin}
+// startCrashLoad replaces the endpoints of a service of a fleet.
+func startCrashLoad(f *fleet, service string, regions []string, perRegion int, crash routed.Crash, begin time.Duration) *crashLoad {
+	l := &crashLoad{fleet: f, service: service, crash: crash, begin: begin}
+	for _, region := range regions {
+		if id := service + "-" + region + "1"; f.endpoints[id] != nil {
+			f.store.put(feed.Change{Key: id, Deleted: true, RemovedEndpoint: id})
+		}
+	}
 	for _, region := range regions {
 		for range perRegion {
 			l.start(region)
@@ -53,7 +61,7 @@
 	f.t.Cleanup(l.stop)
 	f.eventually("all hosts are ready and know the endpoints", func() bool {
 		for _, n := range f.nodes {
-			if len(n.board.Registry.Endpoints("model")) != perRegion*len(regions) || !n.board.Health.Ready() {
+			if len(n.board.Registry.Endpoints(service)) != perRegion*len(regions) || !n.board.Health.Ready() {
 				return false
 			}
 		}
@@ -70,14 +78,15 @@
 		return
 	}
 	l.started++
-	id := fmt.Sprintf("model-%s-%d", region, l.started)
+	id := fmt.Sprintf("%s-%s-n%d", l.service, region, l.started)
 	e, err := routed.New(id, platTerms)
 	if err != nil {
 		l.t.Error(err)
 		return
 	}
 	e.EventGap, e.AnswerTime = 30*time.Millisecond, l.begin
-	e.SetCrash(routed.Crash{Part: badPart, Head: l.head, Ended: func() {
+	crash := l.crash
+	crash.Ended = func() {
 		l.mu.Lock()
 		l.ends = append(l.ends, time.Now())
 		l.mu.Unlock()
@@ -86,10 +95,11 @@
 			l.store.put(feed.Change{Key: id, Deleted: true, RemovedEndpoint: id})
 			l.start(region)
 		})
-	}})
+	}
+	e.SetCrash(crash)
 	l.all = append(l.all, e)
 	l.store.put(feed.Change{Key: id, Endpoint: &regis.Endpoint{
-		ID: id, Service: "model", Address: e.Address(), Centre: region + "1", Slots: 8, Incarnation: time.Now().UnixMilli(),
+		ID: id, Service: l.service, Address: e.Address(), Centre: region + "1", Slots: 8, Incarnation: time.Now().UnixMilli(),
 	}})
 }
 
@@ -106,7 +116,16 @@
 // send sends a request with prompt parts to a host and reports whether it was served, and the
 // status and header of its answer.
 func (l *crashLoad) send(host, id string, parts ...string) (served bool, status int, header http.Header) {
-	req, err := http.NewRequest(http.MethodGet, "http://"+l.nodes[host].settings.Callers+"/stream/x", nil)
+	return l.sendTo(host, id, "/stream/x", "", parts...)
+}
+
+// sendTo is like send for a target and a body.
+func (l *crashLoad) sendTo(host, id, target, content string, parts ...string) (served bool, status int, header http.Header) {
+	method := http.MethodGet
+	if content != "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequest(method, "http://"+l.nodes[host].settings.Callers+target, strings.NewReader(content))
 	if err != nil {
 		l.t.Error(err)
 		return false, 0, nil
@@ -122,10 +141,14 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK && string(body) == wholeStream(id), resp.StatusCode, resp.Header
+	want := routed.PlainAnswer(id)
+	if l.service == "model" {
+		want = wholeStream(id)
+	}
+	return err == nil && resp.StatusCode == http.StatusOK && string(body) == want, resp.StatusCode, resp.Header
 }
 
-// badArrivals returns the times at which requests with the bad part reached endpoints.
+// badArrivals returns the times at which requests that end endpoints reached them.
 func (l *crashLoad) badArrivals() []time.Time {
 	l.mu.Lock()
 	all := slices.Clone(l.all)
@@ -133,7 +156,7 @@
 	var out []time.Time
 	for _, e := range all {
 		for _, r := range e.Runs() {
-			if strings.Contains(r.Header.Get(platTerms.Parts), badPart) {
+			if l.crash.Part != "" && strings.Contains(r.Header.Get(platTerms.Parts), l.crash.Part) || r.Target == l.crash.Target {
 				out = append(out, r.At)
 			}
 		}
@@ -141,14 +164,14 @@
 	return out
 }
 
-// fifthEnd returns when the fifth endpoint ended, and false before.
-func (l *crashLoad) fifthEnd() (time.Time, bool) {
+// endOf returns when the endpoint of a number ended, counted from 1, and false before.
+func (l *crashLoad) endOf(number int) (time.Time, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.ends) < endsToAgree {
+	if len(l.ends) < number {
 		return time.Time{}, false
 	}
-	return l.ends[endsToAgree-1], true
+	return l.ends[number-1], true
 }
 
 func (l *crashLoad) endCount() int {
@@ -184,18 +207,14 @@
 func TestPromptPartEndsEndpointAfterEndpoint(t *testing.T) {
 	for _, head := range []bool{true, false} {
 		t.Run(fmt.Sprintf("head_%v", head), func(t *testing.T) {
-			testCrashes(t, startCrashLoad(startCentre(t, 4), []string{"a"}, 8, head, 100*time.Millisecond))
+			testCrashes(t, startCrashLoad(startCentre(t, 4), "model", []string{"a"}, 8, routed.Crash{Part: badPart, Head: head}, 100*time.Millisecond))
 		})
 	}
 	t.Run("slow", func(t *testing.T) {
-		testCrashes(t, startCrashLoad(startCentre(t, 4), []string{"a"}, 8, true, 2*time.Second))
+		testCrashes(t, startCrashLoad(startCentre(t, 4), "model", []string{"a"}, 8, routed.Crash{Part: badPart, Head: true}, 2*time.Second))
 	})
 	t.Run("regions", func(t *testing.T) {
-		f := startFleet(t)
-		for _, id := range []string{"model-a1", "model-b1"} {
-			f.store.put(feed.Change{Key: id, Deleted: true, RemovedEndpoint: id})
-		}
-		testCrashes(t, startCrashLoad(f, []string{"a", "b"}, 4, true, 100*time.Millisecond))
+		testCrashes(t, startCrashLoad(startFleet(t), "model", []string{"a", "b"}, 4, routed.Crash{Part: badPart, Head: true}, 100*time.Millisecond))
 	})
 }
 
@@ -211,7 +230,7 @@
 	for i := 0; ; i++ {
 		now := time.Now()
 		if !agreed {
-			fifth, agreed = l.fifthEnd()
+			fifth, agreed = l.endOf(endsToAgree)
 		}
 		if agreed && now.Sub(fifth) > 2*agreeTime+3*time.Second {
 			break
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -49,11 +49,14 @@
 }
 
 // Crash makes the endpoint end as it begins to write an answer to a request with a prompt
-// part, unless the part is the prompt's last.
+// part, unless the part is the prompt's last, or to a request for a target.
 type Crash struct {
-	Part string
+	Part   string
+	Target string
 	// Head sends the head of the answer before the end.
 	Head bool
+	// Events is the number of events that are sent before the end.
+	Events int
 	// Ended is called once the endpoint has ended; it may be nil.
 	Ended func()
 }
@@ -129,21 +132,30 @@
 	e.crash = c
 }
 
-// crashOn returns the crash that a request with a prompt causes, and false if it causes none.
-func (e *Endpoint) crashOn(p terms.Prompt) (Crash, bool) {
+// crashOn returns the crash that a request for a target with a prompt causes, and false if it
+// causes none.
+func (e *Endpoint) crashOn(target string, p terms.Prompt) (Crash, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.crash
+	if c.Target != "" && c.Target == target {
+		return c, true
+	}
 	return c, slices.ContainsFunc(p.Parts[:max(0, len(p.Parts)-1)], func(part terms.Part) bool { return part.ID == c.Part })
 }
 
 // end ends the endpoint within a request, with all its connections.
-func (e *Endpoint) end(w http.ResponseWriter, c Crash) {
-	if c.Head {
+func (e *Endpoint) end(w http.ResponseWriter, c Crash, id string) {
+	if c.Head || c.Events > 0 {
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
 	}
+	for n := range c.Events {
+		_, _ = w.Write([]byte(Event(id, n)))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(e.EventGap)
+	}
 	e.mu.Lock()
 	first := !e.ended
 	e.ended = true
@@ -351,9 +363,9 @@
 	from := e.recordRun(r, id)
 	e.delayHead()
 	h.Set(SignedBy, e.ID)
-	if c, ends := e.crashOn(e.Terms.ParsePrompt(r.Header.Get(e.Terms.Tokens), r.Header.Get(e.Terms.Parts))); ends {
+	if c, ends := e.crashOn(r.RequestURI, e.Terms.ParsePrompt(r.Header.Get(e.Terms.Tokens), r.Header.Get(e.Terms.Parts))); ends {
 		httpd.Sleep(r.Context(), e.AnswerTime)
-		e.end(w, c)
+		e.end(w, c, id)
 	}
 	switch {
 	case f.Silent:
