Quarantine requests under which endpoints end one after the other

Cause: the evidence against what ends endpoints was collected by shared prompt part only. A plain request has none, nor has a prompt of one part, so nothing connected the repeats, which each have an id of their own. The class: a failure is charged to the endpoint, and to nothing that its requests have in common.

Change: each request also has two keys, one of method, host, target, body, prompt and caller, one of method, host, path and body. They collect evidence, are quarantined, tried and passed on as parts are. An answer that breaks after many events counts too, and only a whole answer clears a request. One host makes the trials of all keys in a slot, as a request with two quarantined keys would else need two hosts to be chosen at once.

TestFewRepeatsReachEndpoints plays 1 to 300 hosts with loss, cuts and 40 other requests that break at each end.

Ruled out: a link for each end whenever it comes. A single end is passed on only while it is new: requests that broke once are many, and most never come again.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -63,7 +63,7 @@
 	HomeFull       Code = "home_full"
 	Cancelled      Code = "cancelled"
 	Internal       Code = "internal"
-	// Poisoned refuses a request under whose prompt parts endpoints end.
+	// Poisoned refuses a request under which, or under whose prompt parts, endpoints end.
 	Poisoned Code = "poisoned"
 )
 
--- a/internal/board/poison/poison.go
+++ b/internal/board/poison/poison.go
@@ -1,24 +1,27 @@
-// Package poison is the board's table of the prompt parts under which endpoints ended. A part
-// that ends each endpoint which begins to answer it is quarantined: no request with it is sent
-// until a trial shows that it does no harm.
+// Package poison is the board's table of the prompt parts and the requests under which
+// endpoints ended. A part that ends each endpoint which begins to answer it is quarantined, as
+// is a request that ends each endpoint which runs it: nothing with it is sent until a trial
+// shows that it does no harm.
 //
 // The evidence against a part is a chain of ends of different endpoints, each under a request
 // that was sent only after the end before it. Endpoints that end together, whatever the reason,
-// add one link. As the fault of a part does not depend on chance, an answer to one request
-// with it clears the part of all earlier ends.
+// add one link. A request that its caller repeats is not in flight at all endpoints, as a common
+// part is, so an end under it is a link whenever the request was sent. As the fault does not
+// depend on chance, an answer to one request clears its parts and itself of all earlier ends.
 package poison
 
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// chainNeeded is the number of links from which a part is quarantined, chainIfServed that
-	// for a part that was answered before.
+	// chainNeeded is the number of links from which a part or a request is quarantined,
+	// chainIfServed that for one that was answered before.
 	chainNeeded   = 3
 	chainIfServed = 5
 	// requestsNeeded is the number of different requests in the chain, so that the retries of
@@ -49,10 +52,10 @@
 	// quarantineTTL how long a quarantine holds without a trial.
 	suspectTTL    = 5 * time.Minute
 	quarantineTTL = 24 * time.Hour
-	// maxRecords bounds the parts with evidence.
-	maxRecords = 512
+	// maxRecords bounds the parts and requests with evidence.
+	maxRecords = 2048
 	// servedTurn is the least time for which answers are remembered, maxServed the number of
-	// parts of one generation of them.
+	// parts, and of requests, of one generation of them.
 	servedTurn = time.Minute
 	maxServed  = 8192
 
@@ -62,12 +65,23 @@
 	steadyGap = time.Second
 )
 
-// Key identifies a prompt part.
+// Key identifies a prompt part or a request.
 type Key uint64
 
 // KeyOf returns the key of a prompt part.
 func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
 
+// KeyOfRequest returns the key of a request by what its repeats have in common.
+func KeyOfRequest(body []byte, properties ...string) Key {
+	h := xxhash.New()
+	for _, p := range properties {
+		// The length keeps the boundaries of the properties apart.
+		_, _ = h.WriteString(strconv.Itoa(len(p)) + " " + p)
+	}
+	_, _ = h.Write(body)
+	return Key(h.Sum64())
+}
+
 // End is the end of an endpoint while a request with a part was in flight there.
 type End struct {
 	// Life identifies the process of the endpoint.
@@ -104,9 +118,11 @@
 	return e
 }
 
-// Record is the evidence of one host about a part.
+// Record is the evidence of one host about a part or a request.
 type Record struct {
 	Key Key
+	// Repeat reports whether the key is of a request that one caller repeats.
+	Repeat bool
 	// Ends is the chain of ends since the part was last answered.
 	Ends []End
 	// Served is the last answer to a request with the part, zero if there was none.
@@ -119,7 +135,7 @@
 // Merge returns the evidence of two hosts about one part. Merging more never shortens the chain
 // but for an answer, and merging the same evidence again changes nothing.
 func (r Record) Merge(other Record) Record {
-	out := Record{Key: r.Key, Served: r.Served.Latest(other.Served)}
+	out := Record{Key: r.Key, Repeat: r.Repeat || other.Repeat, Served: r.Served.Latest(other.Served)}
 	if t := r.Tried.Latest(other.Tried); t.At.After(out.Served.At) {
 		out.Tried, out.Trials = t, max(r.Trials, other.Trials)
 	}
@@ -142,17 +158,17 @@
 	for _, e := range byLife {
 		list = append(list, e)
 	}
-	out.Ends = chain(list)
+	out.Ends = chain(list, out.Repeat)
 	return out
 }
 
-// chain returns the longest list of ends that each came after a request that was sent after
-// the end before.
-func chain(list []End) []End {
+// chain returns the longest list of ends at different times that each came after a request
+// that was sent after the end before; under a repeated request, of ends at different times.
+func chain(list []End, repeat bool) []End {
 	slices.SortFunc(list, func(a, b End) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Life, b.Life)) })
 	var out []End
 	for _, e := range list {
-		if n := len(out); n > 0 && (e.sent().Before(out[n-1].At) || e.At.Sub(out[n-1].At) < minGap) {
+		if n := len(out); n > 0 && (!repeat && e.sent().Before(out[n-1].At) || e.At.Sub(out[n-1].At) < minGap) {
 			continue
 		}
 		if out = append(out, e); len(out) == maxChain {
--- a/internal/board/poison/table.go
+++ b/internal/board/poison/table.go
@@ -19,13 +19,26 @@
 	cleared time.Time
 }
 
-// Table holds the evidence against prompt parts. Its lock is a leaf.
+// answers holds when requests were last answered by key, in two generations.
+type answers struct {
+	young, old map[Key]Event
+	turned     time.Time
+}
+
+// turn starts a new generation of answers.
+func (a *answers) turn(now time.Time) {
+	if now.Sub(a.turned) < servedTurn && len(a.young) < maxServed {
+		return
+	}
+	a.old, a.young, a.turned = a.young, map[Key]Event{}, now
+}
+
+// Table holds the evidence against prompt parts and requests. Its lock is a leaf.
 type Table struct {
 	mu      sync.Mutex
 	entries map[Key]*entry
-	// young and old are two generations of the times of answers by part.
-	young, old map[Key]Event
-	turned     time.Time
+	// parts and requests are apart, as requests with ever new keys would displace the parts.
+	parts, requests answers
 	// lastID is the id of the last event of this host. It begins at random, as the ids of
 	// hosts are compared.
 	lastID uint32
@@ -33,24 +46,43 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{entries: map[Key]*entry{}, young: map[Key]Event{}, old: map[Key]Event{}, lastID: rand.Uint32()}
+	return &Table{entries: map[Key]*entry{}, parts: answers{young: map[Key]Event{}}, requests: answers{young: map[Key]Event{}}, lastID: rand.Uint32()}
 }
 
-// RecordEnd records the end of an endpoint under a request with a part.
+// RecordEnd records the end of an endpoint under a request with a part, or with what requests
+// of several callers have in common.
 func (t *Table) RecordEnd(now time.Time, key Key, e End) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.merge(now, Record{Key: key, Ends: []End{e}}, false)
 }
 
+// RecordRepeatEnd records the end of an endpoint under a request that its caller may repeat.
+func (t *Table) RecordRepeatEnd(now time.Time, key Key, e End) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.merge(now, Record{Key: key, Repeat: true, Ends: []End{e}}, false)
+}
+
 // RecordServed records that a request with the parts was answered.
-func (t *Table) RecordServed(now time.Time, keys []Key) {
+func (t *Table) RecordServed(now time.Time, parts []Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.turn(now)
+	t.recordServed(now, parts, &t.parts)
+}
+
+// RecordServedRequest records that a request with the keys was answered.
+func (t *Table) RecordServedRequest(now time.Time, keys []Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordServed(now, keys, &t.requests)
+}
+
+func (t *Table) recordServed(now time.Time, keys []Key, a *answers) {
+	a.turn(now)
 	served := t.event(now)
 	for _, k := range keys {
-		t.young[k] = served
+		a.young[k] = served
 		if e := t.entries[k]; e != nil && (len(e.Ends) > 0 || e.Trials > 0) {
 			t.merge(now, Record{Key: k, Served: served}, false)
 		}
@@ -100,7 +132,7 @@
 	if len(merged.Ends) == 0 && merged.Trials == 0 && now.Sub(e.cleared) >= hotTime {
 		// There is no evidence against the part, and no other host needs the clearance.
 		if !merged.Served.At.IsZero() {
-			t.young[r.Key] = t.served(r.Key).Latest(merged.Served)
+			t.keepServed(r.Key, merged.Served)
 		}
 		delete(t.entries, r.Key)
 		return
@@ -127,31 +159,29 @@
 	delete(t.entries, least.Key)
 }
 
-// served returns when this host last had an answer to a request with a part.
-func (t *Table) served(k Key) Event { return t.young[k].Latest(t.old[k]) }
-
-// turn starts a new generation of answers.
-func (t *Table) turn(now time.Time) {
-	if now.Sub(t.turned) < servedTurn && len(t.young) < maxServed {
-		return
-	}
-	t.old, t.young, t.turned = t.young, map[Key]Event{}, now
+// served returns when a request with a key was last answered, as far as this host remembers.
+func (t *Table) served(k Key) Event {
+	return t.parts.young[k].Latest(t.parts.old[k]).Latest(t.requests.young[k].Latest(t.requests.old[k]))
 }
 
+// keepServed remembers the last answer of a key whose entry is removed.
+func (t *Table) keepServed(k Key, served Event) { t.parts.young[k] = t.served(k).Latest(served) }
+
 // Verdict is the decision on a request.
 type Verdict struct {
-	// Refused reports whether the request is not sent, because of the part Key.
+	// Refused reports whether the request is not sent, because of Key.
 	Refused bool
 	Key     Key
-	// RetryAfter is the time until the next trial of the part.
+	// RetryAfter is the time until the next trial of the key.
 	RetryAfter time.Duration
-	// Trial reports whether the request is the trial of a part. It may be sent once.
+	// Trial reports whether the request is the trial of a key. It may be sent once.
 	Trial bool
 }
 
-// Check decides on a request with the parts. The function chosen returns whether this host
-// makes the trial of a part in the slot of a number.
-func (t *Table) Check(now time.Time, keys []Key, chosen func(k Key, slot int) bool) Verdict {
+// Check decides on a request with the keys of its parts and its own. The function chosen returns
+// whether this host makes trials in the slot of a number; it does not depend on the key, so
+// that a request with several quarantined keys can be tried.
+func (t *Table) Check(now time.Time, keys []Key, chosen func(slot int) bool) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.entries) == 0 {
@@ -161,7 +191,7 @@
 	var tried []*entry
 	for _, k := range keys {
 		e := t.entries[k]
-		if e == nil || !t.quarantined(now, e) || e.expired(now) {
+		if e == nil || !e.quarantined(now) || e.expired(now) || !e.quarantinedBeside(now, t.culprits(now)) {
 			continue
 		}
 		wait, ok := e.untilTrial(now, chosen)
@@ -181,32 +211,41 @@
 	return v
 }
 
-// quarantined reports whether no request with a part is sent.
-func (t *Table) quarantined(now time.Time, e *entry) bool {
-	return e.quarantined(now) && (e.Served.At.IsZero() || t.unexplained(now, e).quarantined(now))
+// quarantinedBeside reports whether no request with the entry's key is sent, given the culprits.
+func (e *entry) quarantinedBeside(now time.Time, culprits []Record) bool {
+	return e.quarantined(now) && (e.Served.At.IsZero() || e.unexplained(culprits).quarantined(now))
 }
 
-// unexplained returns the record of a part that was answered before, without the ends that are
-// due to a quarantined part that never was: sound requests share parts with those that end
+// culprits returns the records that are quarantined and were never answered.
+func (t *Table) culprits(now time.Time) []Record {
+	var out []Record
+	for _, e := range t.entries {
+		if e.Served.At.IsZero() && e.quarantined(now) {
+			out = append(out, e.Record)
+		}
+	}
+	return out
+}
+
+// unexplained returns the record of what was answered before, without the ends that are due to
+// a culprit: sound requests share parts, and are in flight together, with those that end
 // endpoints.
-func (t *Table) unexplained(now time.Time, e *entry) Record {
+func (e *entry) unexplained(culprits []Record) Record {
 	left := e.Record
-	for _, other := range t.entries {
-		if other.Served.At.IsZero() && other.quarantined(now) {
-			left = left.without(other.Record)
-		}
+	for _, c := range culprits {
+		left = left.without(c)
 	}
 	return left
 }
 
 // untilTrial returns the time until the part's next trial, or true if it is made now.
-func (e *entry) untilTrial(now time.Time, chosen func(k Key, slot int) bool) (time.Duration, bool) {
+func (e *entry) untilTrial(now time.Time, chosen func(slot int) bool) (time.Duration, bool) {
 	over := now.Sub(e.lastTry()) - e.trialWait()
 	if over < 0 {
 		return -over, false
 	}
 	slot, offset := int(over/trialSlot), over%trialSlot
-	if offset >= trialGuard && chosen(e.Key, slot) {
+	if offset >= trialGuard && chosen(slot) {
 		return 0, true
 	}
 	if offset < trialGuard {
@@ -225,6 +264,9 @@
 		gap := steadyGap
 		if now.Sub(e.changed) < hotTime || now.Sub(e.cleared) < hotTime {
 			gap = 0
+		} else if len(e.Ends) == 1 && !e.sent.IsZero() {
+			// Most of the requests that broke at one end are never sent again.
+			continue
 		}
 		if now.Sub(e.sent) >= gap && (len(e.Ends) > 0 || now.Sub(e.cleared) < hotTime) {
 			due = append(due, e)
@@ -261,14 +303,15 @@
 func (t *Table) Sweep(now time.Time) (quarantined []Record, suspects int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	culprits := t.culprits(now)
 	for k, e := range t.entries {
 		if !e.Served.At.IsZero() && len(e.Ends) > 0 {
 			// Makes room for later ends.
-			e.Record = t.unexplained(now, e)
+			e.Record = e.unexplained(culprits)
 		}
 		if len(e.Ends) == 0 && now.Sub(e.cleared) >= hotTime || len(e.Ends) > 0 && e.expired(now) {
 			if e.Served.At.After(t.served(k).At) {
-				t.young[k] = e.Served
+				t.keepServed(k, e.Served)
 			}
 			delete(t.entries, k)
 			continue
@@ -276,7 +319,7 @@
 		if len(e.Ends) > 0 {
 			suspects++
 		}
-		if t.quarantined(now, e) {
+		if e.quarantinedBeside(now, culprits) {
 			quarantined = append(quarantined, e.Record)
 		}
 	}
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -103,6 +103,9 @@
 	// Poison is the evidence against prompt parts. Hosts of older builds
 	// ignore the field.
 	Poison []PoisonPart `cbor:"24,keyasint,omitempty"`
+	// PoisonRepeats is the evidence against requests that their callers repeat. Hosts of older
+	// builds ignore the field.
+	PoisonRepeats []PoisonPart `cbor:"26,keyasint,omitempty"`
 	// InFlight is the number of in-flight requests at the sender.
 	InFlight int `cbor:"10,keyasint,omitempty"`
 	// Leaving reports whether the sender is leaving and accepts no new requests.
@@ -226,11 +229,11 @@
 	Keys    []uint64
 }
 
-// PoisonPart is the evidence against a prompt part under which endpoints ended. Ages are in
-// milliseconds, 0 for none.
+// PoisonPart is the evidence against a prompt part or a request under which endpoints ended.
+// Ages are in milliseconds, 0 for none.
 type PoisonPart struct {
 	_ struct{} `cbor:",toarray"`
-	// Part is the hash of the part's id.
+	// Part is the hash of the part's id, or of what identifies the request.
 	Part uint64
 	// ServedMS is the age of the last answer to a request with the part.
 	ServedMS uint32
@@ -243,7 +246,7 @@
 	Ends   []PoisonEnd
 }
 
-// PoisonEnd is the end of an endpoint under a prompt part.
+// PoisonEnd is the end of an endpoint under a prompt part or a request.
 type PoisonEnd struct {
 	_ struct{} `cbor:",toarray"`
 	// Life is the hash of the endpoint's id and incarnation, Request that of the request's id.
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -51,7 +51,7 @@
 	// limit and this host's attempts at them.
 	LimitedEndpoints prometheus.Gauge
 	LimitedAttempts  prometheus.Counter
-	// SuspectParts and QuarantinedParts are the prompt parts with evidence against them and
+	// SuspectParts and QuarantinedParts are the prompt parts and requests with evidence against them and
 	// those of them that are refused, QuarantineRefusals counts the refused requests.
 	SuspectParts       prometheus.Gauge
 	QuarantinedParts   prometheus.Gauge
@@ -93,9 +93,9 @@
 		RejectedHeads:      counter("rejected_heads_total", "Revisions that were not accepted."),
 		LimitedEndpoints:   gauge("limited_endpoints", "Endpoints of the region that name a rate limit."),
 		LimitedAttempts:    counter("limited_attempts_total", "Attempts at endpoints that name a rate limit."),
-		SuspectParts:       gauge("suspect_parts", "Prompt parts under which endpoints ended since they were last answered."),
-		QuarantinedParts:   gauge("quarantined_parts", "Prompt parts whose requests are refused."),
-		QuarantineRefusals: counter("quarantine_refusals_total", "Refused requests with quarantined prompt parts."),
+		SuspectParts:       gauge("suspect_parts", "Prompt parts and requests under which endpoints ended since they were last answered."),
+		QuarantinedParts:   gauge("quarantined_parts", "Prompt parts and requests that are refused."),
+		QuarantineRefusals: counter("quarantine_refusals_total", "Refused requests that are quarantined or have a quarantined prompt part."),
 		HeldBytes:          gauge("held_answer_bytes", "Bytes of answers that were read and not passed on yet."),
 		InFlight:           gauge("open_requests", "Requests in flight."),
 		Revision:           gauge("revision", "Configuration revision in force."),
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -71,7 +71,7 @@
 	// loggedMembers is the last logged status of each peer host. Only the members
 	// controller uses it.
 	loggedMembers map[string]memberStatus
-	// loggedQuarantine holds the prompt parts that were last logged as quarantined. Only the
+	// loggedQuarantine holds the keys of parts and requests that were last logged as quarantined. Only the
 	// controller of sharePoison uses it.
 	loggedQuarantine map[poison.Key]bool
 
--- a/internal/serve/node/poison.go
+++ b/internal/serve/node/poison.go
@@ -11,35 +11,35 @@
 const (
 	poisonPeriod = 200 * time.Millisecond
 	// poisonFanout is the number of random hosts of the fleet that get the evidence against
-	// prompt parts in a period. Each passes on what it receives.
+	// prompt parts and requests in a period. Each passes on what it receives.
 	poisonFanout = 3
 	// maxPacketEnds bounds the records and ends in one packet together.
 	maxPacketEnds = 36
 )
 
-// sharePoison sends the evidence against prompt parts to a few hosts of the fleet.
+// sharePoison sends the evidence against prompt parts and requests to a few hosts of the fleet.
 func (n *Node) sharePoison(now time.Time) {
 	quarantined, suspects := n.board.Poison.Sweep(now)
 	n.logQuarantine(quarantined)
 	n.meter.SuspectParts.Set(float64(suspects))
 	n.meter.QuarantinedParts.Set(float64(len(quarantined)))
 	if list := n.board.Poison.Outgoing(now, maxPacketEnds); len(list) > 0 {
-		n.announce(poisonFanout, func(m member.Member) bool { return m.Region != "" }, wire.Packet{Poison: toWirePoison(now, list)})
+		n.announce(poisonFanout, func(m member.Member) bool { return m.Region != "" }, poisonPacket(now, list))
 	}
 }
 
-// logQuarantine logs the parts whose quarantine began or ended.
+// logQuarantine logs the parts and requests whose quarantine began or ended.
 func (n *Node) logQuarantine(list []poison.Record) {
 	current := make(map[poison.Key]bool, len(list))
 	for _, r := range list {
 		current[r.Key] = true
 		if !n.loggedQuarantine[r.Key] {
-			n.log.Warn().Uint64("part", uint64(r.Key)).Int("ends", len(r.Ends)).Msg("prompt part quarantined: endpoints ended under it")
+			n.log.Warn().Uint64("key", uint64(r.Key)).Bool("repeat", r.Repeat).Int("ends", len(r.Ends)).Msg("quarantined: endpoints ended under it")
 		}
 	}
 	for k := range n.loggedQuarantine {
 		if !current[k] {
-			n.log.Warn().Uint64("part", uint64(k)).Msg("quarantine of prompt part ended")
+			n.log.Warn().Uint64("key", uint64(k)).Msg("quarantine ended")
 		}
 	}
 	n.loggedQuarantine = current
@@ -61,6 +61,29 @@
 	return now.Add(-time.Duration(age) * time.Millisecond)
 }
 
+// poisonPacket returns a packet with evidence.
+func poisonPacket(now time.Time, list []poison.Record) wire.Packet {
+	var parts, repeats []poison.Record
+	for _, r := range list {
+		if r.Repeat {
+			repeats = append(repeats, r)
+		} else {
+			parts = append(parts, r)
+		}
+	}
+	return wire.Packet{Poison: toWirePoison(now, parts), PoisonRepeats: toWirePoison(now, repeats)}
+}
+
+// receivePoison adds the evidence of a peer host.
+func (n *Node) receivePoison(now time.Time, p wire.Packet) {
+	list := fromWirePoison(now, p.Poison)
+	for _, r := range fromWirePoison(now, p.PoisonRepeats) {
+		r.Repeat = true
+		list = append(list, r)
+	}
+	n.board.Poison.Merge(now, list)
+}
+
 func toWirePoison(now time.Time, list []poison.Record) []wire.PoisonPart {
 	out := make([]wire.PoisonPart, len(list))
 	for i, r := range list {
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -139,7 +139,7 @@
 	if p.Store != nil && m.Centre == n.board.Centre {
 		n.receiveStoreState(now, m, p.StoreEra, p.Store)
 	}
-	n.board.Poison.Merge(now, fromWirePoison(now, p.Poison))
+	n.receivePoison(now, p)
 	n.proxy.Prefixes.RecordReported(now, p.SentPrefixes)
 	for _, s := range p.ServiceLoads {
 		if s.Region != n.board.Region {
--- a/internal/serve/proxy/ends.go
+++ b/internal/serve/proxy/ends.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/board/poison"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
@@ -25,10 +26,10 @@
 	// firstProbeGap is the time between the first two probes; each further gap is twice as long.
 	firstProbeGap = 100 * time.Millisecond
 	probeTimeout  = 300 * time.Millisecond
-	// maxWatched bounds the endpoints that are watched at a time, and maxBrokenParts the
-	// prompt parts of the broken attempts at each.
-	maxWatched     = 64
-	maxBrokenParts = 512
+	// maxWatched bounds the endpoints that are watched at a time, and maxSuspects the prompt
+	// parts and requests of the broken attempts at each.
+	maxWatched  = 64
+	maxSuspects = 512
 	// maxLoggedParts bounds the prompt parts in a log line, maxLoggedRequests the requests.
 	maxLoggedParts    = 8
 	maxLoggedRequests = 8
@@ -43,21 +44,24 @@
 	incarnation int64
 }
 
-// brokenPart is a prompt part of attempts that broke.
-type brokenPart struct {
-	id       string
+// suspect is a prompt part, or a request, of attempts that broke.
+type suspect struct {
+	// part is the id of a prompt part, empty for a request.
+	part     string
 	attempts int
 	// request is the attempt that was sent, or got the head of its answer, last; sent is when.
 	request string
 	sent    time.Time
 	broken  time.Time
-	// trial reports whether one of the attempts was the trial of a quarantined part.
+	// repeat reports whether it is a request as its caller repeats it.
+	repeat bool
+	// trial reports whether one of the attempts was a trial.
 	trial bool
-	// reported reports whether the part was recorded for the endpoint's end.
+	// reported reports whether it was recorded for the endpoint's end.
 	reported bool
 }
 
-// ending is an endpoint at which attempts broke at the beginning of their answers.
+// ending is an endpoint at which attempts broke.
 type ending struct {
 	endpoint regis.Endpoint
 	first    time.Time
@@ -66,8 +70,8 @@
 	ended    bool
 	attempts int
 	// begun counts the attempts that had the head of an answer.
-	begun int
-	parts map[string]*brokenPart
+	begun    int
+	suspects map[poison.Key]*suspect
 	// requests describes some of the requests of the attempts, as callers would recognise them.
 	requests []string
 }
@@ -88,15 +92,16 @@
 	return fmt.Sprintf("%s %s%s from %s, body %016x", r.Method, r.Host, target, r.Caller, xxhash.Sum64(r.Body))
 }
 
-// brokeAtBegin reports whether an answer broke off, or may have, before the endpoint got past
-// the beginning of it.
-func brokeAtBegin(out pool.Result) bool {
-	if out.CallerLeft || out.EventWrites > beginWrites {
-		return false
-	}
-	return out.Reason == retry.Broken || out.Whole && out.Unframed
+// broke reports whether an answer broke off or may have.
+func broke(out pool.Result) bool {
+	return !out.CallerLeft && (out.Reason == retry.Broken || out.Whole && out.Unframed)
 }
 
+// brokeAtBegin reports whether an answer broke off, or may have, before the endpoint got past
+// the beginning of it. An endpoint ends under a prompt part, which it reads first, by then;
+// under a request it may end later.
+func brokeAtBegin(out pool.Result) bool { return broke(out) && out.EventWrites <= beginWrites }
+
 // passedBegin reports whether the answer shows that the endpoint got past the beginning of it.
 func passedBegin(out pool.Result) bool {
 	if out.Status < http.StatusOK || out.Status >= http.StatusMultipleChoices {
@@ -105,6 +110,11 @@
 	return out.EventWrites > beginWrites || out.Whole && !out.Unframed
 }
 
+// answered reports whether the answer shows that the endpoint ran the request to its end.
+func answered(out pool.Result) bool {
+	return out.Whole && !out.Unframed && out.Status < http.StatusInternalServerError
+}
+
 // recordBroken starts to watch the endpoint of an attempt that broke.
 func (p *Proxy) recordBroken(t *task, e regis.Endpoint, out pool.Result, sent time.Time) {
 	if current, known := p.Board.Registry.Get(e.ID); known && current.Draining {
@@ -126,7 +136,7 @@
 		if len(p.ends.list) >= maxWatched {
 			return
 		}
-		w = &ending{endpoint: e, first: now, probeAt: now, probeGap: firstProbeGap, parts: map[string]*brokenPart{}}
+		w = &ending{endpoint: e, first: now, probeAt: now, probeGap: firstProbeGap, suspects: map[poison.Key]*suspect{}}
 		p.ends.list[key] = w
 	}
 	w.attempts++
@@ -136,20 +146,29 @@
 	if len(w.requests) < maxLoggedRequests {
 		w.requests = append(w.requests, t.describe())
 	}
-	for _, part := range sharedParts(t.Prompt) {
-		b := w.parts[part.ID]
-		if b == nil {
-			if len(w.parts) >= maxBrokenParts {
-				return
-			}
-			b = &brokenPart{id: part.ID, broken: now}
-			w.parts[part.ID] = b
+	if brokeAtBegin(out) {
+		for i, part := range sharedParts(t.Prompt) {
+			w.record(t, t.suspects.parts[i], suspect{part: part.ID, sent: sent, broken: now})
 		}
-		b.attempts++
-		b.trial = b.trial || t.Trial
-		if sent.After(b.sent) {
-			b.sent, b.request, b.broken, b.reported = sent, t.ID, now, false
+	}
+	w.record(t, t.suspects.repeat, suspect{repeat: true, sent: sent, broken: now})
+	w.record(t, t.suspects.alike, suspect{sent: sent, broken: now})
+}
+
+// record records a suspect of an attempt that broke.
+func (w *ending) record(t *task, key poison.Key, s suspect) {
+	b := w.suspects[key]
+	if b == nil {
+		if len(w.suspects) >= maxSuspects {
+			return
 		}
+		b = &suspect{part: s.part, repeat: s.repeat, broken: s.broken}
+		w.suspects[key] = b
+	}
+	b.attempts++
+	b.trial = b.trial || t.Trial
+	if s.sent.After(b.sent) {
+		b.sent, b.request, b.broken, b.reported = s.sent, t.ID, s.broken, false
 	}
 }
 
@@ -203,8 +222,8 @@
 	return errors.Is(p.Client.Pool.Probe(ctx, e.Address), syscall.ECONNREFUSED)
 }
 
-// reportEnds records the prompt parts of the attempts that broke as their endpoint ended, and
-// logs the ends whose watch is over.
+// reportEnds records the suspects of the attempts that broke as their endpoint ended, and logs
+// the ends whose watch is over.
 func (p *Proxy) reportEnds(now time.Time) {
 	p.ends.mu.Lock()
 	defer p.ends.mu.Unlock()
@@ -218,23 +237,31 @@
 		delete(p.ends.list, key)
 		if w.ended {
 			p.Log.Warn().Str("endpoint", key.id).Int64("born", key.incarnation).Str("service", w.endpoint.Service).Int("broken", w.attempts).
-				Int("begun", w.begun).Int("parts", len(w.parts)).Strs("most", w.mostBroken()).Strs("requests", w.requests).Msg("endpoint ended with requests in flight")
+				Int("begun", w.begun).Int("parts", len(w.parts())).Strs("most", w.mostBroken()).Strs("requests", w.requests).Msg("endpoint ended with requests in flight")
 		}
 	}
 }
 
+// parts returns the suspects that are prompt parts.
+func (w *ending) parts() []*suspect {
+	list := make([]*suspect, 0, len(w.suspects))
+	for _, b := range w.suspects {
+		if b.part != "" {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
 // mostBroken returns the ids of the prompt parts of the most broken attempts.
 func (w *ending) mostBroken() []string {
-	list := make([]*brokenPart, 0, len(w.parts))
-	for _, b := range w.parts {
-		list = append(list, b)
-	}
-	slices.SortFunc(list, func(a, b *brokenPart) int {
-		return cmp.Or(cmp.Compare(b.attempts, a.attempts), cmp.Compare(a.id, b.id))
+	list := w.parts()
+	slices.SortFunc(list, func(a, b *suspect) int {
+		return cmp.Or(cmp.Compare(b.attempts, a.attempts), cmp.Compare(a.part, b.part))
 	})
 	ids := make([]string, 0, maxLoggedParts)
 	for _, b := range list[:min(len(list), maxLoggedParts)] {
-		ids = append(ids, b.id[:min(len(b.id), 32)])
+		ids = append(ids, b.part[:min(len(b.part), 32)])
 	}
 	return ids
 }
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -50,7 +50,7 @@
 	writes := 0
 	prefillSink := client.Sink{Head: head, Data: func(data []byte) error {
 		if writes++; writes == beginWrites+1 {
-			p.Board.Poison.RecordServed(p.Now(), partKeys(t.Prompt))
+			p.Board.Poison.RecordServed(p.Now(), t.suspects.parts)
 		}
 		if prefill > 0 {
 			p.Board.Endpoints.AddQueuedPrefill(e.ID, t.Route.Priority, -prefill)
@@ -72,9 +72,12 @@
 	}
 	p.recordResult(t, d, out, start)
 	if writes <= beginWrites && passedBegin(out) {
-		p.Board.Poison.RecordServed(p.Now(), partKeys(t.Prompt))
+		p.Board.Poison.RecordServed(p.Now(), t.suspects.parts)
 	}
-	if brokeAtBegin(out) {
+	if answered(out) {
+		p.Board.Poison.RecordServedRequest(p.Now(), t.suspects.requests())
+	}
+	if broke(out) {
 		p.recordBroken(t, e, out, start)
 	}
 	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
--- a/internal/serve/proxy/poison.go
+++ b/internal/serve/proxy/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,32 +23,61 @@
 	return keys
 }
 
-// quarantineRefusal returns the refusal of a request with a quarantined prompt part, unless it
-// is chosen as the part's trial.
+// suspects are the keys of a request in the evidence against what ends endpoints.
+type suspects struct {
+	// parts are those of the prompt parts that other requests may have too.
+	parts []poison.Key
+	// repeat is that of the request as its caller repeats it, alike that of the requests of all
+	// callers for its path and body.
+	repeat, alike poison.Key
+}
+
+// newSuspects returns the keys of a request.
+func newSuspects(r *Request) suspects {
+	path, _, _ := strings.Cut(r.Target, "?")
+	exact := []string{r.Method, r.Host, r.Target, r.Caller}
+	for _, part := range r.Prompt.Parts {
+		exact = append(exact, part.ID)
+	}
+	return suspects{
+		parts:  partKeys(r.Prompt),
+		repeat: poison.KeyOfRequest(r.Body, exact...),
+		alike:  poison.KeyOfRequest(r.Body, r.Method, r.Host, path),
+	}
+}
+
+// requests returns the keys of the request itself.
+func (s *suspects) requests() []poison.Key { return []poison.Key{s.repeat, s.alike} }
+
+// all returns all keys.
+func (s *suspects) all() []poison.Key { return append(s.requests(), s.parts...) }
+
+// quarantineRefusal returns the refusal of a request under which, or under a prompt part of
+// which, endpoints end, unless it is chosen as the trial.
 func (p *Proxy) quarantineRefusal(t *task) *fault.Refusal {
-	if len(t.Prompt.Parts) < 2 || t.Trial && t.report.Attempts == 0 {
+	if t.Trial && t.report.Attempts == 0 {
 		return nil
 	}
 	if t.lastRefusal != nil && t.lastRefusal.Code == fault.Poisoned {
 		// A host of another region refused for evidence that has not arrived here yet.
 		return t.lastRefusal
 	}
-	v := p.Board.Poison.Check(p.Now(), partKeys(t.Prompt), func(k poison.Key, slot int) bool { return p.makesTrial(t, k, slot) })
+	v := p.Board.Poison.Check(p.Now(), t.suspects.all(), func(slot int) bool { return p.makesTrial(t, slot) })
 	if v.Trial {
 		t.Trial = t.report.Attempts == 0
-		p.Log.Warn().Str("request", t.ID).Uint64("part", uint64(v.Key)).Msg("trial of a quarantined prompt part")
+		p.Log.Warn().Str("request", t.ID).Uint64("key", uint64(v.Key)).Msg("trial of a quarantined part or request")
 		return nil
 	}
 	if !v.Refused {
 		return nil
 	}
 	p.Meter.QuarantineRefusals.Inc()
-	return fault.New(fault.Poisoned, fault.RanNo, "endpoints ended under requests with a part of this prompt").WithRetryAfter(v.RetryAfter)
+	return fault.New(fault.Poisoned, fault.RanNo, "endpoints ended under requests like this one").WithRetryAfter(v.RetryAfter)
 }
 
-// makesTrial reports whether this host makes the trial of a part in a slot. One host of the
-// regions that may serve the request does, by rendezvous hashing.
-func (p *Proxy) makesTrial(t *task, k poison.Key, slot int) bool {
+// makesTrial reports whether this host makes trials in a slot. One host of the regions that
+// may serve the request does, by rendezvous hashing.
+func (p *Proxy) makesTrial(t *task, slot int) bool {
 	serving := map[string]bool{}
 	for _, e := range p.Board.Registry.Endpoints(t.Service) {
 		serving[e.Region] = t.Route.Allows(e.Region)
@@ -55,7 +85,7 @@
 	if !serving[p.Board.Region] {
 		return false
 	}
-	hash := xxhash.Sum64String(strconv.Itoa(slot)) ^ uint64(k)
+	hash := xxhash.Sum64String(strconv.Itoa(slot))
 	own := place.Weight(hash, p.Board.Name)
 	for _, m := range p.Board.Members.Members() {
 		if m.Usable() && serving[m.Region] && place.Weight(hash, m.Name) > own {
@@ -65,23 +95,27 @@
 	return true
 }
 
-// lifeKey returns the key of an endpoint's process in the evidence against prompt parts.
+// key returns the key of an endpoint's process in the evidence.
 func (l life) key() uint64 {
 	return xxhash.Sum64String(l.id + "/" + strconv.FormatInt(l.incarnation, 10))
 }
 
-// recordEvidence records the prompt parts that were in flight at the endpoints that ended.
+// recordEvidence records the prompt parts and requests that were in flight at the endpoints
+// that ended.
 func (p *Proxy) recordEvidence(now time.Time, key life, w *ending) {
-	for _, b := range w.parts {
+	for k, b := range w.suspects {
 		if b.reported {
 			continue
 		}
 		b.reported = true
-		p.Board.Poison.RecordEnd(now, poison.KeyOf(b.id), poison.End{
-			Life: key.key(), Request: uint32(xxhash.Sum64String(b.request)), At: b.broken, Flight: b.broken.Sub(b.sent),
-		})
+		end := poison.End{Life: key.key(), Request: uint32(xxhash.Sum64String(b.request)), At: b.broken, Flight: b.broken.Sub(b.sent)}
+		if b.repeat {
+			p.Board.Poison.RecordRepeatEnd(now, k, end)
+		} else {
+			p.Board.Poison.RecordEnd(now, k, end)
+		}
 		if b.trial {
-			p.Board.Poison.RecordFailedTrial(now, poison.KeyOf(b.id))
+			p.Board.Poison.RecordFailedTrial(now, k)
 		}
 	}
 }
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -59,7 +59,7 @@
 	Release *string
 	// EntryRegion is the region of the host that the caller sent the request to.
 	EntryRegion string
-	// Trial reports whether the request is the trial of a quarantined prompt part.
+	// Trial reports whether the request is the trial of a quarantined prompt part or request.
 	Trial bool
 	// AttemptsLeft is the number of attempts that the route still allows. Attempts that
 	// certainly did not run do not count.
@@ -159,6 +159,7 @@
 // task is the state of one request in flight.
 type task struct {
 	Request
+	suspects suspects
 	// mayCross reports whether the request may be relayed to another region.
 	mayCross bool
 	// tried holds the endpoints, hosts and regions that were tried. The keys of regions
@@ -199,7 +200,7 @@
 func (p *Proxy) serve(ctx context.Context, r Request, sink client.Sink, mayCross bool) Report {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	t := &task{Request: r, mayCross: mayCross, tried: map[string]bool{}, ran: fault.RanNo, lastEventID: r.LastEventID, release: r.Release}
+	t := &task{Request: r, suspects: newSuspects(&r), mayCross: mayCross, tried: map[string]bool{}, ran: fault.RanNo, lastEventID: r.LastEventID, release: r.Release}
 	t.report.Region = p.Board.Region
 	if mayCross {
 		// The region that relayed a request has already counted it.
@@ -372,8 +373,8 @@
 // after a pause of the process.
 const stalePollInterval = 10 * time.Millisecond
 
-// gate returns a refusal if the deadline has passed, the caller has disconnected, or a part
-// of the prompt is quarantined.
+// gate returns a refusal if the deadline has passed, the caller has disconnected, or the
+// request or a part of its prompt is quarantined.
 // After a pause of the process it blocks until the state of endpoints and hosts is
 // refreshed.
 func (p *Proxy) gate(ctx context.Context, t *task) *fault.Refusal {
