Log the endpoints that a host can't reach, and when it reaches none

The table of paths records the connections that could not be opened. It opens others to endpoints that are unreachable, at most one a second and endpoint, and to the rest of the region when two or more are, until one succeeds. No decision depends on it yet.

A connection counts as failed only if the endpoint or the network refused it or did not answer, and not after a pause of this process.

--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -2,7 +2,7 @@
 // write its tables and do not call one another. Each table has its own lock. Lock
 // order when two are held: revisions, endpoints, then the leaf locks (members,
 // remotes, health, queues, registry, speeds, mixes, origins, poison,
-// acks). The lock of acks may be taken while that of members is held.
+// paths, acks). The lock of acks may be taken while that of members is held.
 package board
 
 import (
@@ -15,6 +15,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/health"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/mixes"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/origin"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/paths"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/poison"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
@@ -42,8 +43,8 @@
 	Health    *health.Table
 	Limits    *limit.Table
 	Retries   *retry.Budget
-	// Routes, Registry, Speeds, Mixes, Duties, Origins and Poison are used only by hosts that take routes
-	// and endpoint registrations from the platform's store.
+	// Routes, Registry, Speeds, Mixes, Duties, Origins, Poison and Paths are used only by
+	// hosts that take routes and endpoint registrations from the platform's store.
 	Routes   *routes.Table
 	Registry *regis.Table
 	Speeds   *speeds.Table
@@ -51,6 +52,7 @@
 	Duties   *duties.Table
 	Origins  *origin.Table
 	Poison   *poison.Table
+	Paths    *paths.Table
 	// Acks is used only by hosts that relay requests of published routes.
 	Acks *acks.Table
 
@@ -86,6 +88,7 @@
 		Duties:       duties.NewTable(),
 		Origins:      origin.NewTable(),
 		Poison:       poison.NewTable(),
+		Paths:        paths.NewTable(),
 		Acks:         acks.NewTable(),
 		queues:       map[queueKey]*queue.Queue{},
 		leavingMarks: map[string]time.Time{},
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -50,7 +50,10 @@
 	// LimitedEndpoints and LimitedAttempts are the endpoints of the region that name a rate
 	// limit and this host's attempts at them.
 	LimitedEndpoints prometheus.Gauge
-	LimitedAttempts  prometheus.Counter
+	// UnreachableEndpoints are the endpoints of the region to which this host can open no
+	// connections.
+	UnreachableEndpoints prometheus.Gauge
+	LimitedAttempts      prometheus.Counter
 	// SuspectParts and QuarantinedParts are the prompt parts and requests with evidence against them and
 	// those of them that are refused, QuarantineRefusals counts the refused requests.
 	SuspectParts       prometheus.Gauge
@@ -86,23 +89,24 @@
 		requestTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time of a whole request by route and outcome.", Buckets: requestTimeBuckets,
 		}, []string{"route", "outcome"}),
-		controlBytes:       counters("control_bytes_total", "Bytes of datagrams between hosts.", "direction"),
-		Pauses:             counter("pauses_total", "Pauses of the process that were noticed."),
-		DedupHits:          counter("operation_repeats_total", "Requests answered from a remembered operation."),
-		StaleHeads:         counter("stale_heads_total", "Older revisions that were ignored."),
-		RejectedHeads:      counter("rejected_heads_total", "Revisions that were not accepted."),
-		LimitedEndpoints:   gauge("limited_endpoints", "Endpoints of the region that name a rate limit."),
-		LimitedAttempts:    counter("limited_attempts_total", "Attempts at endpoints that name a rate limit."),
-		SuspectParts:       gauge("suspect_parts", "Prompt parts and requests under which endpoints ended since they were last answered."),
-		QuarantinedParts:   gauge("quarantined_parts", "Prompt parts and requests that are refused."),
-		QuarantineRefusals: counter("quarantine_refusals_total", "Refused requests that are quarantined or have a quarantined prompt part."),
-		HeldBytes:          gauge("held_answer_bytes", "Bytes of answers that were read and not passed on yet."),
-		InFlight:           gauge("open_requests", "Requests in flight."),
-		Revision:           gauge("revision", "Configuration revision in force."),
+		controlBytes:         counters("control_bytes_total", "Bytes of datagrams between hosts.", "direction"),
+		Pauses:               counter("pauses_total", "Pauses of the process that were noticed."),
+		DedupHits:            counter("operation_repeats_total", "Requests answered from a remembered operation."),
+		StaleHeads:           counter("stale_heads_total", "Older revisions that were ignored."),
+		RejectedHeads:        counter("rejected_heads_total", "Revisions that were not accepted."),
+		UnreachableEndpoints: gauge("unreachable_endpoints", "Endpoints of the region to which this host can open no connections."),
+		LimitedEndpoints:     gauge("limited_endpoints", "Endpoints of the region that name a rate limit."),
+		LimitedAttempts:      counter("limited_attempts_total", "Attempts at endpoints that name a rate limit."),
+		SuspectParts:         gauge("suspect_parts", "Prompt parts and requests under which endpoints ended since they were last answered."),
+		QuarantinedParts:     gauge("quarantined_parts", "Prompt parts and requests that are refused."),
+		QuarantineRefusals:   counter("quarantine_refusals_total", "Refused requests that are quarantined or have a quarantined prompt part."),
+		HeldBytes:            gauge("held_answer_bytes", "Bytes of answers that were read and not passed on yet."),
+		InFlight:             gauge("open_requests", "Requests in flight."),
+		Revision:             gauge("revision", "Configuration revision in force."),
 	}
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
-		m.LimitedEndpoints, m.LimitedAttempts, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals,
+		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
 		for _, ran := range []fault.Ran{fault.RanNo, fault.RanYes, fault.RanUnknown} {
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -75,6 +75,9 @@
 	// controller of sharePoison uses it.
 	loggedQuarantine map[poison.Key]bool
 
+	// loggedCut is the last logged result of Paths.Cut. Only the controller of checkPaths uses it.
+	loggedCut bool
+
 	// ahead is the host that announced changes of the store that this host lacks, nil if
 	// none did since the last fetch.
 	ahead atomic.Pointer[member.Member]
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -35,6 +35,7 @@
 	expirePeriod      = 200 * time.Millisecond
 	linkPeriod        = time.Second
 	endsPeriod        = 100 * time.Millisecond
+	pathsPeriod       = 100 * time.Millisecond
 	connectTimeout    = 900 * time.Millisecond
 
 	// inFlightFanout is the number of entry hosts of the local region that get this
@@ -76,6 +77,7 @@
 	add("connections", sweepPeriod, n.pool.Sweep)
 	add("links", linkPeriod, n.warmLinks)
 	n.runner.Add(ctrl.Controller{Name: "ends", Period: endsPeriod, Step: n.proxy.CheckEnds})
+	n.runner.Add(ctrl.Controller{Name: "paths", Period: pathsPeriod, Step: n.checkPaths})
 	add("cold checks", coldCheckPeriod, n.checkCold)
 	add(itemsName, fetchItemsPeriod, n.fetchItems)
 	add(storeStateName, storeStatePeriod, n.shareStoreState)
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -64,6 +64,8 @@
 	// Abandon decides whether the attempt fails after HeadTimeout or IdleTimeout. If it
 	// returns false, the attempt waits for the same time again. Nil means yes.
 	Abandon func() bool
+	// OnOpened is called when a new connection to the endpoint is open. It may be nil.
+	OnOpened func()
 	// OnNotice is called with what the head of the endpoint's answer says of the endpoint,
 	// also if the answer is not passed on. It may be nil.
 	OnNotice func(Notice)
@@ -109,6 +111,9 @@
 	Err     error
 	// CallerLeft reports whether the caller cancelled the request or disconnected.
 	CallerLeft bool
+	// Unreachable reports whether no connection could be opened because the endpoint, or the
+	// network, refused it or did not answer.
+	Unreachable bool
 	// Misdirected reports whether another endpoint now has the address (status 421).
 	Misdirected bool
 	// Pause is that of Notice.
@@ -165,6 +170,7 @@
 	if err := e.connect(); err != nil {
 		e.result.Reason, e.result.Ran, e.result.Err = retry.Dial, fault.RanNo, err
 		e.result.CallerLeft = errors.Is(ctx.Err(), context.Canceled)
+		e.result.Unreachable = ctx.Err() == nil && unreachable(err) && c.Now().Sub(e.start) < dialTimeout+maxDialDelay
 		return e.result
 	}
 	// Closing the connection tells the endpoint that the request was cancelled.
@@ -190,8 +196,13 @@
 	ctx, cancel := context.WithTimeout(e.ctx, timeout)
 	defer cancel()
 	var err error
-	e.conn, err = e.client.Pool.open(ctx, e.attempt.Address)
-	return err
+	if e.conn, err = e.client.Pool.open(ctx, e.attempt.Address); err != nil {
+		return err
+	}
+	if e.attempt.OnOpened != nil {
+		e.attempt.OnOpened()
+	}
+	return nil
 }
 
 // run sends the request and passes the answer on. It returns the keep-alive timeout
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -208,6 +208,37 @@
 	return c, nil
 }
 
+// maxDialDelay is how much later than dialTimeout a connection may be given up. A longer delay
+// is a pause of this process and shows nothing of the endpoint.
+const maxDialDelay = 200 * time.Millisecond
+
+// unreachable reports whether a connection could not be opened because of the endpoint or the
+// network, and not for lack of resources of this host.
+func unreachable(err error) bool {
+	if isTimeout(err) {
+		return true
+	}
+	for _, cause := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.ECONNABORTED, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ETIMEDOUT} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// Check opens a connection to an address and closes it. It reports whether the address can be
+// reached, and false for known if the check shows nothing.
+func (p *Pool) Check(ctx context.Context, address string) (reachable, known bool) {
+	start := p.now()
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	err := p.Probe(dialCtx, address)
+	if err == nil {
+		return true, true
+	}
+	return false, ctx.Err() == nil && unreachable(err) && p.now().Sub(start) < dialTimeout+maxDialDelay
+}
+
 // Probe opens a connection to an address and closes it.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	c, err := p.open(ctx, address)
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -60,6 +60,7 @@
 		return sink.Data(data)
 	}}
 	attempt := p.endpointAttempt(t, d)
+	attempt.OnOpened = func() { p.recordOpened(e) }
 	attempt.OnNotice = func(n pool.Notice) { p.recordNotice(t, e, n, start) }
 	attempt.Abandon = func() bool { return p.mayAbandon(t, e, start) }
 	out := p.Client.Do(ctx, attempt, prefillSink)
@@ -70,6 +71,9 @@
 	if out.Reason != retry.Dial {
 		t.report.Sent++
 	}
+	if out.Unreachable {
+		p.recordUnreachable(e, out.Err)
+	}
 	p.recordResult(t, d, out, start)
 	if writes <= beginWrites && passedBegin(out) {
 		p.Board.Poison.RecordServed(p.Now(), t.suspects.parts)
