--- a/internal/serve/node/follow_test.go
+++ b/internal/serve/node/follow_test.go
@@ -15,7 +15,7 @@
 
 // startCentre starts hosts in one data centre. The store counts and refuses the calls of
 // each by its name.
-func startCentre(t *testing.T, count int) *fleet {
+func startCentre(t *testing.T, count int, opts ...func(name string) Option) *fleet {
 	t.Helper()
 	f := &fleet{t: t, log: &logRecorder{}, store: &fakeStore{}, nodes: map[string]*Node{}}
 	f.store.put(feed.Change{Rules: testRules(7)})
@@ -28,7 +28,7 @@
 		n, err := New(setup.Hosted{
 			Name: name, Region: "a", Centre: "a1", Callers: freeAddress(t), Ready: freeAddress(t), Directory: freeAddress(t),
 			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a"}, Bounds: setup.DefaultBounds(),
-		}, platTerms, f.store.feed(name), zerolog.Nop())
+		}, platTerms, f.store.feed(name), zerolog.Nop(), optionsOf(name, opts)...)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -49,6 +49,15 @@
 	return f
 }
 
+// optionsOf returns the options of the host with a name.
+func optionsOf(name string, opts []func(string) Option) []Option {
+	var out []Option
+	for _, o := range opts {
+		out = append(out, o(name))
+	}
+	return out
+}
+
 // callers returns the names of the hosts that call the store within a while.
 func (f *fleet) callers() []string {
 	counts := func() map[string]int {
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,9 +100,23 @@
 	storeListed atomic.Bool
 }
 
+// Option configures a host.
+type Option func(*options)
+
+type options struct{ pool []pool.Option }
+
+// WithEndpointDial sets the function that opens a connection to an endpoint.
+func WithEndpointDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(o *options) { o.pool = append(o.pool, pool.WithDial(dial)) }
+}
+
 // New returns a host, which serves once Start has run.
-func New(s setup.Hosted, t *terms.Terms, store *feed.Feed, log zerolog.Logger) (*Node, error) {
+func New(s setup.Hosted, t *terms.Terms, store *feed.Feed, log zerolog.Logger, opts ...Option) (*Node, error) {
 	now := time.Now
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
 	creds, err := loadCredentials(s, now(), log)
 	if err != nil {
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
@@ -112,7 +127,7 @@
 	}
 	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, started: now()}
 	account := held.New(proxy.MaxHeld, proxy.MaxAnswer, func(bytes int) { n.meter.HeldBytes.Set(float64(bytes)) })
-	n.pool = pool.New(pool.WithNow(now), pool.WithHeld(account))
+	n.pool = pool.New(append(o.pool, pool.WithNow(now), pool.WithHeld(account))...)
 	n.board = board.New(now(), s.Peers, s.Region, s.Centre, 1)
 	n.board.Members.EnableDiscovery(now(), member.Candidate{
 		Name: s.Peers, Address: s.Peers, Region: s.Region, Centre: s.Centre, Callers: s.Callers, Cores: s.Machine.Capacity(),
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -212,12 +212,12 @@
 	}, []rules.Service{{Name: "model", Engine: &rules.Engine{Slots: 8}}, {Name: "plain"}}, rules.Limits{MaxBodyBytes: 1 << 20})
 }
 
-func startFleet(t *testing.T) *fleet {
+func startFleet(t *testing.T, opts ...func(name string) Option) *fleet {
 	t.Helper()
-	return startFleetWithBounds(t, setup.DefaultBounds())
+	return startFleetWithBounds(t, setup.DefaultBounds(), opts...)
 }
 
-func startFleetWithBounds(t *testing.T, bounds setup.Bounds) *fleet {
+func startFleetWithBounds(t *testing.T, bounds setup.Bounds, opts ...func(name string) Option) *fleet {
 	t.Helper()
 	f := &fleet{t: t, log: &logRecorder{}, store: &fakeStore{}, nodes: map[string]*Node{}, endpoints: map[string]*routed.Endpoint{}}
 	f.store.put(feed.Change{Rules: testRules(7)})
@@ -231,7 +231,7 @@
 		n, err := New(setup.Hosted{
 			Name: "n" + region, Region: region, Centre: region + "1", Callers: freeAddress(t), Ready: freeAddress(t), Directory: freeAddress(t),
 			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: bounds,
-		}, platTerms, f.store.feed(region), zerolog.New(f.log).With().Str("at", region).Str("host", region).Logger())
+		}, platTerms, f.store.feed(region), zerolog.New(f.log).With().Str("at", region).Str("host", region).Logger(), optionsOf(region, opts)...)
 		if err != nil {
 			t.Fatal(err)
 		}
