Spread the requests of a region that is cut off by the slots in reach

Cause: such a host has no peer to hand requests to, and an endpoint in reach is preferred to other regions while it seems to have room. Its load is known late, and each of the hosts fills it.

Change: while most endpoints are out of reach and no host of the region can help, regions are chosen by the slots in reach, the own one included, and by their delays.

--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -100,9 +100,14 @@
 	if !t.Route.Allows(p.Board.Region) {
 		return decision{refusal: noEndpoint()}, false
 	}
-	if p.Board.CutHosts.SelfCut() && p.hasPeer(now, t) {
+	if p.Board.CutHosts.SelfCut() {
 		// The few endpoints that this host may still reach would get all its requests.
-		return decision{region: p.Board.Region}, true
+		if p.hasPeer(now, t) {
+			return decision{region: p.Board.Region}, true
+		}
+		if region := p.spreadRegion(now, t); region != "" {
+			return decision{region: region}, true
+		}
 	}
 	d = p.chooseLocal(now, t, req, false)
 	if !d.unreachable || !t.mayCross {
@@ -111,6 +116,30 @@
 	return p.chooseDetour(now, t, req), true
 }
 
+// spreadRegion returns another region for a request of a region of which only few endpoints are in
+// reach, empty if these few are to serve it. Regions get requests by the slots in reach.
+func (p *Proxy) spreadRegion(now time.Time, t *task) string {
+	if !t.mayCross {
+		return ""
+	}
+	own := pick.Region{Name: p.Board.Region}
+	service := p.service(t.Service)
+	list, _ := p.localEndpoints(t, false)
+	for _, e := range list {
+		st := p.Board.Endpoints.Get(e.ID)
+		own.Slots += float64(e.SlotsOf(service))
+		own.Load += max(st.Load(now), st.KnownInFlight(now))
+	}
+	regions := p.remoteRegions(now, t)
+	if len(list) > 0 {
+		regions = append(regions, own)
+	}
+	if i := pick.ChooseRegion(regions, p.rand); i >= 0 && regions[i].Name != own.Name {
+		return regions[i].Name
+	}
+	return ""
+}
+
 func noEndpoint() *fault.Refusal {
 	return fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint accepts the request").WithRetryAfter(defaultRetryAfter)
 }
