End connections whose callers flood a running request

While requests run, a look every 50 ms now shuts down the connections with more unparsed bytes than the header and the body of a request may have. Close would wait for the request.

--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -15,19 +15,24 @@
 // transporter is the library's network layer with bounds on what its parser reads.
 type transporter struct {
 	network.Transporter
-	limit int
+	limit   int
+	backlog *backlog
 }
 
 // NewTransporter returns a network layer whose connections bound the trailer of a request
-// and the line of a chunk's size by the limit of the header, as the library does not.
+// and the line of a chunk's size by the limit of the header, and what arrives while a request
+// runs by the limits of header and body, as the library does not.
 func NewTransporter(o *config.Options) network.Transporter {
-	return &transporter{Transporter: netpoll.NewTransporter(o), limit: o.MaxHeaderBytes}
+	return &transporter{Transporter: netpoll.NewTransporter(o), limit: o.MaxHeaderBytes, backlog: newBacklog(o.MaxHeaderBytes + o.MaxRequestBodySize)}
 }
 
 // ListenAndServe implements network.Transporter.
 func (t *transporter) ListenAndServe(onData network.OnData) error {
+	defer t.backlog.close()
 	return t.Transporter.ListenAndServe(func(ctx context.Context, conn any) error {
 		if c, ok := conn.(*netpoll.Conn); ok {
+			t.backlog.enter(c)
+			defer t.backlog.leave(c)
 			conn = &boundedConn{Conn: c, limit: t.limit}
 		}
 		return onData(ctx, conn)
--- a/internal/serve/node/caller_test.go
+++ b/internal/serve/node/caller_test.go
@@ -86,6 +86,16 @@
 // TestBytesAfterARequestWaitInTheNetwork: what a caller sends while its request runs is not
 // read into memory without a limit.
 func TestBytesAfterARequestWaitInTheNetwork(t *testing.T) {
+	testBytesAfterARequest(t, 0)
+}
+
+// TestCallerThatFloodsARunningRequestIsClosed: the same at the rate of a fast network.
+func TestCallerThatFloodsARunningRequestIsClosed(t *testing.T) {
+	testBytesAfterARequest(t, 500*time.Microsecond)
+}
+
+// testBytesAfterARequest sends parts of 64 KiB, with a gap after each, while a request runs.
+func testBytesAfterARequest(t *testing.T, gap time.Duration) {
 	const maxSent = 32 << 20 // bytes, including the buffers of both sockets
 	f := startFleet(t)
 	f.endpoints["plain-a1"].SetFault(routed.Fault{Times: 1, Silent: true})
@@ -105,6 +115,7 @@
 		var n int
 		n, err = c.Write(part)
 		sent += n
+		time.Sleep(gap)
 	}
 	if sent > maxSent {
 		t.Errorf("host took %d bytes, want at most %d", sent, maxSent)
