Keep what hosts have in flight at brittle endpoints within their slots

No code read the field, and hosts learnt of missing room by being turned away, which is what ends the endpoint.

A service is brittle from the first answer that says so, at all hosts of the region, until an answer to a later request does not. Each entry host then keeps to its part of the slots of an endpoint; what finds no room goes to another region, waits at the host, or is refused at once as not run if it can't be served in time. After the end the room grows back.

Open: engines whose memory, not their slots, is the room; a host that has just started sends without a bound until it receives its first answer or report.

--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -2,7 +2,7 @@
 // write its tables and do not call one another. Each table has its own lock. Lock
 // order when two are held: revisions, endpoints, then the leaf locks (members,
 // remotes, health, queues, registry, speeds, mixes, origins, poison,
-// paths, cut hosts, acks). The lock of acks may be taken while that of members is held.
+// frail, paths, cut hosts, acks). The lock of acks may be taken while that of members is held.
 package board
 
 import (
@@ -12,6 +12,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/acks"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/duties"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/frail"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/health"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/mixes"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/origin"
@@ -43,7 +44,7 @@
 	Health    *health.Table
 	Limits    *limit.Table
 	Retries   *retry.Budget
-	// Routes, Registry, Speeds, Mixes, Duties, Origins, Poison, Paths and CutHosts are used
+	// Routes, Registry, Speeds, Mixes, Duties, Origins, Poison, Frail, Paths and CutHosts are used
 	// only by hosts that take routes and endpoint registrations from the platform's store.
 	Routes   *routes.Table
 	Registry *regis.Table
@@ -52,6 +53,7 @@
 	Duties   *duties.Table
 	Origins  *origin.Table
 	Poison   *poison.Table
+	Frail    *frail.Table
 	// Paths are those of this host, CutHosts are hosts without any.
 	Paths    *paths.Table
 	CutHosts *paths.Hosts
@@ -90,6 +92,7 @@
 		Duties:       duties.NewTable(),
 		Origins:      origin.NewTable(),
 		Poison:       poison.NewTable(),
+		Frail:        frail.NewTable(),
 		Paths:        paths.NewTable(),
 		CutHosts:     paths.NewHosts(name, incarnation),
 		Acks:         acks.NewTable(),
--- a/internal/board/endpt/peers.go
+++ b/internal/board/endpt/peers.go
@@ -116,6 +116,9 @@
 	return n
 }
 
+// RefusedWithin reports whether the endpoint refused a request for want of room within a time.
+func (s *State) RefusedWithin(now time.Time, d time.Duration) bool { return now.Sub(s.refusedAt) < d }
+
 // AdmitCold counts a request to a cold endpoint and returns true if it is within this
 // host's share of the cold-endpoint rate limit, most requests in any second.
 func (t *Table) AdmitCold(now time.Time, name string, most int) bool {
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -50,6 +50,9 @@
 	// RateLimit is the rate of requests that the endpoint takes from all hosts together, in
 	// requests per second, sent with each answer while the endpoint limits it.
 	RateLimit string
+	// Brittle is the number of requests that an endpoint may turn away in a second for want of
+	// room; it ends if it has to turn away more.
+	Brittle string
 	// Leaving has the value LeavingValue on each answer of an endpoint that takes no new
 	// requests and will end.
 	Leaving      string
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -106,6 +106,9 @@
 	// PoisonRepeats is the evidence against requests that their callers repeat. Hosts of older
 	// builds ignore the field.
 	PoisonRepeats []PoisonPart `cbor:"26,keyasint,omitempty"`
+	// Frail are the services whose endpoints announced lately, in answers to the sender, that they
+	// are brittle or no longer are. Hosts of older builds ignore the field.
+	Frail []FrailService `cbor:"28,keyasint,omitempty"`
 	// CutHosts says which hosts are cut off from the endpoints of their regions. Hosts of older
 	// builds ignore the field.
 	CutHosts []CutHost `cbor:"27,keyasint,omitempty"`
@@ -260,6 +263,17 @@
 	FlightMS uint32
 }
 
+// FrailService is a service whose endpoints are brittle or no longer are.
+type FrailService struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Brittle bool
+	// Limit is the number of requests that an endpoint may turn away in a second.
+	Limit uint32
+	// AgeMS is the time since the answer, in milliseconds.
+	AgeMS uint32
+}
+
 // CutHost says whether a host is cut off from the endpoints of its region.
 type CutHost struct {
 	_    struct{} `cbor:",toarray"`
--- a/internal/route/quota/quota.go
+++ b/internal/route/quota/quota.go
@@ -81,40 +81,54 @@
 }
 
 // Share returns this host's share of rate, the rate limit of an endpoint in requests per
-// second. The shares of all hosts add up to no more than the rate. The remainder of an
-// equal split goes to the hosts with the most cores, among equal ones to those with the
-// highest rendezvous weights for the endpoint.
+// second: the part of it. The shares of all hosts add up to no more than the rate.
 func (t *Table) Share(now time.Time, endpoint string, rate int) int {
 	return t.share(now, endpoint, rate, departedTime)
 }
 
 // share returns Share, with the hosts that were listed within a time.
 func (t *Table) share(now time.Time, endpoint string, rate int, within time.Duration) int {
-	if now.Sub(t.started) < discoveryTime {
+	if !t.Settled(now) {
 		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(t.started) < maxSettleTime && now.Sub(t.grown) < settleTime {
-		return 0
+	others := make([]Host, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		if now.Sub(h.lastSeen) <= within {
+			others = append(others, h.Host)
+		}
+	}
+	return Part(rate, endpoint, t.self, others)
+}
+
+// Settled reports whether this host has most likely learned of all others since its start.
+func (t *Table) Settled(now time.Time) bool {
+	if now.Sub(t.started) < discoveryTime {
+		return false
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.started) >= maxSettleTime || now.Sub(t.grown) >= settleTime
+}
+
+// Part returns the part that a host gets of a number that it divides with others. The remainder
+// of an equal split goes to the hosts with the most cores, among equal ones to those with the
+// highest rendezvous weights for the endpoint.
+func Part(number int, endpoint string, self Host, others []Host) int {
 	key := xxhash.Sum64String(endpoint)
-	own := place.Weight(key, t.self.Name)
-	hosts, before := 1, 0
-	for name, h := range t.hosts {
-		if now.Sub(h.lastSeen) > within {
-			continue
-		}
-		hosts++
-		if h.Cores > t.self.Cores || (h.Cores == t.self.Cores && place.Weight(key, name) > own) {
+	own := place.Weight(key, self.Name)
+	hosts, before := 1+len(others), 0
+	for _, h := range others {
+		if h.Cores > self.Cores || (h.Cores == self.Cores && place.Weight(key, h.Name) > own) {
 			before++
 		}
 	}
-	share := rate / hosts
-	if before < rate%hosts {
-		share++
+	part := number / hosts
+	if before < number%hosts {
+		part++
 	}
-	return share
+	return part
 }
 
 const (
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -162,6 +162,7 @@
 	n.proxy.LimitShare = func(endpoint string, perSecond float64) (int, time.Duration) {
 		return n.shares.Pace(n.now(), endpoint, perSecond)
 	}
+	n.proxy.RoomShare = n.roomShare
 	n.shares = quota.New(n.started, quota.Host{Name: n.settings.Peers, Cores: n.settings.Machine.Capacity()})
 	n.proxy.AskOrigin, n.proxy.StoreAge = n.askOrigin, n.storeAge
 	n.proxy.OnNews = func() { n.runner.Trigger(inFlightName) }
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -140,6 +140,7 @@
 		n.receiveLimits(now, p.From, p.Limits)
 		n.receiveLeaving(now, p.From, p.LeavingEndpoints)
 		n.receiveCold(now, p.From, p.ColdEndpoints)
+		n.receiveFrail(now, p.From, p.Frail)
 	}
 	if len(p.Starts) > 0 || len(p.Asked) > 0 {
 		n.receiveOrigins(now, m, p)
@@ -186,8 +187,9 @@
 	limits := toWireLimits(n.board.Endpoints.NamedLimits(now))
 	leaving := toWireLeaving(n.board.Registry.RecentLeaving(now))
 	cold := toWireCold(now, n.board.Registry.AnnouncedCold(now))
-	if len(limits) > 0 || len(leaving) > 0 || len(cold) > 0 {
-		n.announceTo(n.randomEntries(n.board.Region, inFlightFanout), wire.Packet{Limits: limits, LeavingEndpoints: leaving, ColdEndpoints: cold})
+	services := toWireFrail(n.board.Frail.Reports(now))
+	if len(limits) > 0 || len(leaving) > 0 || len(cold) > 0 || len(services) > 0 {
+		n.announceTo(n.randomEntries(n.board.Region, inFlightFanout), wire.Packet{Limits: limits, LeavingEndpoints: leaving, ColdEndpoints: cold, Frail: services})
 	}
 }
 
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -43,6 +43,9 @@
 	// requests; maxPauseSeconds keeps them in the range of a time.Duration.
 	retryAfterField = "Retry-After"
 	maxPauseSeconds = 1e9
+	// maxTurnAways is the largest number that counts as an announcement; no endpoint turns more
+	// requests away in a second.
+	maxTurnAways = 1_000_000
 )
 
 // Attempt is one attempt of a request at one endpoint.
@@ -88,6 +91,9 @@
 	// RateLimit is the rate limit that the endpoint names, in requests per second; nil if it
 	// names none.
 	RateLimit *float64
+	// Brittle is the number of requests that the endpoint may turn away in a second before it
+	// ends, nil if it announces none.
+	Brittle *int
 	// Leaving reports whether the endpoint announces that it takes no new requests and ends.
 	Leaving bool
 	// Failed reports whether the endpoint refused the request or failed.
@@ -264,6 +270,13 @@
 			n.Malformed = c.Terms.RateLimit + ": " + text
 		}
 	}
+	if text := h.Get(c.Terms.Brittle); text != "" {
+		if most, err := strconv.Atoi(text); err == nil && most >= 0 && most <= maxTurnAways {
+			n.Brittle = &most
+		} else {
+			n.Malformed = c.Terms.Brittle + ": " + text
+		}
+	}
 	if text := h.Get(retryAfterField); text != "" && resp.StatusCode == http.StatusServiceUnavailable {
 		if seconds, ok := c.Terms.ParseDecimal(text); ok {
 			n.Pause = time.Duration(min(seconds, maxPauseSeconds) * float64(time.Second))
--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -368,12 +368,12 @@
 // TestMalformedNoticeIsIgnored: a field that can't be parsed is named and changes nothing
 // else that the answer says.
 func TestMalformedNoticeIsIgnored(t *testing.T) {
-	const limit, leaving, retryAfter = "X-Limit", "X-Leaving", "Retry-After"
-	c := &Client{Terms: &terms.Terms{RateLimit: limit, Leaving: leaving, LeavingValue: "1", ParseDecimal: func(v string) (float64, bool) {
+	const limit, brittle, leaving, retryAfter = "X-Limit", "X-Brittle", "X-Leaving", "Retry-After"
+	c := &Client{Terms: &terms.Terms{RateLimit: limit, Brittle: brittle, Leaving: leaving, LeavingValue: "1", ParseDecimal: func(v string) (float64, bool) {
 		n, err := strconv.ParseFloat(v, 64)
 		return n, err == nil
 	}}}
-	rate := 2.5
+	rate, most := 2.5, 7
 	for _, tt := range []struct {
 		name   string
 		status int
@@ -385,6 +385,10 @@
 		{"time to come back of a served request", 200, map[string]string{retryAfter: "9"}, Notice{}},
 		{"malformed time", 503, map[string]string{limit: "2.5", retryAfter: "Fri, 04 Dec 2026 09:00:00 GMT"}, Notice{RateLimit: &rate, Failed: true, Malformed: "Retry-After: Fri, 04 Dec 2026 09:00:00 GMT"}},
 		{"absurd time", 503, map[string]string{retryAfter: "1e300"}, Notice{Failed: true, Pause: maxPauseSeconds * time.Second}},
+		{"brittle", 503, map[string]string{brittle: "7"}, Notice{Brittle: &most, Failed: true}},
+		{"brittle by a fraction", 200, map[string]string{brittle: "2.5"}, Notice{Malformed: "X-Brittle: 2.5"}},
+		{"brittle below zero", 200, map[string]string{brittle: "-1"}, Notice{Malformed: "X-Brittle: -1"}},
+		{"absurdly brittle", 200, map[string]string{brittle: "99999999999"}, Notice{Malformed: "X-Brittle: 99999999999"}},
 		{"malformed limit", 200, map[string]string{limit: "few", leaving: "1"}, Notice{Leaving: true, Malformed: "X-Limit: few"}},
 	} {
 		resp := &http.Response{StatusCode: tt.status, Header: http.Header{}}
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -18,6 +18,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/admit"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/place"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/room"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -45,6 +46,8 @@
 	prefill time.Duration
 	// prefillTokens is the number of tokens in that part.
 	prefillTokens int
+	// full reports whether local endpoints were left out for want of room.
+	full bool
 	// unreachable reports whether all local endpoints that may serve the request are out of
 	// this host's reach.
 	unreachable bool
@@ -187,6 +190,9 @@
 // prefill.
 func remoteIsSooner(local decision, req pick.Request, remotes []pick.Region) bool {
 	for i := range remotes {
+		if local.full && remotes[i].Utilisation() < maxSpillUtilisation {
+			return true
+		}
 		if remotes[i].RoundTrip+remotes[i].QueuedPrefill+req.PrefixPrefill < local.queuedPrefill && remotes[i].Utilisation() < maxSpillUtilisation {
 			return true
 		}
@@ -223,7 +229,8 @@
 	if len(reachable) == 0 && skipped {
 		return decision{unreachable: true, refusal: fault.New(fault.NotReady, fault.RanNo, "host reaches no endpoint").WithRetryAfter(defaultRetryAfter)}
 	}
-	list, endpoints, delay := p.candidates(now, t, req, service, reachable)
+	found := p.candidates(now, t, req, service, reachable)
+	list, endpoints := found.list, found.endpoints
 	for len(list) > 0 {
 		choice := pick.ChooseEndpoint(req, list, p.rand)
 		if choice.Index < 0 {
@@ -246,8 +253,11 @@
 		}
 		return d
 	}
-	if delay > 0 {
-		return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "endpoints want no more requests for now").WithRetryAfter(delay)}
+	if found.full {
+		return p.waitForRoom(now, t, service, reachable)
+	}
+	if found.delay > 0 {
+		return decision{refusal: fault.New(fault.NoEndpoint, fault.RanNo, "endpoints want no more requests for now").WithRetryAfter(found.delay)}
 	}
 	return decision{refusal: noEndpoint()}
 }
@@ -386,20 +396,36 @@
 	return list, skipped
 }
 
-// candidates returns those of the endpoints that may take the request now, with the state
-// that the choice depends on. Endpoints are left out while they want no requests of this
-// host, or it has used up its share of the rate limits that they name; delay is the
-// shortest time until one of them takes a request, 0 if none is left out.
-func (p *Proxy) candidates(now time.Time, t *task, req pick.Request, s *rules.Service, endpoints []regis.Endpoint) (list []pick.Candidate, left []regis.Endpoint, delay time.Duration) {
+// shortlist holds the endpoints that may take a request now, with the state that the choice
+// depends on.
+type shortlist struct {
+	list      []pick.Candidate
+	endpoints []regis.Endpoint
+	// delay is the shortest time until an endpoint that was left out takes a request, 0 if none
+	// was or it is not known.
+	delay time.Duration
+	// full reports whether an endpoint was left out for want of room.
+	full bool
+}
+
+// candidates returns those of the endpoints that may take the request now. Endpoints are left out
+// while they want no requests of this host, have no room for it, or it has used up its share of
+// the rate limits that they name.
+func (p *Proxy) candidates(now time.Time, t *task, req pick.Request, s *rules.Service, endpoints []regis.Endpoint) shortlist {
 	names := make([]string, len(endpoints))
 	for i := range endpoints {
 		names[i] = endpoints[i].ID
 	}
-	list = make([]pick.Candidate, len(endpoints))
+	list := make([]pick.Candidate, len(endpoints))
+	ease := p.Board.Frail.Share(now, t.Service)
 	// Most of the time no endpoint pauses or limits requests, and the map is not needed.
 	var held map[int]heldEndpoint
 	p.Board.Endpoints.Each(names, func(i int, st *endpt.State) {
-		if h := heldState(st, now); h != (heldEndpoint{}) {
+		h := heldState(st, now)
+		if ease < 1 {
+			h.addRoom(st, now, endpoints[i].SlotsOf(s), ease)
+		}
+		if h != (heldEndpoint{}) {
 			if held == nil {
 				held = map[int]heldEndpoint{}
 			}
@@ -412,17 +438,19 @@
 			Cached: req.Prefix != 0 && p.Prefixes.Cached(now, endpoints[i].ID, req.Prefix),
 		}
 	})
+	found := shortlist{list: list, endpoints: slices.Clone(endpoints)}
 	for i := len(list) - 1; i >= 0 && len(held) > 0; i-- {
-		d := p.heldDelay(now, names[i], held[i])
-		if d == 0 {
+		d, full := p.heldDelay(now, names[i], held[i]), !p.hasRoom(names[i], held[i])
+		if d == 0 && !full {
 			continue
 		}
-		list, endpoints = slices.Delete(list, i, i+1), slices.Delete(endpoints, i, i+1)
-		if delay == 0 || d < delay {
-			delay = d
+		found.list, found.endpoints = slices.Delete(found.list, i, i+1), slices.Delete(found.endpoints, i, i+1)
+		found.full = found.full || full
+		if d > 0 && (found.delay == 0 || d < found.delay) {
+			found.delay = d
 		}
 	}
-	return list, endpoints, delay
+	return found
 }
 
 // heldEndpoint is what an endpoint says of the requests that it wants.
@@ -431,6 +459,50 @@
 	pause time.Duration
 	// perSecond is the rate limit that it names, nil for none.
 	perSecond *float64
+	// slots is the number of requests that all hosts together may have in flight there, and
+	// inFlight that of this host, if it falls over when it has to turn requests away.
+	slots    int
+	inFlight int
+	// turnedAway reports whether it turned a request away lately.
+	turnedAway bool
+}
+
+// turnAwayHold is how long a brittle endpoint that turned a request away gets no other.
+const turnAwayHold = time.Second
+
+// addRoom adds the room at an endpoint that is brittle, or was lately.
+func (h *heldEndpoint) addRoom(st *endpt.State, now time.Time, slots int, ease float64) {
+	h.slots, h.inFlight = room.Usable(slots, ease), st.InFlight
+	h.turnedAway = ease == 0 && st.RefusedWithin(now, turnAwayHold)
+}
+
+// hasRoom reports whether an endpoint has room for one more request of this host.
+func (p *Proxy) hasRoom(endpoint string, h heldEndpoint) bool {
+	return h.slots == 0 || !h.turnedAway && h.inFlight < p.RoomShare(endpoint, h.slots)
+}
+
+// roomRetryAfter is the retry delay given to callers for which there is no room.
+const roomRetryAfter = 200 * time.Millisecond
+
+// waitForRoom decides on a request for which no endpoint has room: it waits at this host, with
+// requests of other hosts given back to these, unless it can't be served in time.
+func (p *Proxy) waitForRoom(now time.Time, t *task, s *rules.Service, endpoints []regis.Endpoint) decision {
+	full := decision{full: true, refusal: fault.New(fault.Busy, fault.RanNo, "endpoints have no room").WithRetryAfter(roomRetryAfter)}
+	if !t.mayCross {
+		return full
+	}
+	places := 0
+	for _, e := range endpoints {
+		places += p.RoomShare(e.ID, room.Usable(e.SlotsOf(s), 0))
+	}
+	queued := p.serviceQueue(t.Service).Len()
+	took := p.Board.Speeds.AnswerTime(t.Service)
+	wait := took + time.Duration(float64(queued)/float64(max(1, places))*float64(took))
+	if places == 0 || queued >= maxQueued || wait > t.Deadline.Sub(now) {
+		full.refusal = full.refusal.WithRetryAfter(max(roomRetryAfter, wait-t.Deadline.Sub(now)))
+		return full
+	}
+	return decision{full: true, wait: true}
 }
 
 // heldState returns what an endpoint says of the requests that it wants, zero if nothing.
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -84,10 +84,27 @@
 	if out.Reason != retry.Dial {
 		t.report.Sent++
 	}
+	p.recordResult(t, d, out, start)
+	p.recordWhatBroke(t, e, out, start, writes)
+	if p.Board.Frail.Share(p.Now(), t.Service) < 1 {
+		p.wakeNext(t.Service)
+	}
+	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
+		Uint64("registered", eras.Revision(e.Revision)).Str("release", e.Release).Dur("expected", d.expectedLatency).Dur("first", out.TimeToFirstByte).Int("status", out.Status).
+		Bool("reused", out.Reused).Int("running", out.Load.Running).Int("waiting", out.Load.Waiting).
+		Bool("limited", limited).Str("outcome", outcome(out)).Msg("attempt")
+	if out.ErrorAnswer != nil {
+		out.ErrorAnswer.Head.Endpoint = e.ID
+	}
+	return endpointResult(out)
+}
+
+// recordWhatBroke records what an attempt shows of the path to the endpoint, and of the request
+// and the parts of its prompt as causes of the endpoint's end. writes counts the writes of events.
+func (p *Proxy) recordWhatBroke(t *task, e regis.Endpoint, out pool.Result, start time.Time, writes int) {
 	if out.Unreachable {
 		p.recordUnreachable(e, out.Err)
 	}
-	p.recordResult(t, d, out, start)
 	if writes <= beginWrites && passedBegin(out) {
 		p.Board.Poison.RecordServed(p.Now(), t.suspects.parts)
 	}
@@ -97,14 +114,6 @@
 	if broke(out) {
 		p.recordBroken(t, e, out, start)
 	}
-	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
-		Uint64("registered", eras.Revision(e.Revision)).Str("release", e.Release).Dur("expected", d.expectedLatency).Dur("first", out.TimeToFirstByte).Int("status", out.Status).
-		Bool("reused", out.Reused).Int("running", out.Load.Running).Int("waiting", out.Load.Waiting).
-		Bool("limited", limited).Str("outcome", outcome(out)).Msg("attempt")
-	if out.ErrorAnswer != nil {
-		out.ErrorAnswer.Head.Endpoint = e.ID
-	}
-	return endpointResult(out)
 }
 
 func outcome(out pool.Result) string {
@@ -176,9 +185,9 @@
 	req := p.placementRequest(&retried)
 	if t.Route.Allows(p.Board.Region) {
 		reachable, _ := p.localEndpoints(&retried, false)
-		list, _, _ := p.candidates(now, &retried, req, p.service(t.Service), reachable)
-		if c := pick.ChooseEndpoint(req, list, p.rand); c.Index >= 0 && !c.AllFailing {
-			if d := p.admit(now, &retried, c, list[c.Index], t.Route.Target); d.refusal == nil && !d.wait {
+		found := p.candidates(now, &retried, req, p.service(t.Service), reachable)
+		if c := pick.ChooseEndpoint(req, found.list, p.rand); c.Index >= 0 && !c.AllFailing {
+			if d := p.admit(now, &retried, c, found.list[c.Index], t.Route.Target); d.refusal == nil && !d.wait {
 				return true
 			}
 		}
@@ -229,6 +238,7 @@
 	if !n.Failed {
 		p.Board.Endpoints.EndPause(e.ID, sent)
 	}
+	p.recordBrittle(t, e, n, sent)
 	if n.RateLimit == nil && (n.Failed || n.Malformed != "") {
 		// An answer of an endpoint that could not serve need not name its limit.
 		return
@@ -245,6 +255,19 @@
 	p.Meter.LimitedEndpoints.Set(float64(p.Board.Endpoints.CountLimited(now)))
 }
 
+// recordBrittle records what an answer says of the brittleness of the service's endpoints.
+func (p *Proxy) recordBrittle(t *task, e regis.Endpoint, n pool.Notice, sent time.Time) {
+	if n.Brittle == nil && (n.Failed || n.Malformed != "") {
+		// An answer of an endpoint that could not serve need not say it.
+		return
+	}
+	if p.Board.Frail.Record(p.Now(), e.Service, n.Brittle, sent) {
+		p.Log.Info().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Bool("brittle", n.Brittle != nil).
+			Msg("endpoints of a service are brittle or no longer so")
+		p.tellPeers()
+	}
+}
+
 // recordResult updates the state of the endpoint and the learned speeds with the
 // outcome of an attempt.
 func (p *Proxy) recordResult(t *task, d decision, out pool.Result, start time.Time) {
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -107,6 +107,8 @@
 	// LimitShare returns how many requests this host may send to an endpoint in any window,
 	// of a limit of perSecond that the endpoint names for all hosts together.
 	LimitShare func(endpoint string, perSecond float64) (most int, window time.Duration)
+	// RoomShare returns this host's part of a number of requests in flight at an endpoint.
+	RoomShare func(endpoint string, number int) int
 	// AskOrigin asks other hosts for the release that began a stream; their answers are
 	// recorded in the board.
 	AskOrigin func(key origin.Key)
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -89,6 +89,7 @@
 
 	mu        sync.Mutex
 	fault     Fault
+	room      room
 	crash     Crash
 	ended     bool
 	rateLimit string
@@ -267,6 +268,9 @@
 	if e.rateLimit != "" {
 		h.Set(e.Terms.RateLimit, e.rateLimit)
 	}
+	if e.room.Brittle > 0 {
+		h.Set(e.Terms.Brittle, strconv.Itoa(e.room.Brittle))
+	}
 	if e.leaving {
 		if e.leavingSince.IsZero() {
 			e.leavingSince = time.Now()
@@ -360,6 +364,14 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	leave, hasRoom := e.enterRoom(r)
+	if !hasRoom {
+		h.Set(e.Terms.NotRun, "1")
+		e.countRefused()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer leave()
 	from := e.recordRun(r, id)
 	e.delayHead()
 	h.Set(SignedBy, e.ID)
