Try other hosts when one of an older build refuses a request of its region

A host that is cut off from its endpoints relays to hosts of its own region. One of an older build refuses that as a bad request, which the caller could have got where no other region may serve. It now counts as a host that was not reached. The test failed before: the refusal was passed on.

--- a/internal/serve/proxy/paths_test.go
+++ b/internal/serve/proxy/paths_test.go
@@ -99,3 +99,19 @@
 		})
 	}
 }
+
+// TestOlderPeerRefusesOwnRegion: a caller is not told that its request is bad because a host of an
+// older build does not serve requests of its region for others.
+func TestOlderPeerRefusesOwnRegion(t *testing.T) {
+	p, route := pathsPlay(time.Unix(1_000_000, 0))
+	task := &task{Request: Request{Route: route}, tried: map[string]bool{}}
+	task.report.Region = "r"
+	res := p.relayResult(task, &wire.End{Code: fault.BadRequest, Ran: fault.RanNo}, nil)
+	if res.refusal.Code == fault.BadRequest || !res.uncharged || res.ran != fault.RanNo {
+		t.Errorf("refused as %s, ran %s, uncharged %v, want a host that was not reached", res.refusal.Code, res.ran, res.uncharged)
+	}
+	task.report.Region = "far"
+	if res := p.relayResult(task, &wire.End{Code: fault.BadRequest, Ran: fault.RanNo}, nil); res.refusal.Code != fault.BadRequest {
+		t.Errorf("another region's refusal became %s", res.refusal.Code)
+	}
+}
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -143,6 +143,9 @@
 		}
 	case end.Code == "":
 		return result{whole: true, ran: fault.RanYes}
+	case end.Code == fault.BadRequest && t.report.Region == p.Board.Region:
+		// A host of an older build refuses requests that entered in its own region.
+		return notSentResult(errors.New("host serves no requests of its own region for others"))
 	}
 	if end.Code != fault.RelayError && end.Code != fault.Leaving && end.Code != fault.NotReady {
 		// The refusal holds for the whole region, so its other hosts are not tried.
