Continue streams elsewhere as soon as their host finds that it is cut off

Callers of streams that had begun at a host that lost the path to its endpoints received nothing for three gaps of the route or 1.75 s more than one, though the host finds after about a second that it can reach no endpoint. It now interrupts the attempts at endpoints out of its reach, which decide anew whether to wait on; those that may not be repeated do. A single endpoint out of reach interrupts nothing, as it may only be silent.

--- a/internal/serve/node/cut_test.go
+++ b/internal/serve/node/cut_test.go
@@ -276,3 +276,67 @@
 		}
 	}
 }
+
+// TestStreamsWaitAtEndpointsOutOfReach: begun streams continue elsewhere once their host finds that
+// it is cut off, and not only after the silence that the route allows.
+func TestStreamsWaitAtEndpointsOutOfReach(t *testing.T) {
+	t.Parallel()
+	const longestGap, events = 2 * time.Second, 40
+	e := &endpointPaths{kind: cutHangs, cut: map[string]bool{}, open: map[*cutConn]string{}}
+	f := startCentre(t, 3, e.dial)
+	f.endpoints = map[string]*routed.Endpoint{}
+	for i := range 4 {
+		id := fmt.Sprintf("model-a%d", i)
+		f.startEndpoint(id, "model", "a")
+		f.endpoints[id].EventCount, f.endpoints[id].EventGap = events, 100*time.Millisecond
+		f.startEndpoint(fmt.Sprintf("plain-a%d", i), "plain", "a")
+	}
+	f.eventually("all hosts are ready", func() bool {
+		for _, n := range f.nodes {
+			if !n.board.Health.Ready() || len(n.board.Registry.Endpoints("plain")) != 4 || len(n.board.Registry.Endpoints("model")) != 4 {
+				return false
+			}
+		}
+		return true
+	})
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			gap, got := f.longestGap("n1", fmt.Sprint("s", i))
+			if gap > longestGap || got != events {
+				t.Errorf("stream %d has %d events, want %d, and a gap of %v, want at most %v", i, got, events, gap, longestGap)
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	e.stop([]string{"n1"})
+	for i := range 60 {
+		wg.Go(func() { f.tryOnce("n1", fmt.Sprint("p", i), 0) })
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+}
+
+// longestGap reads a stream and returns the longest time between two of its parts, and the number
+// of its events.
+func (f *fleet) longestGap(host, id string) (longest time.Duration, events int) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.nodes[host].settings.Callers+"/stream/x", http.NoBody)
+	if err != nil {
+		return 0, 0
+	}
+	req.Host = "h"
+	req.Header.Set(platTerms.RequestID, id)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	buf, last := make([]byte, 4096), time.Now()
+	for err == nil {
+		var n int
+		n, err = resp.Body.Read(buf)
+		events += strings.Count(string(buf[:n]), "data:")
+		longest, last = max(longest, time.Since(last)), time.Now()
+	}
+	return longest, events
+}
--- a/internal/serve/node/paths.go
+++ b/internal/serve/node/paths.go
@@ -32,6 +32,9 @@
 	n.log.Warn().Bool("cut", cut).Msg("path to the endpoints of the region changed")
 	n.runner.Trigger(dutyName)
 	n.runner.Trigger(cutsName)
+	if cut {
+		n.proxy.LeaveUnreachable()
+	}
 }
 
 // shareCuts sends the reports on cut hosts to a few hosts of the fleet.
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -179,9 +179,11 @@
 		e.result.Unreachable = ctx.Err() == nil && unreachable(err) && c.Now().Sub(e.start) < dialTimeout+maxDialDelay
 		return e.result
 	}
+	c.Pool.enter(e.conn)
 	// Closing the connection tells the endpoint that the request was cancelled.
 	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() })
 	keepAlive := e.run()
+	c.Pool.leave(e.conn)
 	if stop() && keepAlive > 0 && e.requestWritten() {
 		c.Pool.put(e.conn, keepAlive)
 	} else {
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -87,8 +87,10 @@
 	now  func() time.Time
 	held *held.Account
 
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// busy holds the connections with an attempt, by address.
+	busy   map[string]map[*conn]bool
 	closed bool
 	opened uint64
 }
@@ -113,7 +115,7 @@
 	d := &net.Dialer{KeepAlive: -1, Control: setUserTimeout}
 	p := &Pool{
 		dial: func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
-		now:  time.Now, idle: map[string][]*conn{}, held: held.New(math.MaxInt, math.MaxInt, func(int) {}),
+		now:  time.Now, idle: map[string][]*conn{}, busy: map[string]map[*conn]bool{}, held: held.New(math.MaxInt, math.MaxInt, func(int) {}),
 	}
 	for _, o := range opts {
 		o(p)
@@ -270,6 +272,35 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// enter records that an attempt uses a connection, leave that it no longer does.
+func (p *Pool) enter(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[c.address] == nil {
+		p.busy[c.address] = map[*conn]bool{}
+	}
+	p.busy[c.address][c] = true
+}
+
+func (p *Pool) leave(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy[c.address], c)
+	if len(p.busy[c.address]) == 0 {
+		delete(p.busy, c.address)
+	}
+}
+
+// Interrupt ends the current wait of the attempts at an address for their answers, which then
+// decide whether to wait on or to be abandoned.
+func (p *Pool) Interrupt(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.busy[address] {
+		_ = c.SetReadDeadline(p.now())
+	}
+}
+
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -153,7 +153,7 @@
 // wait should the other endpoint refuse. A begun stream stays at an endpoint that would not
 // take it back: one that drains, is in an evacuated data centre or wants no requests.
 func (p *Proxy) mayAbandon(t *task, e regis.Endpoint, start time.Time) bool {
-	if p.Board.Health.Leaving() || (t.report.Started && !p.takesBack(t, e.ID)) {
+	if p.Board.Health.Leaving() || !t.repeatable() || (t.report.Started && !p.takesBack(t, e.ID)) {
 		return false
 	}
 	return p.hasAlternative(t, start)
--- a/internal/serve/proxy/paths.go
+++ b/internal/serve/proxy/paths.go
@@ -20,6 +20,9 @@
 	if p.Board.Paths.RecordFailed(p.Now(), e.ID) {
 		// What is sent on an idle connection now may be lost.
 		p.Client.Pool.CloseIdle(e.Address)
+		if p.Board.CutHosts.SelfCut() {
+			p.Client.Pool.Interrupt(e.Address)
+		}
 		p.Log.Info().Str("endpoint", e.ID).Str("service", e.Service).AnErr("cause", err).Msg("endpoint is unreachable")
 	}
 }
@@ -47,3 +50,13 @@
 	}
 	wg.Wait()
 }
+
+// LeaveUnreachable lets the attempts at endpoints that this host can't reach decide anew whether
+// they wait on. It is for a host that is cut off: a single endpoint may only be silent.
+func (p *Proxy) LeaveUnreachable() {
+	for _, id := range p.Board.Registry.IDs(p.Board.Region) {
+		if e, ok := p.Board.Registry.Get(id); ok && !p.Board.Paths.Reachable(id) {
+			p.Client.Pool.Interrupt(e.Address)
+		}
+	}
+}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -443,6 +443,14 @@
 	return res.refusal
 }
 
+// repeatable reports whether another attempt may follow one that may have run.
+func (t *task) repeatable() bool {
+	if t.report.Started {
+		return t.resumes() && t.release != nil
+	}
+	return t.Route.Retryable()
+}
+
 // noRetryReason returns why the request must not be retried, or an empty string if
 // it may be. The text is logged under the key outcome.
 func (p *Proxy) noRetryReason(t *task) string {
