--- a/internal/board/frail/frail.go
+++ b/internal/board/frail/frail.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// memory is how long a service stays brittle without an answer or a report that says so.
+	// memory is how long a service stays brittle without an answer or a report that confirms it.
 	memory = 30 * time.Second
-	// reportAge is how long what an answer said is reported to peer hosts.
+	// reportAge is how long an announcement is reported to peer hosts.
 	reportAge = 2 * time.Second
 	// easeTime is the time after the end in which the room is given back.
 	easeTime = 3 * time.Second
@@ -22,7 +22,7 @@
 	maxServices = 1024
 )
 
-// Report is what an answer of an endpoint of a service said.
+// Report is the announcement in an answer of an endpoint of a service, or that there was none.
 type Report struct {
 	Service string
 	// Limit is the number of requests that an endpoint may turn away in a second, nil if the
@@ -34,7 +34,7 @@
 type state struct {
 	brittle bool
 	limit   int
-	// at is when that was last said, and own whether in an answer to this host.
+	// at is when that was last announced, and own whether in an answer to this host.
 	at  time.Time
 	own bool
 	// since is when the service became brittle, or no longer.
@@ -50,7 +50,7 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{states: map[string]*state{}} }
 
-// Record records what an answer to a request that was sent at a time said, nil for nothing, and
+// Record records what an answer to a request that was sent at a time announced, nil for nothing, and
 // reports whether that changed the state of the service. Answers overtake each other, so only one
 // to a later request ends the brittle time.
 func (t *Table) Record(now time.Time, service string, limit *int, sent time.Time) bool {
@@ -113,7 +113,7 @@
 	return min(1, max(0, float64(now.Sub(ended))/float64(easeTime)))
 }
 
-// Reports returns what answers to this host said lately, to report to peer hosts.
+// Reports returns the announcements in recent answers to this host, to report to peer hosts.
 func (t *Table) Reports(now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/board/paths/paths.go
+++ b/internal/board/paths/paths.go
@@ -216,8 +216,12 @@
 func (t *Table) Sync(ids []string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	registered := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		registered[id] = true
+	}
 	for id, p := range t.paths {
-		if slices.Contains(ids, id) {
+		if registered[id] {
 			continue
 		}
 		if !p.failedAt.IsZero() {
--- a/internal/route/room/room_test.go
+++ b/internal/route/room/room_test.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// TestAnnouncedLoadFellsEndpoints: the play tells decisions apart.
+// TestAnnouncedLoadFellsEndpoints: decisions by announced loads fail in the same play.
 func TestAnnouncedLoadFellsEndpoints(t *testing.T) {
 	falls, served := play(7, func(h *host, e int, _ func(int) int) bool { return h.inFlight[e]+h.peers[e] < slotsPer })
 	t.Logf("%d falls, %.3f served", falls, served)
--- a/internal/serve/node/cut_test.go
+++ b/internal/serve/node/cut_test.go
@@ -112,21 +112,6 @@
 	clear(e.cut)
 }
 
-// tries counts the first attempts of callers.
-type tries struct {
-	mu           sync.Mutex
-	sent, served int
-}
-
-func (c *tries) add(served bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sent++
-	if served {
-		c.served++
-	}
-}
-
 const (
 	cutTime = 9 * time.Second
 	// answerTime is the time within which a caller wants an answer.
@@ -179,7 +164,7 @@
 	for _, name := range cut {
 		isCut[name] = true
 	}
-	var atCut, atOthers tries
+	var atCut, atOthers soundCount
 	var wg sync.WaitGroup
 	begin := time.Now()
 	stopped := false
--- a/internal/serve/node/frail.go
+++ b/internal/serve/node/frail.go
@@ -24,7 +24,7 @@
 	return out
 }
 
-// receiveFrail records what endpoints said to a peer host of the region of their brittleness.
+// receiveFrail records what a peer host of the region received of brittle services.
 func (n *Node) receiveFrail(now time.Time, from string, list []wire.FrailService) {
 	for _, w := range list {
 		r := frail.Report{Service: w.Service, Age: time.Duration(w.AgeMS) * time.Millisecond}
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -85,7 +85,7 @@
 		t.report.Sent++
 	}
 	p.recordResult(t, d, out, start)
-	p.recordWhatBroke(t, e, out, start, writes)
+	p.recordFindings(t, e, out, start, writes)
 	if p.Board.Frail.Share(p.Now(), t.Service) < 1 {
 		p.wakeNext(t.Service)
 	}
@@ -99,9 +99,9 @@
 	return endpointResult(out)
 }
 
-// recordWhatBroke records what an attempt shows of the path to the endpoint, and of the request
-// and the parts of its prompt as causes of the endpoint's end. writes counts the writes of events.
-func (p *Proxy) recordWhatBroke(t *task, e regis.Endpoint, out pool.Result, start time.Time, writes int) {
+// recordFindings records whether the endpoint could be reached, and whether the request and the
+// parts of its prompt may be the cause of its end. writes counts the writes of events.
+func (p *Proxy) recordFindings(t *task, e regis.Endpoint, out pool.Result, start time.Time, writes int) {
 	if out.Unreachable {
 		p.recordUnreachable(e, out.Err)
 	}
@@ -255,10 +255,10 @@
 	p.Meter.LimitedEndpoints.Set(float64(p.Board.Endpoints.CountLimited(now)))
 }
 
-// recordBrittle records what an answer says of the brittleness of the service's endpoints.
+// recordBrittle records whether an answer announces that the service's endpoints are brittle.
 func (p *Proxy) recordBrittle(t *task, e regis.Endpoint, n pool.Notice, sent time.Time) {
 	if n.Brittle == nil && (n.Failed || n.Malformed != "") {
-		// An answer of an endpoint that could not serve need not say it.
+		// An answer of an endpoint that could not serve need not announce it.
 		return
 	}
 	if p.Board.Frail.Record(p.Now(), e.Service, n.Brittle, sent) {
--- a/internal/serve/proxy/paths_test.go
+++ b/internal/serve/proxy/paths_test.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// TestOlderPeerRefusesOwnRegion: a caller is not told that its request is bad because a host of an
-// older build does not serve requests of its region for others.
+// TestOlderPeerRefusesOwnRegion: the refusal of a host of an older build, which serves no requests
+// of its region for others, does not reach the caller as a bad request.
 func TestOlderPeerRefusesOwnRegion(t *testing.T) {
 	p, route := pathsPlay(time.Unix(1_000_000, 0))
 	task := &task{Request: Request{Route: route}, tried: map[string]bool{}}
