Refuse relayed requests whose endpoints ended for the whole region

A region whose endpoints of a service have ended refused relayed requests as not ready, which holds for one host, so the sender went on to the next hosts of that region, a round trip each, before it gave up. Only a host that is cut off refuses so now. A row of TestWhoServesRequestsOfCutHosts failed before.

--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -143,6 +143,16 @@
 	return ""
 }
 
+// unreachableRefusal returns the refusal of a request whose endpoints are all out of reach. Only
+// that of a host that is cut off does not hold for the other hosts of its region.
+func (p *Proxy) unreachableRefusal() *fault.Refusal {
+	code := fault.NoEndpoint
+	if p.Board.CutHosts.SelfCut() {
+		code = fault.NotReady
+	}
+	return fault.New(code, fault.RanNo, "host reaches no endpoint").WithRetryAfter(defaultRetryAfter)
+}
+
 func noEndpoint() *fault.Refusal {
 	return fault.New(fault.NoEndpoint, fault.RanNo, "no endpoint accepts the request").WithRetryAfter(defaultRetryAfter)
 }
@@ -227,7 +237,7 @@
 	service := p.service(t.Service)
 	reachable, skipped := p.localEndpoints(t, lastResort)
 	if len(reachable) == 0 && skipped {
-		return decision{unreachable: true, refusal: fault.New(fault.NotReady, fault.RanNo, "host reaches no endpoint").WithRetryAfter(defaultRetryAfter)}
+		return decision{unreachable: true, refusal: p.unreachableRefusal()}
 	}
 	found := p.candidates(now, t, req, service, reachable)
 	list, endpoints := found.list, found.endpoints
--- a/internal/serve/proxy/paths_test.go
+++ b/internal/serve/proxy/paths_test.go
@@ -45,7 +45,9 @@
 	for _, tt := range []struct {
 		name string
 		// unreached is the number of local endpoints out of reach.
-		unreached        int
+		unreached int
+		// otherService reports whether endpoints of another service are in reach.
+		otherService     bool
 		peerCut, farCut  bool
 		homes            []string
 		relayed          bool
@@ -62,10 +64,17 @@
 		{name: "all hosts cut off", unreached: 9, peerCut: true, farCut: true, own: 1},
 		{name: "home region only", unreached: 9, peerCut: true, homes: []string{"r"}, own: 1},
 		{name: "relayed", unreached: 9, relayed: true, refused: fault.NotReady},
+		{name: "endpoints of one service ended", unreached: 9, otherService: true, far: 1},
+		{name: "relayed, endpoints of one service ended", unreached: 9, otherService: true, relayed: true, refused: fault.NoEndpoint},
 		{name: "relayed, few in reach", unreached: 8, relayed: true, own: 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			p, route := pathsPlay(now, tt.homes...)
+			for i := range 9 {
+				if tt.otherService {
+					p.Board.Registry.Put(regis.Endpoint{ID: fmt.Sprint("other", i), Service: "other", Centre: "r", Region: "r", Slots: 6, Revision: uint64(i + 1)})
+				}
+			}
 			for i := range tt.unreached {
 				p.Board.Paths.RecordFailed(now, fmt.Sprint("r", i))
 			}
