Wait until the process has stopped in the test of a frozen home

Traced: in one failure the caller got its whole answer, so the process had not stopped when it was sent. SIGSTOP only requests the stop.

--- a/internal/serve/host/process_test.go
+++ b/internal/serve/host/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,6 +102,25 @@
 	}
 }
 
+// pause stops a host's process and waits until all its threads have stopped, as the signal only
+// requests it.
+func (f *fleet) pause(name string) {
+	f.t.Helper()
+	f.signal(name, syscall.SIGSTOP)
+	f.eventually(name+" has stopped", func() bool {
+		files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", f.procs[name].cmd.Process.Pid))
+		if err != nil || len(files) == 0 {
+			return false
+		}
+		return !slices.ContainsFunc(files, func(file string) bool {
+			stat, err := os.ReadFile(file)
+			// The state follows the name in parentheses.
+			i := strings.LastIndex(string(stat), ") ")
+			return err != nil || i < 0 || stat[i+2] != 'T'
+		})
+	})
+}
+
 // kill sends SIGKILL to a host's process and waits until it has ended.
 func (f *fleet) kill(name string) {
 	f.t.Helper()
@@ -182,7 +202,7 @@
 	if r := f.sendOperation("a2", prefix+".before"); r.status != 200 {
 		t.Fatalf("before: %d %q", r.status, r.body)
 	}
-	f.signal("a1", syscall.SIGSTOP)
+	f.pause("a1")
 	p := f.sendOperation("a2", prefix+".frozen", withHeader("X-Request-Timeout", "1000")).problem(t)
 	if p.Error.Ran != "unknown" {
 		t.Errorf("new operation at a paused home host: got %+v, want ran unknown", p)
