--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -119,8 +119,8 @@
 	return p.chooseDetour(now, t, req), true
 }
 
-// spreadRegion returns another region for a request of a region of which only few endpoints are in
-// reach, empty if these few are to serve it. Regions get requests by the slots in reach.
+// spreadRegion returns another region for a request, empty if the few local endpoints that are left
+// in reach are to serve it. Regions get requests by the slots in reach.
 func (p *Proxy) spreadRegion(now time.Time, t *task) string {
 	if !t.mayCross {
 		return ""
@@ -351,8 +351,8 @@
 }
 
 // prefixRegion returns the other region that the request is best relayed to because of
-// its prompt prefix, empty if there is none or the local decision suits the prefix. It considers the endpoints that have the
-// prefix cached, or all endpoints if none has.
+// its prompt prefix, empty if there is none or the local decision suits the prefix. It
+// considers the endpoints that have the prefix cached, or all endpoints if none has.
 func (p *Proxy) prefixRegion(t *task, req pick.Request, local decision, remotes []pick.Region) string {
 	if local.refusal != nil || local.prefixCached || !hasLongPrefix(req) || len(remotes) == 0 {
 		return ""
@@ -494,8 +494,8 @@
 // roomRetryAfter is the retry delay given to callers for which there is no room.
 const roomRetryAfter = 200 * time.Millisecond
 
-// waitForRoom decides on a request for which no endpoint has room: it waits at this host, with
-// requests of other hosts given back to these, unless it can't be served in time.
+// waitForRoom decides on a request for which no endpoint has room: it waits at the host that its
+// caller is connected to, which may use all regions, unless it can't be served in time.
 func (p *Proxy) waitForRoom(now time.Time, t *task, s *rules.Service, endpoints []regis.Endpoint) decision {
 	full := decision{full: true, refusal: fault.New(fault.Busy, fault.RanNo, "endpoints have no room").WithRetryAfter(roomRetryAfter)}
 	if !t.mayCross {
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -27,10 +27,10 @@
 	// stream counts as silent, at least one and minSilence: sound endpoints are silent for a
 	// second or so at times and then continue.
 	silentGaps = 3
+	minSilence = 1750 * time.Millisecond
 	// suspectAfter is the time without an answer after which the path to the endpoint is
 	// checked, unless the endpoint sends something to other attempts.
 	suspectAfter = 300 * time.Millisecond
-	minSilence   = 1750 * time.Millisecond
 )
 
 // attemptLocal makes an attempt at a local endpoint, at which choose has counted it.
--- a/internal/serve/proxy/poison.go
+++ b/internal/serve/proxy/poison.go
@@ -27,8 +27,8 @@
 type suspects struct {
 	// parts are those of the prompt parts that other requests may have too.
 	parts []poison.Key
-	// repeat is that of the request as its caller repeats it, alike that of the requests of all
-	// callers for its path and body.
+	// repeat is that of the request as its caller repeats it; alike is shared by the requests of
+	// all callers with the same path and body.
 	repeat, alike poison.Key
 }
 
