Decode customers and identify the callers of published routes by key

Cause: the published customers were not decoded, so a caller's key was passed on to endpoints, no customer's name was sent, and requests with unknown keys ran. Change: rules hold customers with hashed keys, priority, homes and quota; the host that takes a request looks up its key, refuses unknown or malformed ones, applies the customer's priority and homes to the route and sends the customer's name instead of the key. Without customers in the configuration nothing changes.

--- a/internal/conf/rules/rules.go
+++ b/internal/conf/rules/rules.go
@@ -51,6 +51,8 @@
 	Prompts bool
 	// Resumable reports whether a broken stream may be resumed at another endpoint.
 	Resumable bool
+	// Public reports whether requests need no customer's key.
+	Public bool
 }
 
 // Retryable reports whether a request may be run more than once.
@@ -107,12 +109,20 @@
 	Limits         Limits
 	routesByHost   map[string][]*Route
 	servicesByName map[string]*Service
+	customers      []*Customer
+	customersByKey map[KeyHash]*Customer
 }
 
+// Option sets an optional part of rules.
+type Option func(*Rules)
+
 // New returns the rules of a version, with the routes of each host name ordered by
 // descending length of their prefixes.
-func New(version uint64, routes []Route, services []Service, limits Limits) *Rules {
+func New(version uint64, routes []Route, services []Service, limits Limits, opts ...Option) *Rules {
 	r := &Rules{Version: version, Limits: limits, routesByHost: map[string][]*Route{}, servicesByName: map[string]*Service{}}
+	for _, opt := range opts {
+		opt(r)
+	}
 	for i := range routes {
 		route := routes[i]
 		r.routesByHost[route.Host] = append(r.routesByHost[route.Host], &route)
--- a/internal/conf/setup/hosted.go
+++ b/internal/conf/setup/hosted.go
@@ -78,6 +78,26 @@
 	ColdSlack float64 `toml:"cold_slack" validate:"gte=0"`
 	// DirectoryTTLS is the longest time to live of a directory answer, in seconds.
 	DirectoryTTLS float64 `toml:"directory_ttl_s" validate:"gt=0"`
+	// StrictKeys makes a host refuse customers' requests unless it has confirmed within RevokeMS,
+	// in milliseconds, that its configuration is the newest.
+	StrictKeys bool    `toml:"strict_keys"`
+	RevokeMS   float64 `toml:"revoke_ms" validate:"gt=0"`
+	// QuotaWindowS, QuotaOver and QuotaSlack bound what a customer's requests may use over all
+	// hosts: in a window of QuotaWindowS seconds, what its quota allows times 1 + QuotaOver, plus
+	// QuotaSlack.
+	QuotaWindowS float64 `toml:"quota_window_s" validate:"gt=0"`
+	QuotaOver    float64 `toml:"quota_over" validate:"gte=0"`
+	QuotaSlack   float64 `toml:"quota_slack" validate:"gte=0"`
+}
+
+// RevokePeriod returns the longest time for which a key may be served after it was taken away.
+func (b Bounds) RevokePeriod() time.Duration {
+	return time.Duration(b.RevokeMS * float64(time.Millisecond))
+}
+
+// QuotaWindow returns the window of customers' quotas.
+func (b Bounds) QuotaWindow() time.Duration {
+	return time.Duration(b.QuotaWindowS * float64(time.Second))
 }
 
 // GracePeriod returns the time from SIGTERM to SIGKILL.
@@ -87,7 +107,7 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		GraceS: 8, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 50,
-		ColdOver: 1.5, ColdSlack: 3, DirectoryTTLS: 5,
+		ColdOver: 1.5, ColdSlack: 3, DirectoryTTLS: 5, RevokeMS: 5000, QuotaWindowS: 8, QuotaOver: 0.25,
 	}
 }
 
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -63,6 +63,10 @@
 	ColdTime   string
 	// Priority is the priority of a request within an engine; 0 is the highest.
 	Priority string
+	// Key is the key by which a caller identifies its customer, CustomerName the name of that
+	// customer, which the gateway sets in requests to endpoints.
+	Key          string
+	CustomerName string
 	// Reserved lists the fields that only the gateway may set in requests to endpoints.
 	Reserved []string
 	// ReadyPath and ResolvePath are the paths of the readiness check and the directory.
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -87,13 +87,16 @@
 		return r, fault.New(fault.NoRoute, fault.RanNo, "no route for this host and path")
 	}
 	s.Board.Mixes.CountRequest(now, r.Host, r.Route.Name)
+	if refusal := s.identify(c, published, &r); refusal != nil {
+		return r, refusal
+	}
 	if r.ID == "" {
 		return r, fault.New(fault.BadRequest, fault.RanNo, "%s is missing", s.Terms.RequestID)
 	}
 	if published.Limits.MaxBodyBytes > 0 && len(c.Request.Body()) > published.Limits.MaxBodyBytes {
 		return r, fault.New(fault.TooLarge, fault.RanNo, "body of %d bytes is too large", len(c.Request.Body()))
 	}
-	return s.parseRequest(c, r, now)
+	return s.parseRequest(c, published, r, now)
 }
 
 // callerAddress returns the address of the caller without its port, empty if it has none.
@@ -114,7 +117,7 @@
 
 // parseRequest adds the service, the deadline, the prompt and the fields for the
 // endpoint to a request that has its route.
-func (s *Server) parseRequest(c *app.RequestContext, r proxy.Request, now time.Time) (proxy.Request, *fault.Refusal) {
+func (s *Server) parseRequest(c *app.RequestContext, published *rules.Rules, r proxy.Request, now time.Time) (proxy.Request, *fault.Refusal) {
 	h := &c.Request.Header
 	r.Service = r.Route.PickService(rand.Float64())
 	r.AttemptsLeft = max(1, r.Route.Attempts)
@@ -138,7 +141,10 @@
 		r.LastEventID = n
 		r.Resumes = string(h.Peek(s.Terms.Resumes))
 	}
-	r.Fields = s.endpointFields(c)
+	r.Fields = s.endpointFields(c, published)
+	if r.Customer != nil {
+		r.Fields = append(r.Fields, wire.Field{Name: s.Terms.CustomerName, Value: r.Customer.Name})
+	}
 	return r, nil
 }
 
@@ -149,14 +155,16 @@
 }
 
 // endpointFields returns the header fields that are passed to the endpoint.
-func (s *Server) endpointFields(c *app.RequestContext) []wire.Field {
+func (s *Server) endpointFields(c *app.RequestContext, published *rules.Rules) []wire.Field {
+	keyed := published.HasCustomers()
 	listed := strings.Split(string(c.Request.Header.Peek("Connection")), ",")
 	var out []wire.Field
 	c.Request.Header.VisitAll(func(k, v []byte) {
 		name := string(k)
 		matches := func(other string) bool { return strings.EqualFold(strings.TrimSpace(other), name) }
 		if slices.ContainsFunc(hopByHopFields, matches) || slices.ContainsFunc(s.Terms.Reserved, matches) ||
-			slices.ContainsFunc(listed, matches) || matches(s.Terms.Deadline) || matches(s.Terms.LastEvent) {
+			slices.ContainsFunc(listed, matches) || matches(s.Terms.Deadline) || matches(s.Terms.LastEvent) ||
+			(keyed && (matches(s.Terms.Key) || matches(s.Terms.CustomerName))) {
 			return
 		}
 		out = append(out, wire.Field{Name: name, Value: string(v)})
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -61,6 +61,8 @@
 	EntryRegion string
 	// Trial reports whether the request is the trial of a quarantined prompt part or request.
 	Trial bool
+	// Customer is the customer whose key the caller sent, nil for none and for a relayed request.
+	Customer *rules.Customer
 	// AttemptsLeft is the number of attempts that the route still allows. Attempts that
 	// certainly did not run do not count.
 	AttemptsLeft int
