--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -36,6 +36,8 @@
 type Report struct {
 	Running int
 	Queued  int
+	// Pace is how long work takes there, as a multiple of the usual time; 0 if unknown.
+	Pace float64
 	// At is when the report was made, estimated from its age.
 	At      time.Time
 	Leaving bool
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -25,6 +25,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes there at the moment, as a multiple of the usual time; 0 if
+	// the endpoint does not say.
+	Pace float64
 }
 
 // Terms holds the names of header fields and paths and the codecs of their values.
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -91,7 +91,7 @@
 	}
 	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
 		Uint64("registered", eras.Revision(e.Revision)).Str("release", e.Release).Dur("expected", d.expectedLatency).Dur("first", out.TimeToFirstByte).Int("status", out.Status).
-		Bool("reused", out.Reused).Int("running", out.Load.Running).Int("waiting", out.Load.Waiting).
+		Bool("reused", out.Reused).Int("running", out.Load.Running).Int("waiting", out.Load.Waiting).Float64("pace", out.Load.Pace).
 		Bool("limited", limited).Str("outcome", outcome(out)).Msg("attempt")
 	if out.ErrorAnswer != nil {
 		out.ErrorAnswer.Head.Endpoint = e.ID
@@ -288,7 +288,7 @@
 		if out.TimeToFirstByte > 0 {
 			at = start.Add(out.TimeToFirstByte)
 		}
-		p.Board.Endpoints.PutReport(e.ID, endpt.Report{Running: out.Load.Running, Queued: out.Load.Waiting, At: at})
+		p.Board.Endpoints.PutReport(e.ID, endpt.Report{Running: out.Load.Running, Queued: out.Load.Waiting, Pace: out.Load.Pace, At: at})
 	}
 	if out.Misdirected {
 		p.Board.Registry.MarkDraining(e.ID)
