Spill requests of plain services before all local slots are busy

A local endpoint of a plain service got every request, whatever its load, and other regions got those that local endpoints had rejected. With callers that peak region by region, the busy region rejected requests and used up the retry budget while more than half of all slots were free.

internal/route/spill makes one decision for the first attempt: send to a local endpoint, wait at the host, go to another region, or be refused at once. A view that is 250 to 600 ms old says little of the slots that are free now when work takes 30 ms, so the decision uses means over 500 ms. From 55 % of the local slots, a host sends away the share of its requests that exceeds this level. It reckons the demand as the load divided by the share that stayed, so that the decision does not swing with its own effect. Regions are filled to at most 70 % and only up to 15 points below the own level, and the share that this region sent there is not counted as their load. From 60 %, hosts keep to their part of the slots and one more; a request that finds no slot waits if it can be served within its target and is refused otherwise, with the time at which it would be admitted. Not with half of all slots free.

Not changed: retries, streams, prompts, engines, brittle services, relayed requests, endpoints that do not say how many requests they take. Requests that may not be repeated have no further attempt by this change.

--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -68,6 +68,9 @@
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if d, decided := p.choosePlain(now, t); decided {
+		return d
+	}
 	req := p.placementRequest(t)
 	local, final := p.chooseOwn(now, t, req)
 	if final {
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -86,7 +86,7 @@
 	}
 	p.recordResult(t, d, out, start)
 	p.recordFindings(t, e, out, start, writes)
-	if p.Board.Frail.Share(p.Now(), t.Service) < 1 {
+	if !t.Route.Prompts || p.Board.Frail.Share(p.Now(), t.Service) < 1 {
 		p.wakeNext(t.Service)
 	}
 	p.Log.Debug().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Uint64("version", t.Version).
--- /dev/null
+++ b/internal/serve/proxy/plain_test.go
@@ -0,0 +1,100 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+)
+
+// plainProxy returns a proxy of region r with two plain endpoints of slots slots in each of two
+// regions, and a task for them.
+func plainProxy(now *time.Time, slots int) (*Proxy, *task) {
+	p := New()
+	p.Board = board.New(*now, "h", "r", "c", 1)
+	p.Now = func() time.Time { return *now }
+	route := &rules.Route{Kind: rules.Unsafe, Target: 400 * time.Millisecond}
+	p.Board.Routes.Apply(rules.New(1, []rules.Route{*route}, []rules.Service{{Name: "s"}}, rules.Limits{}))
+	for i, id := range []string{"r1", "r2", "x1", "x2"} {
+		p.Board.Registry.Put(regis.Endpoint{ID: id, Service: "s", Centre: "c", Region: id[:1], Slots: slots, Revision: uint64(i + 1)})
+	}
+	p.Board.Endpoints.Sync(*now, []string{"r1", "r2"})
+	p.Board.Members.SetCandidates(*now, []member.Candidate{{Name: "relay", Region: "x"}})
+	p.Board.Members.Receive(*now, wire.Packet{Kind: wire.Announce, From: "relay", Incarnation: 1, Updates: []wire.Update{{Host: "relay", Life: 1, State: wire.Alive}}})
+	return p, plainTask(p)
+}
+
+func plainTask(p *Proxy) *task {
+	route := &rules.Route{Kind: rules.Unsafe, Target: 400 * time.Millisecond}
+	return &task{
+		Request:  Request{Route: route, Service: "s", Arrived: p.Now(), Deadline: p.Now().Add(2 * time.Second), AttemptsLeft: 1, LastEventID: -1},
+		mayCross: true, tried: map[string]bool{}, lastEventID: -1,
+	}
+}
+
+// TestPlainRequestsSpill guards against a region that sends its endpoints all its requests,
+// whatever their load, while another region is idle, and against changes where none are wanted.
+func TestPlainRequestsSpill(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		own, other  int
+		slots       int
+		attempts    int
+		least, most int
+	}{
+		{"own region at 10 of 12 slots, other idle", 5, 0, 6, 0, 50, 120},
+		{"both regions at 10 of 12 slots", 5, 10, 6, 0, 0, 0},
+		{"own region under half", 2, 0, 6, 0, 0, 0},
+		{"slots not known", 5, 0, 0, 0, 0, 0},
+		{"retries", 5, 0, 6, 1, 0, 0},
+	} {
+		now := time.Unix(1_000_000, 0)
+		p, _ := plainProxy(&now, tt.slots)
+		crossed := 0
+		for range 200 {
+			now = now.Add(20 * time.Millisecond)
+			p.Board.Endpoints.SetPeerLoads(now, "peer", map[string]endpt.HostLoad{"r1": {Requests: tt.own}, "r2": {Requests: tt.own}})
+			p.Board.Remotes.PutLoad(remote.Key{Region: "x", Service: "s"}, 12, float64(tt.other), now, now)
+			task := plainTask(p)
+			task.report.Attempts = tt.attempts
+			d := p.choose(task)
+			if d.region != "" {
+				crossed++
+			}
+			if d.refusal != nil || (d.wait && tt.own < 5) {
+				t.Fatalf("%s: got %+v, want the request sent", tt.name, d)
+			}
+			if d.endpoint.ID != "" {
+				p.Board.Endpoints.FinishRequest(now, d.endpoint.ID, endpt.Result{Whole: true})
+			}
+		}
+		if crossed < tt.least || crossed > tt.most {
+			t.Errorf("%s: %d of 200 requests crossed, want %d to %d", tt.name, crossed, tt.least, tt.most)
+		}
+	}
+}
+
+// TestPlainRequestWaitsForSlot guards against requests that are sent to full endpoints while no
+// region has room, and against ones that go on waiting when a slot is free.
+func TestPlainRequestWaitsForSlot(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, task := plainProxy(&now, 1)
+	for _, id := range []string{"r1", "r2"} {
+		p.Board.Endpoints.StartRequest(now, id)
+	}
+	p.Board.Remotes.PutLoad(remote.Key{Region: "x", Service: "s"}, 2, 2, now, now)
+	if d := p.choose(task); !d.wait {
+		t.Fatalf("got %+v while all slots are in use, want the request to wait", d)
+	}
+	task.queuedAt = now
+	p.Board.Endpoints.FinishRequest(now, "r2", endpt.Result{Whole: true})
+	if d := p.choose(task); d.endpoint.ID != "r2" {
+		t.Errorf("got %+v with a free slot at r2, want it sent there", d)
+	}
+}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/spill"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
@@ -128,6 +129,8 @@
 	mu     sync.Mutex
 	rand   *rand.Rand
 	queues map[string]*waitQueue
+	// spills decides on the requests of plain services; mu guards it.
+	spills *spill.Table
 }
 
 // MaxAnswer is the largest answer of an endpoint, in bytes, as large as a caller's request
@@ -140,7 +143,11 @@
 
 // New returns a Proxy. The caller sets the exported fields before use.
 func New() *Proxy {
-	return &Proxy{rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Prefixes: NewPrefixTable(), queues: map[string]*waitQueue{}}
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Proxy{
+		rand: rnd, spills: spill.New(rnd), Prefixes: NewPrefixTable(), queues: map[string]*waitQueue{},
+		RoomShare: func(_ string, number int) int { return number },
+	}
 }
 
 // Serve serves a request that a caller sent to this host. The request may be
