End attempts by whole events and a minimum rate, not by single bytes

Cause: each read extended the idle deadline of an attempt, so a byte of an unfinished event or an empty comment now and then kept a stalled stream open until its deadline. A read that timed out looked for bytes that had arrived, without a bound, so bytes closer together than a millisecond also extended a head. The idle timeout applied from the head on, so a long prompt whose engine sends the head first was given up. Change: in package pool, events with data that have not been seen before extend the idle deadline. The bytes of an unfinished event or of a whole answer add the time that they take at 4 KiB/s; one event has four idle timeouts at most. The first event has what is left of the head timeout, or an idle timeout if that is more. Bytes that arrived before a read timed out are read for 250 ms at most. An error of a read within a head is kept: the HTTP library took the line so far for a whole one and called the head malformed. Package client (inventory) counts progress alike. Ruled out: counting bytes with a cap of a multiple of the idle time only, which ends a stalled stream several times later; no bound per byte at all, which cuts a large event on a slow link.

--- a/internal/serve/client/client.go
+++ b/internal/serve/client/client.go
@@ -25,6 +25,13 @@
 	readChunkBytes = 32 << 10
 	cancelTimeout  = 2 * time.Second
 	maxResumes     = 2
+	// minRate is the rate, in bytes per second, at which the bytes of an unfinished event or of
+	// a whole answer extend the wait for its end. It is far below that of any link to an
+	// endpoint, so that large events and answers arrive, and bytes sent now and then gain nothing.
+	minRate = 4 << 10
+	// maxEventWaits bounds the wait for one event with that extension, as a multiple of the
+	// idle timeout.
+	maxEventWaits = 4
 )
 
 // The header fields and paths of the protocol between the gateway and its endpoints.
@@ -46,7 +53,9 @@
 	Fields   []wire.Field
 	Body     []byte
 	Deadline time.Time
-	// IdleTimeout bounds the time without progress, from the start of the attempt on.
+	// IdleTimeout bounds the time without progress, from the start of the attempt on. Progress
+	// is the head, each event of a stream, and the bytes of a whole answer as far as they arrive
+	// at minRate.
 	IdleTimeout time.Duration
 	// NotRunStatuses lists the statuses by which the endpoint states that it did not run the
 	// request.
@@ -257,8 +266,9 @@
 	for {
 		n, err := src.Read(buf)
 		if n > 0 {
-			r.recordProgress(e)
+			r.recordFirstByte()
 			body = append(body, buf[:n]...)
+			e.watchdog.extend(transferTime(len(body)))
 		}
 		if len(body) > r.attempt.MaxAnswerBytes {
 			return nil, fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, r.attempt.MaxAnswerBytes)
@@ -272,9 +282,8 @@
 	}
 }
 
-// recordProgress records the receipt of a part of the body.
-func (r *attemptRun) recordProgress(e *exchange) {
-	e.watchdog.restart()
+// recordFirstByte records when the first part of the body arrived.
+func (r *attemptRun) recordFirstByte() {
 	if r.result.TimeToFirstByte == 0 {
 		r.result.TimeToFirstByte = time.Since(r.start)
 	}
@@ -314,9 +323,14 @@
 // passChunk passes on the events that p completes and reports whether the stream can
 // go on.
 func (r *attemptRun) passChunk(e *exchange, p []byte, sendHead func() error) bool {
-	r.recordProgress(e)
+	r.recordFirstByte()
 	r.receivedBytes += len(p)
+	progress := r.splitter.Progress()
 	events, splitErr := r.splitter.Add(p)
+	if r.splitter.Progress() > progress {
+		e.watchdog.restart()
+	}
+	e.watchdog.extend(min(transferTime(r.splitter.Buffered()), (maxEventWaits-1)*r.attempt.IdleTimeout))
 	if len(events) > 0 {
 		err := sendHead()
 		if err == nil {
--- a/internal/serve/client/exchange.go
+++ b/internal/serve/client/exchange.go
@@ -31,11 +31,13 @@
 type watchdog struct {
 	timer       *time.Timer
 	idleTimeout time.Duration
-	fired       atomic.Bool
+	// since is the time of the last progress.
+	since time.Time
+	fired atomic.Bool
 }
 
 func newWatchdog(idleTimeout time.Duration, f func()) *watchdog {
-	w := &watchdog{idleTimeout: idleTimeout}
+	w := &watchdog{idleTimeout: idleTimeout, since: time.Now()}
 	w.timer = time.AfterFunc(idleTimeout, func() {
 		w.fired.Store(true)
 		f()
@@ -44,7 +46,18 @@
 }
 
 // restart begins a new idle timeout.
-func (w *watchdog) restart() { w.timer.Reset(w.idleTimeout) }
+func (w *watchdog) restart() {
+	w.since = time.Now()
+	w.timer.Reset(w.idleTimeout)
+}
+
+// extend adds extra to the idle timeout that began with the last progress.
+func (w *watchdog) extend(extra time.Duration) {
+	w.timer.Reset(time.Until(w.since.Add(w.idleTimeout + extra)))
+}
+
+// transferTime returns the time that n bytes may take.
+func transferTime(n int) time.Duration { return time.Duration(n) * time.Second / minRate }
 
 func (w *watchdog) stop() { w.timer.Stop() }
 
--- a/internal/serve/head/head.go
+++ b/internal/serve/head/head.go
@@ -72,8 +72,8 @@
 	lineBytes int
 	// returned reports whether the current line starts with a carriage return.
 	returned bool
-	// err is ErrTooLong after a limit was exceeded. It is kept, as the readers above drop
-	// the error of a read ahead.
+	// err is ErrTooLong after a limit was exceeded, or the error of a read. It is kept, as the
+	// readers above drop the error of a read ahead or within a line, and read on.
 	err error
 }
 
@@ -87,6 +87,9 @@
 	if m.err != nil {
 		return 0, m.err
 	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		m.err = err
+	}
 	return n, err
 }
 
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -39,6 +39,13 @@
 	// maxSkippedBytes bounds the body of each of them.
 	maxSkippedBytes = 256 << 10
 	eventStreamType = "text/event-stream"
+	// minRate is the rate, in bytes per second, at which the bytes of an unfinished event or of
+	// a whole answer extend the wait for its end. It is far below that of any link to an
+	// endpoint, so that large events and answers arrive, and bytes sent now and then gain nothing.
+	minRate = 4 << 10
+	// maxEventWaits bounds the wait for one event with that extension, as a multiple of the
+	// idle timeout.
+	maxEventWaits = 4
 	// retryAfterField is the header field with the seconds for which an endpoint wants no
 	// requests; maxPauseSeconds keeps them in the range of a time.Duration.
 	retryAfterField = "Retry-After"
@@ -60,9 +67,12 @@
 	// ID is the request ID, which the endpoint echoes.
 	ID       string
 	Deadline time.Time
-	// HeadTimeout bounds the time to the head of the answer; 0 means until Deadline.
+	// HeadTimeout bounds the time to the first event of a stream, and to the end of any other
+	// answer; 0 means until Deadline.
 	HeadTimeout time.Duration
-	// IdleTimeout bounds the wait for the next bytes of the body; 0 means until Deadline.
+	// IdleTimeout bounds the wait for the next event of a stream; 0 means until Deadline. An
+	// endpoint that has sent the head gets it for its first event too, and for the rest of an
+	// answer that is no stream.
 	IdleTimeout time.Duration
 	// Abandon decides whether the attempt fails after HeadTimeout or IdleTimeout. If it
 	// returns false, the attempt waits for the same time again. Nil means yes.
@@ -162,11 +172,11 @@
 	result  Result
 	// writeDone is closed when the background write of the request has ended, nil if
 	// there is none.
-	writeDone    chan struct{}
-	writeFailed  atomic.Bool
-	ctx          context.Context
-	readDeadline time.Time
-	// readTimeout is the timeout of the last setReadDeadline.
+	writeDone   chan struct{}
+	writeFailed atomic.Bool
+	ctx         context.Context
+	// waitStart and readTimeout are the time and the timeout of the last setReadDeadline.
+	waitStart   time.Time
 	readTimeout time.Duration
 }
 
@@ -251,6 +261,7 @@
 	if e.failedByStatus(resp) {
 		return e.consumeAnswer(resp)
 	}
+	e.awaitBody()
 	if isStream(resp) {
 		return e.passEvents(resp)
 	}
@@ -341,16 +352,37 @@
 // setReadDeadline bounds the following reads by timeout, if it is not 0, and by the
 // deadline of the attempt.
 func (e *exchange) setReadDeadline(timeout time.Duration) {
+	e.waitStart, e.readTimeout = e.client.Now(), timeout
+	e.extendReadDeadline(0)
+}
+
+// extendReadDeadline adds extra to the timeout of the last setReadDeadline.
+func (e *exchange) extendReadDeadline(extra time.Duration) {
 	deadline := e.attempt.Deadline
-	if timeout > 0 {
-		if t := e.client.Now().Add(timeout); t.Before(deadline) {
+	if e.readTimeout > 0 {
+		if t := e.waitStart.Add(e.readTimeout + extra); t.Before(deadline) {
 			deadline = t
 		}
 	}
-	e.readDeadline, e.readTimeout = deadline, timeout
+	if e.client.Now().Before(deadline) {
+		e.conn.overdue = time.Time{}
+	}
 	_ = e.conn.SetReadDeadline(deadline)
 }
 
+// transferTime returns the time that n bytes may take.
+func transferTime(n int) time.Duration { return time.Duration(n) * time.Second / minRate }
+
+// awaitBody bounds the wait for the first event of a stream, or for a whole answer, once the
+// head has arrived. An engine may send the head before it has read a long prompt, so the time
+// between two events does not apply yet.
+func (e *exchange) awaitBody() {
+	left := e.waitStart.Add(e.readTimeout).Sub(e.client.Now())
+	if e.readTimeout > 0 && left < e.attempt.IdleTimeout {
+		e.setReadDeadline(e.attempt.IdleTimeout)
+	}
+}
+
 // keepWaiting extends a read that timed out before the deadline of the attempt, unless the
 // attempt is to be abandoned.
 func (e *exchange) keepWaiting() bool {
@@ -508,6 +540,9 @@
 		n, err := resp.Body.Read(block[len(block):cap(block)])
 		if n > 0 && e.result.TimeToFirstByte == 0 {
 			e.result.TimeToFirstByte = e.client.Now().Sub(e.start)
+			if e.attempt.IdleTimeout > 0 {
+				e.setReadDeadline(e.attempt.IdleTimeout)
+			}
 		}
 		block = block[:len(block)+n]
 		if total += n; total > e.attempt.MaxAnswerBytes {
@@ -525,7 +560,7 @@
 		if err != nil {
 			return nil, err
 		}
-		e.setReadDeadline(e.attempt.IdleTimeout)
+		e.extendReadDeadline(transferTime(total))
 	}
 }
 
@@ -540,9 +575,8 @@
 	hold := e.client.Pool.held.Open(e.attempt.Address, false, func() { _ = e.conn.Close() })
 	defer hold.Close()
 	buf := make([]byte, 2<<10)
-	total, partial := 0, 0
+	total, partial, progress := 0, 0, 0
 	for {
-		e.setReadDeadline(e.attempt.IdleTimeout)
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			total += n
@@ -553,6 +587,12 @@
 				err = growErr
 			}
 			partial = splitter.Buffered()
+			// The time to pass events on to the caller is not the endpoint's, so it is not counted.
+			if splitter.Progress() > progress {
+				progress = splitter.Progress()
+				e.setReadDeadline(e.attempt.IdleTimeout)
+			}
+			e.extendReadDeadline(min(transferTime(partial), (maxEventWaits-1)*e.readTimeout))
 		}
 		if err != nil && hold.Dropped() {
 			err = held.ErrFull
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -32,6 +32,9 @@
 	tcpUserTimeoutOption = 0x12
 	// arrivedTimeout is the time to read bytes that have already arrived.
 	arrivedTimeout = time.Millisecond
+	// arrivedPeriod bounds reading them, as an endpoint that sends a byte in every
+	// arrivedTimeout would extend the wait for ever.
+	arrivedPeriod = 250 * time.Millisecond
 )
 
 // conn is a pooled connection to an endpoint. It carries one exchange at a time.
@@ -46,7 +49,9 @@
 	// onTimeout is called when a read times out. If it returns true, it has set a new
 	// deadline and the read goes on. It may be nil.
 	onTimeout func() bool
-	now       func() time.Time
+	// overdue is when a read first timed out since the deadline was last extended.
+	overdue time.Time
+	now     func() time.Time
 }
 
 // Read reads from the connection. A timeout that onTimeout extends is not seen by the
@@ -57,8 +62,14 @@
 		if n > 0 || err == nil || c.onTimeout == nil || !isTimeout(err) {
 			return n, err
 		}
-		if n := c.readArrived(p); n > 0 {
-			return n, nil
+		now := c.now()
+		if c.overdue.IsZero() {
+			c.overdue = now
+		}
+		if now.Sub(c.overdue) < arrivedPeriod {
+			if n := c.readArrived(p); n > 0 {
+				return n, nil
+			}
 		}
 		if !c.onTimeout() {
 			return n, err
@@ -257,7 +268,7 @@
 // within keepAlive.
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
 	c.exchanges++
-	c.onTimeout = nil
+	c.onTimeout, c.overdue = nil, time.Time{}
 	c.reuseBefore = p.now().Add(keepAlive)
 	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -36,10 +36,14 @@
 	done   bool
 	// consecutive reports whether event ids must be consecutive numbers from 0.
 	consecutive bool
+	// skippedID is the highest event id that was left out.
+	skippedID int
+	// progress counts the events with data, each id once.
+	progress int
 }
 
 // NewSplitter returns a splitter at the start of a stream.
-func NewSplitter() *Splitter { return &Splitter{lastID: NoID} }
+func NewSplitter() *Splitter { return &Splitter{lastID: NoID, skippedID: NoID} }
 
 // RequireConsecutive makes Add return ErrGap unless the stream's event ids are consecutive
 // numbers from 0.
@@ -87,13 +91,13 @@
 // accept parses an event, updates the last id and done, and reports whether the event
 // is new.
 func (s *Splitter) accept(event []byte) (bool, error) {
-	id, data := NoID, []byte(nil)
+	id, data, hasData := NoID, []byte(nil), false
 	for line := range bytes.Lines(event) {
 		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
 		case bytes.Equal(name, dataField):
-			data = value
+			data, hasData = value, true
 		case bytes.Equal(name, idField):
 			if n, err := strconv.Atoi(string(value)); err == nil && n >= 0 {
 				id = n
@@ -102,6 +106,10 @@
 	}
 	if id != NoID {
 		if id <= s.lastID {
+			if hasData && id > s.skippedID {
+				s.skippedID = id
+				s.progress++
+			}
 			return false, nil
 		}
 		if s.consecutive && id != s.lastID+1 {
@@ -115,9 +123,16 @@
 		}
 		s.done = true
 	}
+	if hasData {
+		s.progress++
+	}
 	return true, nil
 }
 
+// Progress returns the number of events with data so far, also those that were left out as the
+// caller has them. Comments and repeated events show no progress.
+func (s *Splitter) Progress() int { return s.progress }
+
 // LastID returns the last event id, NoID if there was none.
 func (s *Splitter) LastID() int { return s.lastID }
 
