Bound slow requests of callers, and relayed streams without events

Cause: the HTTP library's read timeout bounds each wait for bytes, so a head, a trailer or chunks that arrive byte by byte hold a connection for ever. A relay sends a frame every second while it has nothing to pass on; each extended the wait of the host that relayed the request, so a begun stream at a stalled relay lasted until its deadline. Change: connections of callers bound all waits of a request together by the read timeout. The watchdog of an exchange between hosts also bounds the time between two events of a begun, resumable stream of a published route (idle time and 3 s), and gives up only if the request can be served elsewhere; that is no failure of the relay's host, whose link is kept. Ruled out: a bound for the first event of a relayed stream, as the time that the relay expects for the prompt is not known here.

--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -12,18 +13,26 @@
 // ErrTooLong is the error of a request whose trailer or chunk size exceeds the limit.
 var ErrTooLong = errors.New("trailer or chunk size of the request is too long")
 
+// ErrTooSlow is the error of a request that did not arrive within the read timeout.
+var ErrTooSlow = errors.New("request took too long to arrive")
+
 // transporter is the library's network layer with bounds on what its parser reads.
 type transporter struct {
 	network.Transporter
-	limit   int
-	backlog *backlog
+	limit       int
+	readTimeout time.Duration
+	backlog     *backlog
 }
 
 // NewTransporter returns a network layer whose connections bound the trailer of a request
-// and the line of a chunk's size by the limit of the header, and what arrives while a request
-// runs by the limits of header and body, as the library does not.
+// and the line of a chunk's size by the limit of the header, what arrives while a request
+// runs by the limits of header and body, and the time in which a request arrives by the read
+// timeout, as the library does not.
 func NewTransporter(o *config.Options) network.Transporter {
-	return &transporter{Transporter: netpoll.NewTransporter(o), limit: o.MaxHeaderBytes, backlog: newBacklog(o.MaxHeaderBytes + o.MaxRequestBodySize)}
+	return &transporter{
+		Transporter: netpoll.NewTransporter(o), limit: o.MaxHeaderBytes, readTimeout: o.ReadTimeout,
+		backlog: newBacklog(o.MaxHeaderBytes + o.MaxRequestBodySize),
+	}
 }
 
 // ListenAndServe implements network.Transporter.
@@ -33,7 +42,9 @@
 		if c, ok := conn.(*netpoll.Conn); ok {
 			t.backlog.enter(c)
 			defer t.backlog.leave(c)
-			conn = &boundedConn{Conn: c, limit: t.limit}
+			bounded := &boundedConn{Conn: c, limit: t.limit}
+			bounded.bound(t.readTimeout)
+			conn = bounded
 		}
 		return onData(ctx, conn)
 	})
@@ -41,7 +52,9 @@
 
 // boundedConn is a connection that ends a request whose parser looks at more and more bytes
 // and takes none. The parser of trailers looks at all that have arrived again and again;
-// that of bodies looks once at all of a length that is bounded already, and takes it.
+// that of bodies looks once at all of a length that is bounded already, and takes it. The
+// library's read timeout bounds each wait for bytes; here it bounds all waits of a request
+// together, so that one that arrives byte by byte ends too.
 type boundedConn struct {
 	*netpoll.Conn
 	limit int
@@ -49,10 +62,40 @@
 	looks int
 	// single counts the bytes that were taken one by one.
 	single int
+	// readBy is when the request must have arrived, zero if there is no bound.
+	readBy time.Time
+}
+
+func (c *boundedConn) bound(timeout time.Duration) {
+	c.readBy = time.Time{}
+	if timeout > 0 {
+		c.readBy = time.Now().Add(timeout)
+	}
+}
+
+// SetReadTimeout implements network.Conn. The library sets it before it reads each request.
+func (c *boundedConn) SetReadTimeout(timeout time.Duration) error {
+	c.bound(timeout)
+	return c.Conn.SetReadTimeout(timeout)
+}
+
+// awaitBytes sets the timeout of a read that waits for n bytes.
+func (c *boundedConn) awaitBytes(n int) error {
+	if c.readBy.IsZero() || c.Len() >= n {
+		return nil
+	}
+	left := time.Until(c.readBy)
+	if left <= 0 {
+		return ErrTooSlow
+	}
+	return c.Conn.SetReadTimeout(left)
 }
 
 // Peek implements network.Reader.
 func (c *boundedConn) Peek(n int) ([]byte, error) {
+	if err := c.awaitBytes(n); err != nil {
+		return nil, err
+	}
 	c.single = 0
 	if n > c.limit {
 		if c.looks++; c.looks > 1 {
@@ -74,5 +117,8 @@
 	if c.single++; c.single > c.limit {
 		return 0, ErrTooLong
 	}
+	if err := c.awaitBytes(1); err != nil {
+		return 0, err
+	}
 	return c.Conn.ReadByte()
 }
--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -12,6 +12,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
 const (
@@ -96,10 +97,14 @@
 // host.
 var ErrCancelled = errors.New("exchange was cancelled")
 
+// ErrStalled is the error of a begun stream that was given up although the other host sent
+// frames: they had no events.
+var ErrStalled = errors.New("stream of the other host has no events")
+
 // HostFailed reports whether an error of Exchange is a failure of the other host or of the
 // link to it.
 func HostFailed(err error) bool {
-	return err != nil && !errors.Is(err, ErrSink) && !errors.Is(err, ErrCancelled)
+	return err != nil && !errors.Is(err, ErrSink) && !errors.Is(err, ErrCancelled) && !errors.Is(err, ErrStalled)
 }
 
 // relayResult returns the result of a relayed attempt that ended with end or err.
@@ -170,6 +175,24 @@
 // returns true. Otherwise it waits for FrameTimeout again, until ctx ends.
 func ExchangeUntil(
 	ctx context.Context, l *link.Link, host, address string, req wire.Request, sink client.Sink, ackTimeout time.Duration, giveUp func(acked bool) bool,
+) (*wire.End, error) {
+	return ExchangeWithin(ctx, l, host, address, req, sink, Waits{Ack: ackTimeout, GiveUp: giveUp})
+}
+
+// Waits are the bounds of an exchange.
+type Waits struct {
+	// Ack bounds the wait for the first frame.
+	Ack time.Duration
+	// Event bounds the wait for the next event of a begun stream, 0 if nothing does. Frames
+	// without events only show that the other host lives.
+	Event time.Duration
+	// GiveUp decides whether the exchange fails after a wait. Otherwise it waits again.
+	GiveUp func(acked bool) bool
+}
+
+// ExchangeWithin is like ExchangeUntil, with all bounds.
+func ExchangeWithin(
+	ctx context.Context, l *link.Link, host, address string, req wire.Request, sink client.Sink, waits Waits,
 ) (*wire.End, error) {
 	s, err := l.OpenStream(ctx, host, address)
 	if err != nil {
@@ -185,15 +208,13 @@
 		return nil, fmt.Errorf("send request to %s: %w", host, err)
 	}
 	s.Finish()
-	silence := newWatchdog(ackTimeout, giveUp, s.Expire)
+	silence := newWatchdog(waits, s.Expire)
 	defer silence.stop()
 	acked := false
 	for {
 		fr, err := s.Next(wire.MaxFrame)
 		if err != nil {
-			if !silence.asked() {
-				err = markCancelled(ctx, err, acked)
-			}
+			err = silence.explain(ctx, err, acked)
 			if HostFailed(err) {
 				l.DropConn(host)
 			}
@@ -205,7 +226,7 @@
 		if fr.End != nil {
 			return fr.End, nil
 		}
-		err = silence.pass(func() error {
+		err = silence.pass(stream.HasData(fr.Data), func() error {
 			if !acked && sink.Acked != nil {
 				sink.Acked()
 			}
@@ -232,65 +253,98 @@
 }
 
 // watchdog asks whether to give up an answer each time that no frame has arrived for a
-// while. It does not ask while a frame is passed on.
+// while, or frames without events have. It does not ask while a frame is passed on.
 type watchdog struct {
-	giveUp func(acked bool) bool
+	waits  Waits
 	expire func()
 	timer  *time.Timer
 
 	mu  sync.Mutex
 	due time.Time
+	// eventDue is zero until the first event has arrived.
+	eventDue time.Time
 	// acked reports whether a frame has arrived.
 	acked bool
 	// silent reports whether none has arrived since the last question.
 	silent bool
-	done   bool
+	// stalled reports whether the answer was given up though frames arrived.
+	stalled bool
+	done    bool
 }
 
-// newWatchdog returns a running watchdog that first asks after ackTimeout and calls expire
-// if giveUp returns true.
-func newWatchdog(ackTimeout time.Duration, giveUp func(acked bool) bool, expire func()) *watchdog {
-	w := &watchdog{giveUp: giveUp, expire: expire, due: time.Now().Add(ackTimeout)}
+// newWatchdog returns a running watchdog that first asks after waits.Ack and calls expire if
+// the answer is to be given up.
+func newWatchdog(waits Waits, expire func()) *watchdog {
+	w := &watchdog{waits: waits, expire: expire, due: time.Now().Add(waits.Ack)}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(ackTimeout, w.ask)
+	w.timer = time.AfterFunc(waits.Ack, w.ask)
 	return w
 }
 
+// next returns when the next wait ends.
+func (w *watchdog) next() time.Time {
+	if !w.eventDue.IsZero() && w.eventDue.Before(w.due) {
+		return w.eventDue
+	}
+	return w.due
+}
+
 func (w *watchdog) ask() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.done {
 		return
 	}
-	if left := time.Until(w.due); left > 0 {
+	if left := time.Until(w.next()); left > 0 {
 		w.timer.Reset(left)
 		return
 	}
-	w.silent = true
-	if w.giveUp(w.acked) {
+	now := time.Now()
+	silent := !now.Before(w.due)
+	w.silent = w.silent || silent
+	if w.waits.GiveUp(w.acked) {
+		w.stalled = !silent
 		w.expire()
 		return
 	}
-	w.due = time.Now().Add(FrameTimeout)
-	w.timer.Reset(FrameTimeout)
+	if silent {
+		w.due = now.Add(FrameTimeout)
+	}
+	if !w.eventDue.IsZero() {
+		w.eventDue = now.Add(w.waits.Event)
+	}
+	w.timer.Reset(time.Until(w.next()))
 }
 
-// pass passes a frame on.
-func (w *watchdog) pass(step func() error) error {
+// pass passes a frame on, which may have an event.
+func (w *watchdog) pass(event bool, step func() error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	err := step()
 	w.acked, w.silent = true, false
-	w.due = time.Now().Add(FrameTimeout)
+	now := time.Now()
+	w.due = now.Add(FrameTimeout)
+	if event && w.waits.Event > 0 {
+		w.eventDue = now.Add(w.waits.Event)
+	}
+	if !w.done {
+		w.timer.Reset(w.next().Sub(now))
+	}
 	return err
 }
 
-// asked reports whether no frame has arrived since the last question.
-func (w *watchdog) asked() bool {
+// explain returns the error of a read with what the watchdog knows of its cause.
+func (w *watchdog) explain(ctx context.Context, err error, acked bool) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.silent
+	switch {
+	case w.stalled:
+		return fmt.Errorf("%w: %w", ErrStalled, err)
+	case w.silent:
+		return err
+	}
+	return markCancelled(ctx, err, acked)
 }
 
 // stop ends the watchdog and waits for a running question.
--- a/internal/serve/flow/remote_test.go
+++ b/internal/serve/flow/remote_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -120,6 +121,68 @@
 	}
 }
 
+// TestStalledRelay guards against a stream that lasts until its deadline as its relay, which
+// has no events for it, sends frames, and against the loss of the link to this relay.
+func TestStalledRelay(t *testing.T) {
+	const bound = 500 * time.Millisecond
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	event := wire.Frame{Data: []byte("data: x\n\n")}
+	for _, tt := range []struct {
+		name   string
+		frame  wire.Frame
+		frames int
+		giveUp bool
+		want   bool
+		asked  int
+	}{
+		{"frames without data", wire.Frame{KeepAlive: true}, 100, true, false, 1},
+		{"comments", wire.Frame{Data: []byte(":\n\n")}, 100, true, false, 1},
+		{"frames without data, no alternative", wire.Frame{KeepAlive: true}, 12, false, true, 2},
+		{"events", event, 12, true, true, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			relay := newLink(t, ca, "relay", link.Handlers{Stream: func(_ context.Context, _ string, s *link.Stream) {
+				if _, err := s.Read(wire.MaxFrame, later()); err != nil {
+					return
+				}
+				for _, f := range []wire.Frame{{KeepAlive: true}, {Head: &wire.Head{Status: 200}}, event} {
+					_ = s.Write(f, later())
+				}
+				for range tt.frames {
+					time.Sleep(bound / 5)
+					if s.Write(tt.frame, later()) != nil {
+						return
+					}
+				}
+				_ = s.Write(wire.Frame{End: &wire.End{}}, later())
+				s.Finish()
+			}})
+			entry := newLink(t, ca, "entry", link.Handlers{})
+			asked := 0
+			sink := client.Sink{Head: func(wire.Head) error { return nil }, Data: func([]byte) error { return nil }}
+			end, err := ExchangeWithin(t.Context(), entry, "relay", relay.Address(), wire.Request{ID: "r"}, sink, Waits{
+				Ack: time.Second, Event: bound, GiveUp: func(bool) bool {
+					asked++
+					return tt.giveUp
+				},
+			})
+			if (end != nil) != tt.want || asked != tt.asked {
+				t.Errorf("whole %v, asked %d times, want %v and %d (error %v)", end != nil, asked, tt.want, tt.asked, err)
+			}
+			if !tt.want && (!errors.Is(err, ErrStalled) || HostFailed(err)) {
+				t.Errorf("error %v counts as a failure of the host: %v", err, HostFailed(err))
+			}
+			if !entry.Connected("relay") {
+				t.Error("the link to the relay is lost")
+			}
+		})
+	}
+}
+
 // TestRelayCancellationClosesCallersConnection: a request that its relay counts as cancelled
 // ends with a refusal for the caller, who has not left.
 func TestRelayCancellationClosesCallersConnection(t *testing.T) {
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -137,9 +137,7 @@
 		// have answered.
 		attempt.HeadTimeout = t.Route.Target + d.expectedLatency
 	}
-	if t.Route.Kind == rules.Stream && t.Route.Resumable && t.Route.Gap > 0 {
-		attempt.IdleTimeout = max(silentGaps*t.Route.Gap, t.Route.Gap+minSilence)
-	}
+	attempt.IdleTimeout = idleTimeout(t.Route)
 	attempt.RetryServerErrors, attempt.Resuming = retryable, t.report.Started
 	if attempt.Resuming && attempt.HeadTimeout > 0 {
 		// The target of the first token is met or missed already.
@@ -148,6 +146,15 @@
 	return attempt
 }
 
+// idleTimeout returns how long a stream of a route may be silent between two events, 0 if it may
+// be until its deadline.
+func idleTimeout(r *rules.Route) time.Duration {
+	if r.Kind != rules.Stream || !r.Resumable || r.Gap <= 0 {
+		return 0
+	}
+	return max(silentGaps*r.Gap, r.Gap+minSilence)
+}
+
 // mayAbandon reports whether a silent attempt at an endpoint is given up: another endpoint
 // would serve the request at once. A host that shuts down keeps it, as it has no time to
 // wait should the other endpoint refuse. A begun stream stays at an endpoint that would not
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -40,7 +40,12 @@
 	defer open.Close()
 	sink.Received = func() { open.Receive(p.Now()) }
 	giveUp := func(acked bool) bool { return p.givesUpRelay(t, m, start, acked) }
-	end, err := flow.ExchangeUntil(ctx, p.Link, m.Name, m.Address, p.newWireRequest(t), p.remoteSink(t, sink), timeout, giveUp)
+	waits := flow.Waits{Ack: timeout, GiveUp: giveUp}
+	if idle := idleTimeout(t.Route); idle > 0 {
+		// The relay gives up a silent endpoint after idle, and has the time for a frame then.
+		waits.Event = idle + flow.FrameTimeout
+	}
+	end, err := flow.ExchangeWithin(ctx, p.Link, m.Name, m.Address, p.newWireRequest(t), p.remoteSink(t, sink), waits)
 	p.Log.Debug().Str("request", t.ID).Str("peer", m.Name).Str("region", d.region).Str("service", t.Service).
 		Dur("first", t.report.TimeToFirstByte).Dur("heard", p.Now().Sub(m.LastSeen)).AnErr("cause", err).Msg("relayed")
 	if flow.HostFailed(err) {
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -151,6 +151,17 @@
 // Partial reports whether a partial event is buffered. Empty lines after an event are none.
 func (s *Splitter) Partial() bool { return len(bytes.Trim(s.buf, "\r\n")) > 0 }
 
+// HasData reports whether there is an event with data among whole events. Comments have none.
+func HasData(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if bytes.Equal(name, dataField) {
+			return true
+		}
+	}
+	return false
+}
+
 // LastID returns the last event id in whole events, NoID if there is none.
 func LastID(events []byte) int {
 	for {
