Take no late copy of an answer for the answer to the next request

Cause: an answer without an id counted as the request's, also on a reused connection, where it can be a late copy of an earlier answer. The next caller got another caller's answer; a late refusal said of a request that ran that it had not, and the request ran again. A request that was sent again under its id could take the copy of its first answer. Change: on a reused connection an answer without an id is skipped like one to another request. A connection is returned to the pool only if it brought the request's answer, with its id, and no other, and it carries none of its last 32 ids again. Connections to an endpoint whose answers lack ids are not reused for 10 minutes, so that skipping holds up one request at most. The stand-in routed sends late copies. Ruled out: failing the attempt at an answer without an id, which loses the request's own answer after it; new connections for retries only, as callers send a request again under its id too. TestReusesConnections sent two requests with the same id, which now get two connections; they have different ids, and two cases were added.

--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -175,6 +175,9 @@
 	writeDone   chan struct{}
 	writeFailed atomic.Bool
 	ctx         context.Context
+	// ownAnswerOnly reports whether the connection brought the answer with the request's id and
+	// no other.
+	ownAnswerOnly bool
 	// waitStart and readTimeout are the time and the timeout of the last setReadDeadline.
 	waitStart   time.Time
 	readTimeout time.Duration
@@ -194,8 +197,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() })
 	keepAlive := e.run()
 	c.Pool.leave(e.conn)
-	if stop() && keepAlive > 0 && e.requestWritten() {
-		c.Pool.put(e.conn, keepAlive)
+	if stop() && keepAlive > 0 && e.requestWritten() && e.ownAnswerOnly {
+		c.Pool.put(e.conn, attempt.ID, keepAlive)
 	} else {
 		_ = e.conn.Close()
 	}
@@ -205,7 +208,7 @@
 // connect takes a connection from the pool or opens one.
 func (e *exchange) connect() error {
 	if !e.attempt.NewConn {
-		if e.conn = e.client.Pool.get(e.attempt.Address); e.conn != nil {
+		if e.conn = e.client.Pool.get(e.attempt.Address, e.attempt.ID); e.conn != nil {
 			e.result.Reused = true
 			return nil
 		}
@@ -394,17 +397,30 @@
 }
 
 // readHead reads the head of the answer. It skips interim answers, and whole answers
-// to other requests.
+// to other requests. On a new connection, an answer without an id can only be the request's.
+// A connection is reused only if its last answer had the id of its request, so one without may
+// be a late copy of an earlier answer there. If no other follows, it was the endpoint's answer
+// after all, and connections to this endpoint are not reused for a time.
 func (e *exchange) readHead() (*http.Response, error) {
+	unnamed := false
 	for skipped := 0; ; {
 		resp, err := e.conn.reader.ReadAnswer(e.attempt.Method)
 		if err != nil {
+			if unnamed {
+				e.client.Pool.setUnnamed(e.attempt.Address)
+			}
 			return nil, err
 		}
 		id := resp.Header.Get(e.client.Terms.RequestID)
-		if id == e.attempt.ID || id == "" {
+		if id == "" && !e.result.Reused {
+			e.client.Pool.setUnnamed(e.attempt.Address)
+			return resp, nil
+		}
+		if id == e.attempt.ID {
+			e.ownAnswerOnly = skipped == 0
 			return resp, nil
 		}
+		unnamed = unnamed || id == ""
 		if skipped++; skipped > maxSkippedAnswers || keepAliveTimeout(resp) == 0 {
 			return nil, fmt.Errorf("answer belongs to another request: %q", id)
 		}
--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -200,17 +200,19 @@
 		{"endpoint's keep-alive timeout is 0", answer("a", "x", "Keep-Alive: timeout=0\r\n"), 2},
 		{"bytes after the answer", answer("a", "x") + answer("z", "extra"), 2},
 		{"stream", events("id: 0\ndata: x\n\n") + lastChunk, 1},
+		{"answer without an id", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", 2},
+		{"answer after one to another request", answer("z", "foreign") + answer("a", "x"), 2},
 		{"answer without a length", "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nx", 2},
 		{"stream without chunks", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: text/event-stream\r\n\r\ndata: x\n\n", 2},
 		{"answer without a length that asks to keep the connection", "HTTP/1.0 200 OK\r\nX-Id: a\r\nConnection: keep-alive\r\n\r\nx", 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := listen(t, tt.first, answer("a", "second"))
+			s := listen(t, tt.first, answer("b", "second"))
 			c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
 			defer c.Pool.Close()
-			for range 2 {
-				if out, _ := do(c, s.Addr().String(), nil); !out.Whole {
+			for _, id := range []string{"a", "b"} {
+				if out, _ := do(c, s.Addr().String(), func(a *Attempt) { a.ID = id }); !out.Whole {
 					t.Fatalf("answer is not whole: %v", out.Err)
 				}
 			}
@@ -260,6 +262,107 @@
 	}
 }
 
+// TestRepeatedAnswersReachNoOtherRequest guards against an answer that an endpoint sends a second
+// time, when the connection carries the next request already: the next caller must not get it,
+// also if it says that the request was not run.
+func TestRepeatedAnswersReachNoOtherRequest(t *testing.T) {
+	const own = "own answer"
+	refused := func(id string) string {
+		return "HTTP/1.1 503 No\r\n" + id + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	for _, tt := range []struct {
+		name, first, late string
+		// nextID is the id of the second request.
+		nextID string
+	}{
+		{"id of the first request", answer("a", "first"), answer("a", "late"), "b"},
+		{"another id", answer("a", "first"), answer("z", "late"), "b"},
+		{"no id", answer("a", "first"), strings.Replace(answer("a", "late"), "X-Id: a\r\n", "", 1), "b"},
+		{"chunks, no id", answer("a", "first"), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlate\r\n" + lastChunk, "b"},
+		{"stream", events("data: x\n\n") + lastChunk, events("data: late\n\n") + lastChunk, "b"},
+		{"stream, no id", answer("a", "first"), strings.Replace(events("data: late\n\n")+lastChunk, "X-Id: a\r\n", "", 1), "b"},
+		{"refusal", refused("X-Id: a\r\n"), refused("X-Id: a\r\n"), "b"},
+		{"refusal, no id", answer("a", "first"), refused(""), "b"},
+		{"refusal, the same request again", refused("X-Id: a\r\n"), refused("X-Id: a\r\n"), "a"},
+		{"answer, the same request again", answer("a", "first"), answer("a", "late"), "a"},
+		{"no id, up to the end of the connection", answer("a", "first"), "HTTP/1.1 200 OK\r\n\r\nlate", "b"},
+		{"two copies", answer("a", "first"), answer("a", "late") + answer("a", "late"), "b"},
+		{"bytes that are no answer", answer("a", "first"), "late", "b"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go serveLate(c, tt.first, tt.late, own)
+				}
+			}()
+			c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+			defer c.Pool.Close()
+			if out, _ := do(c, l.Addr().String(), nil); out.Status == 0 {
+				t.Fatalf("first request: %v", out.Err)
+			}
+			out, body := do(c, l.Addr().String(), func(a *Attempt) {
+				a.ID, a.HeadTimeout = tt.nextID, time.Second
+				if tt.nextID == "a" {
+					a.Target = "/again"
+				}
+			})
+			if body != "" && body != own || out.Ran == fault.RanNo || (out.Whole && body != own) {
+				t.Errorf("second request got %q, whole %v, ran %s (error %v), want its own answer or none, and no word that it did not run", body, out.Whole, out.Ran, out.Err)
+			}
+		})
+	}
+}
+
+// TestAnswersWithoutIDsCostOneRequest: an endpoint that leaves the id out of some answers holds
+// one request up, not each one that reuses a connection.
+func TestAnswersWithoutIDsCostOneRequest(t *testing.T) {
+	const unnamed = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	s := listen(t, answer("a", "x"), unnamed, unnamed, answer("d", "y"), unnamed)
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	for i, want := range []fault.Ran{fault.RanYes, fault.RanUnknown, fault.RanNo, fault.RanYes, fault.RanNo} {
+		out, _ := do(c, s.Addr().String(), func(a *Attempt) { a.ID, a.HeadTimeout = string(rune('a'+i)), 200*time.Millisecond })
+		if out.Ran != want {
+			t.Errorf("request %d: ran %s, want %s (error %v)", i, out.Ran, want, out.Err)
+		}
+	}
+}
+
+// serveLate answers the first request of a connection with first and each later one with late,
+// followed by the own answer. A request for /again is answered whole on any connection.
+func serveLate(c net.Conn, first, late, own string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		text := first
+		if n > 0 {
+			// The repeated answer ends up to the connection if it has no length.
+			if text = late; strings.Contains(late, "Length") || strings.Contains(late, "chunked") {
+				text += answer("b", own)
+			}
+		} else if req.RequestURI == "/again" {
+			text = answer("a", own)
+		}
+		if _, err := c.Write([]byte(text)); err != nil || n > 0 {
+			return
+		}
+	}
+}
+
 // TestSweepAndKeepAliveTimeout: an idle connection is not reused after its keep-alive
 // timeout, and Sweep closes it.
 func TestSweepAndKeepAliveTimeout(t *testing.T) {
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -4,15 +4,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 )
@@ -30,6 +34,11 @@
 	// dropped fails soon, one whose endpoint is silent for a second or so does not.
 	unackedTimeout       = 3 * time.Second
 	tcpUserTimeoutOption = 0x12
+	// maxRecent is the number of request ids that a connection remembers. A repeated answer
+	// arrives within a few exchanges.
+	maxRecent = 32
+	// unnamedPeriod is how long connections to an endpoint whose answers lack ids are not reused.
+	unnamedPeriod = 10 * time.Minute
 	// arrivedTimeout is the time to read bytes that have already arrived.
 	arrivedTimeout = time.Millisecond
 	// arrivedPeriod bounds reading them, as an endpoint that sends a byte in every
@@ -44,6 +53,8 @@
 	reader    *head.Reader
 	rawConn   syscall.RawConn
 	exchanges int
+	// recent holds the hashes of the ids of the last requests.
+	recent [maxRecent]uint64
 	// reuseBefore is the time from which the idle connection is no longer reused.
 	reuseBefore time.Time
 	// onTimeout is called when a read times out. If it returns true, it has set a new
@@ -101,9 +112,12 @@
 	mu   sync.Mutex
 	idle map[string][]*conn
 	// busy holds the connections with an attempt, by address.
-	busy   map[string]map[*conn]bool
-	closed bool
-	opened uint64
+	busy map[string]map[*conn]bool
+	// unnamed holds the addresses of endpoints whose answers lack ids, and until when
+	// connections to them are not reused: nothing tells their answers apart.
+	unnamed map[string]time.Time
+	closed  bool
+	opened  uint64
 }
 
 // Option configures a pool.
@@ -126,7 +140,7 @@
 	d := &net.Dialer{KeepAlive: -1, Control: setUserTimeout}
 	p := &Pool{
 		dial: func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
-		now:  time.Now, idle: map[string][]*conn{}, busy: map[string]map[*conn]bool{}, held: held.New(math.MaxInt, math.MaxInt, func(int) {}),
+		now:  time.Now, idle: map[string][]*conn{}, busy: map[string]map[*conn]bool{}, unnamed: map[string]time.Time{}, held: held.New(math.MaxInt, math.MaxInt, func(int) {}),
 	}
 	for _, o := range opts {
 		o(p)
@@ -157,10 +171,11 @@
 }
 
 // get removes a usable idle connection to the address from the pool and returns it. It
-// returns nil if there is none.
-func (p *Pool) get(address string) *conn {
+// returns nil if there is none. A connection that carried a request with the same id is left
+// out, as a repeated answer to that one would be taken for the answer to this one.
+func (p *Pool) get(address, id string) *conn {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, xxhash.Sum64String(id))
 		if c == nil {
 			return nil
 		}
@@ -171,17 +186,22 @@
 	}
 }
 
-// pop removes and returns the connection that became idle last.
-func (p *Pool) pop(address string) *conn {
+// pop removes and returns the connection that became idle last, of those that have not carried
+// a request with an id of this hash.
+func (p *Pool) pop(address string, id uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
+	if p.now().Before(p.unnamed[address]) {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	list := p.idle[address]
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.recent[:min(c.exchanges, maxRecent)], id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
 }
 
 // usable reports whether the idle connection is still open and has no unread bytes;
@@ -264,9 +284,17 @@
 	return nil
 }
 
-// put returns a connection to the pool after a complete exchange. It can be reused
-// within keepAlive.
-func (p *Pool) put(c *conn, keepAlive time.Duration) {
+// setUnnamed records that an answer of the endpoint at an address lacked the request's id.
+func (p *Pool) setUnnamed(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unnamed[address] = p.now().Add(unnamedPeriod)
+}
+
+// put returns a connection to the pool after a complete exchange of a request with an id. It
+// can be reused within keepAlive.
+func (p *Pool) put(c *conn, id string, keepAlive time.Duration) {
+	c.recent[c.exchanges%maxRecent] = xxhash.Sum64String(id)
 	c.exchanges++
 	c.onTimeout, c.overdue = nil, time.Time{}
 	c.reuseBefore = p.now().Add(keepAlive)
@@ -327,6 +355,7 @@
 func (p *Pool) Sweep(now time.Time) {
 	var expired []*conn
 	p.mu.Lock()
+	maps.DeleteFunc(p.unnamed, func(_ string, until time.Time) bool { return !now.Before(until) })
 	for address, list := range p.idle {
 		unexpired := list[:0]
 		for _, c := range list {
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -35,6 +35,8 @@
 	// it before the end of a plain body.
 	CutAfter int
 	CutBody  bool
+	// CutOnce leaves requests that resume a stream out of CutAfter.
+	CutOnce bool
 	// PauseAfter makes a stream silent for Pause after that many events; 0 is off.
 	PauseAfter int
 	Pause      time.Duration
@@ -46,6 +48,9 @@
 	Ending Ending
 	// Flood runs the request and sends bytes without end.
 	Flood Flood
+	// Late sends a copy of an earlier answer before the answer. Together with CutAfter, it does
+	// so only if the request resumes a stream, which is not cut then.
+	Late Late
 }
 
 // Crash makes the endpoint end as it begins to write an answer to a request with a prompt
@@ -441,6 +446,10 @@
 		e.sendUnframed(w, f.Ending, PlainParts(id))
 		return
 	}
+	if f.Late != "" {
+		e.sendAfterLate(w, f.Late, PlainParts(id))
+		return
+	}
 	if f.CutBody {
 		w.Header().Set("Content-Length", "1000")
 		_, _ = w.Write([]byte("part"))
@@ -455,9 +464,13 @@
 		e.sendUnframed(w, f.Ending, e.events(id, from+1))
 		return
 	}
+	if f.Late != "" && (f.CutAfter == 0 || from >= 0) {
+		e.sendAfterLate(w, f.Late, e.events(id, from+1))
+		return
+	}
 	flush := http.NewResponseController(w)
 	for n := from + 1; n < e.EventCount; n++ {
-		if f.CutAfter > 0 && n >= f.CutAfter {
+		if f.CutAfter > 0 && n >= f.CutAfter && (!f.CutOnce || from < 0) {
 			_, _ = w.Write([]byte("id: 99\nda"))
 			_ = flush.Flush()
 			panic(http.ErrAbortHandler)
