Test that answers with a length or chunks that break off are not whole

Cause: only answers without a length or chunks were tested on all paths; those with a length, without their last chunk or cut within it were tested in part in package pool. Change: the stand-in routed ends answers before their length or last chunk, in six ways. A table test of package node sends them to callers of HTTP/1.1 and 1.0, local, relayed and where the attempt that continues a stream breaks off too; TestOutcomes has five cases more. No code of the product is changed. An attempt that continues a stream after its last event and ends in order is whole, whatever the first attempt lacked.

--- a/internal/serve/node/ending_test.go
+++ b/internal/serve/node/ending_test.go
@@ -121,3 +121,41 @@
 		}
 	}
 }
+
+// TestBrokenFramedAnswerIsNotShownAsWhole guards against a complete success for an answer with a
+// length or chunks that broke off, also where the attempt that continues it breaks off too.
+func TestBrokenFramedAnswerIsNotShownAsWhole(t *testing.T) {
+	for _, region := range []string{"a", "b"} {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(map[string]string{"a": "local ", "b": "relayed "}[region]+version, func(t *testing.T) {
+				t.Parallel()
+				f := startFleet(t)
+				for path, service := range map[string]string{"/stream-once/x": "model", "/stream/x": "model", "/unsafe/x": "plain", "/safe/x": "plain"} {
+					endpoints := []string{service + "-a1", service + "-b1"}
+					if len(f.nodes["a"].board.Registry.Endpoints(service)) == 2 && f.endpoints[service+"-2"] == nil {
+						f.onlyIn(region, service)
+					}
+					endpoints = append(endpoints, service+"-2")
+					for _, ending := range routed.FramedEndings() {
+						id := strings.Join([]string{path, string(ending)}, " ")
+						for _, e := range endpoints {
+							f.endpoints[e].SetFault(routed.Fault{Times: 2, Ending: ending})
+						}
+						got := f.callRaw(version, path, id)
+						// An attempt that continues a stream after its last event has none to lose.
+						ended := path == "/stream/x" && (ending == routed.EndNoLast || ending == routed.EndInLast)
+						switch {
+						case ended && (!got.whole || got.body != wholeStream(id)):
+							t.Errorf("%s: got %+v, want all events", id, got)
+						case ended:
+						case service == "plain" && (got.status != 502 || !got.whole || got.body != "endpoint failed\n"):
+							t.Errorf("%s: got %+v, want status 502", id, got)
+						case service == "model" && (got.status != 200 || got.whole || !strings.HasPrefix(wholeStream(id), got.body) || !strings.HasPrefix(got.body, routed.Event(id, 0))):
+							t.Errorf("%s: got %+v, want a stream that is not whole", id, got)
+						}
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -110,6 +110,8 @@
 	return out
 }
 
+const chunkedHead = "HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 const lastChunk = "0\r\n\r\n"
 
 func do(c *Client, address string, change func(*Attempt)) (Result, string) {
@@ -161,6 +163,11 @@
 		{"stream with an empty line at its end", events("data: x\n\n", "\r\n") + lastChunk, nil, true, fault.RanYes, "", "data: x\n\n"},
 		{"stream without chunks cut within an event", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: x\n\ndata: y\n", nil, false, fault.RanUnknown, retry.Broken, "data: x\n\n"},
 		{"stream without its end", events("id: 0\ndata: x\n\n") + "Connection: close", nil, false, fault.RanUnknown, retry.Broken, "id: 0\ndata: x\n\n"},
+		{"short stream", strings.Replace(events()+"id: 0\ndata: x\n\n", "Transfer-Encoding: chunked", "Connection: close\r\nContent-Length: 99", 1), nil, false, fault.RanUnknown, retry.Broken, "id: 0\ndata: x\n\n"},
+		{"chunks without the last one", chunkedHead + "5\r\nhello\r\n", nil, false, fault.RanUnknown, retry.Broken, ""},
+		{"chunk that ends early", chunkedHead + "9\r\nhello", nil, false, fault.RanUnknown, retry.Broken, ""},
+		{"chunks that end within the last one", chunkedHead + "5\r\nhello\r\n0\r\n", nil, false, fault.RanUnknown, retry.Broken, ""},
+		{"chunks with an error status without the last one", strings.Replace(chunkedHead, "200 OK", "500 No", 1) + "5\r\nhello\r\n", nil, false, fault.RanUnknown, retry.Broken, ""},
 		{"too large", answer("a", strings.Repeat("x", 100)), func(a *Attempt) { a.MaxAnswerBytes = 10 }, false, fault.RanUnknown, retry.Oversize, ""},
 	}
 	for _, tt := range tests {
--- a/internal/stand/routed/ending.go
+++ b/internal/stand/routed/ending.go
@@ -3,11 +3,12 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 )
 
-// Ending names how an answer ends that has neither a length nor chunks, empty for an answer
-// that has one of them.
+// Ending names how an answer ends that has neither a length nor chunks, or that breaks off,
+// empty for a whole answer that has one of them.
 type Ending string
 
 // The endings. EndWhole closes the connection after the whole answer, EndEvent and EndRune
@@ -20,7 +21,24 @@
 	EndReset Ending = "reset"
 )
 
-// Endings returns all endings.
+// The endings of an answer with a length or chunks, which closes the connection before its end:
+// after a whole event or a part of the body, or within an event, and for chunks also before the
+// last chunk only, or within it.
+const (
+	EndShort      Ending = "short"
+	EndShortEvent Ending = "short event"
+	EndChunks     Ending = "chunks"
+	EndChunkEvent Ending = "chunks event"
+	EndNoLast     Ending = "no last chunk"
+	EndInLast     Ending = "within last chunk"
+)
+
+// FramedEndings returns the endings of answers with a length or chunks.
+func FramedEndings() []Ending {
+	return []Ending{EndShort, EndShortEvent, EndChunks, EndChunkEvent, EndNoLast, EndInLast}
+}
+
+// Endings returns all endings of answers without a length or chunks.
 func Endings() []Ending { return []Ending{EndWhole, EndEvent, EndRune, EndReset} }
 
 // Cut returns what of the parts of an answer, the events of a stream, is sent before this
@@ -34,13 +52,22 @@
 	if len(parts) > 1 {
 		second = parts[1]
 	}
+	chunk := func(text string) string { return strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n" }
 	switch f {
-	case EndEvent:
+	case EndEvent, EndShortEvent:
 		return first + second[:len(second)/2]
 	case EndRune:
 		return first + strings.TrimRight(second, "\n") + "é"[:1]
-	case EndReset:
+	case EndReset, EndShort:
 		return first
+	case EndChunks:
+		return chunk(first)
+	case EndChunkEvent:
+		return chunk(first + second[:len(second)/2])
+	case EndNoLast:
+		return chunk(all)
+	case EndInLast:
+		return chunk(all) + "0\r\n"
 	case EndWhole:
 	}
 	return all
@@ -71,10 +98,22 @@
 	return list
 }
 
-// sendUnframed takes the connection over and sends parts without a length, up to the ending.
-func (e *Endpoint) sendUnframed(w http.ResponseWriter, f Ending, parts []string) {
+// frame sets the header field that frames an answer with this ending.
+func (f Ending) frame(h http.Header, parts []string) {
+	switch f {
+	case EndShort, EndShortEvent:
+		h.Set("Content-Length", strconv.Itoa(len(strings.Join(parts, ""))))
+	case EndChunks, EndChunkEvent, EndNoLast, EndInLast:
+		h.Set("Transfer-Encoding", "chunked")
+	case EndWhole, EndEvent, EndRune, EndReset:
+	}
+}
+
+// sendUpTo takes the connection over and sends parts up to the ending.
+func (e *Endpoint) sendUpTo(w http.ResponseWriter, f Ending, parts []string) {
 	var head strings.Builder
 	head.WriteString("HTTP/1.1 200 OK\r\n")
+	f.frame(w.Header(), parts)
 	_ = w.Header().Write(&head)
 	head.WriteString("\r\n")
 	c, _, err := http.NewResponseController(w).Hijack()
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -44,7 +44,7 @@
 	Silent bool
 	// Drop runs the request and closes the connection without a response.
 	Drop bool
-	// Ending sends an answer without a length or chunks, up to the ending.
+	// Ending sends an answer without a length or chunks, or one that breaks off, up to the ending.
 	Ending Ending
 	// Flood runs the request and sends bytes without end.
 	Flood Flood
@@ -443,7 +443,7 @@
 		return
 	}
 	if f.Ending != "" {
-		e.sendUnframed(w, f.Ending, PlainParts(id))
+		e.sendUpTo(w, f.Ending, PlainParts(id))
 		return
 	}
 	if f.Late != "" {
@@ -461,7 +461,7 @@
 func (e *Endpoint) sendStream(w http.ResponseWriter, r *http.Request, id string, from int, f Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	if f.Ending != "" {
-		e.sendUnframed(w, f.Ending, e.events(id, from+1))
+		e.sendUpTo(w, f.Ending, e.events(id, from+1))
 		return
 	}
 	if f.Late != "" && (f.CutAfter == 0 || from >= 0) {
