Pass no answer on that states that a request which may have run did not

Cause: an endpoint's own 408, 429 or 503 without the mark of a refusal reached the caller as it was, though it may follow a run; callers read these statuses as a promise that there was none. A success with the mark counted as not run, so an unsafe request was sent again. A relay's end without a head was a complete success, and a value of ran that this build does not know counted as not run when it was combined. Change: the mark counts with an error status only; with any other the attempt fails in doubt. An endpoint's 408, 429 and 503 without it count as run, are retried like 500 where the route allows it, and reach the caller as 502 with the endpoint's body, also from relays of older builds. The mark "0", "false" or "no" is none. A whole answer of a relay needs a head. Unknown values of ran combine to unknown. Ruled out: passing a success with the mark on, which may be no answer at all; refusing 421 without the mark as doubt, as the check of the expected endpoint comes before the run. Result: TestRequestsThatMayHaveRun fails on the old code (66 lines) and passes, as do TestRelayEndsAfterTheRun (which held), TestRelayEndsEarly, TestUnknownRanOfRelay, the packages pool, proxy, flow, front and socket with the race detector, and tests of node and host on retries, refusals, pauses, relays, operations and faults without it.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -19,10 +20,12 @@
 )
 
 // Combine combines the values of two attempts at the same operation: unknown if either
-// is unknown, else yes if either is yes.
+// is unknown, else yes if either is yes. A value of another build of the program counts as unknown.
 func (r Ran) Combine(other Ran) Ran {
-	if r == RanUnknown || other == RanUnknown {
-		return RanUnknown
+	for _, v := range []Ran{r, other} {
+		if v != RanNo && v != RanYes {
+			return RanUnknown
+		}
 	}
 	if r == RanYes || other == RanYes {
 		return RanYes
@@ -77,6 +80,16 @@
 	Poisoned: 503,
 }
 
+// StatesNotRun reports whether a status guarantees callers that the request was not run and will
+// not be.
+func StatesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Codes returns every refusal code, in no particular order.
 func Codes() []Code {
 	codes := make([]Code, 0, len(statuses))
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -141,13 +141,12 @@
 	c.Data(refusalStatus(r), "text/plain; charset=utf-8", []byte(r.Message+"\n"))
 }
 
-// refusalStatus returns the HTTP status of a refusal. It uses 429 and 503, which state
-// that the request did not run, only if that is certain.
+// refusalStatus returns the HTTP status of a refusal. It uses those that state that the request
+// did not run only if that is certain.
 func refusalStatus(r *fault.Refusal) int {
 	code := r.Code.Status()
-	statesNotRun := code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests
 	switch {
-	case statesNotRun && r.Ran != fault.RanNo:
+	case fault.StatesNotRun(code) && r.Ran != fault.RanNo:
 		return http.StatusBadGateway
 	case r.Code == fault.Deadline && r.Ran == fault.RanNo:
 		return http.StatusServiceUnavailable
--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -97,6 +97,9 @@
 // host.
 var ErrCancelled = errors.New("exchange was cancelled")
 
+// ErrNoHead is the error of a whole answer without a head, which can't be passed on as a success.
+var ErrNoHead = errors.New("answer has no head")
+
 // ErrStalled is the error of a begun stream that was given up although the other host sent
 // frames: they had no events.
 var ErrStalled = errors.New("stream of the other host has no events")
@@ -208,24 +211,37 @@
 		return nil, fmt.Errorf("send request to %s: %w", host, err)
 	}
 	s.Finish()
+	end, err := readAnswer(ctx, s, sink, waits)
+	if err == nil {
+		return end, nil
+	}
+	if HostFailed(err) && !errors.Is(err, ErrNoHead) {
+		l.DropConn(host)
+	}
+	return nil, fmt.Errorf("read answer from %s: %w", host, err)
+}
+
+// readAnswer passes an answer on up to its end.
+func readAnswer(ctx context.Context, s *link.Stream, sink client.Sink, waits Waits) (*wire.End, error) {
 	silence := newWatchdog(waits, s.Expire)
 	defer silence.stop()
-	acked := false
+	acked, begun := false, false
 	for {
 		fr, err := s.Next(wire.MaxFrame)
 		if err != nil {
 			err = silence.explain(ctx, err, acked)
-			if HostFailed(err) {
-				l.DropConn(host)
-			}
 			if !acked {
 				err = fmt.Errorf("%w: %w", ErrUnacked, err)
 			}
-			return nil, fmt.Errorf("read answer from %s: %w", host, err)
+			return nil, err
 		}
 		if fr.End != nil {
+			if fr.End.Code == "" && !begun {
+				return nil, ErrNoHead
+			}
 			return fr.End, nil
 		}
+		begun = begun || fr.Head != nil
 		err = silence.pass(stream.HasData(fr.Data), func() error {
 			if !acked && sink.Acked != nil {
 				sink.Acked()
--- a/internal/serve/flow/remote_test.go
+++ b/internal/serve/flow/remote_test.go
@@ -183,6 +183,46 @@
 	}
 }
 
+// TestRelayEndsEarly guards against an answer that counts as whole though its relay ended before
+// its end, and against one that counts as not sent though the relay received the request.
+func TestRelayEndsEarly(t *testing.T) {
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	head, data := wire.Frame{Head: &wire.Head{Status: 200}}, wire.Frame{Data: []byte("data: x\n\n")}
+	for name, frames := range map[string][]wire.Frame{
+		"nothing": nil, "acknowledged": {{KeepAlive: true}}, "head": {head}, "data": {head, data}, "end without a head": {{KeepAlive: true}, {End: &wire.End{}}},
+	} {
+		for _, ending := range []func(*link.Stream){(*link.Stream).Finish, (*link.Stream).Abort, (*link.Stream).Close} {
+			relay := newLink(t, ca, "relay", link.Handlers{Stream: func(_ context.Context, _ string, s *link.Stream) {
+				if _, err := s.Read(wire.MaxFrame, later()); err == nil {
+					for _, f := range frames {
+						_ = s.Write(f, later())
+					}
+				}
+				ending(s)
+			}})
+			entry := newLink(t, ca, "entry", link.Handlers{})
+			sink := client.Sink{Head: func(wire.Head) error { return nil }, Data: func([]byte) error { return nil }}
+			end, err := Exchange(t.Context(), entry, "relay", relay.Address(), wire.Request{ID: "r"}, sink, time.Second)
+			if end != nil || err == nil || errors.Is(err, link.ErrNotSent) {
+				t.Errorf("%s: got end %+v, error %v, want an error of a request that may have run", name, end, err)
+			}
+		}
+	}
+}
+
+// TestUnknownRanOfRelay guards against a value of another build that would count as not run.
+func TestUnknownRanOfRelay(t *testing.T) {
+	for ran, want := range map[fault.Ran]fault.Ran{"": fault.RanUnknown, "partly": fault.RanUnknown, fault.RanNo: fault.RanNo} {
+		if got := RefusalFromEnd(&wire.End{Code: fault.Busy, Ran: ran}).Ran.Combine(fault.RanNo); got != want {
+			t.Errorf("ran %q: got %q, want %q", ran, got, want)
+		}
+	}
+}
+
 // TestRelayCancellationClosesCallersConnection: a request that its relay counts as cancelled
 // ends with a refusal for the caller, who has not left.
 func TestRelayCancellationClosesCallersConnection(t *testing.T) {
--- /dev/null
+++ b/internal/serve/node/ran_test.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+)
+
+// TestRequestsThatMayHaveRun guards against a second run of an unsafe request whose answer was
+// lost or is in doubt, and against a status that tells its caller that it did not run. All
+// endpoints have the fault, so that no attempt of a safe request can hide the first one's.
+func TestRequestsThatMayHaveRun(t *testing.T) {
+	lost := 502
+	tests := []struct {
+		name  string
+		fault routed.Fault
+		// status is that of unsafe requests; safe ones get one of 500 and above.
+		status int
+		body   string
+	}{
+		{"connection closed", routed.Fault{Drop: true}, lost, "endpoint failed\n"},
+		{"body cut off", routed.Fault{CutBody: true}, lost, "endpoint failed\n"},
+		{"reset within the body", routed.Fault{Ending: routed.EndReset}, lost, "endpoint failed\n"},
+		{"chunks without the last one", routed.Fault{Ending: routed.EndNoLast}, lost, "endpoint failed\n"},
+		{"500", routed.Fault{Status: 500}, 500, "failed"},
+		{"504", routed.Fault{Status: 504}, 504, "failed"},
+		{"503 without the mark", routed.Fault{Status: 503}, lost, "failed"},
+		{"429 without the mark", routed.Fault{Status: 429}, lost, "failed"},
+		{"408 without the mark", routed.Fault{Status: 408}, lost, "failed"},
+		{"200 with the mark", routed.Fault{Status: 200, Marked: true}, lost, "endpoint failed\n"},
+	}
+	for _, region := range []string{"a", "b"} {
+		where := map[string]string{"a": "local", "b": "relayed"}[region]
+		t.Run(where, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t)
+			plain, other := f.onlyIn(region, "plain")
+			model, otherModel := f.onlyIn(region, "model")
+			for _, tt := range tests {
+				for _, path := range []string{"/unsafe/x", "/unsafe-twice/x", "/safe/x", "/stream-once/x", "/stream/x"} {
+					id := fmt.Sprint(tt.name, " ", path)
+					before := len(f.runs(plain, other, model, otherModel))
+					tt.fault.Times = 9
+					for _, e := range []string{plain, other, model, otherModel} {
+						f.endpoints[e].SetFault(tt.fault)
+					}
+					status, body, err := f.call("POST", path, id, nil)
+					runs := len(f.runs(plain, other, model, otherModel)) - before
+					if fault.StatesNotRun(status) {
+						t.Errorf("%s: got status %d for a request that ran %d times", id, status, runs)
+					}
+					if runs < 1 || runs > 2 || (runs > 1 && (strings.HasPrefix(path, "/unsafe") || path == "/stream-once/x")) {
+						t.Errorf("%s: ran %d times", id, runs)
+					}
+					if strings.HasPrefix(path, "/unsafe") && (status != tt.status || body != tt.body || err != nil) {
+						t.Errorf("%s: got status %d, body %q, error %v, want %d and %q", id, status, body, err, tt.status, tt.body)
+					}
+					if path == "/safe/x" && status < 500 {
+						t.Errorf("%s: got status %d", id, status)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestRelayEndsAfterTheRun guards against a second run, or a word that there was none, when the
+// host that relayed a request ends while its endpoint runs it, or the endpoint never answers.
+func TestRelayEndsAfterTheRun(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/unsafe-twice/x", "/safe/x"} {
+		for _, ends := range []bool{true, false} {
+			t.Run(fmt.Sprint(path, " relay ends ", ends), func(t *testing.T) {
+				t.Parallel()
+				f := startFleet(t)
+				first, second := f.onlyIn("b", "plain")
+				for _, e := range []string{first, second} {
+					f.endpoints[e].SetFault(routed.Fault{Times: 9, Silent: true})
+				}
+				done := make(chan int, 1)
+				go func() {
+					status, _, _ := f.call("POST", path, "r", func(r *http.Request) {
+						if !ends {
+							r.Header.Set(platTerms.Deadline, "1500")
+						}
+					})
+					done <- status
+				}()
+				f.eventually("the request runs", func() bool { return len(f.runs(first, second)) > 0 })
+				if ends {
+					f.closeHost("b")
+				}
+				status := <-done
+				if fault.StatesNotRun(status) || status == 200 {
+					t.Errorf("got status %d", status)
+				}
+				if n := len(f.runs(first, second)); n > 1 && path != "/safe/x" {
+					t.Errorf("ran %d times", n)
+				}
+			})
+		}
+	}
+}
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -88,8 +88,8 @@
 	MaxAnswerBytes int
 	// NewConn forces a new connection.
 	NewConn bool
-	// RetryServerErrors makes a status of 500 or above fail the attempt. Otherwise such an
-	// answer is passed on.
+	// RetryServerErrors makes a status of 500 or above, 408 or 429 fail the attempt. Otherwise
+	// such an answer is passed on.
 	RetryServerErrors bool
 	// Resuming reports whether the caller has received the start of a stream, so that
 	// only a stream can continue the answer.
@@ -143,7 +143,7 @@
 	TimeToHead time.Duration
 	// LastEventID is the id of the last event passed on, Attempt.LastEventID if none was.
 	LastEventID int
-	// ErrorAnswer is the endpoint's error answer (status 500 or above) if it was not passed
+	// ErrorAnswer is the endpoint's error answer (status 500 or above, 408 or 429) if it was not passed
 	// on. It is nil if the answer is longer than readChunkBytes or of unknown length.
 	ErrorAnswer *wire.Answer
 	// EventWrites counts the writes of events to the sink, each of one or more events.
@@ -277,7 +277,7 @@
 	leaving := h.Get(c.Terms.Leaving)
 	n := Notice{
 		Leaving: leaving != "" && leaving == c.Terms.LeavingValue,
-		Failed:  resp.StatusCode >= http.StatusInternalServerError || h.Get(c.Terms.NotRun) != "",
+		Failed:  resp.StatusCode >= http.StatusInternalServerError || c.markedNotRun(h),
 	}
 	if text := h.Get(c.Terms.RateLimit); text != "" {
 		if rate, ok := c.Terms.ParseDecimal(text); ok {
@@ -303,6 +303,15 @@
 	return n
 }
 
+// markedNotRun reports whether the endpoint states that it did not run the request.
+func (c *Client) markedNotRun(h http.Header) bool {
+	switch strings.ToLower(strings.TrimSpace(h.Get(c.Terms.NotRun))) {
+	case "", "0", "false", "no":
+		return false
+	}
+	return true
+}
+
 func isStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) && resp.StatusCode == http.StatusOK
 }
@@ -434,17 +443,30 @@
 	}
 }
 
+// isError reports whether an endpoint that answers with a status has failed to serve a sound
+// request. Without the mark of a refusal, it may have run it.
+func isError(status int) bool {
+	return status >= http.StatusInternalServerError || fault.StatesNotRun(status)
+}
+
 // failedByStatus reports whether the attempt fails by the head of the answer, and
 // records the failure: the endpoint refused the request without running it, the
 // status calls for a retry, or the answer can't continue a resumed stream.
 func (e *exchange) failedByStatus(resp *http.Response) bool {
 	e.result.Misdirected = resp.StatusCode == http.StatusMisdirectedRequest
-	if e.result.Misdirected || resp.Header.Get(e.client.Terms.NotRun) != "" {
+	notRun := e.client.markedNotRun(resp.Header)
+	if e.result.Misdirected || (notRun && resp.StatusCode >= http.StatusBadRequest) {
 		e.result.Reason, e.result.Ran = retry.Refused, fault.RanNo
 		e.result.Err = fmt.Errorf("endpoint refused with status %d", resp.StatusCode)
 		return true
 	}
-	serverError := e.attempt.RetryServerErrors && resp.StatusCode >= http.StatusInternalServerError
+	if notRun {
+		// The mark and the status contradict each other, so neither is relied on.
+		e.result.Reason, e.result.Ran = retry.Status, fault.RanUnknown
+		e.result.Err = fmt.Errorf("endpoint marked an answer with status %d as not run", resp.StatusCode)
+		return true
+	}
+	serverError := e.attempt.RetryServerErrors && isError(resp.StatusCode)
 	if serverError || (e.attempt.Resuming && !isStream(resp)) {
 		e.result.Reason, e.result.Ran = retry.Status, fault.RanYes
 		e.result.Err = fmt.Errorf("endpoint answered status %d", resp.StatusCode)
@@ -463,7 +485,7 @@
 	if err != nil {
 		return 0
 	}
-	if e.result.Reason == retry.Status && resp.StatusCode >= http.StatusInternalServerError {
+	if e.result.Reason == retry.Status && isError(resp.StatusCode) {
 		e.result.ErrorAnswer = &wire.Answer{Head: answerHead(resp), Body: body}
 	}
 	return keepAliveTimeout(resp)
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -256,6 +256,10 @@
 				return nil
 			}
 			passed = true
+			if fault.StatesNotRun(h.Status) {
+				// An endpoint's answer that is passed on may come of a run, whatever its status.
+				h.Status = http.StatusBadGateway
+			}
 			t.report.Status = h.Status
 			t.report.Started = true
 			if t.Route.Kind == rules.Stream && h.Status == http.StatusOK {
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -31,6 +31,8 @@
 	RetryAfter string
 	// Status is sent as the response status after running the request; 0 is off.
 	Status int
+	// Marked marks the answer with Status as not run.
+	Marked bool
 	// CutAfter closes the connection of a stream after that many events, CutBody closes
 	// it before the end of a plain body.
 	CutAfter int
@@ -393,8 +395,7 @@
 	case f.Flood != "":
 		e.sendFlood(w, f.Flood)
 	case f.Status != 0:
-		w.WriteHeader(f.Status)
-		_, _ = w.Write([]byte("failed"))
+		e.sendStatus(w, f)
 	case strings.Contains(r.URL.Path, "stream"):
 		e.sendStream(w, r, id, from, f)
 	default:
@@ -402,6 +403,14 @@
 	}
 }
 
+func (e *Endpoint) sendStatus(w http.ResponseWriter, f Fault) {
+	if f.Marked {
+		w.Header().Set(e.Terms.NotRun, "1")
+	}
+	w.WriteHeader(f.Status)
+	_, _ = w.Write([]byte("failed"))
+}
+
 // recordRun records a run and returns the id of the event to resume after, -1 for none.
 func (e *Endpoint) recordRun(r *http.Request, id string) int {
 	body := new(strings.Builder)
