--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -39,6 +39,13 @@
 	// maxSkippedBytes bounds the body of each of them.
 	maxSkippedBytes = 256 << 10
 	eventStreamType = "text/event-stream"
+	// minRate is the rate, in bytes per second, at which the bytes of an unfinished event or of
+	// a whole answer extend the wait for its end. It is far below that of any link to an
+	// endpoint, so that large events and answers arrive, and bytes sent now and then gain nothing.
+	minRate = 4 << 10
+	// maxEventWaits bounds the wait for one event with that extension, as a multiple of the
+	// idle timeout.
+	maxEventWaits = 4
 	// retryAfterField is the header field with the seconds for which an endpoint wants no
 	// requests; maxPauseSeconds keeps them in the range of a time.Duration.
 	retryAfterField = "Retry-After"
@@ -60,9 +67,12 @@
 	// ID is the request ID, which the endpoint echoes.
 	ID       string
 	Deadline time.Time
-	// HeadTimeout bounds the time to the head of the answer; 0 means until Deadline.
+	// HeadTimeout bounds the time to the first event of a stream, and to the end of any other
+	// answer; 0 means until Deadline.
 	HeadTimeout time.Duration
-	// IdleTimeout bounds the wait for the next bytes of the body; 0 means until Deadline.
+	// IdleTimeout bounds the wait for the next event of a stream; 0 means until Deadline. An
+	// endpoint that has sent the head gets it for its first event too, and for the rest of an
+	// answer that is no stream.
 	IdleTimeout time.Duration
 	// Abandon decides whether the attempt fails after HeadTimeout or IdleTimeout. If it
 	// returns false, the attempt waits for the same time again. Nil means yes.
@@ -78,8 +88,8 @@
 	MaxAnswerBytes int
 	// NewConn forces a new connection.
 	NewConn bool
-	// RetryServerErrors makes a status of 500 or above fail the attempt. Otherwise such an
-	// answer is passed on.
+	// RetryServerErrors makes a status of 500 or above, 408 or 429 fail the attempt. Otherwise
+	// such an answer is passed on.
 	RetryServerErrors bool
 	// Resuming reports whether the caller has received the start of a stream, so that
 	// only a stream can continue the answer.
@@ -133,7 +143,7 @@
 	TimeToHead time.Duration
 	// LastEventID is the id of the last event passed on, Attempt.LastEventID if none was.
 	LastEventID int
-	// ErrorAnswer is the endpoint's error answer (status 500 or above) if it was not passed
+	// ErrorAnswer is the endpoint's error answer (status 500 or above, 408 or 429) if it was not passed
 	// on. It is nil if the answer is longer than readChunkBytes or of unknown length.
 	ErrorAnswer *wire.Answer
 	// EventWrites counts the writes of events to the sink, each of one or more events.
@@ -162,11 +172,14 @@
 	result  Result
 	// writeDone is closed when the background write of the request has ended, nil if
 	// there is none.
-	writeDone    chan struct{}
-	writeFailed  atomic.Bool
-	ctx          context.Context
-	readDeadline time.Time
-	// readTimeout is the timeout of the last setReadDeadline.
+	writeDone   chan struct{}
+	writeFailed atomic.Bool
+	ctx         context.Context
+	// ownAnswerOnly reports whether the connection brought the answer with the request's id and
+	// no other.
+	ownAnswerOnly bool
+	// waitStart and readTimeout are the time and the timeout of the last setReadDeadline.
+	waitStart   time.Time
 	readTimeout time.Duration
 }
 
@@ -184,8 +197,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() })
 	keepAlive := e.run()
 	c.Pool.leave(e.conn)
-	if stop() && keepAlive > 0 && e.requestWritten() {
-		c.Pool.put(e.conn, keepAlive)
+	if stop() && keepAlive > 0 && e.requestWritten() && e.ownAnswerOnly {
+		c.Pool.put(e.conn, attempt.ID, keepAlive)
 	} else {
 		_ = e.conn.Close()
 	}
@@ -195,7 +208,7 @@
 // connect takes a connection from the pool or opens one.
 func (e *exchange) connect() error {
 	if !e.attempt.NewConn {
-		if e.conn = e.client.Pool.get(e.attempt.Address); e.conn != nil {
+		if e.conn = e.client.Pool.get(e.attempt.Address, e.attempt.ID); e.conn != nil {
 			e.result.Reused = true
 			return nil
 		}
@@ -251,6 +264,7 @@
 	if e.failedByStatus(resp) {
 		return e.consumeAnswer(resp)
 	}
+	e.awaitBody()
 	if isStream(resp) {
 		return e.passEvents(resp)
 	}
@@ -263,7 +277,7 @@
 	leaving := h.Get(c.Terms.Leaving)
 	n := Notice{
 		Leaving: leaving != "" && leaving == c.Terms.LeavingValue,
-		Failed:  resp.StatusCode >= http.StatusInternalServerError || h.Get(c.Terms.NotRun) != "",
+		Failed:  resp.StatusCode >= http.StatusInternalServerError || c.markedNotRun(h),
 	}
 	if text := h.Get(c.Terms.RateLimit); text != "" {
 		if rate, ok := c.Terms.ParseDecimal(text); ok {
@@ -289,6 +303,15 @@
 	return n
 }
 
+// markedNotRun reports whether the endpoint states that it did not run the request.
+func (c *Client) markedNotRun(h http.Header) bool {
+	switch strings.ToLower(strings.TrimSpace(h.Get(c.Terms.NotRun))) {
+	case "", "0", "false", "no":
+		return false
+	}
+	return true
+}
+
 func isStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) && resp.StatusCode == http.StatusOK
 }
@@ -341,16 +364,37 @@
 // setReadDeadline bounds the following reads by timeout, if it is not 0, and by the
 // deadline of the attempt.
 func (e *exchange) setReadDeadline(timeout time.Duration) {
+	e.waitStart, e.readTimeout = e.client.Now(), timeout
+	e.extendReadDeadline(0)
+}
+
+// extendReadDeadline adds extra to the timeout of the last setReadDeadline.
+func (e *exchange) extendReadDeadline(extra time.Duration) {
 	deadline := e.attempt.Deadline
-	if timeout > 0 {
-		if t := e.client.Now().Add(timeout); t.Before(deadline) {
+	if e.readTimeout > 0 {
+		if t := e.waitStart.Add(e.readTimeout + extra); t.Before(deadline) {
 			deadline = t
 		}
 	}
-	e.readDeadline, e.readTimeout = deadline, timeout
+	if e.client.Now().Before(deadline) {
+		e.conn.overdue = time.Time{}
+	}
 	_ = e.conn.SetReadDeadline(deadline)
 }
 
+// transferTime returns the time that n bytes may take.
+func transferTime(n int) time.Duration { return time.Duration(n) * time.Second / minRate }
+
+// awaitBody bounds the wait for the first event of a stream, or for a whole answer, once the
+// head has arrived. An engine may send the head before it has read a long prompt, so the time
+// between two events does not apply yet.
+func (e *exchange) awaitBody() {
+	left := e.waitStart.Add(e.readTimeout).Sub(e.client.Now())
+	if e.readTimeout > 0 && left < e.attempt.IdleTimeout {
+		e.setReadDeadline(e.attempt.IdleTimeout)
+	}
+}
+
 // keepWaiting extends a read that timed out before the deadline of the attempt, unless the
 // attempt is to be abandoned.
 func (e *exchange) keepWaiting() bool {
@@ -362,17 +406,30 @@
 }
 
 // readHead reads the head of the answer. It skips interim answers, and whole answers
-// to other requests.
+// to other requests. On a new connection, an answer without an id can only be the request's.
+// A connection is reused only if its last answer had the id of its request, so one without may
+// be a late copy of an earlier answer there. If no other follows, it was the endpoint's answer
+// after all, and connections to this endpoint are not reused for a time.
 func (e *exchange) readHead() (*http.Response, error) {
+	unnamed := false
 	for skipped := 0; ; {
 		resp, err := e.conn.reader.ReadAnswer(e.attempt.Method)
 		if err != nil {
+			if unnamed {
+				e.client.Pool.setUnnamed(e.attempt.Address)
+			}
 			return nil, err
 		}
 		id := resp.Header.Get(e.client.Terms.RequestID)
-		if id == e.attempt.ID || id == "" {
+		if id == "" && !e.result.Reused {
+			e.client.Pool.setUnnamed(e.attempt.Address)
+			return resp, nil
+		}
+		if id == e.attempt.ID {
+			e.ownAnswerOnly = skipped == 0
 			return resp, nil
 		}
+		unnamed = unnamed || id == ""
 		if skipped++; skipped > maxSkippedAnswers || keepAliveTimeout(resp) == 0 {
 			return nil, fmt.Errorf("answer belongs to another request: %q", id)
 		}
@@ -386,17 +443,30 @@
 	}
 }
 
+// isError reports whether an endpoint that answers with a status has failed to serve a sound
+// request. Without the mark of a refusal, it may have run it.
+func isError(status int) bool {
+	return status >= http.StatusInternalServerError || fault.StatesNotRun(status)
+}
+
 // failedByStatus reports whether the attempt fails by the head of the answer, and
 // records the failure: the endpoint refused the request without running it, the
 // status calls for a retry, or the answer can't continue a resumed stream.
 func (e *exchange) failedByStatus(resp *http.Response) bool {
 	e.result.Misdirected = resp.StatusCode == http.StatusMisdirectedRequest
-	if e.result.Misdirected || resp.Header.Get(e.client.Terms.NotRun) != "" {
+	notRun := e.client.markedNotRun(resp.Header)
+	if e.result.Misdirected || (notRun && resp.StatusCode >= http.StatusBadRequest) {
 		e.result.Reason, e.result.Ran = retry.Refused, fault.RanNo
 		e.result.Err = fmt.Errorf("endpoint refused with status %d", resp.StatusCode)
 		return true
 	}
-	serverError := e.attempt.RetryServerErrors && resp.StatusCode >= http.StatusInternalServerError
+	if notRun {
+		// The mark and the status contradict each other, so neither is relied on.
+		e.result.Reason, e.result.Ran = retry.Status, fault.RanUnknown
+		e.result.Err = fmt.Errorf("endpoint marked an answer with status %d as not run", resp.StatusCode)
+		return true
+	}
+	serverError := e.attempt.RetryServerErrors && isError(resp.StatusCode)
 	if serverError || (e.attempt.Resuming && !isStream(resp)) {
 		e.result.Reason, e.result.Ran = retry.Status, fault.RanYes
 		e.result.Err = fmt.Errorf("endpoint answered status %d", resp.StatusCode)
@@ -415,7 +485,7 @@
 	if err != nil {
 		return 0
 	}
-	if e.result.Reason == retry.Status && resp.StatusCode >= http.StatusInternalServerError {
+	if e.result.Reason == retry.Status && isError(resp.StatusCode) {
 		e.result.ErrorAnswer = &wire.Answer{Head: answerHead(resp), Body: body}
 	}
 	return keepAliveTimeout(resp)
@@ -508,6 +578,9 @@
 		n, err := resp.Body.Read(block[len(block):cap(block)])
 		if n > 0 && e.result.TimeToFirstByte == 0 {
 			e.result.TimeToFirstByte = e.client.Now().Sub(e.start)
+			if e.attempt.IdleTimeout > 0 {
+				e.setReadDeadline(e.attempt.IdleTimeout)
+			}
 		}
 		block = block[:len(block)+n]
 		if total += n; total > e.attempt.MaxAnswerBytes {
@@ -525,7 +598,7 @@
 		if err != nil {
 			return nil, err
 		}
-		e.setReadDeadline(e.attempt.IdleTimeout)
+		e.extendReadDeadline(transferTime(total))
 	}
 }
 
@@ -540,9 +613,8 @@
 	hold := e.client.Pool.held.Open(e.attempt.Address, false, func() { _ = e.conn.Close() })
 	defer hold.Close()
 	buf := make([]byte, 2<<10)
-	total, partial := 0, 0
+	total, partial, progress := 0, 0, 0
 	for {
-		e.setReadDeadline(e.attempt.IdleTimeout)
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			total += n
@@ -553,6 +625,12 @@
 				err = growErr
 			}
 			partial = splitter.Buffered()
+			// The time to pass events on to the caller is not the endpoint's, so it is not counted.
+			if splitter.Progress() > progress {
+				progress = splitter.Progress()
+				e.setReadDeadline(e.attempt.IdleTimeout)
+			}
+			e.extendReadDeadline(min(transferTime(partial), (maxEventWaits-1)*e.readTimeout))
 		}
 		if err != nil && hold.Dropped() {
 			err = held.ErrFull
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -31,10 +31,14 @@
 	RetryAfter string
 	// Status is sent as the response status after running the request; 0 is off.
 	Status int
+	// Marked marks the answer with Status as not run.
+	Marked bool
 	// CutAfter closes the connection of a stream after that many events, CutBody closes
 	// it before the end of a plain body.
 	CutAfter int
 	CutBody  bool
+	// CutOnce leaves requests that resume a stream out of CutAfter.
+	CutOnce bool
 	// PauseAfter makes a stream silent for Pause after that many events; 0 is off.
 	PauseAfter int
 	Pause      time.Duration
@@ -42,10 +46,13 @@
 	Silent bool
 	// Drop runs the request and closes the connection without a response.
 	Drop bool
-	// Ending sends an answer without a length or chunks, up to the ending.
+	// Ending sends an answer without a length or chunks, or one that breaks off, up to the ending.
 	Ending Ending
 	// Flood runs the request and sends bytes without end.
 	Flood Flood
+	// Late sends a copy of an earlier answer before the answer. Together with CutAfter, it does
+	// so only if the request resumes a stream, which is not cut then.
+	Late Late
 }
 
 // Crash makes the endpoint end as it begins to write an answer to a request with a prompt
@@ -388,8 +395,7 @@
 	case f.Flood != "":
 		e.sendFlood(w, f.Flood)
 	case f.Status != 0:
-		w.WriteHeader(f.Status)
-		_, _ = w.Write([]byte("failed"))
+		e.sendStatus(w, f)
 	case strings.Contains(r.URL.Path, "stream"):
 		e.sendStream(w, r, id, from, f)
 	default:
@@ -397,6 +403,14 @@
 	}
 }
 
+func (e *Endpoint) sendStatus(w http.ResponseWriter, f Fault) {
+	if f.Marked {
+		w.Header().Set(e.Terms.NotRun, "1")
+	}
+	w.WriteHeader(f.Status)
+	_, _ = w.Write([]byte("failed"))
+}
+
 // recordRun records a run and returns the id of the event to resume after, -1 for none.
 func (e *Endpoint) recordRun(r *http.Request, id string) int {
 	body := new(strings.Builder)
@@ -438,7 +452,11 @@
 		return
 	}
 	if f.Ending != "" {
-		e.sendUnframed(w, f.Ending, PlainParts(id))
+		e.sendUpTo(w, f.Ending, PlainParts(id))
+		return
+	}
+	if f.Late != "" {
+		e.sendAfterLate(w, f.Late, PlainParts(id))
 		return
 	}
 	if f.CutBody {
@@ -452,12 +470,16 @@
 func (e *Endpoint) sendStream(w http.ResponseWriter, r *http.Request, id string, from int, f Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	if f.Ending != "" {
-		e.sendUnframed(w, f.Ending, e.events(id, from+1))
+		e.sendUpTo(w, f.Ending, e.events(id, from+1))
+		return
+	}
+	if f.Late != "" && (f.CutAfter == 0 || from >= 0) {
+		e.sendAfterLate(w, f.Late, e.events(id, from+1))
 		return
 	}
 	flush := http.NewResponseController(w)
 	for n := from + 1; n < e.EventCount; n++ {
-		if f.CutAfter > 0 && n >= f.CutAfter {
+		if f.CutAfter > 0 && n >= f.CutAfter && (!f.CutOnce || from < 0) {
 			_, _ = w.Write([]byte("id: 99\nda"))
 			_ = flush.Flush()
 			panic(http.ErrAbortHandler)
