--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -2,7 +2,7 @@
 // write its tables and do not call one another. Each table has its own lock. Lock
 // order when two are held: revisions, endpoints, then the leaf locks (members,
 // remotes, health, queues, registry, speeds, mixes, origins, poison,
-// frail, paths, cut hosts, acks). The lock of acks may be taken while that of members is held.
+// frail, paths, cut hosts, acks, proof). The lock of acks may be taken while that of members is held.
 package board
 
 import (
@@ -18,6 +18,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/origin"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/paths"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/poison"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/proof"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/revis"
@@ -59,6 +60,8 @@
 	CutHosts *paths.Hosts
 	// Acks is used only by hosts that relay requests of published routes.
 	Acks *acks.Table
+	// Proof is used only by hosts that accept customers' keys; New leaves it empty.
+	Proof *proof.Table
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue.Queue
--- a/internal/conf/rules/customer.go
+++ b/internal/conf/rules/customer.go
@@ -85,6 +85,9 @@
 	return c, ok
 }
 
+// HasKey reports whether a key belongs to a customer.
+func (r *Rules) HasKey(key KeyHash) bool { return r.customersByKey[key] != nil }
+
 // WithCustomer returns the route as it applies to a customer's requests, and false if no region
 // may process them, as the homes of both have none in common.
 func (r *Route) WithCustomer(c *Customer) (*Route, bool) {
--- a/internal/serve/edge/customer.go
+++ b/internal/serve/edge/customer.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
@@ -11,6 +13,22 @@
 // maxKeyBytes bounds the keys that are looked up; longer ones are refused as malformed.
 const maxKeyBytes = 256
 
+// maxUnknownAge is the longest time since the rules were last confirmed for a key that is not
+// in them to be refused for good. With older rules it may belong to a newer version.
+const maxUnknownAge = 3 * time.Second
+
+// Keys decides whether the host accepts customers' keys. Its functions must be set.
+type Keys struct {
+	// Valid reports whether a version of the rules was confirmed recently enough to accept the
+	// keys in it.
+	Valid func(version uint64) bool
+	// Age returns the time since it was last confirmed that the rules are the newest, and false if
+	// it never was.
+	Age func(now time.Time) (time.Duration, bool)
+	// Refresh requests a confirmation.
+	Refresh func()
+}
+
 // identify sets the customer of a request and applies the customer's priority and homes to its
 // route. It does nothing if no customers are published or the route is public.
 func (s *Server) identify(c *app.RequestContext, published *rules.Rules, r *proxy.Request) *fault.Refusal {
@@ -21,18 +39,33 @@
 	if refusal := checkKeyForm(s.Terms.Key, keys); refusal != nil {
 		return refusal
 	}
+	if !s.Keys.Valid(published.Version) {
+		s.Keys.Refresh()
+		return proxy.NotConfirmed()
+	}
 	customer, ok := published.Customer(keys[0])
 	if !ok {
-		return fault.New(fault.BadKey, fault.RanNo, "%s is not the key of a customer", s.Terms.Key)
+		return s.unknownKey()
 	}
 	route, ok := r.Route.WithCustomer(customer)
 	if !ok {
 		return fault.New(fault.NoRegion, fault.RanNo, "no region is a home of both the route and the customer")
 	}
-	r.Customer, r.Route = customer, route
+	r.Customer, r.Key, r.Route = customer, rules.HashKey(keys[0]), route
 	return nil
 }
 
+// unknownKey returns the refusal of a key that is not in the rules. Unless they were confirmed a
+// moment ago, the key may belong to a newer version.
+func (s *Server) unknownKey() *fault.Refusal {
+	if age, ok := s.Keys.Age(s.Now()); !ok || age > maxUnknownAge {
+		s.Keys.Refresh()
+		return fault.New(fault.NotReady, fault.RanNo, "%s is not known, and the rules may not be the newest", s.Terms.Key).
+			WithRetryAfter(proxy.ConfirmRetryAfter)
+	}
+	return fault.New(fault.BadKey, fault.RanNo, "%s is not the key of a customer", s.Terms.Key)
+}
+
 // checkKeyForm returns a refusal unless there is exactly one key of printable ASCII characters.
 func checkKeyForm(name string, keys [][]byte) *fault.Refusal {
 	switch {
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -53,6 +53,8 @@
 	Now      func() time.Time
 	// Refusing reports whether the host refuses new requests during its shutdown.
 	Refusing func() bool
+	// Keys decides whether customers' keys are accepted.
+	Keys Keys
 
 	servers []*server.Hertz
 }
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -14,10 +14,12 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/clock"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/poison"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/proof"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
@@ -67,8 +69,10 @@
 	handlers link.Handlers
 	feed     *feed.Feed
 	now      func() time.Time
-	started  time.Time
-	shares   *quota.Table
+	// boot returns the time since the machine started.
+	boot    func() time.Duration
+	started time.Time
+	shares  *quota.Table
 	// loggedMembers is the last logged status of each peer host. Only the members
 	// controller uses it.
 	loggedMembers map[string]memberStatus
@@ -100,7 +104,15 @@
 // Option configures a host.
 type Option func(*options)
 
-type options struct{ pool []pool.Option }
+type options struct {
+	pool []pool.Option
+	boot func() time.Duration
+}
+
+// WithBootClock sets the clock by which confirmations of the rules age.
+func WithBootClock(boot func() time.Duration) Option {
+	return func(o *options) { o.boot = boot }
+}
 
 // WithEndpointDial sets the function that opens a connection to an endpoint.
 func WithEndpointDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
@@ -110,7 +122,7 @@
 // New returns a host, which serves once Start has run.
 func New(s setup.Hosted, t *terms.Terms, store *feed.Feed, log zerolog.Logger, opts ...Option) (*Node, error) {
 	now := time.Now
-	var o options
+	o := options{boot: clock.Boot}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -122,10 +134,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
 	}
-	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, started: now()}
+	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, boot: o.boot, started: now()}
 	account := held.New(proxy.MaxHeld, proxy.MaxAnswer, func(bytes int) { n.meter.HeldBytes.Set(float64(bytes)) })
 	n.pool = pool.New(append(o.pool, pool.WithNow(now), pool.WithHeld(account))...)
 	n.board = board.New(now(), s.Peers, s.Region, s.Centre, 1)
+	n.board.Proof = proof.NewTable(proof.Life(s.Bounds.RevokePeriod()))
 	n.board.Members.EnableDiscovery(now(), member.Candidate{
 		Name: s.Peers, Address: s.Peers, Region: s.Region, Centre: s.Centre, Callers: s.Callers, Cores: s.Machine.Capacity(),
 	}, s.Seeds)
@@ -165,6 +178,7 @@
 	n.proxy.RoomShare = n.roomShare
 	n.shares = quota.New(n.started, quota.Host{Name: n.settings.Peers, Cores: n.settings.Machine.Capacity()})
 	n.proxy.AskOrigin, n.proxy.StoreAge = n.askOrigin, n.storeAge
+	n.proxy.KeysValid = n.keysValid
 	n.proxy.OnNews = func() { n.runner.Trigger(inFlightName) }
 	handler := &relay.Handler{
 		Board: n.board, Meter: n.meter, Log: n.log, Pool: n.relays, MaxBody: maxBodyBytes, Now: n.now, ServeRouted: n.serveRelayed,
@@ -172,7 +186,7 @@
 	}
 	n.front = &edge.Server{
 		Board: n.board, Proxy: n.proxy, Terms: t, Meter: n.meter, Log: n.log, Settings: n.settings, Now: n.now,
-		Refusing: n.refusing.Load,
+		Refusing: n.refusing.Load, Keys: edge.Keys{Valid: n.keysValid, Age: n.rulesAge, Refresh: n.refreshRules},
 	}
 	n.handlers = link.Handlers{
 		Stream: handler.Stream,
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -63,6 +63,8 @@
 	Trial bool
 	// Customer is the customer whose key the caller sent, nil for none and for a relayed request.
 	Customer *rules.Customer
+	// Key is the hash of that key.
+	Key rules.KeyHash
 	// AttemptsLeft is the number of attempts that the route still allows. Attempts that
 	// certainly did not run do not count.
 	AttemptsLeft int
@@ -116,6 +118,9 @@
 	AskOrigin func(key origin.Key)
 	// StoreAge returns the time since the store last confirmed this host's view.
 	StoreAge func(now time.Time) time.Duration
+	// KeysValid reports whether a version of the rules was confirmed recently enough to accept the
+	// keys in it.
+	KeysValid func(version uint64) bool
 	// OnNews is called when peer hosts should hear at once of a long prompt that was sent to
 	// an endpoint, or of what an endpoint says of itself; it may be nil.
 	OnNews func()
@@ -382,8 +387,8 @@
 // after a pause of the process.
 const stalePollInterval = 10 * time.Millisecond
 
-// gate returns a refusal if the deadline has passed, the caller has disconnected, or the
-// request or a part of its prompt is quarantined.
+// gate returns a refusal if the deadline has passed, the caller has disconnected, the caller's key
+// is no longer accepted, or the request or a part of its prompt is quarantined.
 // After a pause of the process it blocks until the state of endpoints and hosts is
 // refreshed.
 func (p *Proxy) gate(ctx context.Context, t *task) *fault.Refusal {
@@ -397,6 +402,9 @@
 	if ctx.Err() != nil || !p.Now().Before(t.Deadline) {
 		return p.contextRefusal(ctx)
 	}
+	if r := p.keyRefusal(t); r != nil {
+		return r
+	}
 	return p.quarantineRefusal(t)
 }
 
