--- a/internal/board/proof/proof.go
+++ b/internal/board/proof/proof.go
@@ -46,6 +46,14 @@
 	t.confirmed, t.at, t.version = true, at, version
 }
 
+// Void removes the confirmation, as the store turned out to be older than what other hosts have read
+// of it.
+func (t *Table) Void() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmed = false
+}
+
 // Age returns the time since the latest confirming read was sent, and false if there is none.
 func (t *Table) Age(now time.Duration) (time.Duration, bool) {
 	t.mu.Lock()
--- a/internal/board/proof/proof_test.go
+++ b/internal/board/proof/proof_test.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// TestVoidConfirmation guards against a confirmation by a store that turned out to be outdated.
+func TestVoidConfirmation(t *testing.T) {
+	p := NewTable(life)
+	p.Confirm(10*second, 7)
+	p.Void()
+	if _, ok := p.Age(10 * second); ok || p.Valid(10*second, 7) {
+		t.Error("a void confirmation counts")
+	}
+	p.Confirm(11*second, 8)
+	if !p.Valid(11*second, 8) {
+		t.Error("a later confirmation does not count")
+	}
+}
+
 // TestLifeIsShorterThanThePeriod guards against a life without a margin.
 func TestLifeIsShorterThanThePeriod(t *testing.T) {
 	if l := Life(5 * second); l >= 5*second || l < 4*second {
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -37,6 +37,8 @@
 	ReadAt time.Time
 	// Rules is a published version of the rules.
 	Rules *rules.Rules
+	// Version is that of published rules, also of rules that can't be decoded, as far as it can be.
+	Version uint64
 	// Endpoint is a registered endpoint.
 	Endpoint *regis.Endpoint
 	// RemovedEndpoint is the id of an endpoint whose registration was removed.
@@ -55,6 +57,8 @@
 	// Revision is the ordered revision up to which the changes are complete; the next watch
 	// starts after it.
 	Revision uint64
+	// Events is the number of events that a watch returned, with those that are not in Changes.
+	Events int
 }
 
 const (
@@ -97,6 +101,8 @@
 	// Decode decodes an item received from a peer host; it returns false for an item
 	// that the gateway does not use.
 	Decode func(it items.Item) (Change, bool)
+	// Proofs are the confirmations of the rules; its zero value is off.
+	Proofs Proofs
 	Now    func() time.Time
 	Log    zerolog.Logger
 
@@ -118,20 +124,24 @@
 	// confirmed is the time of the store's last answer to a reading host that had no change
 	// that this host lacked.
 	confirmed time.Time
-	// following reports whether the host relies on reading hosts; it is only logged.
+	// following reports whether the host relies on reading hosts.
 	following bool
+	proofs    proofState
 }
 
 // Run follows the store until the context ends.
 func (f *Feed) Run(ctx context.Context) {
 	f.startTimer(f.Now())
+	stop := f.startProofs(ctx)
+	defer stop()
 	needList := true
 	for ctx.Err() == nil {
 		if f.follows(f.Now()) {
 			ctrl.Sleep(ctx, followPoll)
 			continue
 		}
-		began, revision := f.Now(), f.currentRevision()
+		needList = f.takeRelist() || needList
+		began, sent, revision := f.Now(), f.Proofs.now(), f.currentRevision()
 		b, err := f.listOrWatch(ctx, needList, revision)
 		now := f.Now()
 		if err == nil && eras.Of(b.Revision) < eras.Of(f.currentRevision()) {
@@ -141,6 +151,8 @@
 			return
 		}
 		switch {
+		case errors.Is(err, errRelist):
+			continue
 		case errors.Is(err, ErrCompacted):
 			f.Log.Info().Str("feed", f.Name).Uint64("after", eras.Revision(revision)).Uint64("era", eras.Of(revision)).AnErr("cause", err).Msg("store has dropped the history; listing again")
 			needList = true
@@ -154,6 +166,9 @@
 			continue
 		}
 		f.recordSuccess(now, b, needList, needList && now.Sub(began) > slowListing)
+		if needList || b.Events > 0 {
+			f.confirmRules(sent)
+		}
 		needList = false
 		ctrl.Sleep(ctx, f.MinInterval-now.Sub(began))
 	}
@@ -178,7 +193,13 @@
 	if list {
 		return f.List(ctx)
 	}
-	return f.Watch(ctx, after)
+	ctx, cancel := f.watchContext(ctx)
+	defer cancel(nil)
+	b, err := f.Watch(ctx, after)
+	if errors.Is(context.Cause(ctx), errRelist) {
+		return Batch{}, errRelist
+	}
+	return b, err
 }
 
 // recordFailure records a failed call and returns the delay before the next one.
@@ -211,7 +232,11 @@
 // caller holds the lock.
 func (f *Feed) apply(now time.Time, b Batch, listing bool) {
 	list := make([]items.Item, 0, len(b.Changes))
+	if listing {
+		f.proofs.newest = 0
+	}
 	for _, c := range b.Changes {
+		f.proofs.newest = max(f.proofs.newest, c.Version)
 		it := items.Item{
 			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, ReadAt: c.ReadAt, Heartbeat: f.recordRegistration(c),
 		}
--- a/internal/serve/node/keys.go
+++ b/internal/serve/node/keys.go
@@ -1,6 +1,22 @@
 package node
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+)
+
+// maxSilentStart is how long a process that starts waits to hear from a peer host before it takes
+// what the store shows for the newest.
+const maxSilentStart = 2 * time.Second
+
+// needsProofs reports whether this host needs confirmations of its rules.
+func (n *Node) needsProofs() bool {
+	inForce := n.board.Routes.Rules()
+	return n.settings.Bounds.StrictKeys && inForce != nil && inForce.HasCustomers()
+}
 
 // keysValid reports whether a version of the rules was confirmed recently enough to accept the
 // customers' keys in it.
@@ -10,11 +26,64 @@
 
 // rulesAge returns the time since it was last confirmed that this host's rules are the newest.
 func (n *Node) rulesAge(now time.Time) (time.Duration, bool) {
+	age, ok := n.board.Proof.Age(n.boot())
 	if n.settings.Bounds.StrictKeys {
-		return n.board.Proof.Age(n.boot())
+		return age, ok
 	}
-	return n.storeAge(now), true
+	// Without strict keys, hosts are not asked for confirmations.
+	if view := n.storeAge(now); !ok || view < age {
+		age = view
+	}
+	return age, true
 }
 
 // refreshRules requests a confirmation of the rules.
-func (n *Node) refreshRules() {}
+func (n *Node) refreshRules() { n.feed.RequestProof() }
+
+// confirmRules records that a read which was sent at a time showed a version of the rules as the
+// newest, and reports whether that confirms the rules in force. It does not if a newer version is
+// known: one that can't be decoded, or one that peer hosts have and a store that was restored from
+// an older copy has not. A process that starts hears of peer hosts first.
+func (n *Node) confirmRules(sent time.Duration, newest uint64) bool {
+	inForce, peers := n.board.Routes.Version(), n.newestAtPeers()
+	switch {
+	case sent < n.heardPeers():
+	case max(newest, peers) > inForce:
+		if since := n.behindSince.Load(); since == 0 {
+			n.behindSince.Store(int64(n.boot()))
+		} else if peers > newest && sent > time.Duration(since) {
+			// The store does not have what peer hosts have read of it.
+			n.board.Proof.Void()
+		}
+		n.log.Debug().Uint64("version", inForce).Uint64("read", newest).Uint64("peers", peers).Msg("rules in force are not the newest")
+	default:
+		n.behindSince.Store(0)
+		n.board.Proof.Confirm(sent, newest)
+		return true
+	}
+	return false
+}
+
+// heardPeers returns when this process first heard from a peer host, and a later time than any until
+// it has. After maxSilentStart it no longer waits: there may be none.
+func (n *Node) heardPeers() time.Duration {
+	if at := n.heardAt.Load(); at != 0 {
+		return time.Duration(at)
+	}
+	others := slices.ContainsFunc(n.settings.Seeds, func(seed string) bool { return seed != n.settings.Peers })
+	if !others || n.boot()-n.bootedAt > maxSilentStart {
+		return n.bootedAt
+	}
+	return math.MaxInt64
+}
+
+// newestAtPeers returns the newest version of the rules that live peer hosts have in force.
+func (n *Node) newestAtPeers() uint64 {
+	newest := uint64(0)
+	for _, m := range n.board.Members.Members() {
+		if m.State == wire.Alive || m.State == wire.Suspect {
+			newest = max(newest, m.Version.Revision)
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/internal/serve/node/keys_test.go
@@ -0,0 +1,293 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/clock"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+	"github.com/hyssopspindle/hyssopspindle/platform"
+	"github.com/hyssopspindle/hyssopspindle/platform/stand"
+)
+
+// keyHost is what a test does to one host of a keyFleet.
+type keyHost struct {
+	// cut makes all calls to the store fail.
+	cut atomic.Bool
+	// late is how long answers of the store are on their way, in nanoseconds.
+	late atomic.Int64
+	// slept is the time for which the machine was suspended, in nanoseconds.
+	slept atomic.Int64
+}
+
+// keyFleet is a fleet of hosts with strict keys on a stand-in of the platform's store. The first
+// letter of a host's name is its region.
+type keyFleet struct {
+	*fleet
+	platform *stand.Store
+	hosts    map[string]*keyHost
+	seed     string
+}
+
+var keyRoutes = []stand.Route{
+	{Name: "keyed", Host: "h", Prefix: "/keyed/", Service: "plain", Kind: stand.KindSafe, Timeout: 3 * waitTimeout, Attempts: 3},
+	{Name: "stream", Host: "h", Prefix: "/stream/", Service: "plain", Kind: stand.KindStream, Timeout: 3 * waitTimeout, Attempts: 3, Resumable: true},
+	{Name: "public", Host: "h", Prefix: "/public/", Service: "plain", Kind: stand.KindSafe, Timeout: 3 * waitTimeout, Attempts: 2, Public: true},
+}
+
+// publish writes a version of the configuration with a customer who has the given keys.
+func (f *keyFleet) publish(version int, keys ...string) {
+	f.platform.PublishCustomers(version, []string{"plain"}, []stand.Customer{{Name: "acme", Keys: keys}}, keyRoutes...)
+}
+
+// startKeyFleet starts hosts whose configuration, version 7, has the key "k1".
+func startKeyFleet(t *testing.T, names ...string) *keyFleet {
+	t.Helper()
+	store, err := stand.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	f := &keyFleet{
+		fleet:    &fleet{t: t, log: &logRecorder{}, nodes: map[string]*Node{}, endpoints: map[string]*routed.Endpoint{}},
+		platform: store, hosts: map[string]*keyHost{}, seed: freeAddress(t),
+	}
+	f.publish(7, "k1")
+	for i, name := range names {
+		if f.endpoints["e-"+name[:1]] == nil {
+			f.addEndpoint("e-"+name[:1], name[:1])
+		}
+		peers := f.seed
+		if i > 0 {
+			peers = freeAddress(t)
+		}
+		f.startHost(name, peers)
+	}
+	f.eventually("all hosts know each other and accept the key", func() bool {
+		for _, name := range names {
+			if len(f.nodes[name].board.Members.Members()) < len(names)-1 || !f.nodes[name].keysValid(7) {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *keyFleet) addEndpoint(id, region string) {
+	f.t.Helper()
+	e, err := routed.New(id, platTerms)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = e.Close() })
+	f.endpoints[id] = e
+	f.platform.Register(id, stand.Registration{Service: "plain", Address: e.Address(), Centre: region + "1", Release: "v1", Slots: 8, Born: time.Now()})
+}
+
+// startHost starts a host, or starts it again after closeHost.
+func (f *keyFleet) startHost(name, peers string) {
+	f.t.Helper()
+	h := f.hosts[name]
+	if h == nil {
+		h = &keyHost{}
+		f.hosts[name] = h
+	}
+	bounds := setup.DefaultBounds()
+	bounds.StrictKeys = true
+	n, err := New(setup.Hosted{
+		Name: name, Region: name[:1], Centre: name[:1] + "1", Callers: freeAddress(f.t), Ready: freeAddress(f.t), Directory: freeAddress(f.t),
+		Peers: peers, Seeds: []string{f.seed}, Regions: map[string]string{"a1": "a", "b1": "b"}, Bounds: bounds,
+	}, platTerms, h.wrap((&platform.Store{Address: f.platform.Address(), Now: time.Now}).Feed()),
+		zerolog.New(f.log).With().Str("host", name).Logger(),
+		WithBootClock(func() time.Duration { return clock.Boot() + time.Duration(h.slept.Load()) }))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := n.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.nodes[name] = n
+	f.t.Cleanup(func() { f.closeHost(name) })
+}
+
+// wrap returns a feed whose calls fail while the host is cut off, and whose answers are late.
+func (h *keyHost) wrap(fd *feed.Feed) *feed.Feed {
+	list, watch, read := fd.List, fd.Watch, fd.Proofs.Read
+	pass := func(ctx context.Context) error {
+		select {
+		case <-time.After(time.Duration(h.late.Load())):
+		case <-ctx.Done():
+		}
+		if h.cut.Load() {
+			return fmt.Errorf("host is cut off")
+		}
+		return ctx.Err()
+	}
+	fd.List = func(ctx context.Context) (feed.Batch, error) {
+		b, err := list(ctx)
+		if cut := pass(ctx); cut != nil {
+			return feed.Batch{}, cut
+		}
+		return b, err
+	}
+	fd.Watch = func(ctx context.Context, after uint64) (feed.Batch, error) {
+		b, err := watch(ctx, after)
+		if cut := pass(ctx); cut != nil {
+			return feed.Batch{}, cut
+		}
+		return b, err
+	}
+	fd.Proofs.Read = func(ctx context.Context) (feed.Change, error) {
+		c, err := read(ctx)
+		if cut := pass(ctx); cut != nil {
+			return feed.Change{}, cut
+		}
+		return c, err
+	}
+	return fd
+}
+
+// status sends a request with a key to a host and returns the status.
+func (f *keyFleet) status(host, path, key string) int {
+	f.t.Helper()
+	id := fmt.Sprint(host, "-", time.Now().UnixNano())
+	status, _, err := f.callHost(host, "GET", path, id, func(r *http.Request) {
+		if key != "" {
+			r.Header.Set(platTerms.Key, key)
+		}
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return status
+}
+
+func (f *keyFleet) wantStatus(host, path, key string, want int) {
+	f.t.Helper()
+	if got := f.status(host, path, key); got != want {
+		f.t.Errorf("host %s answers %d to %s with key %q, want %d", host, got, path, key, want)
+	}
+}
+
+// revokePeriod is the period of the bounds that the tests use.
+var revokePeriod = setup.DefaultBounds().RevokePeriod()
+
+// refusesAfter sends requests with a key to all hosts for a while and fails if one that is sent
+// later than the revocation period after since is answered.
+func (f *keyFleet) refusesAfter(since time.Time, key string, until time.Duration) {
+	f.t.Helper()
+	for time.Since(since) < until {
+		for name := range f.nodes {
+			sent := time.Since(since)
+			if status := f.status(name, "/keyed/x", key); status == http.StatusOK && sent > revokePeriod {
+				f.t.Fatalf("host %s runs a request that was sent %v after its key was taken away", name, sent)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestKeyEndsOnHostsCutOffFromTheStore guards against hosts that the store does not answer, and
+// that only hear each other, accepting a key for longer than the revocation period.
+func TestKeyEndsOnHostsCutOffFromTheStore(t *testing.T) {
+	f := startKeyFleet(t, "a1", "a2", "b1")
+	for name, h := range f.hosts {
+		f.wantStatus(name, "/keyed/x", "k1", 200)
+		f.wantStatus(name, "/keyed/x", "other", 401)
+		h.cut.Store(true)
+	}
+	f.publish(8, "k2")
+	since := time.Now()
+	f.refusesAfter(since, "k1", revokePeriod+time.Second)
+	for name, h := range f.hosts {
+		f.wantStatus(name, "/keyed/x", "k1", 503)
+		f.wantStatus(name, "/keyed/x", "k2", 503)
+		f.wantStatus(name, "/public/x", "", 200)
+		h.cut.Store(false)
+	}
+	for name := range f.hosts {
+		f.eventually("host "+name+" serves the new key", func() bool { return f.status(name, "/keyed/x", "k2") == 200 })
+		f.wantStatus(name, "/keyed/x", "k1", 401)
+	}
+}
+
+// TestKeyEndsWhileWatchesReturnNothing guards against watches that hide a change counting as
+// confirmations. The change is found by reading the configuration alone.
+func TestKeyEndsWhileWatchesReturnNothing(t *testing.T) {
+	f := startKeyFleet(t, "a1")
+	f.platform.SetBlind(true)
+	f.publish(8, "k2")
+	since := time.Now()
+	f.eventually("the new key is served", func() bool { return f.status("a1", "/keyed/x", "k2") == 200 })
+	if took := time.Since(since); took > revokePeriod {
+		t.Errorf("the new key was served after %v", took)
+	}
+	f.wantStatus("a1", "/keyed/x", "k1", 401)
+	f.addEndpoint("late", "a")
+	f.platform.SetBlind(false)
+	f.eventually("the host learns of an endpoint that watches did not show", func() bool {
+		_, ok := f.nodes["a1"].board.Registry.Get("late")
+		return ok
+	})
+}
+
+// TestKeyEndsIfAnswersAreLate guards against the age of a confirmation being counted from an answer
+// that was on its way for seconds.
+func TestKeyEndsIfAnswersAreLate(t *testing.T) {
+	f := startKeyFleet(t, "a1")
+	f.hosts["a1"].late.Store(int64(3 * time.Second))
+	time.Sleep(2 * time.Second)
+	f.publish(8, "k2")
+	f.refusesAfter(time.Now(), "k1", 2*revokePeriod)
+}
+
+// TestSuspendedHostChecksFirst guards against a host that was suspended serving by what it knew
+// before.
+func TestSuspendedHostChecksFirst(t *testing.T) {
+	f := startKeyFleet(t, "a1")
+	f.hosts["a1"].cut.Store(true)
+	f.publish(8, "k2")
+	f.wantStatus("a1", "/keyed/x", "k1", 200)
+	f.hosts["a1"].slept.Add(int64(revokePeriod))
+	f.wantStatus("a1", "/keyed/x", "k1", 503)
+	f.hosts["a1"].cut.Store(false)
+	f.eventually("the host serves the new key", func() bool { return f.status("a1", "/keyed/x", "k2") == 200 })
+	f.wantStatus("a1", "/keyed/x", "k1", 401)
+}
+
+// TestRestoredStoreBringsNoKeyBack guards against a key being accepted again because the store was
+// restored from a copy that still has it, also by a host that starts then.
+func TestRestoredStoreBringsNoKeyBack(t *testing.T) {
+	f := startKeyFleet(t, "a1", "a2")
+	older := f.platform.Copy()
+	f.publish(8, "k2")
+	for name, n := range f.nodes {
+		f.eventually("host "+name+" has version 8", func() bool { return n.board.Routes.Version() == 8 })
+	}
+	f.platform.Restore(older)
+	f.closeHost("a2")
+	f.startHost("a2", freeAddress(t))
+	n := f.nodes["a2"]
+	f.eventually("the host that starts has version 7", func() bool { return n.board.Routes.Version() == 7 && n.newestAtPeers() == 8 })
+	for range 30 {
+		for name := range f.nodes {
+			if status := f.status(name, "/keyed/x", "k1"); status == 200 {
+				t.Fatalf("host %s runs a request with a key that was taken away", name)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.publish(9, "k3")
+	for name := range f.nodes {
+		f.eventually("host "+name+" serves the newest key", func() bool { return f.status(name, "/keyed/x", "k3") == 200 })
+	}
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -72,7 +72,14 @@
 	// boot returns the time since the machine started.
 	boot    func() time.Duration
 	started time.Time
-	shares  *quota.Table
+	// bootedAt is when the process started, heardAt when it first heard from a peer host that has
+	// rules in force, 0 until then; both by boot.
+	bootedAt time.Duration
+	heardAt  atomic.Int64
+	// behindSince is when the rules in force were first known not to be the newest, by boot, 0 if
+	// they are.
+	behindSince atomic.Int64
+	shares      *quota.Table
 	// loggedMembers is the last logged status of each peer host. Only the members
 	// controller uses it.
 	loggedMembers map[string]memberStatus
@@ -134,7 +141,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
 	}
-	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, boot: o.boot, started: now()}
+	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, boot: o.boot, bootedAt: o.boot(), started: now()}
 	account := held.New(proxy.MaxHeld, proxy.MaxAnswer, func(bytes int) { n.meter.HeldBytes.Set(float64(bytes)) })
 	n.pool = pool.New(append(o.pool, pool.WithNow(now), pool.WithHeld(account))...)
 	n.board = board.New(now(), s.Peers, s.Region, s.Centre, 1)
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -27,6 +27,7 @@
 		n.board.Registry.PostponeExpiry(now.Add(outageGrace))
 		n.runner.Trigger(itemsName)
 	}
+	store.Proofs = feed.Proofs{Boot: n.boot, Needed: n.needsProofs, Read: store.Proofs.Read, OnConfirmed: n.confirmRules}
 	n.feed = store
 }
 
@@ -98,6 +99,8 @@
 func (n *Node) applyRules(c feed.Change) {
 	if n.board.Routes.Apply(c.Rules) {
 		n.meter.Revision.Set(float64(c.Rules.Version))
+		// Peer hosts that start compare what the store shows them with this version.
+		n.updateSelf()
 		names := c.Rules.RouteNames()
 		n.meter.KeepRoutes(names)
 		n.log.Info().Uint64("version", c.Rules.Version).Int("routes", len(names)).
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -129,6 +129,9 @@
 		return
 	}
 	n.board.Remotes.MarkSeen(now, m.Region)
+	if p.Revision > 0 {
+		n.heardAt.CompareAndSwap(0, int64(n.boot()))
+	}
 	if m.Region == n.board.Region && p.HostLoads != nil {
 		list := make(map[string]endpt.HostLoad, len(p.HostLoads))
 		for _, t := range p.HostLoads {
