--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -62,6 +62,8 @@
 	Acks *acks.Table
 	// Proof is used only by hosts that accept customers' keys; New leaves it empty.
 	Proof *proof.Table
+	// Questions are those for confirmations of other hosts.
+	Questions *proof.Questions
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue.Queue
@@ -99,6 +101,7 @@
 		Paths:        paths.NewTable(),
 		CutHosts:     paths.NewHosts(name, incarnation),
 		Acks:         acks.NewTable(),
+		Questions:    proof.NewQuestions(),
 		queues:       map[queueKey]*queue.Queue{},
 		leavingMarks: map[string]time.Time{},
 	}
--- a/internal/board/duties/duties.go
+++ b/internal/board/duties/duties.go
@@ -16,6 +16,8 @@
 	SelfEntry bool
 	// SelfReads reports whether this host reads the platform's store.
 	SelfReads bool
+	// Readers are the other hosts of this host's data centre that read the store.
+	Readers []member.Member
 }
 
 // Table holds the current plan. Readers take no lock.
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -112,6 +112,10 @@
 	// CutHosts says which hosts are cut off from the endpoints of their regions. Hosts of older
 	// builds ignore the field.
 	CutHosts []CutHost `cbor:"27,keyasint,omitempty"`
+	// AskProof is the nonce of a question whether the receiver has a confirmation of its rules, 0 for
+	// none, and Proof the answer to one. Hosts of older builds ignore the fields.
+	AskProof uint64      `cbor:"30,keyasint,omitempty"`
+	Proof    *RulesProof `cbor:"31,keyasint,omitempty"`
 	// InFlight is the number of in-flight requests at the sender.
 	InFlight int `cbor:"10,keyasint,omitempty"`
 	// Leaving reports whether the sender is leaving and accepts no new requests.
@@ -185,6 +189,17 @@
 	AgeMS uint64
 }
 
+// RulesProof is the confirmation that the sender has of its rules: a read of the store that showed
+// no newer version.
+type RulesProof struct {
+	_ struct{} `cbor:",toarray"`
+	// Nonce is that of the question.
+	Nonce   uint64
+	Version uint64
+	// AgeMS is the time since that read was sent, in milliseconds, rounded up.
+	AgeMS uint64
+}
+
 // HostLoad is the sender's own in-flight requests at one endpoint.
 type HostLoad struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/serve/node/duties.go
+++ b/internal/serve/node/duties.go
@@ -59,7 +59,11 @@
 		plan.Entries[region] = others
 	}
 	for _, m := range duty.Readers(inCentre) {
-		plan.SelfReads = plan.SelfReads || m.Name == n.board.Name
+		if m.Name == n.board.Name {
+			plan.SelfReads = true
+			continue
+		}
+		plan.Readers = append(plan.Readers, m)
 	}
 	n.logDuties(n.board.Duties.Plan(), plan)
 	n.board.Duties.Store(plan)
--- a/internal/serve/node/keys.go
+++ b/internal/serve/node/keys.go
@@ -38,29 +38,35 @@
 }
 
 // refreshRules requests a confirmation of the rules.
-func (n *Node) refreshRules() { n.feed.RequestProof() }
+func (n *Node) refreshRules() {
+	n.feed.RequestProof()
+	n.runner.Trigger(proofsName)
+}
+
+// confirmRules records a read of the store like recordProof. A process that starts hears of peer
+// hosts first.
+func (n *Node) confirmRules(sent time.Duration, newest uint64) bool {
+	return sent >= n.heardPeers() && n.recordProof(sent, newest)
+}
 
-// confirmRules records that a read which was sent at a time showed a version of the rules as the
+// recordProof records that a read which was sent at a time showed a version of the rules as the
 // newest, and reports whether that confirms the rules in force. It does not if a newer version is
 // known: one that can't be decoded, or one that peer hosts have and a store that was restored from
-// an older copy has not. A process that starts hears of peer hosts first.
-func (n *Node) confirmRules(sent time.Duration, newest uint64) bool {
+// an older copy has not.
+func (n *Node) recordProof(sent time.Duration, newest uint64) bool {
 	inForce, peers := n.board.Routes.Version(), n.newestAtPeers()
-	switch {
-	case sent < n.heardPeers():
-	case max(newest, peers) > inForce:
-		if since := n.behindSince.Load(); since == 0 {
-			n.behindSince.Store(int64(n.boot()))
-		} else if peers > newest && sent > time.Duration(since) {
-			// The store does not have what peer hosts have read of it.
-			n.board.Proof.Void()
-		}
-		n.log.Debug().Uint64("version", inForce).Uint64("read", newest).Uint64("peers", peers).Msg("rules in force are not the newest")
-	default:
+	if max(newest, peers) <= inForce {
 		n.behindSince.Store(0)
 		n.board.Proof.Confirm(sent, newest)
 		return true
 	}
+	if since := n.behindSince.Load(); since == 0 {
+		n.behindSince.Store(int64(n.boot()))
+	} else if peers > newest && sent > time.Duration(since) {
+		// The store does not have what peer hosts have read of it.
+		n.board.Proof.Void()
+	}
+	n.log.Debug().Uint64("version", inForce).Uint64("read", newest).Uint64("peers", peers).Msg("rules in force are not the newest")
 	return false
 }
 
--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/clock"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
 	"github.com/hyssopspindle/hyssopspindle/platform"
@@ -291,3 +293,100 @@
 		f.eventually("host "+name+" serves the newest key", func() bool { return f.status(name, "/keyed/x", "k3") == 200 })
 	}
 }
+
+// TestHostsConfirmEachOther guards against hosts that do not read the store, or that the store does
+// not answer, refusing keys while others could confirm their rules; and against their reading the
+// store all the same, which has a price.
+func TestHostsConfirmEachOther(t *testing.T) {
+	f := startKeyFleet(t, "a1", "a2", "a3", "a4", "a5", "b1")
+	f.eventually("three hosts of the data centre read the store", func() bool { return len(f.readers()) == 4 })
+	readers := 0
+	for name, n := range f.nodes {
+		if name == "b1" || (n.board.Duties.Plan().SelfReads && readers == 0) {
+			f.hosts[name].cut.Store(true)
+			readers++
+		}
+	}
+	reads, began := f.platform.Reads(), time.Now()
+	for time.Since(began) < 2*revokePeriod {
+		for name := range f.nodes {
+			f.wantStatus(name, "/keyed/x", "k1", 200)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	// The calls of hosts that are cut off fail on the way back, so the store counts them too.
+	most := int(4*time.Since(began)/readRulesPeriod) + 4
+	if reads = f.platform.Reads() - reads; reads > most {
+		t.Errorf("the configuration was read %d times in %v, want at most %d", reads, time.Since(began), most)
+	}
+	f.publish(8, "k2")
+	for name := range f.nodes {
+		f.eventually("host "+name+" serves the new key", func() bool { return f.status(name, "/keyed/x", "k2") == 200 })
+		f.wantStatus(name, "/keyed/x", "k1", 401)
+	}
+}
+
+// readRulesPeriod is the time between two reads of the configuration by a host whose reads confirm
+// nothing.
+const readRulesPeriod = time.Second
+
+// TestAgesCountFromTheQuestion guards against an answer that was on its way for long, that comes
+// unasked, twice, or from a host with newer rules counting as a young confirmation.
+func TestAgesCountFromTheQuestion(t *testing.T) {
+	f := startKeyFleet(t, "a1")
+	n, h := f.nodes["a1"], f.hosts["a1"]
+	h.cut.Store(true)
+	time.Sleep(200 * time.Millisecond)
+	life := n.board.Proof.Life()
+	m := member.Member{Candidate: member.Candidate{Name: "other", Address: freeAddress(t)}}
+	answer := func(nonce, version uint64, age time.Duration) {
+		n.receiveProof(m, wire.Packet{Proof: &wire.RulesProof{Nonce: nonce, Version: version, AgeMS: uint64(age.Milliseconds())}})
+	}
+	for _, tt := range []struct {
+		name         string
+		way, age     time.Duration
+		version      uint64
+		unasked, old bool
+		want         bool
+	}{
+		{name: "young", version: 7, age: time.Second, want: true},
+		{name: "of older rules, read after those in force", version: 6, want: true},
+		{name: "old", version: 7, age: life},
+		{name: "on its way for long", version: 7, way: life},
+		{name: "old together", version: 7, way: life / 2, age: life / 2},
+		{name: "of newer rules", version: 8},
+		{name: "unasked", version: 7, unasked: true},
+	} {
+		h.slept.Add(int64(2 * life))
+		if n.keysValid(7) {
+			t.Fatal("an old confirmation is valid")
+		}
+		nonce := uint64(len(tt.name)) + 1000
+		if !tt.unasked {
+			n.board.Questions.Ask(n.boot(), nonce)
+		}
+		h.slept.Add(int64(tt.way))
+		answer(nonce, tt.version, tt.age)
+		answer(nonce, 7, life)
+		if n.keysValid(7) != tt.want {
+			t.Errorf("%s: confirmed %v, want %v", tt.name, n.keysValid(7), tt.want)
+		}
+	}
+}
+
+// TestHostStartsWithoutAConfirmation guards against a process that gets its configuration from a
+// peer host which is itself cut off from the store accepting keys.
+func TestHostStartsWithoutAConfirmation(t *testing.T) {
+	f := startKeyFleet(t, "a1", "a2")
+	for _, h := range f.hosts {
+		h.cut.Store(true)
+	}
+	f.publish(8, "k2")
+	since := time.Now()
+	f.closeHost("a2")
+	f.startHost("a2", freeAddress(t))
+	f.eventually("the host that starts has its configuration from the other one", func() bool { return f.nodes["a2"].board.Routes.Version() == 7 })
+	f.refusesAfter(since, "k1", revokePeriod+time.Second)
+	f.wantStatus("a2", "/keyed/x", "k1", 503)
+	f.wantStatus("a2", "/public/x", "", 200)
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -79,7 +79,9 @@
 	// behindSince is when the rules in force were first known not to be the newest, by boot, 0 if
 	// they are.
 	behindSince atomic.Int64
-	shares      *quota.Table
+	// proofQuestions is only used by the controller that asks for confirmations.
+	proofQuestions proofQuestions
+	shares         *quota.Table
 	// loggedMembers is the last logged status of each peer host. Only the members
 	// controller uses it.
 	loggedMembers map[string]memberStatus
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -86,6 +86,7 @@
 	n.runner.Add(ctrl.Controller{Name: "paths", Period: pathsPeriod, Step: n.checkPaths})
 	add("cold checks", coldCheckPeriod, n.checkCold)
 	add(itemsName, fetchItemsPeriod, n.fetchItems)
+	add(proofsName, proofsPeriod, func(time.Time) { n.askProofs() })
 	add(storeStateName, storeStatePeriod, n.shareStoreState)
 	add("registry", expirePeriod, func(now time.Time) {
 		for _, id := range n.board.Registry.Expire(now) {
@@ -151,6 +152,7 @@
 	if p.Store != nil && m.Centre == n.board.Centre {
 		n.receiveStoreState(now, m, p.StoreEra, p.Store)
 	}
+	n.receiveProof(m, p)
 	n.receivePoison(now, p)
 	if len(p.CutHosts) > 0 {
 		n.receiveCuts(now, p.CutHosts)
