Leave hosts without a confirmation out of the directory

Cause: callers were sent to hosts that refuse their keys while others of the region accept them. Change: a host whose confirmation is missing, or past three quarters of its life, reports that to random hosts, which pass it on as the reports on hosts that are cut off; the reports are a part of the packet field Proof. Of a region, entry hosts are those that are neither cut off nor without a confirmation; if there are none, those that are only cut off, and only then those without a confirmation, so that a directory is never empty while the store is down. A new confirmation is reported at once. Ruled out: using the reports on cut hosts themselves: relays pass over these, and a host without a confirmation serves relayed requests. Result: TestUnconfirmedHostLeavesTheDirectory passes with -race: the host leaves while it still accepts keys and is listed again within 1 s.

--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -2,7 +2,7 @@
 // write its tables and do not call one another. Each table has its own lock. Lock
 // order when two are held: revisions, endpoints, then the leaf locks (members,
 // remotes, health, queues, registry, speeds, mixes, origins, poison,
-// frail, paths, cut hosts, acks, proof). The lock of acks may be taken while that of members is held.
+// frail, paths, cut hosts, unproven hosts, acks, proof, questions). The lock of acks may be taken while that of members is held.
 package board
 
 import (
@@ -62,6 +62,8 @@
 	Acks *acks.Table
 	// Proof is used only by hosts that accept customers' keys; New leaves it empty.
 	Proof *proof.Table
+	// Unproven holds the hosts whose confirmation is missing or about to end.
+	Unproven *paths.Hosts
 	// Questions are those for confirmations of other hosts.
 	Questions *proof.Questions
 
@@ -101,6 +103,7 @@
 		Paths:        paths.NewTable(),
 		CutHosts:     paths.NewHosts(name, incarnation),
 		Acks:         acks.NewTable(),
+		Unproven:     paths.NewHosts(name, incarnation),
 		Questions:    proof.NewQuestions(),
 		queues:       map[queueKey]*queue.Queue{},
 		leavingMarks: map[string]time.Time{},
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -113,7 +113,7 @@
 	// builds ignore the field.
 	CutHosts []CutHost `cbor:"27,keyasint,omitempty"`
 	// AskProof is the nonce of a question whether the receiver has a confirmation of its rules, 0 for
-	// none, and Proof the answer to one. Hosts of older builds ignore the fields.
+	// none, and Proof the answer to one, or which hosts have none. Hosts of older builds ignore the fields.
 	AskProof uint64      `cbor:"30,keyasint,omitempty"`
 	Proof    *RulesProof `cbor:"31,keyasint,omitempty"`
 	// InFlight is the number of in-flight requests at the sender.
@@ -192,12 +192,13 @@
 // RulesProof is the confirmation that the sender has of its rules: a read of the store that showed
 // no newer version.
 type RulesProof struct {
-	_ struct{} `cbor:",toarray"`
-	// Nonce is that of the question.
-	Nonce   uint64
-	Version uint64
+	// Nonce is that of the question, 0 if the packet answers none.
+	Nonce   uint64 `cbor:"1,keyasint,omitempty"`
+	Version uint64 `cbor:"2,keyasint,omitempty"`
 	// AgeMS is the time since that read was sent, in milliseconds, rounded up.
-	AgeMS uint64
+	AgeMS uint64 `cbor:"3,keyasint,omitempty"`
+	// Unproven says which hosts have no confirmation; Cut means that a host has none.
+	Unproven []CutHost `cbor:"4,keyasint,omitempty"`
 }
 
 // HostLoad is the sender's own in-flight requests at one endpoint.
--- a/internal/serve/node/duties.go
+++ b/internal/serve/node/duties.go
@@ -15,34 +15,59 @@
 	}
 }
 
+// fitness says how well a host suits as an entry host. Of a region, only hosts of the best one that
+// any of them has are entry hosts.
+type fitness int
+
+// The values of fitness. A host that is cut off from its endpoints passes requests on; one without
+// a confirmation of its rules refuses those that need a key.
+const (
+	fit fitness = iota
+	cutOff
+	unproven
+	fitnessCount
+)
+
+func fitnessOf(cut, withoutProof bool) fitness {
+	switch {
+	case withoutProof:
+		return unproven
+	case cut:
+		return cutOff
+	}
+	return fit
+}
+
 // assignDuties chooses the hosts that callers are given in each region, and whether this
 // host reads the store.
 func (n *Node) assignDuties(list []member.Member) {
 	now := n.now()
-	// Hosts that are cut off from their endpoints are entry hosts only if all of a region are.
-	regions, cutOff := map[string][]member.Member{}, map[string][]member.Member{}
+	var fits [fitnessCount]map[string][]member.Member
+	for i := range fits {
+		fits[i] = map[string][]member.Member{}
+	}
 	var inCentre []member.Member
-	add := func(m member.Member, cut bool) {
-		if cut {
-			cutOff[m.Region] = append(cutOff[m.Region], m)
-		} else {
-			regions[m.Region] = append(regions[m.Region], m)
-		}
+	add := func(m member.Member, cut, withoutProof bool) {
+		of := fits[fitnessOf(cut, withoutProof)]
+		of[m.Region] = append(of[m.Region], m)
 		if m.Centre == n.board.Centre {
 			inCentre = append(inCentre, m)
 		}
 	}
 	for _, m := range list {
 		if m.Healthy() && m.Region != "" {
-			add(m, n.board.CutHosts.Cut(now, m.Name, m.Incarnation))
+			add(m, n.board.CutHosts.Cut(now, m.Name, m.Incarnation), n.board.Unproven.Cut(now, m.Name, m.Incarnation))
 		}
 	}
 	if !n.board.Health.Leaving() {
-		add(member.Member{Candidate: n.self()}, n.board.CutHosts.SelfCut())
+		add(member.Member{Candidate: n.self()}, n.board.CutHosts.SelfCut(), n.board.Unproven.SelfCut())
 	}
-	for region, hosts := range cutOff {
-		if len(regions[region]) == 0 {
-			regions[region] = hosts
+	regions := fits[fit]
+	for _, others := range fits[cutOff:] {
+		for region, hosts := range others {
+			if len(regions[region]) == 0 {
+				regions[region] = hosts
+			}
 		}
 	}
 	plan := &duties.Plan{Entries: map[string][]member.Member{}}
--- a/internal/serve/node/keys.go
+++ b/internal/serve/node/keys.go
@@ -58,6 +58,7 @@
 	if max(newest, peers) <= inForce {
 		n.behindSince.Store(0)
 		n.board.Proof.Confirm(sent, newest)
+		n.updateUnproven()
 		return true
 	}
 	if since := n.behindSince.Load(); since == 0 {
--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,6 +30,8 @@
 	late atomic.Int64
 	// slept is the time for which the machine was suspended, in nanoseconds.
 	slept atomic.Int64
+	// deaf drops the answers of peer hosts to questions for confirmations.
+	deaf atomic.Bool
 }
 
 // keyFleet is a fleet of hosts with strict keys on a stand-in of the platform's store. The first
@@ -114,6 +118,13 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	receive := n.handlers.Packet
+	n.handlers.Packet = func(p wire.Packet, size int) {
+		if p.Proof != nil && h.deaf.Load() {
+			p.Proof = &wire.RulesProof{Unproven: p.Proof.Unproven}
+		}
+		receive(p, size)
+	}
 	if err := n.Start(); err != nil {
 		f.t.Fatal(err)
 	}
@@ -390,3 +401,63 @@
 	f.wantStatus("a2", "/keyed/x", "k1", 503)
 	f.wantStatus("a2", "/public/x", "", 200)
 }
+
+// listed reports whether the directory of a host answers with the address of another one.
+func (f *keyFleet) listed(directory, host string) bool {
+	f.t.Helper()
+	resp, err := http.Get(fmt.Sprintf("http://%s%s?%s=h&%s=%s", f.nodes[directory].settings.Directory, platTerms.ResolvePath,
+		platTerms.ResolveName, platTerms.ResolveRegion, host[:1]))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return strings.Contains(string(body), f.nodes[host].settings.Callers)
+}
+
+// TestUnconfirmedHostLeavesTheDirectory guards against callers being sent to a host that refuses
+// their keys while others accept them, and against a directory without hosts if none does.
+func TestUnconfirmedHostLeavesTheDirectory(t *testing.T) {
+	f := startKeyFleet(t, "a1", "a2", "a3")
+	all := func(want bool) func() bool {
+		return func() bool {
+			for name := range f.nodes {
+				if f.listed(name, "a3") != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	f.eventually("all directories list the host", all(true))
+	h := f.hosts["a3"]
+	h.cut.Store(true)
+	h.deaf.Store(true)
+	f.eventually("its own directory leaves it out", func() bool { return !f.listed("a3", "a3") })
+	f.wantStatus("a3", "/keyed/x", "k1", 200)
+	f.eventually("no directory lists it", all(false))
+	f.eventually("it refuses the key", func() bool { return f.status("a3", "/keyed/x", "k1") == 503 })
+	h.deaf.Store(false)
+	f.eventually("it accepts the key again", func() bool { return f.status("a3", "/keyed/x", "k1") == 200 })
+	since := time.Now()
+	f.eventually("all directories list it again", all(true))
+	if took := time.Since(since); took > time.Second {
+		t.Errorf("the host was listed again %v after its confirmation, want at most 1 s", took)
+	}
+	f.platform.SetDown(true)
+	f.eventually("no host accepts the key", func() bool {
+		for name := range f.nodes {
+			if f.status(name, "/keyed/x", "k1") == 200 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(time.Second)
+	if !all(true)() {
+		t.Error("a directory leaves out hosts though none has a confirmation")
+	}
+}
--- a/internal/serve/node/proofs.go
+++ b/internal/serve/node/proofs.go
@@ -20,6 +20,9 @@
 	// and hosts that do not read the store too. From readShare on it reads the store itself.
 	askAllShare = 0.5
 	readShare   = 0.75
+	// leaveShare is the share from which a host leaves the directory: its last answers are used for
+	// up to 2 s.
+	leaveShare = 0.75
 	// maxProofAgeMS bounds the age that a peer host states.
 	maxProofAgeMS = 24 * 60 * 60 * 1000
 )
@@ -32,6 +35,7 @@
 
 // askProofs asks other hosts for their confirmation of the rules.
 func (n *Node) askProofs() {
+	n.updateUnproven()
 	if !n.needsProofs() {
 		return
 	}
@@ -71,6 +75,10 @@
 	if p.Proof == nil {
 		return
 	}
+	if n.board.Unproven.Merge(n.now(), fromWireCuts(p.Proof.Unproven)) {
+		n.log.Info().Int("reports", len(p.Proof.Unproven)).Msg("hosts without a confirmation of their rules changed")
+		n.runner.Trigger(dutyName)
+	}
 	sent, ok := n.board.Questions.Answer(p.Proof.Nonce)
 	if !ok {
 		return
@@ -86,6 +94,20 @@
 	n.recordProof(sent-age, p.Proof.Version)
 }
 
+// updateUnproven records whether the confirmation of this host is missing or about to end. Directories
+// leave such a host out while others of its region have one.
+func (n *Node) updateUnproven() {
+	now := n.boot()
+	age, ok := n.board.Proof.Age(now)
+	ending := !ok || age >= time.Duration(leaveShare*float64(n.board.Proof.Life()))
+	if !n.board.Unproven.SetSelf(n.now(), n.needsProofs() && ending) {
+		return
+	}
+	n.log.Info().Bool("ending", ending).Uint64("version", n.board.Routes.Version()).Msg("host leaves the directory, or returns, by the confirmation of its rules")
+	n.runner.Trigger(dutyName)
+	n.runner.Trigger(cutsName)
+}
+
 // answerProof sends the confirmation that this host has, if it has one.
 func (n *Node) answerProof(m member.Member, nonce uint64) {
 	version := n.board.Routes.Version()
