Log and count what happens to customers' keys

Cause: an operator could not tell which customer a refused request belonged to, when a host stopped accepting keys, or what a new version changed. Change: the line of a request has its customer and a short hash of its key, so that trace shows them; a refusal for want of a confirmation names its age as the cause. Hosts log when they stop and start accepting keys, and the customers and keys (short hashes) that a version adds, changes and removes, at most 32 of each. New metrics: customer_refusals_total by reason and customer, whose series end with the customer, and confirmation_age_seconds.

--- a/internal/conf/rules/customer.go
+++ b/internal/conf/rules/customer.go
@@ -107,3 +107,58 @@
 	}
 	return &out, true
 }
+
+// CustomerChanges names the customers that differ between two versions of the rules, and their keys
+// as "NAME:HASH" with short hashes.
+type CustomerChanges struct {
+	Added, Changed, Removed []string
+	KeysAdded, KeysRemoved  []string
+}
+
+// CompareCustomers returns the changes from old rules, which may be nil, to new ones.
+func CompareCustomers(old, next *Rules) CustomerChanges {
+	var out CustomerChanges
+	before := map[string]*Customer{}
+	if old != nil {
+		for _, c := range old.customers {
+			before[c.Name] = c
+		}
+	}
+	for _, c := range next.customers {
+		b, known := before[c.Name]
+		delete(before, c.Name)
+		switch {
+		case !known:
+			out.Added = append(out.Added, c.Name)
+			b = &Customer{}
+		case !c.sameAs(b):
+			out.Changed = append(out.Changed, c.Name)
+		}
+		out.KeysAdded = append(out.KeysAdded, c.keysMissingIn(b)...)
+		out.KeysRemoved = append(out.KeysRemoved, b.keysMissingIn(c)...)
+	}
+	for name, b := range before {
+		out.Removed = append(out.Removed, name)
+		out.KeysRemoved = append(out.KeysRemoved, b.keysMissingIn(&Customer{})...)
+	}
+	slices.Sort(out.Removed)
+	slices.Sort(out.KeysRemoved)
+	return out
+}
+
+// keysMissingIn returns the keys of c that another version of the customer has not.
+func (c *Customer) keysMissingIn(other *Customer) []string {
+	var out []string
+	for _, k := range c.Keys {
+		if !slices.Contains(other.Keys, k) {
+			out = append(out, c.Name+":"+k.Short())
+		}
+	}
+	return out
+}
+
+func (c *Customer) sameAs(o *Customer) bool {
+	samePriority := (c.Priority == nil) == (o.Priority == nil) && (c.Priority == nil || *c.Priority == *o.Priority)
+	return samePriority && c.Quota == o.Quota && slices.Equal(c.Homes, o.Homes) &&
+		len(c.keysMissingIn(o)) == 0 && len(o.keysMissingIn(c)) == 0
+}
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -60,10 +60,16 @@
 	QuarantinedParts   prometheus.Gauge
 	QuarantineRefusals prometheus.Counter
 	Revision           prometheus.Gauge
+	// ConfirmationAge is the time since the read that last confirmed the rules was sent.
+	ConfirmationAge prometheus.Gauge
+
+	customerRefusals *prometheus.CounterVec
 
 	mu sync.Mutex
-	// routes are the names of the routes that have series in requestTime.
-	routes map[string]bool
+	// routes are the names of the routes that have series in requestTime, customers those that have
+	// some in customerRefusals.
+	routes    map[string]bool
+	customers map[string]bool
 }
 
 // timeBuckets are in seconds, from 1 ms to about 65 s.
@@ -78,6 +84,7 @@
 	m := &Meter{
 		Registry:      prometheus.NewRegistry(),
 		routes:        map[string]bool{},
+		customers:     map[string]bool{},
 		refusals:      counters("refusals_total", "Refused requests by reason and whether they ran.", "reason", "ran"),
 		retries:       counters("retries_total", "Attempts made again by the reason of the failure.", "reason"),
 		retriesDenied: counters("retries_denied_total", "Failures that were not tried again.", "reason"),
@@ -103,10 +110,12 @@
 		HeldBytes:            gauge("held_answer_bytes", "Bytes of answers that were read and not passed on yet."),
 		InFlight:             gauge("open_requests", "Requests in flight."),
 		Revision:             gauge("revision", "Configuration revision in force."),
+		ConfirmationAge:      gauge("confirmation_age_seconds", "Time since the read was sent that last confirmed that the rules are the newest; since the start if there was none."),
+		customerRefusals:     counters("customer_refusals_total", "Refused requests to routes that need a key, by reason and customer; without customer if the key is not known.", "reason", "customer"),
 	}
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
-		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals,
+		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals, m.ConfirmationAge, m.customerRefusals,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
 		for _, ran := range []fault.Ran{fault.RanNo, fault.RanYes, fault.RanUnknown} {
@@ -144,6 +153,32 @@
 	m.refusals.WithLabelValues(string(r.Code), string(r.Ran)).Inc()
 }
 
+// CountCustomerRefusal counts a refused request of a customer, whose name is empty if the key is not
+// known.
+func (m *Meter) CountCustomerRefusal(c fault.Code, customer string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.customerRefusals.WithLabelValues(string(c), customer).Inc()
+	m.customers[customer] = true
+}
+
+// KeepCustomers drops the series of all customers but the named ones, so that the number of series
+// stays bounded by the published customers.
+func (m *Meter) KeepCustomers(names []string) {
+	keep := make(map[string]bool, len(names))
+	for _, name := range names {
+		keep[name] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range m.customers {
+		if name != "" && !keep[name] {
+			m.customerRefusals.DeletePartialMatch(prometheus.Labels{"customer": name})
+			delete(m.customers, name)
+		}
+	}
+}
+
 // CountRetry counts a retry by the reason of the failed attempt.
 func (m *Meter) CountRetry(r retry.Reason) { m.retries.WithLabelValues(string(r)).Inc() }
 
--- a/internal/serve/edge/customer.go
+++ b/internal/serve/edge/customer.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -39,22 +40,34 @@
 	if refusal := checkKeyForm(s.Terms.Key, keys); refusal != nil {
 		return refusal
 	}
+	r.Keyed, r.Key = true, rules.HashKey(keys[0])
 	if !s.Keys.Valid(published.Version) {
 		s.Keys.Refresh()
-		return proxy.NotConfirmed()
+		age, ok := s.Keys.Age(s.Now())
+		return proxy.NotConfirmed().WithCause(fmt.Errorf("last confirmation: %v, age %v", ok, age))
 	}
 	customer, ok := published.Customer(keys[0])
 	if !ok {
 		return s.unknownKey()
 	}
+	r.Customer = customer
 	route, ok := r.Route.WithCustomer(customer)
 	if !ok {
 		return fault.New(fault.NoRegion, fault.RanNo, "no region is a home of both the route and the customer")
 	}
-	r.Customer, r.Key, r.Route = customer, rules.HashKey(keys[0]), route
+	r.Route = route
 	return nil
 }
 
+// customerName returns the name of the customer that a request's key belongs to, empty if the key is
+// not known.
+func customerName(r proxy.Request) string {
+	if r.Customer == nil {
+		return ""
+	}
+	return r.Customer.Name
+}
+
 // unknownKey returns the refusal of a key that is not in the rules. Unless they were confirmed a
 // moment ago, the key may belong to a newer version.
 func (s *Server) unknownKey() *fault.Refusal {
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -238,6 +238,9 @@
 	outcome, service, route := "answered", "none", ""
 	if report.Refusal != nil {
 		outcome = string(report.Refusal.Code)
+		if r.Keyed {
+			s.Meter.CountCustomerRefusal(report.Refusal.Code, customerName(r))
+		}
 	}
 	if r.Service != "" {
 		service = r.Service
@@ -256,6 +259,9 @@
 	if r.Resumes != "" {
 		ev = ev.Str("resumes", r.Resumes).Int("after", r.LastEventID)
 	}
+	if r.Keyed {
+		ev = ev.Str("customer", customerName(r)).Str("key", r.Key.Short())
+	}
 	ev.Str("request", r.ID).Str("route", route).Str("service", service).Uint64("version", r.Version).
 		Str("region", report.Region).Str("endpoint", report.Endpoint).Int("tries", report.Attempts).
 		Int("status", report.Status).Bool("begun", report.Started).Int("tokens", r.Prompt.Tokens).
--- a/internal/serve/node/keys.go
+++ b/internal/serve/node/keys.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 )
 
@@ -94,3 +95,24 @@
 	}
 	return newest
 }
+
+// maxLoggedCustomers bounds each list of customers and keys in a log line.
+const maxLoggedCustomers = 32
+
+// logCustomers logs the customers that new rules add, change or remove. Keys appear as short hashes.
+func (n *Node) logCustomers(old, next *rules.Rules) {
+	names := make([]string, 0, len(next.Customers()))
+	for _, c := range next.Customers() {
+		names = append(names, c.Name)
+	}
+	n.meter.KeepCustomers(names)
+	d := rules.CompareCustomers(old, next)
+	if len(d.Added)+len(d.Changed)+len(d.Removed) == 0 {
+		return
+	}
+	first := func(list []string) []string { return list[:min(len(list), maxLoggedCustomers)] }
+	n.log.Info().Uint64("version", next.Version).Int("customers", len(names)).
+		Int("added", len(d.Added)).Int("changed", len(d.Changed)).Int("removed", len(d.Removed)).
+		Strs("added_names", first(d.Added)).Strs("changed_names", first(d.Changed)).Strs("removed_names", first(d.Removed)).
+		Strs("keys_added", first(d.KeysAdded)).Strs("keys_removed", first(d.KeysRemoved)).Msg("customers changed")
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -79,6 +79,9 @@
 	// behindSince is when the rules in force were first known not to be the newest, by boot, 0 if
 	// they are.
 	behindSince atomic.Int64
+	// keysRefused reports whether keys were refused for want of a confirmation when that was last
+	// logged.
+	keysRefused atomic.Bool
 	// proofQuestions is only used by the controller that asks for confirmations.
 	proofQuestions proofQuestions
 	shares         *quota.Table
--- a/internal/serve/node/proofs.go
+++ b/internal/serve/node/proofs.go
@@ -99,6 +99,10 @@
 func (n *Node) updateUnproven() {
 	now := n.boot()
 	age, ok := n.board.Proof.Age(now)
+	if !ok {
+		age = now - n.bootedAt
+	}
+	n.logConfirmation(now, age)
 	ending := !ok || age >= time.Duration(leaveShare*float64(n.board.Proof.Life()))
 	if !n.board.Unproven.SetSelf(n.now(), n.needsProofs() && ending) {
 		return
@@ -108,6 +112,21 @@
 	n.runner.Trigger(cutsName)
 }
 
+// logConfirmation logs whether keys are accepted, if that changed.
+func (n *Node) logConfirmation(now, age time.Duration) {
+	n.meter.ConfirmationAge.Set(age.Seconds())
+	version := n.board.Routes.Version()
+	refused := n.needsProofs() && !n.board.Proof.Valid(now, version)
+	if n.keysRefused.Swap(refused) == refused {
+		return
+	}
+	if refused {
+		n.log.Warn().Dur("age", age).Uint64("version", version).Msg("rules are not confirmed; keys are refused")
+		return
+	}
+	n.log.Info().Dur("age", age).Uint64("version", version).Msg("rules are confirmed; keys are accepted")
+}
+
 // answerProof sends the confirmation that this host has, if it has one.
 func (n *Node) answerProof(m member.Member, nonce uint64) {
 	version := n.board.Routes.Version()
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -97,7 +97,9 @@
 }
 
 func (n *Node) applyRules(c feed.Change) {
+	old := n.board.Routes.Rules()
 	if n.board.Routes.Apply(c.Rules) {
+		n.logCustomers(old, c.Rules)
 		n.meter.Revision.Set(float64(c.Rules.Version))
 		// Peer hosts that start compare what the store shows them with this version.
 		n.updateSelf()
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -63,8 +63,10 @@
 	Trial bool
 	// Customer is the customer whose key the caller sent, nil for none and for a relayed request.
 	Customer *rules.Customer
-	// Key is the hash of that key.
-	Key rules.KeyHash
+	// Keyed reports whether the caller sent a key, known or not, to a route that needs one; Key is
+	// its hash.
+	Keyed bool
+	Key   rules.KeyHash
 	// AttemptsLeft is the number of attempts that the route still allows. Attempts that
 	// certainly did not run do not count.
 	AttemptsLeft int
