--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -86,6 +86,7 @@
 	n.runner.Add(ctrl.Controller{Name: "paths", Period: pathsPeriod, Step: n.checkPaths})
 	add("cold checks", coldCheckPeriod, n.checkCold)
 	add(itemsName, fetchItemsPeriod, n.fetchItems)
+	add(proofsName, proofsPeriod, func(time.Time) { n.askProofs() })
 	add(storeStateName, storeStatePeriod, n.shareStoreState)
 	add("registry", expirePeriod, func(now time.Time) {
 		for _, id := range n.board.Registry.Expire(now) {
@@ -129,6 +130,9 @@
 		return
 	}
 	n.board.Remotes.MarkSeen(now, m.Region)
+	if p.Revision > 0 {
+		n.heardAt.CompareAndSwap(0, int64(n.boot()))
+	}
 	if m.Region == n.board.Region && p.HostLoads != nil {
 		list := make(map[string]endpt.HostLoad, len(p.HostLoads))
 		for _, t := range p.HostLoads {
@@ -148,6 +152,7 @@
 	if p.Store != nil && m.Centre == n.board.Centre {
 		n.receiveStoreState(now, m, p.StoreEra, p.Store)
 	}
+	n.receiveProof(m, p)
 	n.receivePoison(now, p)
 	if len(p.CutHosts) > 0 {
 		n.receiveCuts(now, p.CutHosts)
