Choose plain endpoints by their speed and by what is in flight

A plain endpoint was chosen by the lowest estimated load alone. All hosts of a region saw nearly the same loads, which are 250 ms old, and chose the same endpoint; the speed of plain endpoints was not measured.

An endpoint's rank is its speed times one more than this host's own requests there, plus the share of its slots that all hosts use. The own requests are exact and differ from host to host, so hosts do not agree on an endpoint. The speed is a mean of answer times relative to the service's, with the reported pace taken out, times the pace itself with a half-life of 100 ms. Engines and requests with prompts are chosen as before; they are scored by other code.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -20,6 +20,9 @@
 	historyAge = 5 * time.Second
 	// sampleWeight is the weight of one new answer in the slowdown averages.
 	sampleWeight = 0.2
+	// paceHalfLife is the age at which a reported pace counts half, as it changes many times a
+	// second.
+	paceHalfLife = 100 * time.Millisecond
 	// fullHold is how long an endpoint that refused a request counts as full.
 	fullHold = 300 * time.Millisecond
 	// maxSlowdown bounds the slowdown of one answer from above, its inverse from below.
@@ -172,6 +175,17 @@
 	return time.Duration(s.workSlowdown.current(now) * float64(usual))
 }
 
+// Speed returns how long a complete answer is expected to take, as a multiple of the usual time: by
+// the endpoint's earlier answers, and by the pace that it reported, the less the older that is.
+func (s *State) Speed(now time.Time) float64 {
+	speed := s.workSlowdown.current(now)
+	if s.Report.Pace > 0 {
+		age := math.Max(0, float64(now.Sub(s.Report.At)))
+		speed *= math.Pow(s.Report.Pace, math.Exp2(-age/float64(paceHalfLife)))
+	}
+	return speed
+}
+
 // Leaving reports whether the endpoint announced that it is draining.
 func (s *State) Leaving() bool { return !s.leavingSince.IsZero() }
 
--- a/internal/board/endpt/endpt_test.go
+++ b/internal/board/endpt/endpt_test.go
@@ -1,6 +1,7 @@
 package endpt
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -87,3 +88,22 @@
 		t.Errorf("ramps = %v for the old endpoint, %v and %v for the new one; want 1, below 0.5 and 1", old.Ramp(epoch), fresh.Ramp(epoch), fresh.Ramp(epoch.Add(rampTime)))
 	}
 }
+
+// TestOldPaceSaysLittle guards against an endpoint that is avoided, or preferred, for the pace that
+// it reported long ago, and against one whose own speed is forgotten with it.
+func TestOldPaceSaysLittle(t *testing.T) {
+	table := NewTable()
+	table.PutReport("e", Report{Pace: 4, At: at(0)})
+	for ms, want := range map[int]float64{0: 4, 100: 2, 200: math.Sqrt2} {
+		if st := table.Get("e"); math.Abs(st.Speed(at(ms))-want) > 0.01 {
+			t.Errorf("speed is %.2f after %d ms, want %.2f", st.Speed(at(ms)), ms, want)
+		}
+	}
+	for range 50 {
+		table.FinishRequest(at(1000), "e", Result{Whole: true, AnswerTime: 60 * time.Millisecond, ExpectedAnswerTime: 30 * time.Millisecond})
+	}
+	table.PutReport("e", Report{At: at(1000)})
+	if st := table.Get("e"); math.Abs(st.Speed(at(1000))-2) > 0.01 {
+		t.Errorf("speed is %.2f after answers that took twice the usual time, want 2", st.Speed(at(1000)))
+	}
+}
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -18,10 +18,6 @@
 	runningCost = 500 * time.Microsecond
 	// queuedCost is what each request beyond the slots adds to the time to first token.
 	queuedCost = 40 * time.Millisecond
-	// plainLoadShare is the share of the answer time that a plain endpoint with all slots
-	// busy adds to a new request, as requests may share a processor. Fewer busy slots add
-	// less in proportion.
-	plainLoadShare = 0.1
 	// scoreTolerance is the difference up to which two scores count as equal: the time
 	// of one batch step.
 	scoreTolerance = 8 * time.Millisecond
@@ -35,14 +31,16 @@
 type Candidate struct {
 	Name  string
 	Slots int
-	// Load is the estimated number of requests at the endpoint.
+	// Load is the estimated number of requests at the endpoint, Own that of this host.
 	Load float64
+	Own  int
 	// QueuedPrefill is the prefill time of prompts sent to the endpoint that have no first
 	// token yet.
 	QueuedPrefill time.Duration
 	// Cached reports whether the prompt prefix is cached at the endpoint.
 	Cached bool
-	// Slowdown is the slowdown factor: how many times longer than usual its answers take.
+	// Slowdown is the slowdown factor: how many times longer than usual its answers take. Of a
+	// plain service it may be under 1.
 	Slowdown float64
 	// Failing reports whether the endpoint is ejected or too many of its requests fail.
 	Failing bool
@@ -75,12 +73,17 @@
 
 // ChooseEndpoint chooses the candidate with the lowest score. Among scores that count as
 // equal it takes the candidate with the highest rendezvous weight for the prefix, so that
-// hosts agree without coordination; without a prefix, the one with the lowest load.
+// hosts agree without coordination; without a prefix, the one with the lowest load. For a plain
+// service it takes the candidate with the lowest rank.
 func ChooseEndpoint(req Request, list []Candidate, rnd *rand.Rand) Choice {
-	c := search(req, list, rnd, false)
+	find := search
+	if req.AnswerTime > 0 {
+		find = searchPlain
+	}
+	c := find(req, list, rnd, false)
 	if c.Index < 0 {
 		// All candidates failed lately; one of them may have recovered.
-		c = search(req, list, rnd, true)
+		c = find(req, list, rnd, true)
 		c.AllFailing = true
 	}
 	return c
@@ -152,15 +155,11 @@
 }
 
 // score returns the expected time to first token at a candidate, lowered by reuseShare
-// for a prefix's owner; for a plain service, the expected time of the complete answer.
+// for a prefix's owner.
 func score(req Request, c *Candidate, owner bool) time.Duration {
 	slots := max(1, c.Slots)
 	excess := max(0, c.Load+1-float64(slots))
 	slowdown := max(1, c.Slowdown)
-	if req.AnswerTime > 0 {
-		t := float64(req.AnswerTime) * (excess/float64(slots) + plainLoadShare*c.Load/float64(slots))
-		return time.Duration(slowdown * (t + float64(req.AnswerTime)))
-	}
 	prefill := prefillTime(req, c)
 	if owner && !c.Cached {
 		prefill -= time.Duration(reuseShare * float64(req.PrefixPrefill))
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -447,7 +447,8 @@
 		list[i] = pick.Candidate{
 			Name: endpoints[i].ID, Slots: endpoints[i].SlotsOf(s),
 			Load:          max(st.Load(now), st.KnownInFlight(now)) + st.RefusalLoad(now, endpoints[i].Slots),
-			QueuedPrefill: st.QueuedPrefill(now).Ahead(t.Route.Priority), Slowdown: slowdownFactor(st, now), Failing: st.Ejected(now) || st.EjectedByRate(now),
+			Own:           st.InFlight,
+			QueuedPrefill: st.QueuedPrefill(now).Ahead(t.Route.Priority), Slowdown: t.slowdownFactor(st, now), Failing: st.Ejected(now) || st.EjectedByRate(now),
 			Cached: req.Prefix != 0 && p.Prefixes.Cached(now, endpoints[i].ID, req.Prefix),
 		}
 	})
@@ -574,8 +575,11 @@
 const slowdownThreshold = 2
 
 // slowdownFactor returns the ratio of measured to expected latency of an endpoint, 1
-// if it is not slow.
-func slowdownFactor(st *endpt.State, now time.Time) float64 {
+// if it is not slow. For a plain service, the ratio is also returned if it is low.
+func (t *task) slowdownFactor(st *endpt.State, now time.Time) float64 {
+	if !t.Route.Prompts {
+		return st.Speed(now)
+	}
 	if ratio := float64(st.TimeToFirstToken(now, time.Second)) / float64(time.Second); ratio > slowdownThreshold {
 		return ratio
 	}
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -281,6 +281,7 @@
 	if t.Route.Prompts && out.Started {
 		res.TimeToFirstToken, res.ExpectedTimeToFirstToken = out.TimeToFirstByte, max(time.Millisecond, time.Duration(float64(d.expectedLatency)/d.slowdown))
 	}
+	p.addAnswerTime(t, &res, out, now.Sub(start))
 	p.Board.Endpoints.FinishRequest(now, e.ID, res)
 	if out.Load.Slots > 0 {
 		// The endpoint reported its load in the head of the answer.
@@ -303,6 +304,18 @@
 	}
 }
 
+// addAnswerTime adds the time that the whole answer of a plain endpoint took, and its usual time at
+// the pace that it reported: what is left is the endpoint's own speed.
+func (p *Proxy) addAnswerTime(t *task, res *endpt.Result, out pool.Result, took time.Duration) {
+	if t.Route.Prompts || t.Route.Kind == rules.Stream || !out.Whole || res.ServerError {
+		return
+	}
+	res.AnswerTime, res.ExpectedAnswerTime = took, p.Board.Speeds.AnswerTime(t.Service)
+	if out.Load.Pace > 0 {
+		res.ExpectedAnswerTime = time.Duration(out.Load.Pace * float64(res.ExpectedAnswerTime))
+	}
+}
+
 // endpointResult returns the result of an attempt at an endpoint.
 func endpointResult(out pool.Result) result {
 	res := result{
--- a/internal/serve/proxy/plain_test.go
+++ b/internal/serve/proxy/plain_test.go
@@ -9,8 +9,10 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 )
 
 // plainProxy returns a proxy of region r with two plain endpoints of slots slots in each of two
@@ -98,3 +100,34 @@
 		t.Errorf("got %+v with a free slot at r2, want it sent there", d)
 	}
 }
+
+// TestSlowPlainEndpointIsAvoided guards against plain endpoints whose speed is not measured: one
+// that takes three times as long got as many requests as the other. The pace that an answer
+// reports is not counted as the endpoint's own speed too.
+func TestSlowPlainEndpointIsAvoided(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, _ := plainProxy(&now, 6)
+	chosen := map[string]int{}
+	for range 200 {
+		task := plainTask(p)
+		d := p.choose(task)
+		chosen[d.endpoint.ID]++
+		start, out := now, pool.Result{Whole: true, Load: terms.Load{Slots: 6, Pace: 1}}
+		now = now.Add(30 * time.Millisecond)
+		if d.endpoint.ID == "r1" {
+			now = now.Add(60 * time.Millisecond)
+		}
+		p.recordResult(task, d, out, start)
+	}
+	if chosen["r1"] > 60 || chosen["r1"] == 0 {
+		t.Errorf("the slow endpoint got %d of 200 requests, want 1 to 60", chosen["r1"])
+	}
+	now = now.Add(time.Minute)
+	for range 50 {
+		p.recordResult(plainTask(p), decision{endpoint: regis.Endpoint{ID: "r2"}}, pool.Result{Whole: true, Load: terms.Load{Slots: 6, Pace: 3}}, now.Add(-3*p.Board.Speeds.AnswerTime("s")))
+		now = now.Add(time.Second)
+	}
+	if st := p.Board.Endpoints.Get("r2"); st.Speed(now) > 1.5 {
+		t.Errorf("speed of an endpoint whose answers take what its pace says is %.2f, want about 1", st.Speed(now))
+	}
+}
