Do not apply what is known of an endpoint's earlier process to the next

An endpoint may start again under its id. Its load, requests in flight, failures, ejection, rate limit, pause, speed and prompt prefixes were kept under the id and held for the new process, and late answers and reports of the earlier one changed the state of the new one.

The registry numbers the processes of each id (regis.Endpoint.Start). The tables of endpoints and of prompt prefixes drop their state when the number changes; results, reports, notices, prefill times and failed connections carry the number of the process that they are of and are ignored if it is not the last one.

A registration whose incarnation is absent or 0 counts as the last known process if its address is the same, and as another one otherwise: an odd field of a live endpoint is no restart, and must not lift its announcement that it leaves. A process that starts again at the same address and writes no incarnation is therefore not told apart. Keying all tables by id and incarnation was ruled out, as peer hosts announce loads by id, and an incarnation that is not known yet would split an endpoint in two. An earlier incarnation does not lose to a later one: the clock of the machine may have been set back.

TestStartOfProcess, TestNothingOutlivesAProcess, TestPrefixesOfEarlierProcess and TestLateAnswerOfEarlierProcess cover this; the last one fails if late answers are not compared with the process.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -46,6 +46,8 @@
 	Leaving bool
 	// Failing reports whether polls of the endpoint fail.
 	Failing bool
+	// Start is the number of the process that the report is of, 0 if unknown.
+	Start uint64
 }
 
 // State is the last known state of an endpoint.
@@ -63,6 +65,10 @@
 	failures         eject.Record
 	failureRate      failureRate
 	joinedAt         time.Time
+	// start is the number of the endpoint's process, 0 if unknown, and startedAt when this host
+	// learned of it.
+	start     uint64
+	startedAt time.Time
 	// refusedAt is when the endpoint last refused a request because it was full.
 	refusedAt time.Time
 	// leavingSince is when the endpoint last announced that it is draining, zero if a
@@ -258,7 +264,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(name)
-	if r.At.Before(s.Report.At) {
+	if r.At.Before(s.Report.At) || s.isEarlier(r.Start) {
 		return false
 	}
 	s.Report = r
@@ -291,6 +297,8 @@
 
 // Result is how an attempt at an endpoint ended.
 type Result struct {
+	// Start is the number of the process that the attempt was made at, 0 if unknown.
+	Start uint64
 	Whole bool
 	// Failed reports whether the attempt failed because of the endpoint, not the caller.
 	Failed bool
@@ -315,6 +323,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(name)
+	if s.isEarlier(r.Start) {
+		return
+	}
 	s.setInFlight(now, max(0, s.InFlight-1))
 	if r.Full {
 		s.refusedAt = now
--- /dev/null
+++ b/internal/board/endpt/start.go
@@ -0,0 +1,28 @@
+package endpt
+
+import "time"
+
+// SetStart sets the number of an endpoint's process. If it is another one than before, nothing that
+// is known of the earlier process holds for it: loads, requests in flight, speed, failures,
+// ejections, rate limits and pauses.
+func (t *Table) SetStart(now time.Time, name string, start uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.states[name]
+	if !ok {
+		s = t.state(name)
+		if t.synced {
+			s.joinedAt = now
+		}
+	}
+	switch s.start {
+	case start:
+	case 0:
+		s.start = start
+	default:
+		t.states[name] = &State{start: start, startedAt: now, joinedAt: now}
+	}
+}
+
+// isEarlier reports whether a number is that of an earlier process than the present one.
+func (s *State) isEarlier(start uint64) bool { return start != 0 && start < s.start }
--- /dev/null
+++ b/internal/board/endpt/start_test.go
@@ -0,0 +1,47 @@
+package endpt
+
+import (
+	"testing"
+	"time"
+)
+
+// TestNothingOutlivesAProcess guards against loads, failures, limits, pauses, late answers and late
+// reports of an endpoint's earlier process that are applied to the next one.
+func TestNothingOutlivesAProcess(t *testing.T) {
+	rate := 1.0
+	table := NewTable()
+	table.Sync(at(0), []string{"e"})
+	table.SetStart(at(0), "e", 1)
+	for range 20 {
+		table.StartRequest(at(0), "e")
+		table.FinishRequest(at(0), "e", Result{Start: 1, Failed: true})
+	}
+	table.StartRequest(at(0), "e")
+	table.PutReport("e", Report{Running: 5, At: at(5), Start: 1})
+	table.SetPeerLoads(at(5), "peer", map[string]HostLoad{"e": {Requests: 4}})
+	table.SetPause(at(5), "e", time.Minute)
+	table.SetRateLimit(at(5), "e", &rate, at(5))
+	table.SetStart(at(10), "e", 1)
+	if st := table.Get("e"); !st.Ejected(at(10)) || st.InFlight != 1 {
+		t.Fatal("the state of the same process is lost")
+	}
+
+	table.SetStart(at(10), "e", 2)
+	table.StartRequest(at(11), "e")
+	table.FinishRequest(at(12), "e", Result{Start: 1, Failed: true, Full: true})
+	if table.PutReport("e", Report{Running: 5, At: at(13), Start: 1}) {
+		t.Error("a late report of the earlier process was stored")
+	}
+	table.SetPeerRateLimit("e", &rate, at(9))
+	st := table.Get("e")
+	if st.InFlight != 1 || st.KnownInFlight(at(13)) != 1 || st.Load(at(13)) != 1 {
+		t.Errorf("load is %v with %d in flight here, want the one request to the new process", st.Load(at(13)), st.InFlight)
+	}
+	if st.Ejected(at(13)) || st.RefusalLoad(at(13), 6) != 0 || st.PauseDelay(at(13)) != 0 || table.Limited(at(13), "e") {
+		t.Error("an ejection, a rejection, a pause or a rate limit of the earlier process holds for the new one")
+	}
+	table.FinishRequest(at(14), "e", Result{Start: 2, Whole: true})
+	if st := table.Get("e"); st.InFlight != 0 {
+		t.Errorf("%d requests in flight after the answer, want 0", st.InFlight)
+	}
+}
--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -31,6 +31,9 @@
 	// Incarnation is the start time of the endpoint's process, in milliseconds since
 	// 1970; 0 if unknown.
 	Incarnation int64
+	// Start is this host's number of the endpoint's present process, which differs from that of
+	// any earlier process under the same id; 0 before the registration is stored.
+	Start uint64
 	// Revision is the store's revision at the registration's last change.
 	Revision uint64
 	// Lapsed reports whether the registration was removed during an outage of the store
@@ -85,6 +88,9 @@
 	leaving map[string]leavingMark
 	// gone holds the ids of endpoints whose removal was acknowledged.
 	gone map[string]bool
+	// starts holds the last known process of each endpoint. It outlives their registrations.
+	starts    map[string]process
+	lastStart uint64
 }
 
 // leavingMark is an endpoint's announcement that it leaves.
@@ -118,7 +124,7 @@
 		endpoints: map[string]Endpoint{}, services: map[string][]Endpoint{},
 		evacuations: map[string]evacuation{}, expiring: map[string]time.Time{},
 		releases: map[serviceRelease]time.Time{}, only: map[string]string{}, gone: map[string]bool{},
-		leaving: map[string]leavingMark{},
+		leaving: map[string]leavingMark{}, starts: map[string]process{},
 	}
 }
 
@@ -135,10 +141,12 @@
 	if ok && e.Revision < old.Revision {
 		return false
 	}
-	if e.Revision <= t.restored {
-		if t.gone[e.ID] {
-			return false
-		}
+	older := e.Revision <= t.restored
+	if older && t.gone[e.ID] {
+		return false
+	}
+	t.setStart(&e)
+	if older {
 		// The older copy does not know yet that the endpoint drains.
 		e.Draining = e.Draining || (ok && old.Draining && old.Incarnation == e.Incarnation)
 	}
@@ -149,7 +157,7 @@
 			delete(t.leaving, e.ID)
 		}
 	}
-	if ok && old.Incarnation == e.Incarnation {
+	if ok && old.Start == e.Start {
 		e.announced = old.announced
 	}
 	delete(t.gone, e.ID)
--- /dev/null
+++ b/internal/board/regis/start_test.go
@@ -0,0 +1,47 @@
+package regis
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStartOfProcess guards against what is known of an endpoint's earlier process being applied to
+// the next one under its id, and against a live endpoint that counts as started again because its
+// registration was written with an odd incarnation.
+func TestStartOfProcess(t *testing.T) {
+	for _, tt := range []struct {
+		name                   string
+		first, second          int64
+		firstAddr, secondAddr  string
+		removed, again, leaves bool
+	}{
+		{"same process", 7, 7, "a:1", "a:1", false, false, true},
+		{"same process elsewhere", 7, 7, "a:1", "a:2", false, false, true},
+		{"started again", 7, 8, "a:1", "a:1", false, true, false},
+		{"started again after its removal", 7, 8, "a:1", "a:1", true, true, false},
+		{"registered again after its removal", 7, 7, "a:1", "a:1", true, false, true},
+		{"incarnation is gone", 7, 0, "a:1", "a:1", false, false, true},
+		{"incarnation is gone, listens elsewhere", 7, 0, "a:1", "a:2", false, true, false},
+		{"incarnation never known, listens elsewhere", 0, 0, "a:1", "a:2", false, true, false},
+		{"incarnation never known", 0, 0, "a:1", "a:1", false, false, true},
+	} {
+		table := NewTable()
+		e := entry("e", 1)
+		e.Incarnation, e.Address = tt.first, tt.firstAddr
+		table.Put(e)
+		first, _ := table.Get("e")
+		table.MarkLeaving(start, Leaving{ID: "e", Incarnation: tt.first}, true)
+		if tt.removed {
+			table.Remove("e", 2, time.Time{})
+		}
+		e.Revision, e.Incarnation, e.Address = 3, tt.second, tt.secondAddr
+		table.Put(e)
+		second, _ := table.Get("e")
+		if again := first.Start != second.Start; again != tt.again || table.Current(first) == again || !table.Current(second) {
+			t.Errorf("%s: another process: %v, want %v", tt.name, again, tt.again)
+		}
+		if second.Draining != tt.leaves {
+			t.Errorf("%s: leaves: %v, want %v", tt.name, second.Draining, tt.leaves)
+		}
+	}
+}
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -124,6 +124,10 @@
 }
 
 func (n *Node) endpointChanged(e regis.Endpoint) {
+	if stored, ok := n.board.Registry.Get(e.ID); ok {
+		n.board.Endpoints.SetStart(n.now(), e.ID, stored.Start)
+		n.proxy.Prefixes.SetStart(n.now(), e.ID, stored.Start)
+	}
 	if !e.ColdUntil.IsZero() {
 		// A cold endpoint has restarted or lost its prefix cache.
 		n.proxy.Prefixes.Forget(e.ID)
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -57,7 +57,7 @@
 			p.Board.Poison.RecordServed(p.Now(), t.suspects.parts)
 		}
 		if prefill > 0 {
-			p.Board.Endpoints.AddQueuedPrefill(e.ID, t.Route.Priority, -prefill)
+			p.endPrefill(t, e, prefill)
 			prefill = 0
 			p.wakeNext(t.Service)
 		}
@@ -78,7 +78,7 @@
 	out := p.Client.Do(ctx, attempt, prefillSink)
 	suspicion.Stop()
 	if prefill > 0 {
-		p.Board.Endpoints.AddQueuedPrefill(e.ID, t.Route.Priority, -prefill)
+		p.endPrefill(t, e, prefill)
 		p.wakeNext(t.Service)
 	}
 	if out.Reason != retry.Dial {
@@ -99,10 +99,18 @@
 	return endpointResult(out)
 }
 
+// endPrefill takes the prefill time of a prompt off its endpoint, unless that has started again and
+// has none of it.
+func (p *Proxy) endPrefill(t *task, e regis.Endpoint, prefill time.Duration) {
+	if p.Board.Registry.Current(e) {
+		p.Board.Endpoints.AddQueuedPrefill(e.ID, t.Route.Priority, -prefill)
+	}
+}
+
 // recordFindings records whether the endpoint could be reached, and whether the request and the
 // parts of its prompt may be the cause of its end. writes counts the writes of events.
 func (p *Proxy) recordFindings(t *task, e regis.Endpoint, out pool.Result, start time.Time, writes int) {
-	if out.Unreachable {
+	if out.Unreachable && p.Board.Registry.Current(e) {
 		p.recordUnreachable(e, out.Err)
 	}
 	if writes <= beginWrites && passedBegin(out) {
@@ -225,6 +233,10 @@
 // that was sent at a time.
 func (p *Proxy) recordNotice(t *task, e regis.Endpoint, n pool.Notice, sent time.Time) {
 	now := p.Now()
+	if !p.Board.Registry.Current(e) {
+		// The answer is that of an earlier process under the same id.
+		return
+	}
 	if n.Leaving && p.Board.Registry.MarkLeaving(now, regis.Leaving{ID: e.ID, Incarnation: e.Incarnation}, true) {
 		p.Log.Info().Str("request", t.ID).Str("endpoint", e.ID).Str("service", t.Service).Int64("born", e.Incarnation).Msg("endpoint announces that it leaves")
 		p.tellPeers()
@@ -275,7 +287,7 @@
 	e := d.endpoint
 	refused := out.Reason == retry.Refused && !out.Whole
 	res := endpt.Result{
-		Whole: out.Whole, Full: refused && !out.Misdirected,
+		Start: e.Start, Whole: out.Whole, Full: refused && !out.Misdirected,
 		Failed: !out.Whole && !out.CallerLeft && !refused, ServerError: out.Status >= http.StatusInternalServerError,
 	}
 	if t.Route.Prompts && out.Started {
@@ -289,9 +301,9 @@
 		if out.TimeToFirstByte > 0 {
 			at = start.Add(out.TimeToFirstByte)
 		}
-		p.Board.Endpoints.PutReport(e.ID, endpt.Report{Running: out.Load.Running, Queued: out.Load.Waiting, Pace: out.Load.Pace, At: at})
+		p.Board.Endpoints.PutReport(e.ID, endpt.Report{Running: out.Load.Running, Queued: out.Load.Waiting, Pace: out.Load.Pace, At: at, Start: e.Start})
 	}
-	if out.Misdirected {
+	if out.Misdirected && p.Board.Registry.Current(e) {
 		p.Board.Registry.MarkDraining(e.ID)
 	}
 	if !out.Whole {
--- a/internal/serve/proxy/plain_test.go
+++ b/internal/serve/proxy/plain_test.go
@@ -131,3 +131,36 @@
 		t.Errorf("speed of an endpoint whose answers take what its pace says is %.2f, want about 1", st.Speed(now))
 	}
 }
+
+// TestLateAnswerOfEarlierProcess guards against an answer of an endpoint's earlier process that
+// pauses, drains or ejects the process that has started under its id meanwhile.
+func TestLateAnswerOfEarlierProcess(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, task := plainProxy(&now, 6)
+	e := regis.Endpoint{ID: "r1", Service: "s", Centre: "c", Region: "r", Slots: 6, Incarnation: 1, Revision: 9}
+	p.Board.Registry.Put(e)
+	earlier, _ := p.Board.Registry.Get("r1")
+	p.Board.Endpoints.SetStart(now, "r1", earlier.Start)
+	p.Board.Endpoints.StartRequest(now, "r1")
+	e.Incarnation, e.Revision = 2, 10
+	p.Board.Registry.Put(e)
+	current, _ := p.Board.Registry.Get("r1")
+	p.Board.Endpoints.SetStart(now, "r1", current.Start)
+	p.Board.Endpoints.StartRequest(now, "r1")
+	p.Board.Endpoints.AddQueuedPrefill("r1", 0, time.Second)
+
+	sent, rate := now, 0.5
+	now = now.Add(time.Second)
+	p.recordNotice(task, earlier, pool.Notice{Leaving: true, Pause: time.Minute, RateLimit: &rate, Failed: true}, sent)
+	p.endPrefill(task, earlier, time.Second)
+	out := pool.Result{Misdirected: true, Unreachable: true, Load: terms.Load{Running: 6, Slots: 6}}
+	p.recordResult(task, decision{endpoint: earlier}, out, sent)
+	p.recordFindings(task, earlier, out, sent, 0)
+	st := p.Board.Endpoints.Get("r1")
+	if st.InFlight != 1 || st.Load(now) != 1 || st.PauseDelay(now) != 0 || st.QueuedPrefill(now).Ahead(0) != time.Second || p.Board.Endpoints.Limited(now, "r1") {
+		t.Errorf("state of the new process is %+v, want that of its one request", st)
+	}
+	if got, _ := p.Board.Registry.Get("r1"); got.Draining || !p.Board.Paths.Reachable("r1") {
+		t.Error("the new process counts as draining or out of reach")
+	}
+}
--- a/internal/serve/proxy/prefix.go
+++ b/internal/serve/proxy/prefix.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,15 @@
 	sent map[prefixKey]time.Time
 	// recent lists the last prefixes that this host sent, oldest first.
 	recent []sentPrefix
+	// starts holds the processes of endpoints.
+	starts map[string]processStart
+}
+
+// processStart is the number of an endpoint's process, and when this host learned that it had
+// started again, zero if it did not.
+type processStart struct {
+	number uint64
+	at     time.Time
 }
 
 // sentPrefix is a prefix that is reported to other hosts.
@@ -41,7 +51,9 @@
 }
 
 // NewPrefixTable returns an empty table.
-func NewPrefixTable() *PrefixTable { return &PrefixTable{sent: map[prefixKey]time.Time{}} }
+func NewPrefixTable() *PrefixTable {
+	return &PrefixTable{sent: map[prefixKey]time.Time{}, starts: map[string]processStart{}}
+}
 
 // Cached reports whether a prefix is assumed to be cached at an endpoint.
 func (t *PrefixTable) Cached(now time.Time, endpoint string, prefix uint64) bool {
@@ -63,12 +75,15 @@
 	}
 }
 
-// RecordReported records the prefixes that another host reports to have sent.
+// RecordReported records the prefixes that another host reports to have sent. A report on an
+// endpoint that started again within reportTTL may be of the time before.
 func (t *PrefixTable) RecordReported(now time.Time, list []wire.SentPrefix) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range list {
-		t.record(now, s.Endpoint, s.Prefix)
+		if now.Sub(t.starts[s.Endpoint].at) >= reportTTL {
+			t.record(now, s.Endpoint, s.Prefix)
+		}
 	}
 }
 
@@ -90,6 +105,30 @@
 func (t *PrefixTable) Forget(endpoint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forget(endpoint)
+}
+
+// SetStart sets the number of an endpoint's process. If it is another one than before, the prefixes
+// of the earlier process are dropped and no longer reported.
+func (t *PrefixTable) SetStart(now time.Time, endpoint string, number uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, known := t.starts[endpoint]
+	if known && old.number == number {
+		return
+	}
+	if len(t.starts) >= maxPrefixes {
+		clear(t.starts)
+	}
+	t.starts[endpoint] = processStart{number: number}
+	if known {
+		t.starts[endpoint] = processStart{number: number, at: now}
+		t.recent = slices.DeleteFunc(t.recent, func(s sentPrefix) bool { return s.Endpoint == endpoint })
+		t.forget(endpoint)
+	}
+}
+
+func (t *PrefixTable) forget(endpoint string) {
 	for key := range t.sent {
 		if key.endpoint == endpoint {
 			delete(t.sent, key)
--- a/internal/serve/proxy/prefix_test.go
+++ b/internal/serve/proxy/prefix_test.go
@@ -38,3 +38,25 @@
 		t.Errorf("%d prefixes recorded, %d reported: above the limits", len(k.sent), len(k.Recent(start)))
 	}
 }
+
+// TestPrefixesOfEarlierProcess guards against prompts that are sent to an endpoint for a prefix that
+// its earlier process had cached, also by a late report of another host.
+func TestPrefixesOfEarlierProcess(t *testing.T) {
+	k := NewPrefixTable()
+	k.SetStart(start, "e", 1)
+	k.RecordSent(start, "e", 7)
+	k.SetStart(start, "e", 1)
+	if !k.Cached(start, "e", 7) {
+		t.Error("prefix of the same process is not cached")
+	}
+	late := k.Recent(start)
+	k.SetStart(start.Add(time.Second), "e", 2)
+	k.RecordReported(start.Add(time.Second), late)
+	if k.Cached(start.Add(time.Second), "e", 7) || len(k.Recent(start.Add(time.Second))) != 0 {
+		t.Error("prefix of the earlier process is still cached or reported")
+	}
+	k.RecordReported(start.Add(time.Second+reportTTL), late)
+	if !k.Cached(start.Add(time.Second+reportTTL), "e", 7) {
+		t.Error("prefixes are not recorded any more after a restart")
+	}
+}
