--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -244,7 +244,9 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
 		e := t.endpoints[id]
-		if listed[id] || e.Revision > revision {
+		_, expiring := t.expiring[id]
+		spoiled := expiring && !e.Lapsed
+		if listed[id] || e.Revision > revision || spoiled {
 			continue
 		}
 		if until.IsZero() {
@@ -273,6 +275,23 @@
 	return dropped
 }
 
+// Spoil records that the registration of an endpoint was overwritten, at a revision, with a value that
+// can't be decoded. The earlier registration stays in force until the endpoint writes it again, or
+// until a time. Spoil reports whether the endpoint is registered and did not expire already.
+func (t *Table) Spoil(id string, revision uint64, until time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.endpoints[id]
+	if _, scheduled := t.expiring[id]; !ok || scheduled || revision < e.Revision {
+		return false
+	}
+	t.expiring[id] = until
+	e.Revision = revision
+	t.endpoints[id] = e
+	t.reindex()
+	return true
+}
+
 // PostponeExpiry sets the time at which all expiring endpoints are dropped, while the
 // store is unreachable.
 func (t *Table) PostponeExpiry(until time.Time) {
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -84,6 +84,8 @@
 	// listedAt is the ordered revision of the last listing. Only the feed uses it.
 	listedAt        uint64
 	heldEvacuations heldEvacuations
+	// warnedItems bounds the warnings of items that can't be decoded.
+	warnedItems warnedKeys
 	// coldChecks is only used by its controller.
 	coldChecks coldChecks
 
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -16,6 +16,9 @@
 	// disappeared during a store outage is kept. Live endpoints register again within
 	// about two seconds.
 	outageGrace = 2200 * time.Millisecond
+	// spoiledGrace is how long an endpoint whose registration was overwritten with something that
+	// can't be decoded stays in force. Live endpoints write theirs again within about two seconds.
+	spoiledGrace = 5 * time.Second
 )
 
 // setUpFeed sets the feed's callbacks, which update the registry and the routes.
@@ -42,6 +45,7 @@
 		if c.Endpoint != nil {
 			list = append(list, n.withRegion(*c.Endpoint))
 		}
+		n.spoil(now, c)
 	}
 	restored := n.listedAt != 0 && eras.Of(b.Revision) > eras.Of(n.listedAt)
 	if restored {
@@ -73,6 +77,10 @@
 	for _, c := range b.Changes {
 		switch {
 		case c.Err != nil:
+			n.spoil(now, c)
+			if !n.warnedItems.due(now, c.Key) {
+				continue
+			}
 			n.log.Warn().Str("key", c.Key).Uint64("revision", eras.Revision(c.Revision)).Err(c.Err).Msg("ignoring a store item that can't be decoded")
 		case c.Rules != nil:
 			n.applyRules(c)
@@ -95,6 +103,18 @@
 	n.runner.Trigger(storeStateName)
 }
 
+// spoil keeps an endpoint in force for spoiledGrace if its registration can't be decoded.
+func (n *Node) spoil(now time.Time, c feed.Change) {
+	if c.SpoiledEndpoint == "" || !n.board.Registry.Spoil(c.SpoiledEndpoint, c.Revision, now.Add(spoiledGrace)) {
+		return
+	}
+	// The endpoint and the other writer may overwrite each other's item again and again.
+	if n.warnedItems.due(now, "kept/"+c.SpoiledEndpoint) {
+		n.log.Warn().Str("endpoint", c.SpoiledEndpoint).Uint64("revision", eras.Revision(c.Revision)).Dur("kept", spoiledGrace).
+			Msg("registration of an endpoint was overwritten with something that can't be decoded")
+	}
+}
+
 func (n *Node) applyRules(c feed.Change) {
 	if n.board.Routes.Apply(c.Rules) {
 		n.meter.Revision.Set(float64(c.Rules.Version))
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -89,7 +89,7 @@
 	add(storeStateName, storeStatePeriod, n.shareStoreState)
 	add("registry", expirePeriod, func(now time.Time) {
 		for _, id := range n.board.Registry.Expire(now) {
-			n.log.Info().Str("endpoint", id).Msg("endpoint removed: it did not register again after the store outage")
+			n.log.Info().Str("endpoint", id).Msg("endpoint removed: it did not register again")
 		}
 		n.endHeldEvacuations(now)
 	})
