--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -34,6 +34,7 @@
 	retries       *prometheus.CounterVec
 	retriesDenied *prometheus.CounterVec
 	crossings     *prometheus.CounterVec
+	placements    *prometheus.CounterVec
 	requests      *prometheus.CounterVec
 	firstToken    *prometheus.HistogramVec
 	tokenGap      *prometheus.HistogramVec
@@ -82,6 +83,7 @@
 		retries:       counters("retries_total", "Attempts made again by the reason of the failure.", "reason"),
 		retriesDenied: counters("retries_denied_total", "Failures that were not tried again.", "reason"),
 		crossings:     counters("crossings_total", "Requests by whether they left their region.", "service", "crossing"),
+		placements:    counters("plain_placements_total", "Decisions on first attempts at plain services.", "service", "decision"),
 		requests:      counters("requests_total", "Requests by outcome.", "service", "outcome"),
 		firstToken:    histogram("first_token_seconds", "Time to the first byte of an answer's body."),
 		tokenGap:      histogram("token_gap_seconds", "Time between parts of a streamed answer."),
@@ -104,7 +106,7 @@
 		InFlight:             gauge("open_requests", "Requests in flight."),
 		Revision:             gauge("revision", "Configuration revision in force."),
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.requests, m.firstToken, m.tokenGap,
+	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.placements, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
 		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
@@ -156,6 +158,11 @@
 	m.crossings.WithLabelValues(service, string(c)).Inc()
 }
 
+// CountPlacement counts a decision on the first attempt at a plain service.
+func (m *Meter) CountPlacement(service, decision string) {
+	m.placements.WithLabelValues(service, decision).Inc()
+}
+
 // CountRequest counts a request by outcome.
 func (m *Meter) CountRequest(service, outcome string) {
 	m.requests.WithLabelValues(service, outcome).Inc()
--- a/internal/route/spill/spill.go
+++ b/internal/route/spill/spill.go
@@ -56,6 +56,9 @@
 	Refuse
 )
 
+// String returns the name of the outcome.
+func (k Kind) String() string { return [...]string{"sent", "crossed", "waited", "refused"}[k] }
+
 // Region is another region that the request may go to.
 type Region struct {
 	Name string
--- a/internal/serve/proxy/paths_test.go
+++ b/internal/serve/proxy/paths_test.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 )
 
@@ -21,7 +22,7 @@
 func pathsPlay(now time.Time, homes ...string) (*Proxy, *rules.Route) {
 	p := New()
 	p.Board = board.New(now, "h", "r", "c", 1)
-	p.Now = func() time.Time { return now }
+	p.Now, p.Meter = func() time.Time { return now }, meter.New()
 	p.Budget = retry.NewFleetBudget(retry.Bound{Slack: 100, Window: 10 * time.Second}, func() int { return 1 })
 	route := rules.Route{Kind: rules.Safe, Attempts: 2, Homes: homes}
 	p.Board.Routes.Apply(rules.New(1, []rules.Route{route}, []rules.Service{{Name: "s"}}, rules.Limits{}))
--- a/internal/serve/proxy/plain.go
+++ b/internal/serve/proxy/plain.go
@@ -34,6 +34,9 @@
 		return decision{}, false
 	}
 	v := p.spills.Decide(now, r)
+	if v.Kind != spill.Wait || !r.Queued {
+		p.Meter.CountPlacement(t.Service, v.Kind.String())
+	}
 	switch v.Kind {
 	case spill.Send:
 	case spill.Cross:
--- a/internal/serve/proxy/plain_test.go
+++ b/internal/serve/proxy/plain_test.go
@@ -12,6 +12,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 )
 
@@ -20,7 +21,7 @@
 func plainProxy(now *time.Time, slots int) (*Proxy, *task) {
 	p := New()
 	p.Board = board.New(*now, "h", "r", "c", 1)
-	p.Now = func() time.Time { return *now }
+	p.Now, p.Meter = func() time.Time { return *now }, meter.New()
 	route := &rules.Route{Kind: rules.Unsafe, Target: 400 * time.Millisecond}
 	p.Board.Routes.Apply(rules.New(1, []rules.Route{*route}, []rules.Service{{Name: "s"}}, rules.Limits{}))
 	for i, id := range []string{"r1", "r2", "x1", "x2"} {
