--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -20,6 +20,9 @@
 	historyAge = 5 * time.Second
 	// sampleWeight is the weight of one new answer in the slowdown averages.
 	sampleWeight = 0.2
+	// paceHalfLife is the age at which a reported pace counts half, as it changes many times a
+	// second.
+	paceHalfLife = 100 * time.Millisecond
 	// fullHold is how long an endpoint that refused a request counts as full.
 	fullHold = 300 * time.Millisecond
 	// maxSlowdown bounds the slowdown of one answer from above, its inverse from below.
@@ -43,6 +46,8 @@
 	Leaving bool
 	// Failing reports whether polls of the endpoint fail.
 	Failing bool
+	// Start is the number of the process that the report is of, 0 if unknown.
+	Start uint64
 }
 
 // State is the last known state of an endpoint.
@@ -60,6 +65,10 @@
 	failures         eject.Record
 	failureRate      failureRate
 	joinedAt         time.Time
+	// start is the number of the endpoint's process, 0 if unknown, and startedAt when this host
+	// learned of it.
+	start     uint64
+	startedAt time.Time
 	// refusedAt is when the endpoint last refused a request because it was full.
 	refusedAt time.Time
 	// leavingSince is when the endpoint last announced that it is draining, zero if a
@@ -172,6 +181,17 @@
 	return time.Duration(s.workSlowdown.current(now) * float64(usual))
 }
 
+// Speed returns how long a complete answer is expected to take, as a multiple of the usual time: by
+// the endpoint's earlier answers, and by the pace that it reported, the less the older that is.
+func (s *State) Speed(now time.Time) float64 {
+	speed := s.workSlowdown.current(now)
+	if s.Report.Pace > 0 {
+		age := math.Max(0, float64(now.Sub(s.Report.At)))
+		speed *= math.Pow(s.Report.Pace, math.Exp2(-age/float64(paceHalfLife)))
+	}
+	return speed
+}
+
 // Leaving reports whether the endpoint announced that it is draining.
 func (s *State) Leaving() bool { return !s.leavingSince.IsZero() }
 
@@ -244,7 +264,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(name)
-	if r.At.Before(s.Report.At) {
+	if r.At.Before(s.Report.At) || s.isEarlier(r.Start) {
 		return false
 	}
 	s.Report = r
@@ -277,6 +297,8 @@
 
 // Result is how an attempt at an endpoint ended.
 type Result struct {
+	// Start is the number of the process that the attempt was made at, 0 if unknown.
+	Start uint64
 	Whole bool
 	// Failed reports whether the attempt failed because of the endpoint, not the caller.
 	Failed bool
@@ -301,6 +323,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(name)
+	if s.isEarlier(r.Start) {
+		return
+	}
 	s.setInFlight(now, max(0, s.InFlight-1))
 	if r.Full {
 		s.refusedAt = now
--- a/internal/serve/proxy/plain_test.go
+++ b/internal/serve/proxy/plain_test.go
@@ -9,8 +9,11 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 )
 
 // plainProxy returns a proxy of region r with two plain endpoints of slots slots in each of two
@@ -18,7 +21,7 @@
 func plainProxy(now *time.Time, slots int) (*Proxy, *task) {
 	p := New()
 	p.Board = board.New(*now, "h", "r", "c", 1)
-	p.Now = func() time.Time { return *now }
+	p.Now, p.Meter = func() time.Time { return *now }, meter.New()
 	route := &rules.Route{Kind: rules.Unsafe, Target: 400 * time.Millisecond}
 	p.Board.Routes.Apply(rules.New(1, []rules.Route{*route}, []rules.Service{{Name: "s"}}, rules.Limits{}))
 	for i, id := range []string{"r1", "r2", "x1", "x2"} {
@@ -98,3 +101,67 @@
 		t.Errorf("got %+v with a free slot at r2, want it sent there", d)
 	}
 }
+
+// TestSlowPlainEndpointIsAvoided guards against plain endpoints whose speed is not measured: one
+// that takes three times as long got as many requests as the other. The pace that an answer
+// reports is not counted as the endpoint's own speed too.
+func TestSlowPlainEndpointIsAvoided(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, _ := plainProxy(&now, 6)
+	chosen := map[string]int{}
+	for range 200 {
+		task := plainTask(p)
+		d := p.choose(task)
+		chosen[d.endpoint.ID]++
+		start, out := now, pool.Result{Whole: true, Load: terms.Load{Slots: 6, Pace: 1}}
+		now = now.Add(30 * time.Millisecond)
+		if d.endpoint.ID == "r1" {
+			now = now.Add(60 * time.Millisecond)
+		}
+		p.recordResult(task, d, out, start)
+	}
+	if chosen["r1"] > 60 || chosen["r1"] == 0 {
+		t.Errorf("the slow endpoint got %d of 200 requests, want 1 to 60", chosen["r1"])
+	}
+	now = now.Add(time.Minute)
+	for range 50 {
+		p.recordResult(plainTask(p), decision{endpoint: regis.Endpoint{ID: "r2"}}, pool.Result{Whole: true, Load: terms.Load{Slots: 6, Pace: 3}}, now.Add(-3*p.Board.Speeds.AnswerTime("s")))
+		now = now.Add(time.Second)
+	}
+	if st := p.Board.Endpoints.Get("r2"); st.Speed(now) > 1.5 {
+		t.Errorf("speed of an endpoint whose answers take what its pace says is %.2f, want about 1", st.Speed(now))
+	}
+}
+
+// TestLateAnswerOfEarlierProcess guards against an answer of an endpoint's earlier process that
+// pauses, drains or ejects the process that has started under its id meanwhile.
+func TestLateAnswerOfEarlierProcess(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, task := plainProxy(&now, 6)
+	e := regis.Endpoint{ID: "r1", Service: "s", Centre: "c", Region: "r", Slots: 6, Incarnation: 1, Revision: 9}
+	p.Board.Registry.Put(e)
+	earlier, _ := p.Board.Registry.Get("r1")
+	p.Board.Endpoints.SetStart(now, "r1", earlier.Start)
+	p.Board.Endpoints.StartRequest(now, "r1")
+	e.Incarnation, e.Revision = 2, 10
+	p.Board.Registry.Put(e)
+	current, _ := p.Board.Registry.Get("r1")
+	p.Board.Endpoints.SetStart(now, "r1", current.Start)
+	p.Board.Endpoints.StartRequest(now, "r1")
+	p.Board.Endpoints.AddQueuedPrefill("r1", 0, time.Second)
+
+	sent, rate := now, 0.5
+	now = now.Add(time.Second)
+	p.recordNotice(task, earlier, pool.Notice{Leaving: true, Pause: time.Minute, RateLimit: &rate, Failed: true}, sent)
+	p.endPrefill(task, earlier, time.Second)
+	out := pool.Result{Misdirected: true, Unreachable: true, Load: terms.Load{Running: 6, Slots: 6}}
+	p.recordResult(task, decision{endpoint: earlier}, out, sent)
+	p.recordFindings(task, earlier, out, sent, 0)
+	st := p.Board.Endpoints.Get("r1")
+	if st.InFlight != 1 || st.Load(now) != 1 || st.PauseDelay(now) != 0 || st.QueuedPrefill(now).Ahead(0) != time.Second || p.Board.Endpoints.Limited(now, "r1") {
+		t.Errorf("state of the new process is %+v, want that of its one request", st)
+	}
+	if got, _ := p.Board.Registry.Get("r1"); got.Draining || !p.Board.Paths.Reachable("r1") {
+		t.Error("the new process counts as draining or out of reach")
+	}
+}
