Make the tests of key revocation fail without the check

Cause: on builds with one check taken out, two tests passed: answers that were 3 s late still brought the change within the period, and hidden changes were found by reading the configuration alone. A third passed as the fixture did not wait for the first listing on a build without any check. Change: answers are late by more than the period; a new test lets the reads of the configuration fail while watches hide a change; the fixture waits for version 7 and the endpoints.

--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -26,6 +26,8 @@
 type keyHost struct {
 	// cut makes all calls to the store fail.
 	cut atomic.Bool
+	// noReads makes the reads of the configuration alone fail.
+	noReads atomic.Bool
 	// late is how long answers of the store are on their way, in nanoseconds.
 	late atomic.Int64
 	// slept is the time for which the machine was suspended, in nanoseconds.
@@ -79,7 +81,8 @@
 	}
 	f.eventually("all hosts know each other and accept the key", func() bool {
 		for _, name := range names {
-			if len(f.nodes[name].board.Members.Members()) < len(names)-1 || !f.nodes[name].keysValid(7) {
+			n := f.nodes[name]
+			if len(n.board.Members.Members()) < len(names)-1 || n.board.Routes.Version() != 7 || n.board.Registry.Len() != len(f.endpoints) || !n.keysValid(7) {
 				return false
 			}
 		}
@@ -160,6 +163,9 @@
 		return b, err
 	}
 	fd.Proofs.Read = func(ctx context.Context) (feed.Change, error) {
+		if h.noReads.Load() {
+			return feed.Change{}, fmt.Errorf("store rejects the read")
+		}
 		c, err := read(ctx)
 		if cut := pass(ctx); cut != nil {
 			return feed.Change{}, cut
@@ -257,12 +263,24 @@
 // that was on its way for seconds.
 func TestKeyEndsIfAnswersAreLate(t *testing.T) {
 	f := startKeyFleet(t, "a1")
-	f.hosts["a1"].late.Store(int64(3 * time.Second))
+	f.hosts["a1"].late.Store(int64(revokePeriod + time.Second))
+	// Answers that were sent before the change arrive for longer than the period after it.
 	time.Sleep(2 * time.Second)
 	f.publish(8, "k2")
 	f.refusesAfter(time.Now(), "k1", 2*revokePeriod)
 }
 
+// TestEmptyWatchesConfirmNothing guards against watches that hide a change keeping a key in use
+// while the configuration can't be read alone.
+func TestEmptyWatchesConfirmNothing(t *testing.T) {
+	f := startKeyFleet(t, "a1")
+	f.hosts["a1"].noReads.Store(true)
+	f.platform.SetBlind(true)
+	f.publish(8, "k2")
+	f.refusesAfter(time.Now(), "k1", revokePeriod+time.Second)
+	f.wantStatus("a1", "/keyed/x", "k1", 503)
+}
+
 // TestSuspendedHostChecksFirst guards against a host that was suspended serving by what it knew
 // before.
 func TestSuspendedHostChecksFirst(t *testing.T) {
