--- a/internal/serve/edge/customer.go
+++ b/internal/serve/edge/customer.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -15,9 +17,13 @@
 const maxKeyBytes = 256
 
 // maxUnknownAge is the longest time since the rules were last confirmed for a key that is not
-// in them to be refused for good. With older rules it may belong to a newer version.
+// in them to be refused for good, if they can't be confirmed at once. With older rules it may belong
+// to a newer version.
 const maxUnknownAge = 3 * time.Second
 
+// errUnknownKey is the cause of the refusal of a key that is not in the rules.
+var errUnknownKey = errors.New("key is not in the rules in force")
+
 // Keys decides whether the host accepts customers' keys. Its functions must be set.
 type Keys struct {
 	// Valid reports whether a version of the rules was confirmed recently enough to accept the
@@ -28,6 +34,9 @@
 	Age func(now time.Time) (time.Duration, bool)
 	// Refresh requests a confirmation.
 	Refresh func()
+	// Confirm requests a confirmation, waits for it for a moment and reports whether it came: a read
+	// that was sent after the call.
+	Confirm func(ctx context.Context) bool
 }
 
 // identify sets the customer of a request and applies the customer's priority and homes to its
@@ -74,9 +83,9 @@
 	if age, ok := s.Keys.Age(s.Now()); !ok || age > maxUnknownAge {
 		s.Keys.Refresh()
 		return fault.New(fault.NotReady, fault.RanNo, "%s is not known, and the rules may not be the newest", s.Terms.Key).
-			WithRetryAfter(proxy.ConfirmRetryAfter)
+			WithRetryAfter(proxy.ConfirmRetryAfter).WithCause(errUnknownKey)
 	}
-	return fault.New(fault.BadKey, fault.RanNo, "%s is not the key of a customer", s.Terms.Key)
+	return fault.New(fault.BadKey, fault.RanNo, "%s is not the key of a customer", s.Terms.Key).WithCause(errUnknownKey)
 }
 
 // checkKeyForm returns a refusal unless there is exactly one key of printable ASCII characters.
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -40,6 +41,10 @@
 		}
 	}()
 	r, refusal := s.routedRequest(c, start)
+	if refusal != nil && errors.Is(refusal, errUnknownKey) && s.Keys.Confirm(ctx) {
+		// The rules are now newer than the request, and may have the key.
+		r, refusal = s.routedRequest(c, start)
+	}
 	if refusal != nil {
 		s.sendRefusal(c, refusal)
 		s.recordRequest(r, proxy.Report{Refusal: refusal, Region: s.Board.Region}, start)
@@ -86,10 +91,10 @@
 	if r.Route == nil {
 		return r, fault.New(fault.NoRoute, fault.RanNo, "no route for this host and path")
 	}
-	s.Board.Mixes.CountRequest(now, r.Host, r.Route.Name)
 	if refusal := s.identify(c, published, &r); refusal != nil {
 		return r, refusal
 	}
+	s.Board.Mixes.CountRequest(now, r.Host, r.Route.Name)
 	if r.ID == "" {
 		return r, fault.New(fault.BadRequest, fault.RanNo, "%s is missing", s.Terms.RequestID)
 	}
--- a/internal/serve/node/keys.go
+++ b/internal/serve/node/keys.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"context"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 )
@@ -44,6 +46,36 @@
 	n.runner.Trigger(proofsName)
 }
 
+const (
+	// maxConfirmWait is how long a request with an unknown key waits for a confirmation. Reads of the
+	// rules alone are 250 ms apart at least.
+	maxConfirmWait = 500 * time.Millisecond
+	confirmPoll    = 10 * time.Millisecond
+	// maxConfirming bounds the requests that wait, as callers can send any number of unknown keys.
+	maxConfirming = 64
+)
+
+// confirmNow requests a confirmation and waits for it. It reports whether one came whose read was sent
+// after the call.
+func (n *Node) confirmNow(ctx context.Context) bool {
+	defer n.confirming.Add(-1)
+	if n.confirming.Add(1) > maxConfirming {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxConfirmWait)
+	defer cancel()
+	since := n.boot()
+	n.feed.RequestProof()
+	for ctx.Err() == nil {
+		now := n.boot()
+		if age, ok := n.board.Proof.Age(now); ok && now-age >= since {
+			return true
+		}
+		ctrl.Sleep(ctx, confirmPoll)
+	}
+	return false
+}
+
 // confirmRules records a read of the store like recordProof. A process that starts hears of peer
 // hosts first.
 func (n *Node) confirmRules(sent time.Duration, newest uint64) bool {
--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -479,3 +479,25 @@
 		t.Error("a directory leaves out hosts though none has a confirmation")
 	}
 }
+
+// TestNewKeyGetsNo401 guards against a key of a version that the host has not read yet being refused
+// for good, though its rules were confirmed a moment ago.
+func TestNewKeyGetsNo401(t *testing.T) {
+	f := startKeyFleet(t, "a1", "a2", "a3", "a4")
+	f.platform.SetBlind(true)
+	for version := 8; version < 14; version++ {
+		key := fmt.Sprint("key-of-", version)
+		f.publish(version, key)
+		for name := range f.nodes {
+			if status := f.status(name, "/keyed/x", key); status != 200 {
+				t.Errorf("host %s answers %d to a key that was just published, want 200", name, status)
+			}
+		}
+		f.wantStatus("a1", "/keyed/x", fmt.Sprint("key-of-", version-1), 401)
+	}
+	for _, h := range f.hosts {
+		h.cut.Store(true)
+	}
+	f.wantStatus("a1", "/keyed/x", "unknown", 401)
+	f.eventually("hosts that are cut off refuse an unknown key as not run", func() bool { return f.status("a1", "/keyed/x", "unknown") == 503 })
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -79,6 +79,8 @@
 	// behindSince is when the rules in force were first known not to be the newest, by boot, 0 if
 	// they are.
 	behindSince atomic.Int64
+	// confirming counts the requests that wait for a confirmation.
+	confirming atomic.Int32
 	// keysRefused reports whether keys were refused for want of a confirmation when that was last
 	// logged.
 	keysRefused atomic.Bool
@@ -198,7 +200,7 @@
 	}
 	n.front = &edge.Server{
 		Board: n.board, Proxy: n.proxy, Terms: t, Meter: n.meter, Log: n.log, Settings: n.settings, Now: n.now,
-		Refusing: n.refusing.Load, Keys: edge.Keys{Valid: n.keysValid, Age: n.rulesAge, Refresh: n.refreshRules},
+		Refusing: n.refusing.Load, Keys: edge.Keys{Valid: n.keysValid, Age: n.rulesAge, Refresh: n.refreshRules, Confirm: n.confirmNow},
 	}
 	n.handlers = link.Handlers{
 		Stream: handler.Stream,
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -103,6 +103,8 @@
 		n.meter.Revision.Set(float64(c.Rules.Version))
 		// Peer hosts that start compare what the store shows them with this version.
 		n.updateSelf()
+		// The first rules with customers need a confirmation.
+		n.runner.Trigger(proofsName)
 		names := c.Rules.RouteNames()
 		n.meter.KeepRoutes(names)
 		n.log.Info().Uint64("version", c.Rules.Version).Int("routes", len(names)).
