--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -200,14 +200,14 @@
 // revokePeriod is the period of the bounds that the tests use.
 var revokePeriod = setup.DefaultBounds().RevokePeriod()
 
-// refusesAfter sends requests with a key to all hosts for a while and fails if one that is sent
+// refusesAfter sends requests with the key "k1" to all hosts for a while and fails if one that is sent
 // later than the revocation period after since is answered.
-func (f *keyFleet) refusesAfter(since time.Time, key string, until time.Duration) {
+func (f *keyFleet) refusesAfter(since time.Time, until time.Duration) {
 	f.t.Helper()
 	for time.Since(since) < until {
 		for name := range f.nodes {
 			sent := time.Since(since)
-			if status := f.status(name, "/keyed/x", key); status == http.StatusOK && sent > revokePeriod {
+			if status := f.status(name, "/keyed/x", "k1"); status == http.StatusOK && sent > revokePeriod {
 				f.t.Fatalf("host %s runs a request that was sent %v after its key was taken away", name, sent)
 			}
 		}
@@ -226,7 +226,7 @@
 	}
 	f.publish(8, "k2")
 	since := time.Now()
-	f.refusesAfter(since, "k1", revokePeriod+time.Second)
+	f.refusesAfter(since, revokePeriod+time.Second)
 	for name, h := range f.hosts {
 		f.wantStatus(name, "/keyed/x", "k1", 503)
 		f.wantStatus(name, "/keyed/x", "k2", 503)
@@ -267,7 +267,7 @@
 	// Answers that were sent before the change arrive for longer than the period after it.
 	time.Sleep(2 * time.Second)
 	f.publish(8, "k2")
-	f.refusesAfter(time.Now(), "k1", 2*revokePeriod)
+	f.refusesAfter(time.Now(), 2*revokePeriod)
 }
 
 // TestEmptyWatchesConfirmNothing guards against watches that hide a change keeping a key in use
@@ -277,7 +277,7 @@
 	f.hosts["a1"].noReads.Store(true)
 	f.platform.SetBlind(true)
 	f.publish(8, "k2")
-	f.refusesAfter(time.Now(), "k1", revokePeriod+time.Second)
+	f.refusesAfter(time.Now(), revokePeriod+time.Second)
 	f.wantStatus("a1", "/keyed/x", "k1", 503)
 }
 
@@ -415,7 +415,7 @@
 	f.closeHost("a2")
 	f.startHost("a2", freeAddress(t))
 	f.eventually("the host that starts has its configuration from the other one", func() bool { return f.nodes["a2"].board.Routes.Version() == 7 })
-	f.refusesAfter(since, "k1", revokePeriod+time.Second)
+	f.refusesAfter(since, revokePeriod+time.Second)
 	f.wantStatus("a2", "/keyed/x", "k1", 503)
 	f.wantStatus("a2", "/public/x", "", 200)
 }
