Report missing confirmations to the own region only

Cause: reports on hosts without a confirmation were passed on at random like those on cut hosts. While the store is down every host reports: with 360 hosts that is full packets all the time, 15 KB/s by reckoning against a limit of 12, and the report that a confirmation is back waits behind others. The code for reports on cut hosts is as it was. Ruled out: a flag in each packet: hosts without requests send one packet a second, to one host. The traffic at 360 hosts is not measured.

--- a/internal/board/paths/hosts.go
+++ b/internal/board/paths/hosts.go
@@ -72,6 +72,13 @@
 	return h.self.Cut
 }
 
+// SelfReport returns the latest report of this host; its serial is 0 if it was never cut off.
+func (h *Hosts) SelfReport() Report {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.self
+}
+
 // Merge adds the reports of a peer host, and reports whether that changed which hosts are cut off.
 func (h *Hosts) Merge(now time.Time, list []Report) bool {
 	h.mu.Lock()
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -113,7 +113,7 @@
 	// builds ignore the field.
 	CutHosts []CutHost `cbor:"27,keyasint,omitempty"`
 	// AskProof is the nonce of a question whether the receiver has a confirmation of its rules, 0 for
-	// none, and Proof the answer to one, or which hosts have none. Hosts of older builds ignore the fields.
+	// none, and Proof the answer to one, or whether the sender has none. Hosts of older builds ignore the fields.
 	AskProof uint64      `cbor:"30,keyasint,omitempty"`
 	Proof    *RulesProof `cbor:"31,keyasint,omitempty"`
 	// InFlight is the number of in-flight requests at the sender.
@@ -197,8 +197,8 @@
 	Version uint64 `cbor:"2,keyasint,omitempty"`
 	// AgeMS is the time since that read was sent, in milliseconds, rounded up.
 	AgeMS uint64 `cbor:"3,keyasint,omitempty"`
-	// Unproven says which hosts have no confirmation; Cut means that a host has none.
-	Unproven []CutHost `cbor:"4,keyasint,omitempty"`
+	// Unproven says whether the sender has no confirmation; Cut means that it has none.
+	Unproven *CutHost `cbor:"4,keyasint,omitempty"`
 }
 
 // HostLoad is the sender's own in-flight requests at one endpoint.
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"reflect"
 	"testing"
 )
@@ -85,3 +86,28 @@
 		_ = Decode(data, &p)
 	})
 }
+
+// TestOlderBuildsReadProofs guards against packets with confirmations that a build which does not
+// know their fields can't decode, and against such packets exceeding a datagram.
+func TestOlderBuildsReadProofs(t *testing.T) {
+	const host = "255.255.255.255:65535"
+	p := Packet{Kind: Announce, From: host, Incarnation: math.MaxUint64, Revision: math.MaxUint64, AskProof: math.MaxUint64, Proof: &RulesProof{
+		Nonce: math.MaxUint64, Version: math.MaxUint64, AgeMS: math.MaxUint64,
+		Unproven: &CutHost{Host: host, Life: math.MaxUint64, Serial: math.MaxUint32, Cut: true},
+	}}
+	data, err := enc.Marshal(p)
+	if err != nil || len(data) > 250 {
+		t.Fatalf("packet takes %d bytes, error %v, want at most 250", len(data), err)
+	}
+	var older struct {
+		Kind Kind   `cbor:"1,keyasint"`
+		From string `cbor:"3,keyasint"`
+	}
+	if err := dec.Unmarshal(data, &older); err != nil || older.Kind != Announce || older.From != host {
+		t.Errorf("an older build reads %+v, error %v", older, err)
+	}
+	var same Packet
+	if err := dec.Unmarshal(data, &same); err != nil || !reflect.DeepEqual(same, p) {
+		t.Errorf("packet reads back as %+v, error %v", same, err)
+	}
+}
--- a/internal/serve/node/paths.go
+++ b/internal/serve/node/paths.go
@@ -37,44 +37,28 @@
 	}
 }
 
-// shareCuts sends the reports on cut hosts, and those on hosts without a confirmation of their rules,
-// to a few hosts of the fleet.
+// shareCuts sends the reports on cut hosts to a few hosts of the fleet.
 func (n *Node) shareCuts(now time.Time) {
-	for _, t := range []*paths.Hosts{n.board.CutHosts, n.board.Unproven} {
-		if t.Sweep(now) {
-			n.runner.Trigger(dutyName)
-		}
-	}
-	anyone := func(m member.Member) bool { return m.Region != "" }
-	if list := toWireCuts(n.board.CutHosts.Outgoing(maxPacketCuts)); len(list) > 0 {
-		n.announce(cutFanout, anyone, wire.Packet{CutHosts: list})
+	if n.board.CutHosts.Sweep(now) {
+		n.runner.Trigger(dutyName)
 	}
-	if list := toWireCuts(n.board.Unproven.Outgoing(maxPacketCuts)); len(list) > 0 {
-		n.announce(cutFanout, anyone, wire.Packet{Proof: &wire.RulesProof{Unproven: list}})
+	list := n.board.CutHosts.Outgoing(maxPacketCuts)
+	if len(list) == 0 {
+		return
 	}
-}
-
-// toWireCuts returns reports in the form of packets.
-func toWireCuts(list []paths.Report) []wire.CutHost {
 	out := make([]wire.CutHost, len(list))
 	for i, r := range list {
 		out[i] = wire.CutHost{Host: r.Host, Life: r.Incarnation, Serial: r.Serial, Cut: r.Cut}
 	}
-	return out
+	n.announce(cutFanout, func(m member.Member) bool { return m.Region != "" }, wire.Packet{CutHosts: out})
 }
 
-// fromWireCuts returns the reports that toWireCuts encoded.
-func fromWireCuts(list []wire.CutHost) []paths.Report {
+// receiveCuts adds the reports on cut hosts of a peer host.
+func (n *Node) receiveCuts(now time.Time, list []wire.CutHost) {
 	reports := make([]paths.Report, len(list))
 	for i, w := range list {
 		reports[i] = paths.Report{Host: w.Host, Incarnation: w.Life, Serial: w.Serial, Cut: w.Cut}
 	}
-	return reports
-}
-
-// receiveCuts adds the reports on cut hosts of a peer host.
-func (n *Node) receiveCuts(now time.Time, list []wire.CutHost) {
-	reports := fromWireCuts(list)
 	if n.board.CutHosts.Merge(now, reports) {
 		n.log.Info().Int("reports", len(reports)).Msg("hosts that are cut off from their endpoints changed")
 		n.runner.Trigger(dutyName)
--- a/internal/serve/node/proofs.go
+++ b/internal/serve/node/proofs.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/board/paths"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 )
@@ -25,17 +27,23 @@
 	leaveShare = 0.75
 	// maxProofAgeMS bounds the age that a peer host states.
 	maxProofAgeMS = 24 * 60 * 60 * 1000
+	// returnReports is how often a host reports that its confirmation is back.
+	returnReports = 3
 )
 
-// proofQuestions is the state of the questions that a host sends.
+// proofQuestions is the state of the questions and reports that a host sends.
 type proofQuestions struct {
 	count int
 	sent  time.Duration
+	// reported is the serial of the last report of this host that was sent, reports how often.
+	reported uint32
+	reports  int
 }
 
 // askProofs asks other hosts for their confirmation of the rules.
 func (n *Node) askProofs() {
 	n.updateUnproven()
+	n.shareUnproven()
 	if !n.needsProofs() {
 		return
 	}
@@ -75,8 +83,10 @@
 	if p.Proof == nil {
 		return
 	}
-	if n.board.Unproven.Merge(n.now(), fromWireCuts(p.Proof.Unproven)) {
-		n.log.Info().Int("reports", len(p.Proof.Unproven)).Msg("hosts without a confirmation of their rules changed")
+	if r := p.Proof.Unproven; r != nil && r.Host == m.Name && n.board.Unproven.Merge(n.now(), []paths.Report{
+		{Host: r.Host, Incarnation: r.Life, Serial: r.Serial, Cut: r.Cut},
+	}) {
+		n.log.Info().Str("peer", m.Name).Bool("ending", r.Cut).Msg("peer host leaves the directory, or returns, by the confirmation of its rules")
 		n.runner.Trigger(dutyName)
 	}
 	sent, ok := n.board.Questions.Answer(p.Proof.Nonce)
@@ -109,7 +119,33 @@
 	}
 	n.log.Info().Bool("ending", ending).Uint64("version", n.board.Routes.Version()).Msg("host leaves the directory, or returns, by the confirmation of its rules")
 	n.runner.Trigger(dutyName)
-	n.runner.Trigger(cutsName)
+	n.runner.Trigger(proofsName)
+}
+
+// shareUnproven reports to the hosts of the region, whose directories list this one, whether its
+// confirmation is missing. Passing reports on at random, as those on cut hosts are, would exceed the
+// limit of control traffic while the store is down and all hosts report.
+func (n *Node) shareUnproven() {
+	if n.board.Unproven.Sweep(n.now()) {
+		n.runner.Trigger(dutyName)
+	}
+	r, q := n.board.Unproven.SelfReport(), &n.proofQuestions
+	if r.Serial != q.reported {
+		q.reported, q.reports = r.Serial, 0
+	}
+	// A report that it is missing is renewed, one that it is back may be lost.
+	most := returnReports
+	if r.Cut {
+		most = 1
+	}
+	if r.Serial == 0 || q.reports >= most {
+		return
+	}
+	q.reports++
+	inRegion := func(m member.Member) bool { return m.Region == n.board.Region }
+	n.announce(math.MaxInt, inRegion, wire.Packet{Proof: &wire.RulesProof{
+		Unproven: &wire.CutHost{Host: r.Host, Life: r.Incarnation, Serial: r.Serial, Cut: r.Cut},
+	}})
 }
 
 // logConfirmation logs whether keys are accepted, if that changed.
