--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -26,6 +26,8 @@
 type keyHost struct {
 	// cut makes all calls to the store fail.
 	cut atomic.Bool
+	// noReads makes the reads of the configuration alone fail.
+	noReads atomic.Bool
 	// late is how long answers of the store are on their way, in nanoseconds.
 	late atomic.Int64
 	// slept is the time for which the machine was suspended, in nanoseconds.
@@ -79,7 +81,8 @@
 	}
 	f.eventually("all hosts know each other and accept the key", func() bool {
 		for _, name := range names {
-			if len(f.nodes[name].board.Members.Members()) < len(names)-1 || !f.nodes[name].keysValid(7) {
+			n := f.nodes[name]
+			if len(n.board.Members.Members()) < len(names)-1 || n.board.Routes.Version() != 7 || n.board.Registry.Len() != len(f.endpoints) || !n.keysValid(7) {
 				return false
 			}
 		}
@@ -160,6 +163,9 @@
 		return b, err
 	}
 	fd.Proofs.Read = func(ctx context.Context) (feed.Change, error) {
+		if h.noReads.Load() {
+			return feed.Change{}, fmt.Errorf("store rejects the read")
+		}
 		c, err := read(ctx)
 		if cut := pass(ctx); cut != nil {
 			return feed.Change{}, cut
@@ -194,14 +200,14 @@
 // revokePeriod is the period of the bounds that the tests use.
 var revokePeriod = setup.DefaultBounds().RevokePeriod()
 
-// refusesAfter sends requests with a key to all hosts for a while and fails if one that is sent
+// refusesAfter sends requests with the key "k1" to all hosts for a while and fails if one that is sent
 // later than the revocation period after since is answered.
-func (f *keyFleet) refusesAfter(since time.Time, key string, until time.Duration) {
+func (f *keyFleet) refusesAfter(since time.Time, until time.Duration) {
 	f.t.Helper()
 	for time.Since(since) < until {
 		for name := range f.nodes {
 			sent := time.Since(since)
-			if status := f.status(name, "/keyed/x", key); status == http.StatusOK && sent > revokePeriod {
+			if status := f.status(name, "/keyed/x", "k1"); status == http.StatusOK && sent > revokePeriod {
 				f.t.Fatalf("host %s runs a request that was sent %v after its key was taken away", name, sent)
 			}
 		}
@@ -220,7 +226,7 @@
 	}
 	f.publish(8, "k2")
 	since := time.Now()
-	f.refusesAfter(since, "k1", revokePeriod+time.Second)
+	f.refusesAfter(since, revokePeriod+time.Second)
 	for name, h := range f.hosts {
 		f.wantStatus(name, "/keyed/x", "k1", 503)
 		f.wantStatus(name, "/keyed/x", "k2", 503)
@@ -257,10 +263,22 @@
 // that was on its way for seconds.
 func TestKeyEndsIfAnswersAreLate(t *testing.T) {
 	f := startKeyFleet(t, "a1")
-	f.hosts["a1"].late.Store(int64(3 * time.Second))
+	f.hosts["a1"].late.Store(int64(revokePeriod + time.Second))
+	// Answers that were sent before the change arrive for longer than the period after it.
 	time.Sleep(2 * time.Second)
 	f.publish(8, "k2")
-	f.refusesAfter(time.Now(), "k1", 2*revokePeriod)
+	f.refusesAfter(time.Now(), 2*revokePeriod)
+}
+
+// TestEmptyWatchesConfirmNothing guards against watches that hide a change keeping a key in use
+// while the configuration can't be read alone.
+func TestEmptyWatchesConfirmNothing(t *testing.T) {
+	f := startKeyFleet(t, "a1")
+	f.hosts["a1"].noReads.Store(true)
+	f.platform.SetBlind(true)
+	f.publish(8, "k2")
+	f.refusesAfter(time.Now(), revokePeriod+time.Second)
+	f.wantStatus("a1", "/keyed/x", "k1", 503)
 }
 
 // TestSuspendedHostChecksFirst guards against a host that was suspended serving by what it knew
@@ -397,7 +415,7 @@
 	f.closeHost("a2")
 	f.startHost("a2", freeAddress(t))
 	f.eventually("the host that starts has its configuration from the other one", func() bool { return f.nodes["a2"].board.Routes.Version() == 7 })
-	f.refusesAfter(since, "k1", revokePeriod+time.Second)
+	f.refusesAfter(since, revokePeriod+time.Second)
 	f.wantStatus("a2", "/keyed/x", "k1", 503)
 	f.wantStatus("a2", "/public/x", "", 200)
 }
@@ -461,3 +479,25 @@
 		t.Error("a directory leaves out hosts though none has a confirmation")
 	}
 }
+
+// TestNewKeyGetsNo401 guards against a key of a version that the host has not read yet being refused
+// for good, though its rules were confirmed a moment ago.
+func TestNewKeyGetsNo401(t *testing.T) {
+	f := startKeyFleet(t, "a1", "a2", "a3", "a4")
+	f.platform.SetBlind(true)
+	for version := 8; version < 14; version++ {
+		key := fmt.Sprint("key-of-", version)
+		f.publish(version, key)
+		for name := range f.nodes {
+			if status := f.status(name, "/keyed/x", key); status != 200 {
+				t.Errorf("host %s answers %d to a key that was just published, want 200", name, status)
+			}
+		}
+		f.wantStatus("a1", "/keyed/x", fmt.Sprint("key-of-", version-1), 401)
+	}
+	for _, h := range f.hosts {
+		h.cut.Store(true)
+	}
+	f.wantStatus("a1", "/keyed/x", "unknown", 401)
+	f.eventually("hosts that are cut off refuse an unknown key as not run", func() bool { return f.status("a1", "/keyed/x", "unknown") == 503 })
+}
