Announce the use of customers between hosts

Cause: the table of customers' use needs the limits that are in force, the other hosts, and their announcements. The controller usage sends them to the entry hosts of all regions and to hosts that announced theirs, dead ones included, as these may be heard again. Rules in force set the limits; members that left are removed, those that are dead or no longer listed keep their parts. Without customers that have a limit, nothing is sent or kept. Metrics count requests by customer and show the levels; a log line tells when the number of silent hosts changes, at most one a second. Ruled out: to send to random hosts that pass the counters on. The table needs to know which hosts hear each other, and the use within 100 ms.

--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -112,6 +112,9 @@
 	// CutHosts says which hosts are cut off from the endpoints of their regions. Hosts of older
 	// builds ignore the field.
 	CutHosts []CutHost `cbor:"27,keyasint,omitempty"`
+	// Uses is what the sender's requests of customers with a limit used. Hosts of older builds
+	// ignore the field.
+	Uses *Uses `cbor:"29,keyasint,omitempty"`
 	// InFlight is the number of in-flight requests at the sender.
 	InFlight int `cbor:"10,keyasint,omitempty"`
 	// Leaving reports whether the sender is leaving and accepts no new requests.
@@ -284,6 +287,28 @@
 	Cut    bool
 }
 
+// Uses is a part of what the requests of customers used at the sender.
+type Uses struct {
+	_ struct{} `cbor:",toarray"`
+	// SentMS is the age of the sender's process, in milliseconds. The parts of one announcement
+	// have the same.
+	SentMS uint64
+	// Quiet reports that the sender announces nothing until its requests use something again.
+	Quiet    bool
+	Counters []UseCounter
+}
+
+// UseCounter is what the requests of one customer used at the sender, in the unit of its limit.
+type UseCounter struct {
+	_ struct{} `cbor:",toarray"`
+	// Customer is the hash of the customer's name.
+	Customer uint32
+	// Total is the use since the sender's process started, Recent that of the last seconds, which a
+	// receiver without an earlier Total counts.
+	Total  uint64
+	Recent uint64
+}
+
 // LeavingEndpoint is an endpoint that announced that it takes no new requests and ends.
 type LeavingEndpoint struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -61,9 +61,16 @@
 	QuarantineRefusals prometheus.Counter
 	Revision           prometheus.Gauge
 
+	// customerRequests are the requests of customers with a limit, by outcome, customerLevels the
+	// levels of their buckets.
+	customerRequests *prometheus.CounterVec
+	customerLevels   *prometheus.GaugeVec
+
 	mu sync.Mutex
 	// routes are the names of the routes that have series in requestTime.
 	routes map[string]bool
+	// customers are the published customers with a limit.
+	customers map[string]bool
 }
 
 // timeBuckets are in seconds, from 1 ms to about 65 s.
@@ -101,12 +108,17 @@
 		QuarantinedParts:     gauge("quarantined_parts", "Prompt parts and requests that are refused."),
 		QuarantineRefusals:   counter("quarantine_refusals_total", "Refused requests that are quarantined or have a quarantined prompt part."),
 		HeldBytes:            gauge("held_answer_bytes", "Bytes of answers that were read and not passed on yet."),
-		InFlight:             gauge("open_requests", "Requests in flight."),
-		Revision:             gauge("revision", "Configuration revision in force."),
+		customerRequests:     counters("customer_requests_total", "Requests of customers with a limit by whether they were admitted.", "customer", "outcome"),
+		customerLevels: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "customer_level", Help: "Level of a customer's token bucket at this host.",
+		}, []string{"customer"}),
+		InFlight: gauge("open_requests", "Requests in flight."),
+		Revision: gauge("revision", "Configuration revision in force."),
 	}
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
 		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals,
+		m.customerRequests, m.customerLevels,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
 		for _, ran := range []fault.Ran{fault.RanNo, fault.RanYes, fault.RanUnknown} {
@@ -183,6 +195,47 @@
 	}
 }
 
+// KeepCustomers drops the series of all customers but the named ones, which are published.
+func (m *Meter) KeepCustomers(names []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kept := make(map[string]bool, len(names))
+	for _, name := range names {
+		kept[name] = true
+	}
+	for name := range m.customers {
+		if !kept[name] {
+			m.customerRequests.DeletePartialMatch(prometheus.Labels{"customer": name})
+			m.customerLevels.DeleteLabelValues(name)
+		}
+	}
+	m.customers = kept
+}
+
+// CountCustomer counts a request of a customer. Those of customers that are not published count
+// nothing, so that the number of series stays bounded.
+func (m *Meter) CountCustomer(customer string, admitted bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.customers[customer] {
+		return
+	}
+	outcome := "refused"
+	if admitted {
+		outcome = "admitted"
+	}
+	m.customerRequests.WithLabelValues(customer, outcome).Inc()
+}
+
+// SetCustomerLevel sets the level of a published customer's bucket.
+func (m *Meter) SetCustomerLevel(customer string, level float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.customers[customer] {
+		m.customerLevels.WithLabelValues(customer).Set(level)
+	}
+}
+
 // ObserveFirstToken records the time to the first byte of an answer's body.
 func (m *Meter) ObserveFirstToken(service string, d time.Duration) {
 	m.firstToken.WithLabelValues(service).Observe(d.Seconds())
--- a/internal/ops/meter/meter_test.go
+++ b/internal/ops/meter/meter_test.go
@@ -53,3 +53,22 @@
 		t.Errorf("%d series of request times after a request of a removed route, want 2", got)
 	}
 }
+
+// TestRemovedCustomers checks that the series of customers that are no longer published are dropped,
+// also those of a request that ends after its customer was removed.
+func TestRemovedCustomers(t *testing.T) {
+	m := New()
+	m.CountCustomer("unknown", true)
+	m.KeepCustomers([]string{"old", "kept"})
+	for _, name := range []string{"old", "kept"} {
+		m.CountCustomer(name, true)
+		m.CountCustomer(name, false)
+		m.SetCustomerLevel(name, 5)
+	}
+	m.KeepCustomers([]string{"kept"})
+	m.CountCustomer("old", false)
+	m.SetCustomerLevel("old", 5)
+	if requests, levels := testutil.CollectAndCount(m.customerRequests), testutil.CollectAndCount(m.customerLevels); requests != 2 || levels != 1 {
+		t.Errorf("%d series of requests and %d of levels, want those of one customer: 2 and 1", requests, levels)
+	}
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/quota"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/usage"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/edge"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
@@ -69,6 +70,11 @@
 	now      func() time.Time
 	started  time.Time
 	shares   *quota.Table
+	usage    *usage.Table
+	// usageLogged and usageSilent are the time and the number of silent hosts of the last log line.
+	// Only the controller of shareUsage uses them.
+	usageLogged time.Time
+	usageSilent int
 	// loggedMembers is the last logged status of each peer host. Only the members
 	// controller uses it.
 	loggedMembers map[string]memberStatus
@@ -164,6 +170,7 @@
 	}
 	n.proxy.RoomShare = n.roomShare
 	n.shares = quota.New(n.started, quota.Host{Name: n.settings.Peers, Cores: n.settings.Machine.Capacity()})
+	n.usage = n.newUsage()
 	n.proxy.AskOrigin, n.proxy.StoreAge = n.askOrigin, n.storeAge
 	n.proxy.OnNews = func() { n.runner.Trigger(inFlightName) }
 	handler := &relay.Handler{
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -100,6 +100,7 @@
 		n.meter.Revision.Set(float64(c.Rules.Version))
 		names := c.Rules.RouteNames()
 		n.meter.KeepRoutes(names)
+		n.applyQuotas(n.now(), c.Rules.Customers())
 		n.log.Info().Uint64("version", c.Rules.Version).Int("routes", len(names)).
 			Uint64("revision", eras.Revision(c.Revision)).Msg("rules in force")
 		return
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -79,6 +79,7 @@
 	add("sums", serviceLoadPeriod, n.shareServiceLoads)
 	add("origins", originsPeriod, n.shareOrigins)
 	add("poison", poisonPeriod, n.sharePoison)
+	add(usageName, usagePeriod, n.shareUsage)
 	add("connections", sweepPeriod, n.pool.Sweep)
 	add("links", linkPeriod, n.warmLinks)
 	n.runner.Add(ctrl.Controller{Name: "ends", Period: endsPeriod, Step: n.proxy.CheckEnds})
@@ -149,6 +150,9 @@
 		n.receiveStoreState(now, m, p.StoreEra, p.Store)
 	}
 	n.receivePoison(now, p)
+	if p.Uses != nil {
+		n.receiveUses(now, p.From, p.Incarnation, p.Uses)
+	}
 	if len(p.CutHosts) > 0 {
 		n.receiveCuts(now, p.CutHosts)
 	}
@@ -416,6 +420,7 @@
 	}
 	n.loggedMembers = current
 	n.shares.UpdateHosts(now, sharing)
+	n.updateUsagePeers(now, list)
 }
 
 // memberStatus is the logged status of a peer host.
