Charge callers' requests to their customers and refuse those over the limit

Cause: the use of customers was announced but nothing was charged. Change: the host that a caller sends a request to takes its cost before anything else is done with it, and refuses it with 429, not run, if the customer is over its limit; Retry-After is the time until the bucket holds what the request needs, spread by the excess of the demand. A request larger than the limit of a window gets no Retry-After. A further attempt is charged only after one that may have run, those that a relay made on its own when its answer ends. What certainly did not run is returned when the request ends. Relayed requests are charged at their entry host only. Refused requests do not count in the retry budget. The sum of a caller's token counts no longer overflows: two huge counts counted as a request without any. Ruled out: charging at the time of dispatch. A request that waits in the queue would be refused after its wait, and as many as fit in the queue would be admitted at once.

--- a/internal/conf/rules/customer.go
+++ b/internal/conf/rules/customer.go
@@ -51,8 +51,9 @@
 	switch {
 	case c.Quota.Unit != Tokens:
 		return 1
-	case promptTokens+mostTokens > 0:
-		return float64(promptTokens + mostTokens)
+	case promptTokens > 0 || mostTokens > 0:
+		// The sum of two counts of a caller may exceed an int.
+		return float64(promptTokens) + float64(mostTokens)
 	}
 	return float64(c.Quota.Uncounted)
 }
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -143,6 +143,8 @@
 	}
 	r.Fields = s.endpointFields(c, published)
 	if r.Customer != nil {
+		counts := s.Terms.ParsePrompt(string(h.Peek(s.Terms.Tokens)), "")
+		r.Cost = r.Customer.Cost(counts.Tokens, counts.Most)
 		r.Fields = append(r.Fields, wire.Field{Name: s.Terms.CustomerName, Value: r.Customer.Name})
 	}
 	return r, nil
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -171,6 +171,7 @@
 	n.proxy.RoomShare = n.roomShare
 	n.shares = quota.New(n.started, quota.Host{Name: n.settings.Peers, Cores: n.settings.Machine.Capacity()})
 	n.usage = n.newUsage()
+	n.proxy.Usage = n.usage
 	n.proxy.AskOrigin, n.proxy.StoreAge = n.askOrigin, n.storeAge
 	n.proxy.OnNews = func() { n.runner.Trigger(inFlightName) }
 	handler := &relay.Handler{
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -198,7 +198,7 @@
 }
 
 // testRules returns the rules of the fleet under a version.
-func testRules(version uint64) *rules.Rules {
+func testRules(version uint64, opts ...rules.Option) *rules.Rules {
 	only := func(s string) []rules.Share { return []rules.Share{{Service: s, Weight: 1}} }
 	return rules.New(version, []rules.Route{
 		{Name: "stream", Host: "h", Prefix: "/stream/", Shares: only("model"), Kind: rules.Stream, Attempts: 2, Timeout: 3 * waitTimeout, Gap: time.Second, Prompts: true, Resumable: true},
@@ -209,7 +209,7 @@
 		{Name: "twice", Host: "h", Prefix: "/unsafe-twice/", Shares: only("plain"), Kind: rules.Unsafe, Attempts: 2, Timeout: 3 * waitTimeout},
 		{Name: "safe", Host: "h", Prefix: "/safe/", Shares: only("plain"), Kind: rules.Safe, Attempts: 2, Timeout: 3 * waitTimeout},
 		{Name: "short", Host: "h", Prefix: "/short/", Shares: only("plain"), Kind: rules.Safe, Attempts: 1, Timeout: 300 * time.Millisecond},
-	}, []rules.Service{{Name: "model", Engine: &rules.Engine{Slots: 8}}, {Name: "plain"}}, rules.Limits{MaxBodyBytes: 1 << 20})
+	}, []rules.Service{{Name: "model", Engine: &rules.Engine{Slots: 8}}, {Name: "plain"}}, rules.Limits{MaxBodyBytes: 1 << 20}, opts...)
 }
 
 func startFleet(t *testing.T, opts ...func(name string) Option) *fleet {
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/usage"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
@@ -63,6 +64,8 @@
 	Trial bool
 	// Customer is the customer whose key the caller sent, nil for none and for a relayed request.
 	Customer *rules.Customer
+	// Cost is what a run of the request counts towards the customer's limit.
+	Cost float64
 	// AttemptsLeft is the number of attempts that the route still allows. Attempts that
 	// certainly did not run do not count.
 	AttemptsLeft int
@@ -101,6 +104,8 @@
 	Terms  *terms.Terms
 	Log    zerolog.Logger
 	Now    func() time.Time
+	// Usage bounds what customers use; nil means that they have no limits.
+	Usage *usage.Table
 	// Budget limits retries.
 	Budget *retry.FleetBudget
 	// ColdShare returns this host's share of a cold endpoint's rate limit, in requests
@@ -180,6 +185,9 @@
 	release *string
 	// runs counts the attempts that may have run.
 	runs int
+	// paid is the number of runs that were charged to the customer, 0 if it has no limit; relayRuns
+	// the number of attempts that a relay made and that may have run before the one that succeeded.
+	paid, relayRuns int
 	// lastRefusal is the refusal of the last failed attempt.
 	lastRefusal *fault.Refusal
 	// queuedAt is when the request first joined the queue. The request keeps its place
@@ -208,13 +216,15 @@
 	defer cancel()
 	t := &task{Request: r, suspects: newSuspects(&r), mayCross: mayCross, tried: map[string]bool{}, ran: fault.RanNo, lastEventID: r.LastEventID, release: r.Release}
 	t.report.Region = p.Board.Region
-	if mayCross {
-		// The region that relayed a request has already counted it.
-		p.Budget.AddRequest(p.Now(), r.Service)
-	}
 	sink = p.observedSink(t, sink)
 	var refusal *fault.Refusal
 	if mayCross {
+		// The region that relayed a request has already counted and charged it.
+		if refusal = p.takeUsage(t); refusal != nil {
+			t.report.Refusal = refusal
+			return t.report
+		}
+		p.Budget.AddRequest(p.Now(), r.Service)
 		refusal = p.setRelease(ctx, t)
 	}
 	if refusal == nil {
@@ -223,6 +233,7 @@
 	if refusal != nil {
 		refusal = refusal.WithRan(refusal.Ran.Combine(t.ran))
 	}
+	p.settleUsage(t, refusal)
 	switch {
 	case refusal == nil || t.errorAnswer == nil || t.report.Started:
 	case !mayCross:
@@ -327,9 +338,11 @@
 			continue
 		}
 		t.report.Attempts++
+		p.chargeAttempt(t)
 		start := p.Now()
 		res := p.attempt(ctx, t, d, sink)
 		if res.whole {
+			t.relayRuns = res.relayRuns
 			return nil
 		}
 		t.recordFailure(d, res, p.Now().Sub(start))
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -142,7 +142,7 @@
 			refusal: newRefusal(fault.RelayError, fault.RanUnknown, err, "other region did not answer"),
 		}
 	case end.Code == "":
-		return result{whole: true, ran: fault.RanYes}
+		return result{whole: true, ran: fault.RanYes, relayRuns: end.Runs}
 	case end.Code == fault.BadRequest && t.report.Region == p.Board.Region:
 		// A host of an older build refuses requests that entered in its own region.
 		return notSentResult(errors.New("host serves no requests of its own region for others"))
