Bound announcements and memory of the table of customers' use

Cause: found on rereading. A host that callers are not given hears no announcements, and had a full bucket whatever the others used. Each request of a small customer was announced at once, up to ten times a second from each host, and three times again. The counters of all customers that a host ever used were kept at all others: 396,000 at 360 hosts and 1,100 customers. Change: a host that callers are not given and that hears nobody counts as one of 64 or more. Announcements between the whole ones have a mean rate of one per 5 ms times the number of hosts, with five at once; each use is repeated once or twice. Counters without use for 30 s are dropped. Ruled out: to space all announcements by the number of hosts. The few hosts that a customer's demand moves to need several within a second. The test of two hosts in serve/node passes.

--- a/internal/route/usage/peers.go
+++ b/internal/route/usage/peers.go
@@ -43,6 +43,10 @@
 	// rotatePeriod is longer than staleAfter, so that the weights of a period before the last one
 	// are those of before a silence that is noticed now.
 	rotatePeriod = 2 * time.Second
+	// forgetUseAfter is how long the counter of a customer at another host is kept without use. Its
+	// weight is small by then, and the next announcement charges Use.Recent. At the size of 360
+	// hosts and 1,100 customers most pairs of them have no use for longer.
+	forgetUseAfter = 3 * shareMemory
 	// maxExponent bounds the exponent of weights of recent use, far below where they overflow.
 	maxExponent = 60
 )
@@ -261,8 +265,11 @@
 		a.all.rotate()
 	}
 	for _, p := range t.peers {
-		for _, u := range p.uses {
+		for id, u := range p.uses {
 			u.weight.rotate()
+			if !p.stale && now.Sub(u.recent.as) > forgetUseAfter {
+				delete(p.uses, id)
+			}
 		}
 	}
 }
@@ -312,12 +319,14 @@
 		stale = append(stale, p)
 	}
 	t.silentCount = len(stale)
-	if t.settled && !t.silenceChanged {
+	// The others announce to a host that callers are not given only after it announced use.
+	unheard := !t.entry && len(stale) == t.hostCount-1 && len(t.listed) > 0
+	if t.settled && !t.silenceChanged && unheard == t.unheard {
 		return
 	}
-	t.silenceChanged = !t.settled
+	t.unheard, t.silenceChanged = unheard, !t.settled
 	unknown := 0.0
-	if !t.settled {
+	if !t.settled || unheard {
 		unknown = 1 - float64(t.hostCount-len(stale))/float64(max(assumedHosts, t.hostCount, len(t.listed)+1))
 	}
 	t.setSilent(stale, unknown, before, now)
--- a/internal/route/usage/report.go
+++ b/internal/route/usage/report.go
@@ -11,9 +11,17 @@
 	// between any two.
 	reportPeriod = time.Second
 	urgentPeriod = 100 * time.Millisecond
-	// recentReports is the number of whole announcements that contain a use after it changed, so
-	// that the loss of a datagram does not hide it.
+	// urgentPerHost times the number of hosts is the mean time between two announcements of one
+	// host beyond the whole ones, so that a host receives at most 200 of them a second whatever
+	// the number of hosts. maxUrgent of them may follow each other at once: few hosts need them at
+	// the same time, and only until the bucket is empty.
+	urgentPerHost = 5 * time.Millisecond
+	maxUrgent     = 5
+	// recentReports is the number of whole announcements that Use.Recent spans.
 	recentReports = 3
+	// repeatTime is how long a use is contained in whole announcements after it changed, so that
+	// the loss of a datagram does not hide it.
+	repeatTime = 1500 * time.Millisecond
 	// smallPart is the part of an even share of the rate below which use waits to be announced.
 	smallPart = 0.125
 	// urgentPart is the part of this host's share of what may be unknown, and of the bucket's
@@ -57,20 +65,26 @@
 func (t *Table) Report(now time.Time, entry bool) (Announcement, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.entry = entry
 	t.refresh(now)
 	if len(t.accounts) == 0 || now.Sub(t.lastReport) < urgentPeriod {
 		return Announcement{}, false
 	}
+	t.urgentCredit = min(maxUrgent, t.urgentCredit+float64(now.Sub(t.creditAt))/float64(urgentPerHost)/float64(t.hostCount))
+	t.creditAt = now
 	whole := now.Sub(t.wholeReport) >= reportPeriod
-	if !whole && !slices.ContainsFunc(t.active, t.urgent) {
-		return Announcement{}, false
+	if !whole {
+		if t.urgentCredit < 1 || !slices.ContainsFunc(t.active, t.urgent) {
+			return Announcement{}, false
+		}
+		t.urgentCredit--
 	}
 	out := Announcement{Sent: now.Sub(t.started)}
 	for _, a := range t.active {
 		if t.due(a, now, whole) {
 			a.announced, a.announcedAt = a.total, now
 		}
-		if a.announcedAt.Equal(now) || (whole && now.Sub(a.announcedAt) < recentReports*reportPeriod) {
+		if a.announcedAt.Equal(now) || (whole && now.Sub(a.announcedAt) < repeatTime) {
 			out.Uses = append(out.Uses, Use{Customer: a.id, Total: uint64(math.Round(a.announced)), Recent: uint64(math.Round(max(0, a.announced-a.earlier[0])))})
 		}
 	}
--- a/internal/route/usage/usage.go
+++ b/internal/route/usage/usage.go
@@ -122,6 +122,10 @@
 	grown      time.Time
 	// settled reports whether this host knows the others.
 	settled bool
+	// entry reports whether callers are given this host, so that the others announce to it.
+	entry bool
+	// unheard reports whether this host has no part beyond its own as nobody announces to it.
+	unheard bool
 	// hostCount is the number of hosts that share the limits, this one included.
 	hostCount int
 	// silenceChanged reports whether the parts of silent hosts are out of date.
@@ -131,10 +135,14 @@
 	// epoch is the time of weight 1 in the scale of recent use.
 	epoch time.Time
 
-	lastReport  time.Time
-	wholeReport time.Time
-	quietSent   int
-	silentCount int
+	lastReport time.Time
+	// urgentCredit is the number of announcements that may be made before the next whole one, as of
+	// creditAt.
+	urgentCredit float64
+	creditAt     time.Time
+	wholeReport  time.Time
+	quietSent    int
+	silentCount  int
 }
 
 // Option configures a table.
--- a/internal/serve/node/usage.go
+++ b/internal/serve/node/usage.go
@@ -109,7 +109,7 @@
 	for customer, level := range n.usage.Levels(now) {
 		n.meter.SetCustomerLevel(customer, level)
 	}
-	if silent := n.usage.Silent(); silent != n.usageSilent {
+	if silent := n.usage.Silent(); silent != n.usageSilent && n.board.Duties.Plan().SelfEntry {
 		n.usageSilent = silent
 		n.log.Warn().Int("silent", silent).Int("announcing", len(n.usage.Peers())).Msg("hosts that do not announce the use of customers changed; their parts of the limits are kept for them")
 	}
