--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -66,11 +66,18 @@
 
 	customerRefusals *prometheus.CounterVec
 
+	// customerRequests are the requests of customers with a limit, by outcome, customerLevels the
+	// levels of their buckets.
+	customerRequests *prometheus.CounterVec
+	customerLevels   *prometheus.GaugeVec
+
 	mu sync.Mutex
-	// routes are the names of the routes that have series in requestTime, customers those that have
-	// some in customerRefusals.
+	// routes are the names of the routes that have series in requestTime, customers those of the
+	// customers that have some in customerRefusals.
 	routes    map[string]bool
 	customers map[string]bool
+	// limited are the published customers with a limit.
+	limited map[string]bool
 }
 
 // timeBuckets are in seconds, from 1 ms to about 65 s.
@@ -83,9 +90,9 @@
 // New returns the metrics, with every refusal and retry counter at zero.
 func New() *Meter {
 	m := &Meter{
-		Registry:      prometheus.NewRegistry(),
-		routes:        map[string]bool{},
-		customers:     map[string]bool{},
+		Registry:  prometheus.NewRegistry(),
+		routes:    map[string]bool{},
+		customers: map[string]bool{}, limited: map[string]bool{},
 		refusals:      counters("refusals_total", "Refused requests by reason and whether they ran.", "reason", "ran"),
 		retries:       counters("retries_total", "Attempts made again by the reason of the failure.", "reason"),
 		retriesDenied: counters("retries_denied_total", "Failures that were not tried again.", "reason"),
@@ -114,10 +121,15 @@
 		Revision:             gauge("revision", "Configuration revision in force."),
 		ConfirmationAge:      gauge("confirmation_age_seconds", "Time since the read was sent that last confirmed that the rules are the newest; since the start if there was none."),
 		customerRefusals:     counters("customer_refusals_total", "Refused requests to routes that need a key, by reason and customer; without customer if the key is not known.", "reason", "customer"),
+		customerRequests:     counters("customer_requests_total", "Requests of customers with a limit by whether they were admitted.", "customer", "outcome"),
+		customerLevels: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "customer_level", Help: "Level of a customer's token bucket at this host.",
+		}, []string{"customer"}),
 	}
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.placements, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
 		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals, m.ConfirmationAge, m.customerRefusals,
+		m.customerRequests, m.customerLevels,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
 		for _, ran := range []fault.Ran{fault.RanNo, fault.RanYes, fault.RanUnknown} {
@@ -225,6 +237,47 @@
 	}
 }
 
+// KeepLimited drops the series of all customers with a limit but the named ones, which are published.
+func (m *Meter) KeepLimited(names []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kept := make(map[string]bool, len(names))
+	for _, name := range names {
+		kept[name] = true
+	}
+	for name := range m.limited {
+		if !kept[name] {
+			m.customerRequests.DeletePartialMatch(prometheus.Labels{"customer": name})
+			m.customerLevels.DeleteLabelValues(name)
+		}
+	}
+	m.limited = kept
+}
+
+// CountCustomer counts a request of a customer. Those of customers that are not published count
+// nothing, so that the number of series stays bounded.
+func (m *Meter) CountCustomer(customer string, admitted bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.limited[customer] {
+		return
+	}
+	outcome := "refused"
+	if admitted {
+		outcome = "admitted"
+	}
+	m.customerRequests.WithLabelValues(customer, outcome).Inc()
+}
+
+// SetCustomerLevel sets the level of a published customer's bucket.
+func (m *Meter) SetCustomerLevel(customer string, level float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.limited[customer] {
+		m.customerLevels.WithLabelValues(customer).Set(level)
+	}
+}
+
 // ObserveFirstToken records the time to the first byte of an answer's body.
 func (m *Meter) ObserveFirstToken(service string, d time.Duration) {
 	m.firstToken.WithLabelValues(service).Observe(d.Seconds())
