Answer requests that are arriving when a host is stopped

Cause: a stop waited for requests in their handler only. One whose head or body was still arriving, or whose answer was still being written, was cut off with its connection, and its caller could not know that it had not run. Signals were caught only after the listeners had opened, so a SIGTERM in between ended the process at once, connections included. Idle connections do not count. Both commands that run hosts catch signals before they open listeners. The inventory mode has the same change, but for TLS. Ruled out: waiting for connections, as callers keep idle ones open. The change of the inventory mode has no test of its own.

--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/config"
@@ -16,22 +17,35 @@
 // ErrTooSlow is the error of a request that did not arrive within the read timeout.
 var ErrTooSlow = errors.New("request took too long to arrive")
 
+// Requests counts the requests of callers that are in progress, from their first byte until the
+// last byte of their answers is written. The zero value is ready for use.
+type Requests struct{ open atomic.Int64 }
+
+// Open returns the number of requests in progress.
+func (r *Requests) Open() int { return int(r.open.Load()) }
+
 // transporter is the library's network layer with bounds on what its parser reads.
 type transporter struct {
 	network.Transporter
 	limit       int
 	readTimeout time.Duration
 	backlog     *backlog
+	requests    *Requests
 }
 
 // NewTransporter returns a network layer whose connections bound the trailer of a request
 // and the line of a chunk's size by the limit of the header, what arrives while a request
 // runs by the limits of header and body, and the time in which a request arrives by the read
 // timeout, as the library does not.
-func NewTransporter(o *config.Options) network.Transporter {
-	return &transporter{
-		Transporter: netpoll.NewTransporter(o), limit: o.MaxHeaderBytes, readTimeout: o.ReadTimeout,
-		backlog: newBacklog(o.MaxHeaderBytes + o.MaxRequestBodySize),
+func NewTransporter(o *config.Options) network.Transporter { return CountRequests(&Requests{})(o) }
+
+// CountRequests is like NewTransporter, and counts the requests in progress.
+func CountRequests(r *Requests) func(o *config.Options) network.Transporter {
+	return func(o *config.Options) network.Transporter {
+		return &transporter{
+			Transporter: netpoll.NewTransporter(o), limit: o.MaxHeaderBytes, readTimeout: o.ReadTimeout,
+			backlog: newBacklog(o.MaxHeaderBytes + o.MaxRequestBodySize), requests: r,
+		}
 	}
 }
 
@@ -42,8 +56,9 @@
 		if c, ok := conn.(*netpoll.Conn); ok {
 			t.backlog.enter(c)
 			defer t.backlog.leave(c)
-			bounded := &boundedConn{Conn: c, limit: t.limit}
+			bounded := &boundedConn{Conn: c, limit: t.limit, readTimeout: t.readTimeout, requests: t.requests}
 			bounded.bound(t.readTimeout)
+			defer bounded.setOpen(false)
 			conn = bounded
 		}
 		return onData(ctx, conn)
@@ -63,16 +78,33 @@
 	// single counts the bytes that were taken one by one.
 	single int
 	// readBy is when the request must have arrived, zero if there is no bound.
-	readBy time.Time
+	readBy      time.Time
+	readTimeout time.Duration
+	requests    *Requests
+	// open reports whether a request is in progress.
+	open bool
 }
 
+// bound begins the wait for a request's bytes, or for the first of them if the timeout is not
+// the read timeout: the library sets that one once the first have arrived.
 func (c *boundedConn) bound(timeout time.Duration) {
+	c.setOpen(timeout == c.readTimeout)
 	c.readBy = time.Time{}
 	if timeout > 0 {
 		c.readBy = time.Now().Add(timeout)
 	}
 }
 
+func (c *boundedConn) setOpen(open bool) {
+	switch {
+	case open && !c.open:
+		c.requests.open.Add(1)
+	case !open && c.open:
+		c.requests.open.Add(-1)
+	}
+	c.open = open
+}
+
 // SetReadTimeout implements network.Conn. The library sets it before it reads each request.
 func (c *boundedConn) SetReadTimeout(timeout time.Duration) error {
 	c.bound(timeout)
--- a/internal/cmd/attach/attach.go
+++ b/internal/cmd/attach/attach.go
@@ -64,6 +64,10 @@
 	defer func() { _ = out.Close() }()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("host", s.Name).Logger()
+	// Signals are caught from before the listeners open until the process exits, as the default
+	// action of each of them would end the process with requests in flight.
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	store := &platform.Store{Address: s.Store, Now: time.Now}
 	n, err := node.New(s, platform.Terms(), store.Feed(), log)
 	if err != nil {
@@ -72,10 +76,6 @@
 	if err := n.Start(); err != nil {
 		return fmt.Errorf("start host: %w", err)
 	}
-	// Signals are caught until the process exits, as the default action of each of them
-	// would end the process in the middle of the drain.
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	waitForStop(ctx, o, signals, log)
 	go func() {
 		for s := range signals {
--- a/internal/cmd/attach/attach_test.go
+++ b/internal/cmd/attach/attach_test.go
@@ -69,13 +69,54 @@
 	return file
 }
 
-// TestSignalsDuringDrain: signals that arrive while the host drains do not end the
-// process before the drain is complete.
-func TestSignalsDuringDrain(t *testing.T) {
+// build builds the program and returns its path.
+func build(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "hyssopspindle")
 	if out, err := exec.Command("go", "build", "-o", program, "../../../cmd/hyssopspindle").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v: %s", err, out)
 	}
+	return program
+}
+
+// TestSignalWhileListenersOpen guards against a process that SIGTERM kills, with its connections,
+// once its first listener accepts them.
+func TestSignalWhileListenersOpen(t *testing.T) {
+	program := build(t)
+	for range 5 {
+		settings := writeSettings(t)
+		text, err := os.ReadFile(settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, rest, _ := strings.Cut(string(text), `callers = "`)
+		address, _, _ := strings.Cut(rest, `"`)
+		var out output
+		cmd := exec.Command(program, "attach", "--settings", settings)
+		cmd.Stdout, cmd.Stderr = &out, &out
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = cmd.Process.Kill() })
+		for end := time.Now().Add(waitTimeout); time.Now().Before(end); {
+			if c, err := net.Dial("tcp", address); err == nil {
+				_ = c.Close()
+				break
+			}
+		}
+		if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Wait(); err != nil || !out.contains("host closed") {
+			t.Errorf("the process ended with %v and wrote:\n%s", err, out.buf.String())
+		}
+	}
+}
+
+// TestSignalsDuringDrain: signals that arrive while the host drains do not end the
+// process before the drain is complete.
+func TestSignalsDuringDrain(t *testing.T) {
+	program := build(t)
 	var out output
 	cmd := exec.Command(program, "attach", "--settings", writeSettings(t))
 	cmd.Stdout, cmd.Stderr = &out, &out
--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -53,6 +53,11 @@
 	if err != nil {
 		return err
 	}
+	// Signals are caught from before the listeners open, as the default action of each of them
+	// would end the process with requests in flight.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
 	h, err := host.New(s, log)
 	if err != nil {
 		return fmt.Errorf("create host: %w", err)
@@ -60,9 +65,6 @@
 	if err := h.Start(); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 	select {
 	case <-signals:
 	case <-o.Stop:
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -54,9 +54,14 @@
 	// Refusing reports whether the host refuses new requests during its shutdown.
 	Refusing func() bool
 
-	servers []*server.Hertz
+	servers  []*server.Hertz
+	requests socket.Requests
 }
 
+// OpenRequests returns the number of requests that are arriving, are served, or whose answers
+// are being written.
+func (s *Server) OpenRequests() int { return s.requests.Open() }
+
 // Start opens the listeners. All of them accept connections when it returns.
 func (s *Server) Start() error {
 	hlog.SetOutput(io.Discard)
@@ -66,7 +71,9 @@
 		routes  func(*server.Hertz)
 		extra   []config.Option
 	}{
-		{s.Settings.Callers, func(hz *server.Hertz) { hz.NoRoute(s.serveRequest) }, []config.Option{server.WithSenseClientDisconnection(true)}},
+		{s.Settings.Callers, func(hz *server.Hertz) { hz.NoRoute(s.serveRequest) }, []config.Option{
+			server.WithSenseClientDisconnection(true), server.WithTransport(socket.CountRequests(&s.requests)),
+		}},
 		{s.Settings.Ready, func(hz *server.Hertz) { hz.GET(s.Terms.ReadyPath, s.ready) }, nil},
 		{s.Settings.Directory, func(hz *server.Hertz) { hz.GET(s.Terms.ResolvePath, s.resolve) }, nil},
 		{s.Settings.Metrics, func(hz *server.Hertz) { hz.GET("/metrics", metrics) }, nil},
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -65,9 +65,14 @@
 	Settings setup.Settings
 	Now      func() time.Time
 
-	server *server.Hertz
+	server   *server.Hertz
+	requests socket.Requests
 }
 
+// OpenRequests returns the number of requests that are arriving, are served, or whose answers
+// are being written. Those on TLS connections are not counted.
+func (f *Front) OpenRequests() int { return f.requests.Open() }
+
 // Start opens the listener and begins to serve.
 func (f *Front) Start() error {
 	hlog.SetOutput(io.Discard)
@@ -86,7 +91,7 @@
 		if err != nil {
 			return fmt.Errorf("start listener for callers: %w", err)
 		}
-		opts = append(opts, server.WithListener(l), server.WithTransport(socket.NewTransporter))
+		opts = append(opts, server.WithListener(l), server.WithTransport(socket.CountRequests(&f.requests)))
 	} else {
 		cert, err := tls.LoadX509KeyPair(f.Settings.CallerCert, f.Settings.CallerKey)
 		if err != nil {
