Let a host that starts learn from its peers what the store may have lost

Cause: a host that started after the store had come back from an older copy took that copy for the truth: it used endpoints that had ended, were draining or had announced that they leave, and rules that had been replaced, with their customers' keys. Hosts that had not restarted knew better. Announcements of leaving are passed on for 2 s only, so a host that started later did not know them whatever the store did. What the store wrote since it came back holds. Hosts of older builds leave the question out. Ruled out: announcing all marks again and again (a started host could serve before it hears them); waiting without a bound (after a restart of all hosts nobody knows). Open: evacuations that the copy lacks are not asked for, and a restart of all hosts together after a restore forgets what the copy lacks. Result: TestRestartForgetsWhatPeersKnow and TestRestartWhileStoreUnreachable fail on the old code; they pass, as do TestStartedTableLearns and, with the race detector, tests of node on starts, restores, relays and store changes.

--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -154,6 +154,8 @@
 	Revision uint64 `cbor:"1,keyasint"`
 	// Era is the store's era of Revision.
 	Era uint64 `cbor:"2,keyasint,omitempty"`
+	// Memory asks also for what the host knows and the store may not.
+	Memory bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Items is a host's answer with items of the store.
@@ -169,6 +171,27 @@
 	StableMS uint64 `cbor:"5,keyasint,omitempty"`
 	// Era is the store's era of all revisions here.
 	Era uint64 `cbor:"6,keyasint,omitempty"`
+	// Memory is nil if it was not asked for, or the host is not ready.
+	Memory *Memory `cbor:"7,keyasint,omitempty"`
+}
+
+// Memory is what a host knows and a store that came back from an older copy may not, for a host
+// that has just started.
+type Memory struct {
+	// Listed and ListedEra are the revision and the era of the last listing, Restored and
+	// RestoredEra those of the first listing after the store came back, 0 if it never did.
+	Listed      uint64 `cbor:"1,keyasint,omitempty"`
+	ListedEra   uint64 `cbor:"2,keyasint,omitempty"`
+	Restored    uint64 `cbor:"3,keyasint,omitempty"`
+	RestoredEra uint64 `cbor:"4,keyasint,omitempty"`
+	// Gone lists the endpoints whose removal the store acknowledged.
+	Gone []string `cbor:"5,keyasint,omitempty"`
+	// Draining lists the registered endpoints that drain, Leaving those that announced to a
+	// host that they leave.
+	Draining []LeavingEndpoint `cbor:"6,keyasint,omitempty"`
+	Leaving  []LeavingEndpoint `cbor:"7,keyasint,omitempty"`
+	// Rules is the item of the rules in force.
+	Rules *Item `cbor:"8,keyasint,omitempty"`
 }
 
 // Item is the last version of a key in the store, or its tombstone if Deleted.
--- a/internal/serve/node/items.go
+++ b/internal/serve/node/items.go
@@ -69,6 +69,9 @@
 		Revision: eras.Revision(at), Era: eras.Of(at), Snapshot: whole,
 		AgeMS: uint64(max(0, state.Age.Milliseconds())), StableMS: uint64(max(0, state.Stable.Milliseconds())),
 	}
+	if since.Memory {
+		out.Memory = n.memory()
+	}
 	for _, it := range list {
 		out.List = append(out.List, wire.Item{
 			Key: it.Key, Value: it.Value, Revision: eras.Revision(it.Revision), Deleted: it.Deleted,
@@ -81,6 +84,7 @@
 // fetchItems fetches store items from the host that announced changes that this host
 // lacks, or from a random peer host while the store is unreachable.
 func (n *Node) fetchItems(now time.Time) {
+	n.learn(now)
 	from, unreachable := n.feed.Unreachable(now)
 	var sources []member.Member
 	if source := n.ahead.Swap(nil); source != nil {
@@ -89,7 +93,7 @@
 		sources = n.board.Members.RandomUsable(1, func(member.Member) bool { return true })
 	}
 	for _, m := range sources {
-		answer, err := n.fetchItemsFrom(m, from)
+		answer, err := n.fetchItemsFrom(m, wire.FetchItems{Revision: eras.Revision(from), Era: eras.Of(from)})
 		if err != nil {
 			n.log.Debug().Err(err).Str("peer", m.Name).Uint64("from", from).Msg("store items not fetched from peer host")
 			continue
@@ -100,7 +104,7 @@
 
 // fetchItemsFrom asks a peer host for the store items that changed after a
 // revision.
-func (n *Node) fetchItemsFrom(m member.Member, from uint64) (*wire.Items, error) {
+func (n *Node) fetchItemsFrom(m member.Member, request wire.FetchItems) (*wire.Items, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchItemsTimeout)
 	defer cancel()
 	s, err := n.link.OpenStream(ctx, m.Name, m.Address)
@@ -109,7 +113,7 @@
 	}
 	defer s.Close()
 	deadline := time.Now().Add(fetchItemsTimeout)
-	if err := s.Write(wire.Frame{FetchItems: &wire.FetchItems{Revision: eras.Revision(from), Era: eras.Of(from)}}, deadline); err != nil {
+	if err := s.Write(wire.Frame{FetchItems: &request}, deadline); err != nil {
 		return nil, fmt.Errorf("request store items: %w", err)
 	}
 	fr, err := s.Read(maxItemsBytes, deadline)
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -84,6 +84,11 @@
 	// listedAt is the ordered revision of the last listing. Only the feed uses it.
 	listedAt        uint64
 	heldEvacuations heldEvacuations
+	// rulesItem is the store's item of the rules in force.
+	rulesItem atomic.Pointer[wire.Item]
+	// learned reports whether a peer host has told what the store may have lost, or none is
+	// asked any more.
+	learned atomic.Bool
 	// coldChecks is only used by its controller.
 	coldChecks coldChecks
 
--- a/internal/serve/node/restore_test.go
+++ b/internal/serve/node/restore_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
 	"github.com/hyssopspindle/hyssopspindle/platform"
 	"github.com/hyssopspindle/hyssopspindle/platform/stand"
@@ -157,3 +159,78 @@
 	store.Delete("op/evacuate/z1")
 	f.allSee(nodes, "version 7 ready [ends stays] draining [drains] evacuated []")
 }
+
+// TestRestartForgetsWhatPeersKnow guards against a host that starts again after the store came
+// back from an older copy, and uses an endpoint that had left, or rules that were replaced,
+// though other hosts know better.
+func TestRestartForgetsWhatPeersKnow(t *testing.T) {
+	store, err := stand.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	store.Put("op/config", restoreConfig)
+	for _, id := range []string{"drains", "ends", "leaves", "stays"} {
+		store.Put("servers/"+id, registration("ready"))
+	}
+	f := &fleet{t: t}
+	nodes := startOnStore(t, store, 3)
+	f.allSee(nodes, "version 7 ready [drains ends leaves stays] draining [] evacuated []")
+	older := store.Copy()
+	store.Put("op/config", strings.Replace(restoreConfig, `"version":7`, `"version":9`, 1))
+	store.Put("servers/drains", registration("draining"))
+	store.Delete("servers/ends")
+	for _, n := range nodes {
+		n.board.Registry.MarkLeaving(time.Now(), regis.Leaving{ID: "leaves", Incarnation: 5}, n == nodes[0])
+	}
+	const want = "version 9 ready [stays] draining [drains leaves] evacuated []"
+	f.allSee(nodes, want)
+	store.Restore(older)
+	time.Sleep(2500 * time.Millisecond)
+	f.allSee(nodes, want)
+	for i := range nodes {
+		settings := nodes[i].settings
+		if err := nodes[i].Close(); err != nil {
+			t.Fatal(err)
+		}
+		settings.Seeds = []string{nodes[(i+1)%len(nodes)].settings.Peers}
+		n, err := New(settings, platTerms, (&platform.Store{Address: store.Address(), Now: time.Now}).Feed(), zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = n.Close() })
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+		nodes[i] = n
+		f.eventually("the host is ready", func() bool { return n.board.Health.Ready() })
+		if got := storeView(n); got != want {
+			t.Errorf("host %d sees %s once it is ready, want %s", i, got, want)
+		}
+	}
+}
+
+// TestRestartWhileStoreUnreachable guards against a host that starts again while the store can't
+// be read, and uses an endpoint that announced to others that it leaves.
+func TestRestartWhileStoreUnreachable(t *testing.T) {
+	f := startFleet(t)
+	for _, n := range f.nodes {
+		n.board.Registry.MarkLeaving(time.Now(), regis.Leaving{ID: "plain-a1"}, false)
+	}
+	f.store.refuseRegions("a", "b")
+	settings := f.nodes["a"].settings
+	f.closeHost("a")
+	settings.Seeds = []string{f.nodes["b"].settings.Peers}
+	n, err := New(settings, platTerms, f.store.feed("a"), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.nodes["a"] = n
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("the host is ready", func() bool { return n.board.Health.Ready() })
+	if e, ok := n.board.Registry.Get("plain-a1"); ok && !e.Draining {
+		t.Error("the endpoint that leaves is in use again")
+	}
+}
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
 )
@@ -66,6 +67,9 @@
 	}
 	n.storeListed.Store(true)
 	n.applyChanges(now, b, until)
+	if !n.learned.Load() {
+		n.runner.Trigger(itemsName)
+	}
 }
 
 // applyChanges applies changes of the store in their order.
@@ -97,6 +101,7 @@
 
 func (n *Node) applyRules(c feed.Change) {
 	if n.board.Routes.Apply(c.Rules) {
+		n.rulesItem.Store(&wire.Item{Key: c.Key, Value: c.Value, Revision: c.Revision})
 		n.meter.Revision.Set(float64(c.Rules.Version))
 		names := c.Rules.RouteNames()
 		n.meter.KeepRoutes(names)
@@ -136,9 +141,12 @@
 	ev.Msg("endpoint changed")
 }
 
-// setReadyOnce marks the host ready as soon as the store has been listed and
-// rules are in force.
+// setReadyOnce marks the host ready as soon as the store has been listed, rules are in force and
+// a peer host has told what the store may have lost, or none has within learnWait.
 func (n *Node) setReadyOnce() {
+	if !n.learned.Load() && n.now().Sub(n.started) < learnWait {
+		return
+	}
 	if n.storeListed.Load() && n.board.Routes.Rules() != nil && !n.board.Health.Ready() {
 		n.board.Health.SetReady()
 		n.log.Info().Uint64("version", n.board.Routes.Version()).Int("endpoints", n.board.Registry.Len()).Msg("host ready")
