--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -110,6 +110,11 @@
 	heldEvacuations heldEvacuations
 	// warnedItems bounds the warnings of items that can't be decoded.
 	warnedItems warnedKeys
+	// rulesItem is the store's item of the rules in force.
+	rulesItem atomic.Pointer[wire.Item]
+	// learned reports whether a peer host has told what the store may have lost, or none is
+	// asked any more.
+	learned atomic.Bool
 	// coldChecks is only used by its controller.
 	coldChecks coldChecks
 
@@ -308,7 +313,9 @@
 	lastBusy := began
 	for ctx.Err() == nil {
 		now := n.now()
-		if n.board.Health.InFlight() > 0 {
+		// A request that has begun to arrive gets an answer: served, or a refusal, which tells
+		// its caller that it has not run, as a closed connection would not.
+		if n.board.Health.InFlight() > 0 || n.front.OpenRequests() > 0 {
 			lastBusy = now
 		}
 		elapsed := now.Sub(began)
