Let a host without a slot of its own have one request in flight

From 60 % of a region's slots a host keeps to its part of them and one more. The part was counted as at least 1, so 20 hosts that divide 12 slots could have 40 requests in flight. A part of none now allows one request.

--- a/internal/route/spill/play_test.go
+++ b/internal/route/spill/play_test.go
@@ -269,7 +269,7 @@
 func (p *play) spillRequest(r *request, list []pick.Candidate, free bool, regions []pick.Region, loads [2]float64) spill.Request {
 	out := spill.Request{
 		Slots: float64(slots * len(list)), Reported: loads[0], Announced: loads[1], Free: free, Work: work, Ahead: r.host.queued,
-		Places: 1, InFlight: r.host.inFlight, Queued: r.queued, Waited: p.now.Sub(r.arrived), Target: target, TimeLeft: deadline - p.now.Sub(r.arrived),
+		Places: 2 * slots / hostCount, InFlight: r.host.inFlight, Queued: r.queued, Waited: p.now.Sub(r.arrived), Target: target, TimeLeft: deadline - p.now.Sub(r.arrived),
 	}
 	if r.queued {
 		out.Ahead--
--- a/internal/route/spill/spill.go
+++ b/internal/route/spill/spill.go
@@ -197,7 +197,7 @@
 		return false
 	}
 	if m.load() >= crowdedShare*r.Slots {
-		return r.InFlight <= max(1, r.Places)
+		return r.InFlight <= r.Places
 	}
 	return r.Free
 }
