--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -84,7 +84,9 @@
 	// listedAt is the ordered revision of the last listing. Only the feed uses it.
 	listedAt        uint64
 	heldEvacuations heldEvacuations
-	// rulesItem is the store's item of the rules in force.
+	// rulesMu makes the rules in force and rulesItem, their item of the store, change together:
+	// the feed and what a peer host tells may bring rules at the same time.
+	rulesMu   sync.Mutex
 	rulesItem atomic.Pointer[wire.Item]
 	// learned reports whether a peer host has told what the store may have lost, or none is
 	// asked any more.
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -100,6 +100,8 @@
 }
 
 func (n *Node) applyRules(c feed.Change) {
+	n.rulesMu.Lock()
+	defer n.rulesMu.Unlock()
 	if n.board.Routes.Apply(c.Rules) {
 		n.rulesItem.Store(&wire.Item{Key: c.Key, Value: c.Value, Revision: c.Revision})
 		n.meter.Revision.Set(float64(c.Rules.Version))
