--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -110,7 +110,9 @@
 	heldEvacuations heldEvacuations
 	// warnedItems bounds the warnings of items that can't be decoded.
 	warnedItems warnedKeys
-	// rulesItem is the store's item of the rules in force.
+	// rulesMu makes the rules in force and rulesItem, their item of the store, change together:
+	// the feed and what a peer host tells may bring rules at the same time.
+	rulesMu   sync.Mutex
 	rulesItem atomic.Pointer[wire.Item]
 	// learned reports whether a peer host has told what the store may have lost, or none is
 	// asked any more.
@@ -126,6 +128,8 @@
 	wg          sync.WaitGroup
 	refusing    atomic.Bool
 	storeListed atomic.Bool
+	// storeNamesEra reports whether the last listing of the store named its era.
+	storeNamesEra atomic.Bool
 }
 
 // Option configures a host.
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -70,6 +70,7 @@
 	for _, id := range removed {
 		n.log.Info().Str("endpoint", id).Msg("endpoint removed")
 	}
+	n.storeNamesEra.Store(eras.Of(b.Revision) != 0)
 	n.storeListed.Store(true)
 	n.applyChanges(now, b, until)
 	if !n.learned.Load() {
@@ -121,6 +122,8 @@
 }
 
 func (n *Node) applyRules(c feed.Change) {
+	n.rulesMu.Lock()
+	defer n.rulesMu.Unlock()
 	old := n.board.Routes.Rules()
 	if n.board.Routes.Apply(c.Rules) {
 		n.logCustomers(old, c.Rules)
@@ -173,10 +176,11 @@
 	ev.Msg("endpoint changed")
 }
 
-// setReadyOnce marks the host ready as soon as the store has been listed, rules are in force and
-// a peer host has told what the store may have lost, or none has within learnWait.
+// setReadyOnce marks the host ready as soon as the store has been listed and rules are in force. If
+// the store names an era, it may have been restored from an older copy, so the host also waits,
+// for at most learnWait, until a peer host has reported what the copy may lack.
 func (n *Node) setReadyOnce() {
-	if !n.learned.Load() && n.now().Sub(n.started) < learnWait {
+	if n.storeNamesEra.Load() && !n.learned.Load() && n.now().Sub(n.started) < learnWait {
 		return
 	}
 	if n.storeListed.Load() && n.board.Routes.Rules() != nil && !n.board.Health.Ready() {
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -421,14 +421,14 @@
 			return nil, err
 		}
 		id := resp.Header.Get(e.client.Terms.RequestID)
-		if id == "" && !e.result.Reused {
-			e.client.Pool.setUnnamed(e.attempt.Address)
-			return resp, nil
-		}
 		if id == e.attempt.ID {
 			e.ownAnswerOnly = skipped == 0
 			return resp, nil
 		}
+		if id == "" && !e.result.Reused {
+			e.client.Pool.setUnnamed(e.attempt.Address)
+			return resp, nil
+		}
 		unnamed = unnamed || id == ""
 		if skipped++; skipped > maxSkippedAnswers || keepAliveTimeout(resp) == 0 {
 			return nil, fmt.Errorf("answer belongs to another request: %q", id)
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -186,6 +186,10 @@
 	}
 }
 
+// withoutID is the hash of the empty id, which health checks have: nothing tells their answers
+// apart.
+var withoutID = xxhash.Sum64String("")
+
 // pop removes and returns the connection that became idle last, of those that have not carried
 // a request with an id of this hash.
 func (p *Pool) pop(address string, id uint64) *conn {
@@ -196,7 +200,7 @@
 	}
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if !slices.Contains(c.recent[:min(c.exchanges, maxRecent)], id) {
+		if id == withoutID || !slices.Contains(c.recent[:min(c.exchanges, maxRecent)], id) {
 			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
