Bound the questions of refused requests

Cause: each request that was refused for want of a confirmation triggered the controller that asks other hosts: 5,418 requests in a second caused 100 questions at the peer host, as often as the controller can run. Rules with version 0 were never confirmed, as 0 stood for a store without rules. Change: questions are 100 ms apart at least. Whether the store has shown rules is recorded apart from their version. Result: TestRefusedRequestsAskSeldom passes (at most 12 questions) and fails without the gap. With -race pass: base, board, conf, fleet, ops, plat, cmd, serve/edge and serve/proxy.

--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -233,10 +233,11 @@
 func (f *Feed) apply(now time.Time, b Batch, listing bool) {
 	list := make([]items.Item, 0, len(b.Changes))
 	if listing {
-		f.proofs.newest = 0
+		f.proofs.newest, f.proofs.known = 0, false
 	}
 	for _, c := range b.Changes {
 		f.proofs.newest = max(f.proofs.newest, c.Version)
+		f.proofs.known = f.proofs.known || c.Rules != nil || c.Version > 0
 		it := items.Item{
 			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, ReadAt: c.ReadAt, Heartbeat: f.recordRegistration(c),
 		}
--- a/internal/plat/feed/proofs.go
+++ b/internal/plat/feed/proofs.go
@@ -52,6 +52,8 @@
 type proofState struct {
 	// newest is the newest version of the rules among the changes so far, from the last listing on.
 	newest uint64
+	// known reports whether there are rules among these changes.
+	known bool
 	// confirmed is when the last read that confirmed the rules was sent, attempted when the rules
 	// were last read alone.
 	confirmed time.Duration
@@ -80,10 +82,10 @@
 		return
 	}
 	f.mu.Lock()
-	newest := f.proofs.newest
+	newest, known := f.proofs.newest, f.proofs.known
 	f.mu.Unlock()
 	// A store without rules says nothing of those in force.
-	if newest == 0 || !f.Proofs.OnConfirmed(sent, newest) {
+	if !known || !f.Proofs.OnConfirmed(sent, newest) {
 		return
 	}
 	f.mu.Lock()
@@ -164,7 +166,7 @@
 		return f.listed
 	}
 	f.Log.Warn().Str("feed", f.Name).Uint64("version", c.Version).Uint64("before", s.newest).Msg("watch lacks newer rules; listing again")
-	s.newest, s.relist = c.Version, true
+	s.newest, s.known, s.relist = c.Version, true, true
 	f.OnChange(now, Batch{Changes: []Change{c}, Revision: f.revision}, f.keepRemovedUntil(now))
 	if s.stopWatch != nil {
 		s.stopWatch(errRelist)
--- a/internal/plat/feed/proofs_test.go
+++ b/internal/plat/feed/proofs_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 )
 
@@ -128,6 +129,11 @@
 	if len(confirmed) > 0 {
 		t.Errorf("confirmed %v without rules", confirmed)
 	}
+	f.recordSuccess(now, Batch{Revision: eras.Join(1, 7), Changes: []Change{{Key: "rules", Rules: rules.New(0, nil, nil, rules.Limits{})}}}, false, false)
+	f.confirmRules(time.Second)
+	if want := []string{"1s version 0"}; !slices.Equal(confirmed, want) {
+		t.Errorf("confirmed %v, want %v: rules may have version 0", confirmed, want)
+	}
 }
 
 // TestProofReadsDoNotWaitForWatches guards against a watch that is held, by a store that answers
--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -34,6 +34,8 @@
 	slept atomic.Int64
 	// deaf drops the answers of peer hosts to questions for confirmations.
 	deaf atomic.Bool
+	// asked counts the questions for confirmations that the host received.
+	asked atomic.Int64
 }
 
 // keyFleet is a fleet of hosts with strict keys on a stand-in of the platform's store. The first
@@ -123,6 +125,9 @@
 	}
 	receive := n.handlers.Packet
 	n.handlers.Packet = func(p wire.Packet, size int) {
+		if p.AskProof != 0 {
+			h.asked.Add(1)
+		}
 		if p.Proof != nil && h.deaf.Load() {
 			p.Proof = &wire.RulesProof{Unproven: p.Proof.Unproven}
 		}
@@ -501,3 +506,27 @@
 	f.wantStatus("a1", "/keyed/x", "unknown", 401)
 	f.eventually("hosts that are cut off refuse an unknown key as not run", func() bool { return f.status("a1", "/keyed/x", "unknown") == 503 })
 }
+
+// TestRefusedRequestsAskSeldom guards against each request that is refused for want of a confirmation
+// causing a question to other hosts or a read of the store.
+func TestRefusedRequestsAskSeldom(t *testing.T) {
+	f := startKeyFleet(t, "a1", "a2")
+	for _, h := range f.hosts {
+		h.cut.Store(true)
+		h.slept.Add(int64(revokePeriod))
+	}
+	reads, began := f.platform.Reads(), time.Now()
+	asked := f.hosts["a2"].asked.Load()
+	requests := 0
+	for ; time.Since(began) < time.Second; requests++ {
+		f.wantStatus("a1", "/keyed/x", "k1", 503)
+	}
+	asked = f.hosts["a2"].asked.Load() - asked
+	if most := int64(time.Since(began)/minAskGap) + 2; asked > most {
+		t.Errorf("%d requests caused %d questions, want at most %d", requests, asked, most)
+	}
+	// Both hosts read the store, at most every 250 ms.
+	if reads = f.platform.Reads() - reads; reads > 2*6 {
+		t.Errorf("%d requests caused %d reads, want at most 12", requests, reads)
+	}
+}
--- a/internal/serve/node/proofs.go
+++ b/internal/serve/node/proofs.go
@@ -18,6 +18,9 @@
 	// askPeriod is the time between two questions of a host that does not read the store, while its
 	// own confirmation is young.
 	askPeriod = time.Second
+	// minAskGap is the least time between two questions: each request that needs a confirmation
+	// triggers one.
+	minAskGap = 100 * time.Millisecond
 	// askAllShare is the share of the life of a confirmation from which a host asks in each period,
 	// and hosts that do not read the store too. From readShare on it reads the store itself.
 	askAllShare = 0.5
@@ -51,7 +54,11 @@
 	age, ok := n.board.Proof.Age(now)
 	life := n.board.Proof.Life()
 	old := !ok || age >= time.Duration(askAllShare*float64(life))
-	if !old && (plan.SelfReads || now-q.sent < askPeriod) {
+	gap := askPeriod
+	if old {
+		gap = minAskGap
+	}
+	if (!old && plan.SelfReads) || now-q.sent < gap {
 		return
 	}
 	q.sent = now
