--- a/internal/route/usage/table_test.go
+++ b/internal/route/usage/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -55,6 +56,40 @@
 	}
 }
 
+// TestRefusedCallersReturn: refused callers all return at the same time, when the bucket holds one
+// request of them, or later than needed.
+func TestRefusedCallersReturn(t *testing.T) {
+	const callers, size = 30, 500.0
+	u := newTable(start, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	u.random = random.Float64
+	u.Take(start, "c", level(u, start))
+	next := map[int]time.Time{}
+	for i := range callers {
+		next[i] = start.Add(time.Duration(i) * time.Millisecond)
+	}
+	tries, last := 0, start
+	for now := start; len(next) > 0 && now.Before(start.Add(time.Minute)); now = now.Add(time.Millisecond) {
+		for i := range callers {
+			if at, waits := next[i]; !waits || now.Before(at) {
+				continue
+			}
+			tries++
+			ok, wait := u.Take(now, "c", size)
+			next[i] = now.Add(wait)
+			if ok {
+				delete(next, i)
+				last = now
+			}
+		}
+	}
+	least := time.Duration(callers * size / 1000 * float64(time.Second))
+	t.Logf("%d callers tried %d times; the last is admitted after %v, %v are needed", callers, tries, last.Sub(start), least)
+	if len(next) > 0 || tries > 5*callers || last.Sub(start) > 2*least {
+		t.Errorf("%d callers are left after %d tries, the last is admitted after %v, %v are needed", len(next), tries, last.Sub(start), least)
+	}
+}
+
 // TestNewProcess: a process that starts uses the whole rate although it does not know yet how many
 // others there are, or a full burst that its predecessor has spent.
 func TestNewProcess(t *testing.T) {
--- a/internal/route/usage/usage.go
+++ b/internal/route/usage/usage.go
@@ -38,8 +38,6 @@
 	headroomPart     = 0.2
 	// minRetryAfter is the shortest delay that is sent with a refusal.
 	minRetryAfter = 100 * time.Millisecond
-	// maxSpread bounds the factor by which the delays of refused requests are spread.
-	maxSpread = 4.0
 )
 
 // Limit is the limit of a customer over all hosts, in its unit per second and in units.
@@ -311,16 +309,17 @@
 	return expected <= part || t.random()*expected < part
 }
 
-// retryAfter returns the time until the bucket has what a request needs. As many requests wait for
-// the same refill, it is spread by how much the demand at this host exceeds its share.
+// retryAfter returns the time until the bucket has what a request needs. Refused requests wait for
+// the same refill, so it is spread over the time in which this host's share of the rate serves all
+// that were refused lately.
 func (t *Table) retryAfter(a *account, need float64) time.Duration {
 	rate := a.limit.PerSecond * (1 - a.silent)
 	if rate <= 0 {
 		return t.bound.Window
 	}
 	wait := max(minRetryAfter.Seconds(), (need-a.level)/rate)
-	excess := a.demand / demandMemory.Seconds() / (a.limit.PerSecond * t.share(a))
-	wait *= 1 + t.random()*min(maxSpread, max(0.5, excess))
+	queued := a.denied / (a.limit.PerSecond * t.share(a))
+	wait += t.random() * max(wait/2, min(t.bound.Window.Seconds(), queued))
 	return time.Duration(wait * float64(time.Second))
 }
 
