Thin floods of requests before the first refusal

Hosts thinned a demand far above the limit only after refusals and by its mean over 2 s, so a flood that begins at all hosts at once was admitted for as long as it takes to hear of the others: 0.98 of the bound from empty buckets, and 1.06 times the bound from full ones at 80 times the limit. Change: the demand is also measured over 0.25 s, and more than three requests within it count as a possible flood, also while the bucket is more than half full. Ruled out: more than one request. More than two refused 1 of 85 requests of a small customer when the demand moves. At 100 times the limit from full buckets a trial with four requests still used 1.05 times the bound.

--- a/internal/route/usage/usage.go
+++ b/internal/route/usage/usage.go
@@ -36,6 +36,9 @@
 	unknownPart      = 0.4
 	unknownSlackPart = 0.25
 	headroomPart     = 0.2
+	// floodRequests is the number of requests within unknownPeriod at one host from which a flood
+	// is possible that other hosts do not know of yet. Fewer come by chance.
+	floodRequests = 3
 	// minRetryAfter is the shortest delay that is sent with a refusal.
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -89,7 +92,9 @@
 	// demand is what requests at this host asked for, denied what was refused of it, both decayed
 	// with demandMemory, as of asked.
 	demand, denied float64
-	asked          time.Time
+	// lately is the same as demand, decayed with unknownPeriod.
+	lately float64
+	asked  time.Time
 	// recent is the use at this host.
 	recent decayed
 	// silent is the part of the rate that belongs to silent hosts.
@@ -284,11 +289,14 @@
 		return false, 0
 	}
 	t.refill(a, now)
-	decay := math.Exp(-now.Sub(a.asked).Seconds() / demandMemory.Seconds())
+	elapsed := now.Sub(a.asked).Seconds()
+	decay := math.Exp(-elapsed / demandMemory.Seconds())
 	a.demand, a.denied, a.asked = a.demand*decay+tokens, a.denied*decay, now
+	a.lately = a.lately*math.Exp(-elapsed/unknownPeriod.Seconds()) + tokens
 	// A request larger than the burst is admitted by a full bucket.
 	need := min(tokens, a.limit.Burst*(1-a.silent))
-	if a.level < need || (a.denied > tokens && !t.passes(a)) {
+	flood := a.denied > tokens || a.lately > floodRequests*tokens
+	if a.level < need || (flood && !t.passes(a)) {
 		a.denied += tokens
 		return false, t.retryAfter(a, need)
 	}
@@ -297,15 +305,11 @@
 }
 
 // passes reports whether a request passes the thinning of a demand that is so large that all hosts
-// together would admit too much before they hear of each other's use. It matters only while
-// requests are refused and the bucket is nearly empty, as it then fills at all hosts at the same
-// time.
+// together would admit too much before they hear of each other's use: while requests are refused,
+// as the bucket then fills at all hosts at the same time, and when a flood begins.
 func (t *Table) passes(a *account) bool {
-	if a.level > t.capacity(a)*(1-a.silent)/2 {
-		return true
-	}
 	part := min(1, t.share(a)/(1-a.silent)) * (a.level + t.unknown(a)*(1-a.silent))
-	expected := a.demand / demandMemory.Seconds() * unknownPeriod.Seconds()
+	expected := max(a.lately, a.demand/demandMemory.Seconds()*unknownPeriod.Seconds())
 	return expected <= part || t.random()*expected < part
 }
 
--- a/internal/route/usage/usage_test.go
+++ b/internal/route/usage/usage_test.go
@@ -486,6 +486,19 @@
 	}
 }
 
+// TestFloodFromRest: a demand of 80 times the limit that begins at all hosts at once, with a full
+// bucket, is admitted everywhere before the hosts hear of each other's use.
+func TestFloodFromRest(t *testing.T) {
+	f := newFleet(t, 12, 62, 3, loadsOf(62, func(at time.Duration, _ *host) float64 {
+		if at < 16*time.Second {
+			return 0.55
+		}
+		return 80
+	})...)
+	f.run(30 * time.Second)
+	f.check(1, 0.1, 0.1)
+}
+
 // TestPartition: the sides of a partition each use the whole limit, or lose it. The demand is
 // constant, or begins at the cut when the bucket is full.
 func TestPartition(t *testing.T) {
