Keep prompts at engines with their prefix and let busy regions' prompts cross

The queue at an engine with the prefix was weighed against the prefill of one request, so at a peak prompts went to engines without it, and that prefill lengthened all queues. Short prompts never left their region unless refused. Ruled out: waiting longer at hosts, one priority at engines, higher weights.

--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -154,8 +154,9 @@
 	return req.SuffixPrefill + req.PrefixPrefill
 }
 
-// score returns the expected time to first token at a candidate, lowered by reuseShare
-// for a prefix's owner.
+// score returns the expected time to first token at a candidate, lowered by reuseShare for a
+// prefix's owner. A prefix that is not cached counts prefillWeight times more: engines whose
+// prefixes are read again at each burst have no time left for the requests behind them.
 func score(req Request, c *Candidate, owner bool) time.Duration {
 	slots := max(1, c.Slots)
 	excess := max(0, c.Load+1-float64(slots))
@@ -164,6 +165,7 @@
 	if owner && !c.Cached {
 		prefill -= time.Duration(reuseShare * float64(req.PrefixPrefill))
 	}
+	prefill += prefillCost(req, c.Cached)
 	t := float64(prefill+c.QueuedPrefill) + c.Load*float64(runningCost) + excess*float64(queuedCost)
 	return time.Duration(slowdown * t)
 }
@@ -181,6 +183,49 @@
 	QueuedPrefill time.Duration
 	// Failing reports whether all its endpoints are failing.
 	Failing bool
+	// Cached reports whether one of its endpoints has the prompt prefix cached.
+	Cached bool
+}
+
+const (
+	// minCrossGain is by how much sooner a request must start in another region to cross. It is
+	// more than views of other regions are wrong by while their load is steady.
+	minCrossGain = 60 * time.Millisecond
+	// maxSoonerUtilisation is the utilisation from which a region gets no requests that could start
+	// here, so that its own peak finds free slots.
+	maxSoonerUtilisation = 0.7
+)
+
+// SoonerRegion returns the index of the region in which a request starts soonest, if that is at
+// least minCrossGain before it would start here; -1 if there is none. It answers the load of
+// regions whose callers peak one after the other: the engines of the busy region queue prompts
+// while those of the others are idle. local is the expected time to first token here, base the part
+// of it that does not depend on the prompt, and cached whether the prefix is cached here.
+func SoonerRegion(req Request, local, base time.Duration, cached bool, list []Region) int {
+	best, lowest := -1, local+prefillCost(req, cached)-minCrossGain
+	for i := range list {
+		r := &list[i]
+		if r.Failing || r.Utilisation() >= maxSoonerUtilisation {
+			continue
+		}
+		there := r.RoundTrip + r.QueuedPrefill + base + req.SuffixPrefill + prefillCost(req, r.Cached)
+		if !r.Cached {
+			there += req.PrefixPrefill
+		}
+		if there < lowest {
+			best, lowest = i, there
+		}
+	}
+	return best
+}
+
+// prefillCost returns by how much more than its own latency a prefix counts that is not cached, as
+// its prefill delays the requests queued behind it too.
+func prefillCost(req Request, cached bool) time.Duration {
+	if cached {
+		return 0
+	}
+	return prefillWeight * req.PrefixPrefill
 }
 
 // maxUtilisation is the utilisation from which a region gets no requests for the sake of
--- a/internal/route/spill/spill.go
+++ b/internal/route/spill/spill.go
@@ -159,17 +159,25 @@
 	return min(sum, maxShare)
 }
 
-// Decide decides on a request. Each request is decided on once as it arrives, and again whenever
-// it has waited.
-func (t *Table) Decide(now time.Time, r Request) Verdict {
+// Crossing returns the index of the region that a request of an engine goes to, -1 if it stays. It
+// is for requests with short prompts: they are sent at once at any load, and use slots and steps of
+// the batch rather than prefill time, so that only the slots in use tell when engines are busy.
+func (t *Table) Crossing(now time.Time, r Request) int {
+	_, shares := t.observe(now, &r)
+	return t.draw(shares)
+}
+
+// observe adds the loads that a request meets to the means of its service, and returns the share of
+// the requests that is to go to each region.
+func (t *Table) observe(now time.Time, r *Request) (*means, []float64) {
 	m, ok := t.services[r.Service]
 	if !ok {
 		m = &means{loads: map[string]float64{}, shares: map[string]float64{}}
 		t.services[r.Service] = m
 	}
 	weight := m.weight(now)
-	m.observe(weight, &r)
-	shares := m.plan(&r)
+	m.observe(weight, r)
+	shares := m.plan(r)
 	for name := range m.shares {
 		m.shares[name] *= 1 - weight
 	}
@@ -177,6 +185,13 @@
 		m.shares[r.Regions[i].Name] += weight * s
 	}
 	m.at = now
+	return m, shares
+}
+
+// Decide decides on a request. Each request is decided on once as it arrives, and again whenever
+// it has waited.
+func (t *Table) Decide(now time.Time, r Request) Verdict {
+	m, shares := t.observe(now, &r)
 	if !r.Queued {
 		if i := t.draw(shares); i >= 0 {
 			return Verdict{Kind: Cross, Region: i}
--- a/internal/route/spill/spill_test.go
+++ b/internal/route/spill/spill_test.go
@@ -133,3 +133,29 @@
 		}
 	}
 }
+
+// TestShortPromptsCross guards against short prompts of a busy region that all stay, as they are sent
+// at once at any load, and against prompts that cross while the region has free slots.
+func TestShortPromptsCross(t *testing.T) {
+	for _, tt := range []struct {
+		busy     float64
+		min, max float64
+	}{{0.3, 0, 0}, {0.5, 0, 0}, {0.95, 0.3, 0.5}} {
+		table, crossed := spill.New(rand.New(rand.NewPCG(2, 2))), 0
+		const prompts = 4000
+		for i := range prompts {
+			r := spill.Request{
+				Service: "engines", Slots: 160, TimeLeft: 4 * time.Second, Target: 1200 * ms,
+				Regions: []spill.Region{{Name: "r1", Slots: 320, Load: 40, RoundTrip: 110 * ms}},
+			}
+			// What crossed is missing in the load.
+			r.Announced = tt.busy * r.Slots * (1 - float64(crossed)/float64(i+1))
+			if table.Crossing(start.Add(time.Duration(i)*ms), r) >= 0 {
+				crossed++
+			}
+		}
+		if share := float64(crossed) / prompts; share < tt.min || share > tt.max {
+			t.Errorf("%.2f of the slots busy: %.3f of the prompts cross, want %.2f to %.2f", tt.busy, share, tt.min, tt.max)
+		}
+	}
+}
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -72,6 +72,9 @@
 		return d
 	}
 	req := p.placementRequest(t)
+	if region := p.crossingRegion(now, t, req); region != "" {
+		return decision{region: region}
+	}
 	local, final := p.chooseOwn(now, t, req)
 	if final {
 		return local
@@ -83,6 +86,9 @@
 	if region := p.prefixRegion(t, req, local, remotes); region != "" {
 		return decision{region: region}
 	}
+	if region := p.soonerRegion(now, t, req, local, remotes); region != "" {
+		return decision{region: region}
+	}
 	switch {
 	case local.allFailing && anyServing(remotes):
 	case local.refusal == nil && !local.wait:
@@ -189,9 +195,14 @@
 	if !t.mayCross {
 		return false
 	}
-	return local.refusal != nil || local.wait || local.allFailing || (!local.prefixCached && hasLongPrefix(req))
+	return local.refusal != nil || local.wait || local.allFailing || (!local.prefixCached && hasLongPrefix(req)) ||
+		(t.Route.Prompts && local.expectedLatency >= queuedLatency)
 }
 
+// queuedLatency is the expected time to first token from which other regions are considered for a
+// prompt. Below it the round trip costs what a shorter queue elsewhere would save.
+const queuedLatency = 150 * time.Millisecond
+
 // anyServing reports whether there is a region whose endpoints are not known to all
 // fail.
 func anyServing(remotes []pick.Region) bool {
