Do not count a request at a process that it was not placed on

A request is placed by a copy of the endpoint's registration. If the endpoint's next process was registered before the request was counted, the request and the prefill time of its prompt were counted at the new process, while their end carries the earlier number and is ignored. The endpoint kept one request in flight and the prefill time for as long as its process ran, and the host announced them to its peers.

Endpoints.Dispatch compares the numbers and counts under one lock. Comparing before StartRequest would leave the same gap. The prefix of such a request is not recorded either.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -289,7 +289,10 @@
 func (t *Table) StartRequest(now time.Time, name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.state(name)
+	t.state(name).startRequest(now)
+}
+
+func (s *State) startRequest(now time.Time) {
 	s.setInFlight(now, s.InFlight+1)
 	s.recordSend(now)
 	s.recordTrial(now)
--- a/internal/board/endpt/peers.go
+++ b/internal/board/endpt/peers.go
@@ -88,7 +88,10 @@
 func (t *Table) AddQueuedPrefill(name string, priority int, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.state(name)
+	t.state(name).addQueuedPrefill(priority, d)
+}
+
+func (s *State) addQueuedPrefill(priority int, d time.Duration) {
 	rank := rankOf(priority)
 	s.queuedPrefill[rank] = max(0, s.queuedPrefill[rank]+d)
 }
--- a/internal/board/endpt/start.go
+++ b/internal/board/endpt/start.go
@@ -26,3 +26,18 @@
 
 // isEarlier reports whether a number is that of an earlier process than the present one.
 func (s *State) isEarlier(start uint64) bool { return start != 0 && start < s.start }
+
+// Dispatch counts a request of this host that was placed by a registration with the number start,
+// and the prefill time of its prompt. If the endpoint has started again since, it counts nothing and
+// returns false: the end of that request is not counted at the new process either.
+func (t *Table) Dispatch(now time.Time, name string, start uint64, priority int, prefill time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(name)
+	if s.isEarlier(start) {
+		return false
+	}
+	s.startRequest(now)
+	s.addQueuedPrefill(priority, prefill)
+	return true
+}
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -220,11 +220,14 @@
 // recordDispatch counts a request and its prefill time at its endpoint.
 func (p *Proxy) recordDispatch(now time.Time, t *task, req pick.Request, d decision) {
 	t.tried[d.endpoint.ID] = true
-	p.Board.Endpoints.StartRequest(now, d.endpoint.ID)
-	if !t.Route.Prompts {
+	prefill := time.Duration(0)
+	if t.Route.Prompts {
+		prefill = d.prefill
+	}
+	counted := p.Board.Endpoints.Dispatch(now, d.endpoint.ID, d.endpoint.Start, t.Route.Priority, prefill)
+	if !t.Route.Prompts || !counted {
 		return
 	}
-	p.Board.Endpoints.AddQueuedPrefill(d.endpoint.ID, t.Route.Priority, d.prefill)
 	if req.Prefix != 0 && req.PrefixPrefill >= minReportedPrefill {
 		p.Prefixes.RecordSent(now, d.endpoint.ID, req.Prefix)
 	}
--- a/internal/serve/proxy/plain_test.go
+++ b/internal/serve/proxy/plain_test.go
@@ -13,6 +13,8 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 )
 
@@ -165,3 +167,32 @@
 		t.Error("the new process counts as draining or out of reach")
 	}
 }
+
+// TestRequestChosenBeforeRestart guards against a request that is counted at the new process of an
+// endpoint, which started while the request was placed by the registration of the earlier one. Its
+// end is not counted there, so the new process kept a request and its prefill time for good.
+func TestRequestChosenBeforeRestart(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, task := plainProxy(&now, 6)
+	e := regis.Endpoint{ID: "r1", Service: "s", Centre: "c", Region: "r", Slots: 6, Incarnation: 1, Revision: 9}
+	p.Board.Registry.Put(e)
+	earlier, _ := p.Board.Registry.Get("r1")
+	p.Board.Endpoints.SetStart(now, "r1", earlier.Start)
+	e.Incarnation, e.Revision = 2, 10
+	p.Board.Registry.Put(e)
+	current, _ := p.Board.Registry.Get("r1")
+	p.Board.Endpoints.SetStart(now, "r1", current.Start)
+
+	route := *task.Route
+	route.Prompts = true
+	task.Route = &route
+	for _, chosen := range []regis.Endpoint{earlier, current} {
+		d := decision{endpoint: chosen, prefill: time.Second}
+		p.recordDispatch(now, task, pick.Request{}, d)
+		p.endPrefill(task, chosen, time.Second)
+		p.recordResult(task, d, pool.Result{Reason: retry.Broken}, now)
+		if st := p.Board.Endpoints.Get("r1"); st.InFlight != 0 || st.QueuedPrefill(now).Ahead(0) != 0 {
+			t.Errorf("after the end of a request to process %d: %d in flight with a prefill time of %v, want none", chosen.Start, st.InFlight, st.QueuedPrefill(now).Ahead(0))
+		}
+	}
+}
