Repeat that a host has no use to announce

A host that callers are not given and that has no use says three times that it will be quiet. A host that misses these, as it was frozen or cut off for a few seconds, or drops them as buffered announcements after a freeze, counts the quiet host as silent. Nothing else comes from there and a listed host is never forgotten, so it kept an even part of every limit for it until the quiet host had use again.

The quiet host now repeats the announcement every 15 s. Not counting a silent host without use was ruled out: it may admit requests on the other side of a partition. The cost is one datagram from each quiet host to each entry host in 15 s; it was not measured.

The tests of package usage pass.

--- a/internal/route/usage/report.go
+++ b/internal/route/usage/report.go
@@ -27,8 +27,11 @@
 	// urgentPart is the part of this host's share of what may be unknown, and of the bucket's
 	// level, from which use is announced at once.
 	urgentPart = 0.25
-	// quietReports is how often a host that has nothing more to announce says so.
+	// quietReports is how often a host that has nothing more to announce says so, a period apart,
+	// and quietPeriod the time between any further ones. A host that missed the first ones, as it was
+	// frozen or cut off, would keep a part of the limits for the quiet host until it has use again.
 	quietReports = 3
+	quietPeriod  = 15 * reportPeriod
 )
 
 // Use is what a host's requests of a customer used.
@@ -98,8 +101,16 @@
 		return out, true
 	}
 	out.Quiet = true
-	t.quietSent++
-	return out, t.quietSent <= quietReports
+	return out, t.quietDue(now)
+}
+
+// quietDue reports whether to announce that this host has nothing more to announce, and records it.
+func (t *Table) quietDue(now time.Time) bool {
+	if t.quietSent >= quietReports && now.Sub(t.lastQuiet) < quietPeriod {
+		return false
+	}
+	t.quietSent, t.lastQuiet = min(quietReports, t.quietSent+1), now
+	return true
 }
 
 // due reports whether a use that changed is part of the next announcement.
--- a/internal/route/usage/table_test.go
+++ b/internal/route/usage/table_test.go
@@ -204,6 +204,24 @@
 	}
 }
 
+// TestQuietAnnouncementsLost: a host that misses the last announcements of a quiet one counts it as
+// silent for good and keeps a part of the limits for it, as nothing else comes from there.
+func TestQuietAnnouncementsLost(t *testing.T) {
+	u, quiet := newTable(start, 2), newTable(start, 0)
+	for s := range 90 {
+		now := start.Add(time.Duration(s) * time.Second)
+		u.SetPeers(now, []string{"peer0", "peer1"}, nil, true)
+		u.Receive(now, "peer0", 1, Announcement{Sent: time.Hour + now.Sub(start)})
+		r, ok := quiet.Report(now, false)
+		if r.Sent += time.Hour - time.Minute; ok && s > 20 {
+			u.Receive(now, "peer1", 1, r)
+		}
+	}
+	if s, _ := u.State(start.Add(90*time.Second), "c"); s.Silent != 0 || s.Share != 1 {
+		t.Errorf("%d hosts count as silent, %.2f of the rate is in use; want none and all of it", s.Silent, s.Share)
+	}
+}
+
 // TestReturn: what a request took that did not run stays charged at this host or at others.
 func TestReturn(t *testing.T) {
 	u := newTable(start, 1)
--- a/internal/route/usage/usage.go
+++ b/internal/route/usage/usage.go
@@ -141,8 +141,11 @@
 	urgentCredit float64
 	creditAt     time.Time
 	wholeReport  time.Time
-	quietSent    int
-	silentCount  int
+	// quietSent counts the announcements since this host had nothing to announce, up to
+	// quietReports; lastQuiet is the time of the last one.
+	quietSent   int
+	lastQuiet   time.Time
+	silentCount int
 }
 
 // Option configures a table.
