Refuse requests of plain services when the queue of the host is full

The queue of a service holds 256 requests. A request beyond that waited without a place, and the expected wait counted only the 256, so for a route without a target or with a long one the number of waiting requests had no bound. Each was decided on again every 15 ms under the proxy's lock, and all were sent to the endpoints shortly before their deadlines.

Such a request is now refused as not run, or sent if half of the slots of all regions are free, like one that would be served too late. A larger queue was ruled out: each request in it holds its body.

In TestFullQueueRefuses 512 of 512 requests waited with the old code, 256 do now. The tests of the packages proxy and spill pass.

--- a/internal/route/spill/spill.go
+++ b/internal/route/spill/spill.go
@@ -89,8 +89,9 @@
 	InFlight int
 	Places   int
 	Ahead    int
-	// Queued reports whether the request waits already.
-	Queued bool
+	// Queued reports whether the request waits already, QueueFull whether no further one may wait.
+	Queued    bool
+	QueueFull bool
 	// Waited is the time since the caller's request arrived, Target the latency target, 0 for
 	// none, and TimeLeft the time to the deadline.
 	Waited   time.Duration
@@ -311,7 +312,7 @@
 	}
 	wait := time.Duration(float64(r.Ahead+1) / float64(max(1, r.Places)) * float64(r.Work))
 	switch {
-	case wait+r.Work <= limit:
+	case !r.QueueFull && wait+r.Work <= limit:
 		return Verdict{Kind: Wait}
 	case m.halfFree(r):
 		return Verdict{Kind: Send}
--- a/internal/serve/proxy/plain.go
+++ b/internal/serve/proxy/plain.go
@@ -55,6 +55,7 @@
 		Service: t.Service, Work: p.Board.Speeds.AnswerTime(t.Service), Ahead: p.serviceQueue(t.Service).Len(), Queued: !t.queuedAt.IsZero(),
 		Waited: now.Sub(t.Arrived), Target: t.firstTokenTarget(), TimeLeft: t.Deadline.Sub(now),
 	}
+	r.QueueFull = r.Ahead >= maxQueued
 	if p.addLocalLoad(now, t, &r); r.Slots == 0 {
 		return r
 	}
--- a/internal/serve/proxy/plain_test.go
+++ b/internal/serve/proxy/plain_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
@@ -104,6 +105,37 @@
 	}
 }
 
+// TestFullQueueRefuses guards against requests without a target that wait without a bound on their
+// number: those beyond the queue were not counted in the expected wait, were decided on again every
+// 15 ms, and were all sent to the endpoints at their deadlines.
+func TestFullQueueRefuses(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, _ := plainProxy(&now, 1)
+	for _, id := range []string{"r1", "r2"} {
+		p.Board.Endpoints.StartRequest(now, id)
+	}
+	p.Board.Remotes.PutLoad(remote.Key{Region: "x", Service: "s"}, 2, 2, now, now)
+	waited := 0
+	for range 2 * maxQueued {
+		task := plainTask(p)
+		route := *task.Route
+		route.Target = 0
+		task.Route, task.Deadline = &route, now.Add(10*time.Minute)
+		d := p.choose(task)
+		if d.wait {
+			waited++
+			p.queues["s"].Join(now, 0, "")
+			continue
+		}
+		if d.refusal == nil || d.refusal.Ran != fault.RanNo || d.refusal.RetryAfter <= 0 {
+			t.Fatalf("got %+v with %d requests waiting, want a refusal as not run with a retry delay", d, waited)
+		}
+	}
+	if waited != maxQueued {
+		t.Errorf("%d of %d requests wait, want %d", waited, 2*maxQueued, maxQueued)
+	}
+}
+
 // TestSlowPlainEndpointIsAvoided guards against plain endpoints whose speed is not measured: one
 // that takes three times as long got as many requests as the other. The pace that an answer
 // reports is not counted as the endpoint's own speed too.
