Return large requests of other hosts that did not run

A request larger than the burst is admitted by a full bucket. If it did not run, the counter that its host announces falls by more than the burst, which other hosts took for a counter that began anew: they kept the charge, and charged the recent use once more. Several requests that did not run between two announcements had the same effect.

A counter may now fall by the limit of a window, which bounds the cost of one request. A customer that is removed and added again at one host before another can still be returned use that ran, as before up to the capacity of the bucket.

--- a/internal/route/usage/peers.go
+++ b/internal/route/usage/peers.go
@@ -219,8 +219,8 @@
 		p.uses[in.Customer] = u
 	case in.Total >= u.total:
 		delta = float64(in.Total - u.total)
-	case float64(u.total-in.Total) <= a.limit.Burst:
-		// Requests that did not run returned what they took.
+	case float64(u.total-in.Total) <= t.windowLimit(a):
+		// Requests that did not run returned what they took, each at most the limit of a window.
 		a.level = min(t.capacity(a)*(1-a.silent), a.level+float64(u.total-in.Total))
 		delta = 0
 	}
--- a/internal/route/usage/table_test.go
+++ b/internal/route/usage/table_test.go
@@ -237,6 +237,19 @@
 	}
 }
 
+// TestLargeReturn: a request larger than the burst that did not run at another host stays charged
+// here, as the counter of that host is taken for one that began anew.
+func TestLargeReturn(t *testing.T) {
+	u := newTable(start, 1)
+	full := level(u, start)
+	for i, total := range []uint64{900_000, 905_000, 900_000} {
+		u.Receive(start, "peer0", 1, Announcement{Sent: time.Hour + time.Duration(i), Uses: []Use{{Customer: id(u), Total: total, Recent: total - 900_000}}})
+	}
+	if got := level(u, start); got != full {
+		t.Errorf("the level is %.0f after a return, want %.0f", got, full)
+	}
+}
+
 // TestStateIsBounded: customers that are no longer published, hosts that left, and the counters of
 // customers that a host no longer uses stay in memory.
 func TestStateIsBounded(t *testing.T) {
