--- a/internal/route/usage/table_test.go
+++ b/internal/route/usage/table_test.go
@@ -239,6 +239,24 @@
 	}
 }
 
+// TestQuietAnnouncementsLost: a host that misses the last announcements of a quiet one counts it as
+// silent for good and keeps a part of the limits for it, as nothing else comes from there.
+func TestQuietAnnouncementsLost(t *testing.T) {
+	u, quiet := newTable(start, 2), newTable(start, 0)
+	for s := range 90 {
+		now := start.Add(time.Duration(s) * time.Second)
+		u.SetPeers(now, []string{"peer0", "peer1"}, nil, true)
+		u.Receive(now, "peer0", 1, Announcement{Sent: time.Hour + now.Sub(start)})
+		r, ok := quiet.Report(now, false)
+		if r.Sent += time.Hour - time.Minute; ok && s > 20 {
+			u.Receive(now, "peer1", 1, r)
+		}
+	}
+	if s, _ := u.State(start.Add(90*time.Second), "c"); s.Silent != 0 || s.Share != 1 {
+		t.Errorf("%d hosts count as silent, %.2f of the rate is in use; want none and all of it", s.Silent, s.Share)
+	}
+}
+
 // TestReturn: what a request took that did not run stays charged at this host or at others.
 func TestReturn(t *testing.T) {
 	u := newTable(start, 1)
@@ -254,6 +272,19 @@
 	}
 }
 
+// TestLargeReturn: a request larger than the burst that did not run at another host stays charged
+// here, as the counter of that host is taken for one that began anew.
+func TestLargeReturn(t *testing.T) {
+	u := newTable(start, 1)
+	full := level(u, start)
+	for i, total := range []uint64{900_000, 905_000, 900_000} {
+		u.Receive(start, "peer0", 1, Announcement{Sent: time.Hour + time.Duration(i), Uses: []Use{{Customer: id(u), Total: total, Recent: total - 900_000}}})
+	}
+	if got := level(u, start); got != full {
+		t.Errorf("the level is %.0f after a return, want %.0f", got, full)
+	}
+}
+
 // TestStateIsBounded: customers that are no longer published, hosts that left, and the counters of
 // customers that a host no longer uses stay in memory.
 func TestStateIsBounded(t *testing.T) {
--- a/internal/serve/proxy/plain_test.go
+++ b/internal/serve/proxy/plain_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
@@ -13,6 +14,8 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 )
 
@@ -102,6 +105,37 @@
 	}
 }
 
+// TestFullQueueRefuses guards against requests without a target that wait without a bound on their
+// number: those beyond the queue were not counted in the expected wait, were decided on again every
+// 15 ms, and were all sent to the endpoints at their deadlines.
+func TestFullQueueRefuses(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, _ := plainProxy(&now, 1)
+	for _, id := range []string{"r1", "r2"} {
+		p.Board.Endpoints.StartRequest(now, id)
+	}
+	p.Board.Remotes.PutLoad(remote.Key{Region: "x", Service: "s"}, 2, 2, now, now)
+	waited := 0
+	for range 2 * maxQueued {
+		task := plainTask(p)
+		route := *task.Route
+		route.Target = 0
+		task.Route, task.Deadline = &route, now.Add(10*time.Minute)
+		d := p.choose(task)
+		if d.wait {
+			waited++
+			p.queues["s"].Join(now, 0, "")
+			continue
+		}
+		if d.refusal == nil || d.refusal.Ran != fault.RanNo || d.refusal.RetryAfter <= 0 {
+			t.Fatalf("got %+v with %d requests waiting, want a refusal as not run with a retry delay", d, waited)
+		}
+	}
+	if waited != maxQueued {
+		t.Errorf("%d of %d requests wait, want %d", waited, 2*maxQueued, maxQueued)
+	}
+}
+
 // TestSlowPlainEndpointIsAvoided guards against plain endpoints whose speed is not measured: one
 // that takes three times as long got as many requests as the other. The pace that an answer
 // reports is not counted as the endpoint's own speed too.
@@ -165,3 +199,32 @@
 		t.Error("the new process counts as draining or out of reach")
 	}
 }
+
+// TestRequestChosenBeforeRestart guards against a request that is counted at the new process of an
+// endpoint, which started while the request was placed by the registration of the earlier one. Its
+// end is not counted there, so the new process kept a request and its prefill time for good.
+func TestRequestChosenBeforeRestart(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, task := plainProxy(&now, 6)
+	e := regis.Endpoint{ID: "r1", Service: "s", Centre: "c", Region: "r", Slots: 6, Incarnation: 1, Revision: 9}
+	p.Board.Registry.Put(e)
+	earlier, _ := p.Board.Registry.Get("r1")
+	p.Board.Endpoints.SetStart(now, "r1", earlier.Start)
+	e.Incarnation, e.Revision = 2, 10
+	p.Board.Registry.Put(e)
+	current, _ := p.Board.Registry.Get("r1")
+	p.Board.Endpoints.SetStart(now, "r1", current.Start)
+
+	route := *task.Route
+	route.Prompts = true
+	task.Route = &route
+	for _, chosen := range []regis.Endpoint{earlier, current} {
+		d := decision{endpoint: chosen, prefill: time.Second}
+		p.recordDispatch(now, task, pick.Request{}, d)
+		p.endPrefill(task, chosen, time.Second)
+		p.recordResult(task, d, pool.Result{Reason: retry.Broken}, now)
+		if st := p.Board.Endpoints.Get("r1"); st.InFlight != 0 || st.QueuedPrefill(now).Ahead(0) != 0 {
+			t.Errorf("after the end of a request to process %d: %d in flight with a prefill time of %v, want none", chosen.Start, st.InFlight, st.QueuedPrefill(now).Ahead(0))
+		}
+	}
+}
