--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -83,10 +83,7 @@
 	if needsRemotes(t, local, req) {
 		remotes = p.remoteRegions(now, t)
 	}
-	if region := p.prefixRegion(t, req, local, remotes); region != "" {
-		return decision{region: region}
-	}
-	if region := p.soonerRegion(now, t, req, local, remotes); region != "" {
+	if region := cmp.Or(p.prefixRegion(t, req, local, remotes), p.soonerRegion(now, t, req, local, remotes)); region != "" {
 		return decision{region: region}
 	}
 	switch {
