Test that health checks leave connections reusable

Cause: mended health checks, which have no id, marking their endpoint as one whose connections are not reused. No test covered it. Change: a test with checks before, between and after requests on one connection. Ruled out: a test through the check of cold endpoints, which counts no connections.

--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -233,6 +233,37 @@
 	}
 }
 
+// TestHealthChecksLeaveConnectionsReusable guards against a health check, which has no id and whose
+// answer has none, closing its connection or marking the endpoint as one whose answers lack ids.
+func TestHealthChecksLeaveConnectionsReusable(t *testing.T) {
+	const healthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	// A dash stands for a health check, any other letter for a request with that id.
+	for name, ids := range map[string]string{"check first": "-a-b--c", "request first": "a-b--c"} {
+		t.Run(name, func(t *testing.T) {
+			var script []string
+			for _, id := range ids {
+				if id == '-' {
+					script = append(script, healthy)
+				} else {
+					script = append(script, answer(string(id), "x"))
+				}
+			}
+			s := listen(t, script...)
+			c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+			defer c.Pool.Close()
+			for i, id := range ids {
+				out, _ := do(c, s.Addr().String(), func(a *Attempt) { a.ID = strings.Trim(string(id), "-") })
+				if !out.Whole || out.Reused != (i > 0) {
+					t.Errorf("attempt %d of %s: whole %v, reused %v, want a whole answer, and all but the first reused: %v", i, ids, out.Whole, out.Reused, out.Err)
+				}
+			}
+			if n := s.conns.Load(); n != 1 {
+				t.Errorf("got %d connections, want 1", n)
+			}
+		})
+	}
+}
+
 // TestLateBytesCloseAPooledConnection: an endpoint sends an extra answer while the
 // connection is idle. It must not be taken for the answer to the next request.
 func TestLateBytesCloseAPooledConnection(t *testing.T) {
