Test that a host is ready at once if its store names no era

Cause: limits the wait for peer hosts to stores that name an era. No test covered it. Change: the stand-in of the store has the option WithoutEra, and a test starts a host whose peers do not answer, on a store with and one without an era. Ruled out: a bound on the time until the host is ready; the test moves the start of the process instead, so that the wait does not end.

--- a/internal/serve/node/restore_test.go
+++ b/internal/serve/node/restore_test.go
@@ -234,3 +234,48 @@
 		t.Error("the endpoint that leaves is in use again")
 	}
 }
+
+// TestReadyWithoutPeersIfNoEraIsNamed guards against a host that starts refusing requests while it
+// waits for peer hosts, though its store names no era and so gives no sign of a restore.
+func TestReadyWithoutPeersIfNoEraIsNamed(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		opts  []stand.Option
+		ready bool
+	}{
+		{"no era", []stand.Option{stand.WithoutEra()}, true},
+		{"era", nil, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			store, err := stand.New(tt.opts...)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = store.Close() })
+			store.Put("op/config", restoreConfig)
+			n, err := New(setup.Hosted{
+				Name: "n", Region: "a", Centre: "z1", Callers: freeAddress(t), Ready: freeAddress(t), Directory: freeAddress(t),
+				Peers: freeAddress(t), Seeds: []string{freeAddress(t)}, Regions: map[string]string{"z1": "a"}, Bounds: setup.DefaultBounds(),
+			}, platTerms, (&platform.Store{Address: store.Address(), Now: time.Now}).Feed(), zerolog.Nop())
+			if err != nil {
+				t.Fatal(err)
+			}
+			// learnWait does not end during the test.
+			n.started = time.Now().Add(time.Hour)
+			t.Cleanup(func() { _ = n.Close() })
+			if err := n.Start(); err != nil {
+				t.Fatal(err)
+			}
+			f := &fleet{t: t}
+			f.eventually("the store is listed", func() bool { return n.storeListed.Load() && n.board.Routes.Rules() != nil })
+			if tt.ready {
+				f.eventually("the host is ready", n.board.Health.Ready)
+				return
+			}
+			time.Sleep(2 * fetchItemsPeriod)
+			if n.board.Health.Ready() {
+				t.Error("the host is ready before learnWait has passed, though no peer host told what the store may lack")
+			}
+		})
+	}
+}
