Confirm nothing while the configuration is deleted or its version unknown

Cause: a configuration that was deleted, or that is no JSON or has no version, left the newest version that the feed knew unchanged. Listings confirmed nothing then, as docs/design/keys.md says. Peer hosts still get the last rules that were read, to start with while the store is down. Ruled out: the highest number as the version of such rules; it would outlast the next version until a listing. Going on with the old rules, as the caller of a key that was taken away would then be served.

--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -39,6 +39,9 @@
 	Rules *rules.Rules
 	// Version is that of published rules, also of rules that can't be decoded, as far as it can be.
 	Version uint64
+	// RulesUnknown reports whether the published rules were deleted, or have no version that can be
+	// decoded.
+	RulesUnknown bool
 	// Endpoint is a registered endpoint.
 	Endpoint *regis.Endpoint
 	// RemovedEndpoint is the id of an endpoint whose registration was removed.
@@ -235,10 +238,14 @@
 func (f *Feed) apply(now time.Time, b Batch, listing bool) {
 	list := make([]items.Item, 0, len(b.Changes))
 	if listing {
-		f.proofs.newest = 0
+		f.proofs.newest, f.proofs.unknownAt = 0, 0
 	}
 	for _, c := range b.Changes {
-		f.proofs.newest = max(f.proofs.newest, c.Version)
+		f.proofs.observe(c)
+		if c.RulesUnknown && c.Deleted {
+			// Hosts that start while the store is down go on with the last rules.
+			continue
+		}
 		it := items.Item{
 			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, ReadAt: c.ReadAt, Heartbeat: f.recordRegistration(c),
 		}
--- a/internal/plat/feed/proofs.go
+++ b/internal/plat/feed/proofs.go
@@ -25,6 +25,9 @@
 // errRelist ends a watch that misses changes which a read of the rules has shown.
 var errRelist = errors.New("watch lacks a change; listing again")
 
+// errRulesUnknown is the error of a read of rules whose version can't be decoded.
+var errRulesUnknown = errors.New("rules have no version that can be decoded")
+
 // Proofs are the confirmations that the rules of a host are the newest. All functions must be set,
 // or none.
 type Proofs struct {
@@ -52,6 +55,9 @@
 type proofState struct {
 	// newest is the newest version of the rules among the changes so far, from the last listing on.
 	newest uint64
+	// unknownAt is the revision at which the rules were deleted or became unreadable, 0 once they can
+	// be read again. Until then no read shows that the rules in force are the newest.
+	unknownAt uint64
 	// confirmed is when the last read that confirmed the rules was sent, attempted when the rules
 	// were last read alone.
 	confirmed time.Duration
@@ -67,6 +73,19 @@
 	stopWatch context.CancelCauseFunc
 }
 
+// observe records what a change shows of the newest rules.
+func (s *proofState) observe(c Change) {
+	switch {
+	case c.RulesUnknown:
+		s.unknownAt = max(s.unknownAt, c.Revision, 1)
+	case c.Version > 0:
+		s.newest = max(s.newest, c.Version)
+		if c.Revision > s.unknownAt {
+			s.unknownAt = 0
+		}
+	}
+}
+
 // RequestProof makes a host read the rules at once, also one that follows reading hosts.
 func (f *Feed) RequestProof() {
 	f.mu.Lock()
@@ -80,10 +99,10 @@
 		return
 	}
 	f.mu.Lock()
-	newest := f.proofs.newest
+	newest, unknown := f.proofs.newest, f.proofs.unknownAt != 0
 	f.mu.Unlock()
-	// A store without rules says nothing of those in force.
-	if newest == 0 || !f.Proofs.OnConfirmed(sent, newest) {
+	// A store without rules that can be read says nothing of those in force.
+	if newest == 0 || unknown || !f.Proofs.OnConfirmed(sent, newest) {
 		return
 	}
 	f.mu.Lock()
@@ -153,6 +172,9 @@
 	if err == nil && eras.Of(c.Revision) < eras.Of(f.revision) {
 		err = errOlderEra
 	}
+	if err == nil && c.RulesUnknown {
+		err = errRulesUnknown
+	}
 	if failing := err != nil; failing != s.failing {
 		s.failing = failing
 		f.Log.Info().Str("feed", f.Name).Bool("failing", failing).Err(err).Msg("reads of the rules alone")
@@ -160,11 +182,16 @@
 	if err != nil {
 		return false
 	}
-	if c.Version <= s.newest || !f.listed {
-		return f.listed
+	if !f.listed {
+		return false
+	}
+	known := s.newest
+	s.observe(c)
+	if c.Version <= known {
+		return true
 	}
-	f.Log.Warn().Str("feed", f.Name).Uint64("version", c.Version).Uint64("before", s.newest).Msg("watch lacks newer rules; listing again")
-	s.newest, s.relist = c.Version, true
+	f.Log.Warn().Str("feed", f.Name).Uint64("version", c.Version).Uint64("before", known).Msg("watch lacks newer rules; listing again")
+	s.relist = true
 	f.OnChange(now, Batch{Changes: []Change{c}, Revision: f.revision}, f.keepRemovedUntil(now))
 	if s.stopWatch != nil {
 		s.stopWatch(errRelist)
--- a/internal/plat/feed/proofs_test.go
+++ b/internal/plat/feed/proofs_test.go
@@ -118,6 +118,45 @@
 	}
 }
 
+// TestUnreadableRulesConfirmNothing guards against reads confirming the rules in force after the store's
+// rules were deleted, or replaced by some without a version that can be decoded, and against the
+// confirmations not coming back with the next version.
+func TestUnreadableRulesConfirmNothing(t *testing.T) {
+	broken := errors.New("not JSON")
+	for name, c := range map[string]Change{
+		"deleted":  {Key: "rules", Revision: eras.Join(1, 8), RulesUnknown: true, Deleted: true},
+		"unknown":  {Key: "rules", Revision: eras.Join(1, 8), RulesUnknown: true, Err: broken},
+		"repaired": {Key: "rules", Revision: eras.Join(1, 8), Version: 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now, confirmed := noon, []string(nil)
+			f := proving(t, &now, &confirmed)
+			read := func(c Change) {
+				f.Proofs.Read = func(context.Context) (Change, error) { return c, nil }
+				f.readRules(context.Background(), 3*time.Second)
+			}
+			var want []string
+			f.recordSuccess(now, Batch{Revision: eras.Join(1, 8), Events: 1, Changes: []Change{c}}, false, false)
+			f.confirmRules(time.Second)
+			if c.Err != nil {
+				read(c)
+			}
+			if c.Version == 7 {
+				want = append(want, "1s version 7")
+			}
+			// This read was answered before the change.
+			read(Change{Key: "rules", Version: 7, Revision: eras.Join(1, 5)})
+			if c.Version == 7 {
+				want = append(want, "3s version 7")
+			}
+			read(Change{Key: "rules", Version: 7, Revision: eras.Join(1, 9)})
+			if want = append(want, "3s version 7"); !slices.Equal(confirmed, want) {
+				t.Errorf("confirmed %v, want %v", confirmed, want)
+			}
+		})
+	}
+}
+
 // TestStoreWithoutRulesConfirmsNothing guards against a listing without rules counting as one that
 // shows none newer.
 func TestStoreWithoutRulesConfirmsNothing(t *testing.T) {
--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -259,6 +260,35 @@
 	})
 }
 
+// TestKeyEndsIfConfigurationIsUnreadable guards against watches with other events confirming rules that
+// the store has deleted, or has replaced by some that can't be read: a key may have been taken away.
+func TestKeyEndsIfConfigurationIsUnreadable(t *testing.T) {
+	f := startKeyFleet(t, "a1", "a2")
+	ctx, cancel := context.WithCancel(context.Background())
+	var writes sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		writes.Wait()
+	})
+	writes.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			f.platform.Put("op/other", fmt.Sprint(n))
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	for i, spoil := range []func() uint64{
+		func() uint64 { return f.platform.Put("op/config", "{") },
+		func() uint64 { return f.platform.Delete("op/config") },
+	} {
+		spoil()
+		f.refusesAfter(time.Now(), revokePeriod+500*time.Millisecond)
+		f.publish(8+i, "k1")
+		for name := range f.nodes {
+			f.eventually("host "+name+" serves the next version", func() bool { return f.status(name, "/keyed/x", "k1") == 200 })
+		}
+	}
+}
+
 // TestKeyEndsIfAnswersAreLate guards against the age of a confirmation being counted from an answer
 // that was on its way for seconds.
 func TestKeyEndsIfAnswersAreLate(t *testing.T) {
