--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -238,7 +238,7 @@
 func (f *Feed) apply(now time.Time, b Batch, listing bool) {
 	list := make([]items.Item, 0, len(b.Changes))
 	if listing {
-		f.proofs.newest, f.proofs.unknownAt = 0, 0
+		f.proofs.newest, f.proofs.known, f.proofs.unknownAt = 0, false, 0
 	}
 	for _, c := range b.Changes {
 		f.proofs.observe(c)
--- a/internal/plat/feed/proofs.go
+++ b/internal/plat/feed/proofs.go
@@ -55,6 +55,8 @@
 type proofState struct {
 	// newest is the newest version of the rules among the changes so far, from the last listing on.
 	newest uint64
+	// known reports whether there are rules among these changes. Their version may be 0.
+	known bool
 	// unknownAt is the revision at which the rules were deleted or became unreadable, 0 once they can
 	// be read again. Until then no read shows that the rules in force are the newest.
 	unknownAt uint64
@@ -75,6 +77,7 @@
 
 // observe records what a change shows of the newest rules.
 func (s *proofState) observe(c Change) {
+	s.known = s.known || c.Rules != nil || c.Version > 0
 	switch {
 	case c.RulesUnknown:
 		s.unknownAt = max(s.unknownAt, c.Revision, 1)
@@ -99,10 +102,10 @@
 		return
 	}
 	f.mu.Lock()
-	newest, unknown := f.proofs.newest, f.proofs.unknownAt != 0
+	newest, known := f.proofs.newest, f.proofs.known && f.proofs.unknownAt == 0
 	f.mu.Unlock()
 	// A store without rules that can be read says nothing of those in force.
-	if newest == 0 || unknown || !f.Proofs.OnConfirmed(sent, newest) {
+	if !known || !f.Proofs.OnConfirmed(sent, newest) {
 		return
 	}
 	f.mu.Lock()
