Start the tests of keys once all hosts are ready

Change: startKeyFleet also waits until all hosts are ready. Ruled out: a shorter wait for a host whose seeds are only itself; other hosts may use it as theirs, so it can't tell that it has no peers.

--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -80,10 +80,10 @@
 		}
 		f.startHost(name, peers)
 	}
-	f.eventually("all hosts know each other and accept the key", func() bool {
+	f.eventually("all hosts are ready, know each other and accept the key", func() bool {
 		for _, name := range names {
 			n := f.nodes[name]
-			if len(n.board.Members.Members()) < len(names)-1 || n.board.Routes.Version() != 7 || n.board.Registry.Len() != len(f.endpoints) || !n.keysValid(7) {
+			if !n.board.Health.Ready() || len(n.board.Members.Members()) < len(names)-1 || n.board.Routes.Version() != 7 || n.board.Registry.Len() != len(f.endpoints) || !n.keysValid(7) {
 				return false
 			}
 		}
