Refuse no key for good while a newer version is known

Cause: a host that had read a newer version that it can't decode, or had heard from a peer host of one that it had not fetched, still counted its own rules as confirmed for 3 s, and answered 401 to the keys of the newer version. A request that had waited for a confirmation in vain also got the answer that was computed before the wait. Ruled out: 503 whenever the wait brings no confirmation. Hosts that the store does not answer, but peers confirm, would then never answer 401 (TestHostsConfirmEachOther). Result: TestKeyOfUnreadableVersionGetsNo401 fails without the change (401) and passes with -race and 3 of 3 without. TestNewKeyGetsNo401, TestHostsConfirmEachOther, TestAgesCountFromTheQuestion and TestRestoredStoreBringsNoKeyBack pass with -race, and the tests of serve/edge.

--- a/internal/serve/edge/customer.go
+++ b/internal/serve/edge/customer.go
@@ -34,9 +34,9 @@
 	Age func(now time.Time) (time.Duration, bool)
 	// Refresh requests a confirmation.
 	Refresh func()
-	// Confirm requests a confirmation, waits for it for a moment and reports whether it came: a read
-	// that was sent after the call.
-	Confirm func(ctx context.Context) bool
+	// Confirm requests a confirmation by a read that is sent after the call, and waits for it for a
+	// moment.
+	Confirm func(ctx context.Context)
 }
 
 // identify sets the customer of a request and applies the customer's priority and homes to its
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -41,8 +41,9 @@
 		}
 	}()
 	r, refusal := s.routedRequest(c, start)
-	if refusal != nil && errors.Is(refusal, errUnknownKey) && s.Keys.Confirm(ctx) {
-		// The rules are now newer than the request, and may have the key.
+	if refusal != nil && errors.Is(refusal, errUnknownKey) {
+		s.Keys.Confirm(ctx)
+		// The rules may now have the key, or be known not to be the newest.
 		r, refusal = s.routedRequest(c, start)
 	}
 	if refusal != nil {
--- a/internal/serve/node/keys.go
+++ b/internal/serve/node/keys.go
@@ -27,8 +27,12 @@
 	return !n.settings.Bounds.StrictKeys || n.board.Proof.Valid(n.boot(), version)
 }
 
-// rulesAge returns the time since it was last confirmed that this host's rules are the newest.
+// rulesAge returns the time since it was last confirmed that this host's rules are the newest, and
+// false if it never was or newer ones are known.
 func (n *Node) rulesAge(now time.Time) (time.Duration, bool) {
+	if n.behindSince.Load() != 0 {
+		return 0, false
+	}
 	age, ok := n.board.Proof.Age(n.boot())
 	if n.settings.Bounds.StrictKeys {
 		return age, ok
@@ -55,12 +59,12 @@
 	maxConfirming = 64
 )
 
-// confirmNow requests a confirmation and waits for it. It reports whether one came whose read was sent
-// after the call.
-func (n *Node) confirmNow(ctx context.Context) bool {
+// confirmNow requests a confirmation and waits until one has come whose read was sent after the call,
+// for at most maxConfirmWait.
+func (n *Node) confirmNow(ctx context.Context) {
 	defer n.confirming.Add(-1)
 	if n.confirming.Add(1) > maxConfirming {
-		return false
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxConfirmWait)
 	defer cancel()
@@ -69,11 +73,10 @@
 	for ctx.Err() == nil {
 		now := n.boot()
 		if age, ok := n.board.Proof.Age(now); ok && now-age >= since {
-			return true
+			return
 		}
 		ctrl.Sleep(ctx, confirmPoll)
 	}
-	return false
 }
 
 // confirmRules records a read of the store like recordProof. A process that starts hears of peer
--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -466,6 +466,19 @@
 	return strings.Contains(string(body), f.nodes[host].settings.Callers)
 }
 
+// TestKeyOfUnreadableVersionGetsNo401 guards against a host that knows of a newer version, which it can't
+// use, refusing that version's keys for good because its own rules were confirmed before.
+func TestKeyOfUnreadableVersionGetsNo401(t *testing.T) {
+	f := startKeyFleet(t, "a1")
+	f.platform.Put("op/config", `{"version":8,"routes":[{"name":"odd","kind":"odd"}]}`)
+	for began := time.Now(); time.Since(began) < time.Second; {
+		f.wantStatus("a1", "/keyed/x", "key-of-8", 503)
+	}
+	f.publish(9, "k1")
+	f.eventually("the host serves the next version", func() bool { return f.status("a1", "/keyed/x", "k1") == 200 })
+	f.wantStatus("a1", "/keyed/x", "key-of-8", 401)
+}
+
 // TestUnconfirmedHostLeavesTheDirectory guards against callers being sent to a host that refuses
 // their keys while others accept them, and against a directory without hosts if none does.
 func TestUnconfirmedHostLeavesTheDirectory(t *testing.T) {
--- a/internal/serve/node/proofs.go
+++ b/internal/serve/node/proofs.go
@@ -93,15 +93,14 @@
 	if !ok {
 		return
 	}
+	// The age counts from when the question was sent: the peer host stated it later.
+	age := time.Duration(min(p.Proof.AgeMS, maxProofAgeMS)) * time.Millisecond
+	n.recordProof(sent-age, p.Proof.Version)
 	if inForce := n.board.Routes.Version(); p.Proof.Version > inForce {
 		n.log.Debug().Str("peer", m.Name).Uint64("version", inForce).Uint64("peers", p.Proof.Version).Msg("peer host has newer rules")
 		n.ahead.Store(&m)
 		n.runner.Trigger(itemsName)
-		return
 	}
-	// The age counts from when the question was sent: the peer host stated it later.
-	age := time.Duration(min(p.Proof.AgeMS, maxProofAgeMS)) * time.Millisecond
-	n.recordProof(sent-age, p.Proof.Version)
 }
 
 // updateUnproven records whether the confirmation of this host is missing or about to end. Directories
