Pass the deletion of the configuration on to peer hosts

Cause: left the deletion out of the items for peer hosts. Change: the deletion is an item like any other. Ruled out: a read of the configuration after each change from a peer host, as each read has a price. A host that starts while the store is down after the deletion gets no rules from its peers' items. Result: TestPeersPassDeletedRulesOn fails without the change and passes; TestKeyEndsIfConfigurationIsUnreadable passes 3 of 3.

--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -242,10 +242,6 @@
 	}
 	for _, c := range b.Changes {
 		f.proofs.observe(c)
-		if c.RulesUnknown && c.Deleted {
-			// Hosts that start while the store is down go on with the last rules.
-			continue
-		}
 		it := items.Item{
 			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, ReadAt: c.ReadAt, Heartbeat: f.recordRegistration(c),
 		}
--- a/internal/plat/feed/proofs_test.go
+++ b/internal/plat/feed/proofs_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/items"
 )
 
 // proving returns a feed that has listed the store with version 7 of the rules, in era 1, and
@@ -157,6 +158,26 @@
 	}
 }
 
+// TestPeersPassDeletedRulesOn guards against a host that gets its changes from a peer host going on from a
+// revision after the rules were deleted without knowing, and confirming them by its own watches.
+func TestPeersPassDeletedRulesOn(t *testing.T) {
+	now, confirmed := noon, []string(nil)
+	peer, f := proving(t, &now, &confirmed), proving(t, &now, &confirmed)
+	f.Decode = func(it items.Item) (Change, bool) {
+		return Change{Key: it.Key, Revision: it.Revision, Deleted: it.Deleted, RulesUnknown: it.Deleted}, true
+	}
+	deleted := Change{Key: "rules", Revision: eras.Join(1, 8), RulesUnknown: true, Deleted: true}
+	peer.recordSuccess(now, Batch{Revision: eras.Join(1, 9), Events: 2, Changes: []Change{deleted}}, false, false)
+	list, at, whole := peer.Since(f.currentRevision())
+	if !f.ApplyFromPeer(now, list, at, whole, 0) {
+		t.Fatal("changes of the peer host are not newer")
+	}
+	f.confirmRules(time.Second)
+	if len(confirmed) > 0 {
+		t.Errorf("confirmed %v after the rules were deleted", confirmed)
+	}
+}
+
 // TestStoreWithoutRulesConfirmsNothing guards against a listing without rules counting as one that
 // shows none newer.
 func TestStoreWithoutRulesConfirmsNothing(t *testing.T) {
