Wait for peer hosts if the listing is that of a peer host

Cause: since a host waits for peer hosts only if its store names an era. Change: it also waits if the listing came from a peer host, which can tell. Ruled out: the wait on every start; it delays hosts that the store answers, which mends.

--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -128,8 +128,9 @@
 	wg          sync.WaitGroup
 	refusing    atomic.Bool
 	storeListed atomic.Bool
-	// storeNamesEra reports whether the last listing of the store named its era.
-	storeNamesEra atomic.Bool
+	// needsPeers reports whether peer hosts may know more than the last listing: it named an era, or
+	// was that of a peer host.
+	needsPeers atomic.Bool
 }
 
 // Option configures a host.
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
@@ -70,7 +71,8 @@
 	for _, id := range removed {
 		n.log.Info().Str("endpoint", id).Msg("endpoint removed")
 	}
-	n.storeNamesEra.Store(eras.Of(b.Revision) != 0)
+	fromPeer := slices.ContainsFunc(b.Changes, func(c feed.Change) bool { return !c.ReadAt.IsZero() })
+	n.needsPeers.Store(fromPeer || eras.Of(b.Revision) != 0)
 	n.storeListed.Store(true)
 	n.applyChanges(now, b, until)
 	if !n.learned.Load() {
@@ -177,10 +179,11 @@
 }
 
 // setReadyOnce marks the host ready as soon as the store has been listed and rules are in force. If
-// the store names an era, it may have been restored from an older copy, so the host also waits,
-// for at most learnWait, until a peer host has reported what the copy may lack.
+// the store names an era, it may have been restored from an older copy, and if the listing is that
+// of a peer host, the store may not show what left since. The host then also waits, for at most
+// learnWait, until a peer host has reported what the listing may lack.
 func (n *Node) setReadyOnce() {
-	if n.storeNamesEra.Load() && !n.learned.Load() && n.now().Sub(n.started) < learnWait {
+	if n.needsPeers.Load() && !n.learned.Load() && n.now().Sub(n.started) < learnWait {
 		return
 	}
 	if n.storeListed.Load() && n.board.Routes.Rules() != nil && !n.board.Health.Ready() {
