Return no cost of requests that were not charged

Cause: a request of a customer without a limit counted as charged; if a limit was published before it ended as not run, its cost was credited to the bucket. A customer listed twice was charged twice for silent hosts. Both were found by review. Change: only customers with a limit are charged; names are listed once. Result: TestLimitPublishedWhileRequestRuns fails before (level higher after the request ended) and passes now.

--- a/internal/route/usage/usage.go
+++ b/internal/route/usage/usage.go
@@ -5,6 +5,7 @@
 package usage
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -183,12 +184,9 @@
 	old, oldIDs := t.accounts, t.byID
 	t.accounts, t.byID = make(map[string]*account, len(list)), make(map[uint32]*account, len(list))
 	list = slices.Clone(list)
-	slices.SortFunc(list, func(a, b Limit) int {
-		if a.Customer < b.Customer {
-			return -1
-		}
-		return 1
-	})
+	slices.SortStableFunc(list, func(a, b Limit) int { return cmp.Compare(a.Customer, b.Customer) })
+	// A customer that is listed twice would be charged twice.
+	list = slices.CompactFunc(list, func(a, b Limit) bool { return a.Customer == b.Customer })
 	for _, l := range list {
 		a, known := old[l.Customer]
 		if known {
--- a/internal/serve/proxy/usage.go
+++ b/internal/serve/proxy/usage.go
@@ -7,7 +7,7 @@
 // takeUsage charges a caller's request to its customer, or returns the refusal of one beyond the
 // limit. Relayed requests have no customer: the host that the caller sent them to has charged them.
 func (p *Proxy) takeUsage(t *task) *fault.Refusal {
-	if t.Customer == nil || p.Usage == nil {
+	if t.Customer == nil || p.Usage == nil || t.Customer.Quota.PerSecond <= 0 {
 		return nil
 	}
 	now := p.Now()
--- a/internal/serve/proxy/usage_test.go
+++ b/internal/serve/proxy/usage_test.go
@@ -48,7 +48,7 @@
 		p.Usage.SetPeers(now.Add(-50*time.Second), nil, nil, true)
 		now = now.Add(time.Hour)
 		full := level(p)
-		task := &task{Request: Request{ID: "r", Customer: &rules.Customer{Name: "c"}, Cost: cost}, ran: fault.RanNo}
+		task := &task{Request: Request{ID: "r", Customer: &rules.Customer{Name: "c", Quota: rules.Quota{PerSecond: 1, Burst: 1000}}, Cost: cost}, ran: fault.RanNo}
 		if refusal := p.takeUsage(task); refusal != nil {
 			t.Fatalf("%s: %v", tt.name, refusal)
 		}
@@ -88,7 +88,7 @@
 		refused  bool
 		wait     bool
 	}{{"c", 50, true, true}, {"c", 181, true, false}, {"unlimited", 1e9, false, false}} {
-		refusal := p.takeUsage(&task{Request: Request{Customer: &rules.Customer{Name: tt.customer}, Cost: tt.cost}})
+		refusal := p.takeUsage(&task{Request: Request{Customer: &rules.Customer{Name: tt.customer, Quota: rules.Quota{PerSecond: 10, Burst: 100}}, Cost: tt.cost}})
 		if (refusal != nil) != tt.refused {
 			t.Errorf("a request of %s for %.0f: refusal %v", tt.customer, tt.cost, refusal)
 			continue
@@ -101,3 +101,23 @@
 		t.Errorf("a relayed request is charged: %v", refusal)
 	}
 }
+
+// TestLimitPublishedWhileRequestRuns guards against a request that was not charged, as its customer
+// had no limit when it arrived, returning its cost to a bucket that others have used since.
+func TestLimitPublishedWhileRequestRuns(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New()
+	p.Now, p.Log, p.Meter = func() time.Time { return now }, zerolog.Nop(), meter.New()
+	p.Usage = usage.New(now.Add(-time.Minute), "h", usage.Bound{Window: 8 * time.Second})
+	task := &task{Request: Request{Customer: &rules.Customer{Name: "c"}, Cost: 50}, ran: fault.RanNo}
+	if refusal := p.takeUsage(task); refusal != nil {
+		t.Fatalf("refused without a limit: %v", refusal)
+	}
+	p.Usage.SetLimits(now, []usage.Limit{{Customer: "c", PerSecond: 1, Burst: 1000}, {Customer: "c", PerSecond: 1, Burst: 1000}})
+	p.Usage.Charge(now, "c", 200)
+	before, _ := p.Usage.State(now, "c")
+	p.settleUsage(task, fault.New(fault.Busy, fault.RanNo, "busy"))
+	if after, _ := p.Usage.State(now, "c"); after.Level != before.Level {
+		t.Errorf("level is %v after the request ended, want %v", after.Level, before.Level)
+	}
+}
