--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Boot returns the time since the machine started. Unlike Go's monotonic clock it goes on while
+// Boot returns the time since the machine started. Unlike Go's monotonic clock it runs on while
 // the machine is suspended, and unlike the wall clock it is never stepped.
 func Boot() time.Duration {
 	var ts unix.Timespec
--- a/internal/board/board/board.go
+++ b/internal/board/board/board.go
@@ -2,7 +2,9 @@
 // write its tables and do not call one another. Each table has its own lock. Lock
 // order when two are held: revisions, endpoints, then the leaf locks (members,
 // remotes, health, queues, registry, speeds, mixes, origins, poison,
-// frail, paths, cut hosts, unproven hosts, acks, proof, questions). The lock of acks may be taken while that of members is held.
+// frail, paths, cut hosts, unproven hosts, acks, proof, questions). The lock of acks may be taken
+// while that of members is held. Outside the board, the lock of the store's feed is taken before that
+// of a node's rules, and both before those of tables.
 package board
 
 import (
--- a/internal/board/endpt/limit.go
+++ b/internal/board/endpt/limit.go
@@ -57,7 +57,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.states[name]
-	// What was heard before this host learned of the present process may be of an earlier one.
+	// What was received before this host recorded the present process may be of an earlier one.
 	if !ok || !heard.After(s.rateLimit.heardAt) || heard.Before(s.startedAt) {
 		return false
 	}
--- a/internal/board/proof/proof.go
+++ b/internal/board/proof/proof.go
@@ -1,6 +1,6 @@
 // Package proof is the board's table of the confirmations that the published rules of this host
-// are the newest. A confirmation is a read of the store that was answered; it says what was newest
-// when the read was sent. Times are durations on a clock that also goes on while the machine is
+// are the newest. A confirmation is a read of the store that was answered; it shows what was newest
+// when the read was sent. Times are durations on a clock that also runs while the machine is
 // suspended.
 package proof
 
--- a/internal/board/regis/memory.go
+++ b/internal/board/regis/memory.go
@@ -7,7 +7,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 )
 
-// Memory is what a table knows and a store that came back from an older copy may not.
+// Memory is what a table holds and a store that came back from an older copy may lack.
 type Memory struct {
 	// Listed is the ordered revision of the last listing, Restored that of the first one after
 	// the store came back, 0 if it never did.
--- a/internal/board/regis/start.go
+++ b/internal/board/regis/start.go
@@ -32,7 +32,7 @@
 	t.starts[e.ID] = process{incarnation: e.Incarnation, address: e.Address, number: e.Start}
 }
 
-// forgetStarts forgets the processes of endpoints that are not registered.
+// forgetStarts removes the processes of endpoints that are not registered.
 func (t *Table) forgetStarts() {
 	for id := range t.starts {
 		if _, ok := t.endpoints[id]; !ok {
--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -154,7 +154,7 @@
 	Revision uint64 `cbor:"1,keyasint"`
 	// Era is the store's era of Revision.
 	Era uint64 `cbor:"2,keyasint,omitempty"`
-	// Memory asks also for what the host knows and the store may not.
+	// Memory asks also for what the host holds and the store may lack.
 	Memory bool `cbor:"3,keyasint,omitempty"`
 }
 
@@ -175,7 +175,7 @@
 	Memory *Memory `cbor:"7,keyasint,omitempty"`
 }
 
-// Memory is what a host knows and a store that came back from an older copy may not, for a host
+// Memory is what a host holds and a store that came back from an older copy may lack, for a host
 // that has just started.
 type Memory struct {
 	// Listed and ListedEra are the revision and the era of the last listing, Restored and
--- a/internal/plat/feed/proofs_test.go
+++ b/internal/plat/feed/proofs_test.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// TestReadOfNewerRules guards against a host that knows of newer rules serving by older ones: the
+// TestReadOfNewerRules guards against a host that has read of newer rules serving by older ones: the
 // watch has missed a change.
 func TestReadOfNewerRules(t *testing.T) {
 	now, confirmed := noon, []string(nil)
--- a/internal/route/spill/play_test.go
+++ b/internal/route/spill/play_test.go
@@ -150,7 +150,7 @@
 	return time.Duration(p.rnd.Int64N(int64(d)))
 }
 
-// announce tells the hosts of the region of the requests of one of them.
+// announce sends the loads of one host to the others of its region.
 func (p *play) announce(h *host) {
 	list, name := h.endpoints.HostLoads(), p.name(h)
 	p.in(hop, func() {
@@ -172,7 +172,7 @@
 	return ""
 }
 
-// announceRegion tells a host the load of each other region as one of its hosts sees it.
+// announceRegion sends a host the load of each other region as one of its hosts sees it.
 func (p *play) announceRegion(h *host) {
 	for r := range regionCount {
 		if r == h.region {
--- a/internal/route/spill/spill.go
+++ b/internal/route/spill/spill.go
@@ -79,7 +79,7 @@
 	// the announcements of the region's hosts.
 	Reported  float64
 	Announced float64
-	// Free reports whether a local endpoint has a free slot, as far as this host knows.
+	// Free reports whether a local endpoint has a free slot, by this host's view.
 	Free    bool
 	Regions []Region
 	// Work is the usual time of an answer.
@@ -147,7 +147,7 @@
 }
 
 // load returns the mean number of requests at the local endpoints. Each source lacks requests that
-// the other knows of. The greater mean is taken rather than the mean of the greater value, which
+// the other includes. The greater mean is taken rather than the mean of the greater value, which
 // exceeds both.
 func (m *means) load() float64 { return max(m.reported, m.announced) }
 
@@ -162,7 +162,7 @@
 
 // Crossing returns the index of the region that a request of an engine goes to, -1 if it stays. It
 // is for requests with short prompts: they are sent at once at any load, and use slots and steps of
-// the batch rather than prefill time, so that only the slots in use tell when engines are busy.
+// the batch rather than prefill time, so that only the slots in use show when engines are busy.
 func (t *Table) Crossing(now time.Time, r Request) int {
 	_, shares := t.observe(now, &r)
 	return t.draw(shares)
--- a/internal/route/usage/peers.go
+++ b/internal/route/usage/peers.go
@@ -20,7 +20,7 @@
 	// callers have most likely gone to other hosts. Both sides of a partition then divide the
 	// rate by the number of hosts, so that the parts still add up to 1.
 	longSilence = time.Minute
-	// assumedHosts is the number of hosts that a process assumes until it knows the others.
+	// assumedHosts is the number of hosts that a process assumes until it has discovered the others.
 	assumedHosts = 64
 	// discoveryTime and settleTime are how long after the start of the process and after the
 	// last new host the others count as known.
@@ -33,7 +33,7 @@
 	// of the rate.
 	forgetAfter = 15 * time.Minute
 	// assumedSpan is the time constant of the use that is assumed of a host that becomes silent,
-	// somewhat longer than it was not heard.
+	// somewhat longer than nothing was received from it.
 	assumedSpan = 2 * time.Second
 	// assumedPart is the part of it that is charged. In the simulation of a cut with a burst in all
 	// regions the bound needs some of it; all of it refuses requests for longer than needed.
@@ -54,7 +54,7 @@
 // peer is another host.
 type peer struct {
 	incarnation uint64
-	// sent is the Sent of the last announcement, heard the arrival of the last that was not late.
+	// sent is the Sent of the last announcement, heard the time of receipt of the last that was not late.
 	sent  time.Duration
 	heard time.Time
 	quiet bool
@@ -62,7 +62,7 @@
 	// the previous span of delayMemory, which began at span.
 	fastest, fastestBefore time.Duration
 	span                   time.Time
-	// origin is the time of Sent 0, as far as the first announcement tells.
+	// origin is the time of Sent 0, by the first announcement.
 	origin time.Time
 	uses   map[uint32]*peerUse
 	// stale reports whether the host's part of the rate is kept for it, since staleSince; long,
@@ -126,7 +126,7 @@
 	}
 }
 
-// remove forgets a host. Its recent use no longer counts in the shares of the others.
+// remove drops a host. Its recent use no longer counts in the shares of the others.
 func (t *Table) remove(name string, p *peer) {
 	for id, u := range p.uses {
 		if a := t.byID[id]; a != nil {
@@ -161,7 +161,7 @@
 	}
 	late := p.late(now, in.Sent)
 	if late && p.stale {
-		// The counters will come again with an announcement that shows that the host is heard.
+		// The counters are repeated with an announcement that is not late.
 		return
 	}
 	p.sent = in.Sent
@@ -254,7 +254,7 @@
 }
 
 // rotate moves the weights from which the parts of silent hosts follow. Those of the time in which
-// silence was not noticed yet do not count: each side of a partition knows only its own use then,
+// silence was not noticed yet do not count: each side of a partition has only its own use then,
 // and would take too large a part.
 func (t *Table) rotate(now time.Time) {
 	if now.Sub(t.rotated) < rotatePeriod {
@@ -294,8 +294,8 @@
 }
 
 // updateSilence determines which hosts are silent and what part of each rate is kept for them. Time
-// since the last update counts with the new parts: if it is long, this process was frozen and heard
-// nobody.
+// since the last update counts with the new parts: if it is long, this process was frozen and received
+// nothing.
 func (t *Table) updateSilence(now time.Time) {
 	before := t.refreshed
 	t.refreshed = now
@@ -320,13 +320,13 @@
 	}
 	t.silentCount = len(stale)
 	// The others announce to a host that callers are not given only after it announced use.
-	unheard := !t.entry && len(stale) == t.hostCount-1 && len(t.listed) > 0
-	if t.settled && !t.silenceChanged && unheard == t.unheard {
+	isolated := !t.entry && len(stale) == t.hostCount-1 && len(t.listed) > 0
+	if t.settled && !t.silenceChanged && isolated == t.isolated {
 		return
 	}
-	t.unheard, t.silenceChanged = unheard, !t.settled
+	t.isolated, t.silenceChanged = isolated, !t.settled
 	unknown := 0.0
-	if !t.settled || unheard {
+	if !t.settled || isolated {
 		unknown = 1 - float64(t.hostCount-len(stale))/float64(max(assumedHosts, t.hostCount, len(t.listed)+1))
 	}
 	t.setSilent(stale, unknown, before, now)
@@ -336,14 +336,14 @@
 	}
 }
 
-// assumeUse charges what hosts that became silent have most likely used since they were heard last:
+// assumeUse charges what hosts that became silent have most likely used since their last announcement:
 // as much of their parts as the others used of theirs. Otherwise each side of a partition would use
 // the whole burst, and the rate until it notices the silence.
 func (t *Table) assumeUse(now time.Time, newest []*peer) {
 	if len(newest) == 0 {
 		return
 	}
-	// known is the use of the hosts that are heard.
+	// known is the use of the hosts that announce.
 	known := make(map[*account]float64, len(t.accounts))
 	for _, a := range t.accounts {
 		known[a] = a.recent.at(now)
@@ -412,7 +412,7 @@
 	}
 }
 
-// settle records when this host knows the others.
+// settle records when this host has discovered the others.
 func (t *Table) settle(now time.Time) {
 	age := now.Sub(t.started)
 	if !t.settled && t.discovered && age >= discoveryTime && (now.Sub(t.grown) >= settleTime || age >= maxSettleTime) {
--- a/internal/route/usage/report.go
+++ b/internal/route/usage/report.go
@@ -44,7 +44,7 @@
 	Recent uint64
 }
 
-// Announcement is what a host tells others of its use.
+// Announcement is what a host announces of its use.
 type Announcement struct {
 	// Sent is the time since the process of the sender started. The receiver recognises
 	// announcements that were delayed or buffered by it.
@@ -55,7 +55,7 @@
 	Uses  []Use
 }
 
-// urgent reports whether so much use is not announced that the other hosts should hear of it at
+// urgent reports whether so much use is not announced that it should be announced to the other hosts at
 // once.
 func (t *Table) urgent(a *account) bool {
 	part := t.share(a) * (max(0, a.level) + t.unknown(a))
@@ -63,8 +63,8 @@
 }
 
 // Report returns what to announce, and false if nothing is due. entry reports whether callers are
-// given this host; it announces each period even without use, so that others know that they would
-// hear of it.
+// given this host; it announces each period even without use, so that others can rely on receiving
+// it.
 func (t *Table) Report(now time.Time, entry bool) (Announcement, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/route/usage/table_test.go
+++ b/internal/route/usage/table_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// newTable returns the table of a host that has heard a number of peers since a second ago, with a
+// newTable returns the table of a host that has received from a number of peers since a second ago, with a
 // full bucket of one customer: 1,000 a second and a burst of 2,000.
 func newTable(now time.Time, peers int) *Table {
 	t := New(now.Add(-time.Minute), "self", bound, WithRandom(func() float64 { return 0 }))
@@ -35,7 +35,7 @@
 }
 
 // TestLargeRequests: a request larger than the burst is never admitted, or does not have to be paid
-// back; one larger than the limit of a window is told to come again.
+// back; one larger than the limit of a window gets a retry delay.
 func TestLargeRequests(t *testing.T) {
 	u := newTable(start, 0)
 	if ok, _ := u.Take(start, "c", 5000); !ok {
--- a/internal/route/usage/usage.go
+++ b/internal/route/usage/usage.go
@@ -1,6 +1,6 @@
 // Package usage bounds what each customer may use over all hosts. Each host keeps a token bucket
 // for each customer and charges it with the use of all hosts: its own at once, that of the others
-// by the counters that they announce. No host owns a limit. A host that does not hear from some
+// by the counters that they announce. No host owns a limit. A host that receives nothing from some
 // others uses only the part of the limit that is not theirs.
 package usage
 
@@ -38,7 +38,7 @@
 	unknownSlackPart = 0.25
 	headroomPart     = 0.2
 	// floodRequests is the number of requests within unknownPeriod at one host from which a flood
-	// is possible that other hosts do not know of yet. Fewer come by chance.
+	// is possible that is not announced yet. Fewer arrive by chance.
 	floodRequests = 3
 	// minRetryAfter is the shortest delay that is sent with a refusal.
 	minRetryAfter = 100 * time.Millisecond
@@ -60,11 +60,11 @@
 	Over   float64
 }
 
-// State is what a host knows of a customer's use, for logs and metrics.
+// State is a host's view of a customer's use, for logs and metrics.
 type State struct {
 	// Level is what the bucket holds, negative while use beyond the limit is paid back.
 	Level float64
-	// Share is the part of the rate that this host and those that it hears may use.
+	// Share is the part of the rate that this host and those that announce to it may use.
 	Share float64
 	// Own and Others are the recent use, decayed, at this host and at the other ones.
 	Own, Others float64
@@ -78,7 +78,7 @@
 type account struct {
 	limit Limit
 	id    uint32
-	// level is what this host and those that it hears may use at the time at.
+	// level is what this host and those that announce to it may use at the time at.
 	level float64
 	at    time.Time
 	// total is what this host's requests used since its process started, less what was returned;
@@ -120,16 +120,16 @@
 	active []*account
 	peers  map[string]*peer
 	listed map[string]bool
-	// discovered reports whether the node knows other hosts or is known to be alone; grown is
+	// discovered reports whether the node has found other hosts or is the only one; grown is
 	// when a host was first listed last.
 	discovered bool
 	grown      time.Time
-	// settled reports whether this host knows the others.
+	// settled reports whether this host has discovered the others.
 	settled bool
 	// entry reports whether callers are given this host, so that the others announce to it.
 	entry bool
-	// unheard reports whether this host has no part beyond its own as nobody announces to it.
-	unheard bool
+	// isolated reports whether this host has no part beyond its own as nobody announces to it.
+	isolated bool
 	// hostCount is the number of hosts that share the limits, this one included.
 	hostCount int
 	// silenceChanged reports whether the parts of silent hosts are out of date.
@@ -306,7 +306,7 @@
 }
 
 // passes reports whether a request passes the thinning of a demand that is so large that all hosts
-// together would admit too much before they hear of each other's use: while requests are refused,
+// together would admit too much before they receive each other's use: while requests are refused,
 // as the bucket then fills at all hosts at the same time, and when a flood begins.
 func (t *Table) passes(a *account) bool {
 	part := min(1, t.share(a)/(1-a.silent)) * (a.level + t.unknown(a)*(1-a.silent))
@@ -405,7 +405,7 @@
 	return t.silentCount
 }
 
-// State returns what this host knows of a customer's use, false if it has no limit.
+// State returns this host's view of a customer's use, false if it has no limit.
 func (t *Table) State(now time.Time, customer string) (State, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -350,7 +350,7 @@
 	return err
 }
 
-// explain returns the error of a read with what the watchdog knows of its cause.
+// explain returns the error of a read with the cause that the watchdog recorded.
 func (w *watchdog) explain(ctx context.Context, err error, acked bool) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/serve/node/keys.go
+++ b/internal/serve/node/keys.go
@@ -11,7 +11,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 )
 
-// maxSilentStart is how long a process that starts waits to hear from a peer host before it takes
+// maxSilentStart is how long a process that starts waits for a packet of a peer host before it takes
 // what the store shows for the newest.
 const maxSilentStart = 2 * time.Second
 
@@ -79,10 +79,10 @@
 	}
 }
 
-// confirmRules records a read of the store like recordProof. A process that starts hears of peer
+// confirmRules records a read of the store like recordProof. A process that starts waits for peer
 // hosts first.
 func (n *Node) confirmRules(sent time.Duration, newest uint64) bool {
-	return sent >= n.heardPeers() && n.recordProof(sent, newest)
+	return sent >= n.contactedPeers() && n.recordProof(sent, newest)
 }
 
 // recordProof records that a read which was sent at a time showed a version of the rules as the
@@ -107,10 +107,10 @@
 	return false
 }
 
-// heardPeers returns when this process first heard from a peer host, and a later time than any until
+// contactedPeers returns when this process first received a packet of a peer host, and a later time than any until
 // it has. After maxSilentStart it no longer waits: there may be none.
-func (n *Node) heardPeers() time.Duration {
-	if at := n.heardAt.Load(); at != 0 {
+func (n *Node) contactedPeers() time.Duration {
+	if at := n.contactAt.Load(); at != 0 {
 		return time.Duration(at)
 	}
 	others := slices.ContainsFunc(n.settings.Seeds, func(seed string) bool { return seed != n.settings.Peers })
--- a/internal/serve/node/memory.go
+++ b/internal/serve/node/memory.go
@@ -12,17 +12,17 @@
 )
 
 const (
-	// learnWait is how long a host that starts is not ready for want of a peer host that tells
+	// learnWait is how long a host that starts is not ready for want of a peer host that reports
 	// it what the store may have lost. It covers finding peer hosts and two questions; all
-	// hosts may have started together and know nothing.
+	// hosts may have started together and have nothing to report.
 	learnWait = 800 * time.Millisecond
-	// learnTimeout is how long it goes on to ask while it serves.
+	// learnTimeout is how long it continues to ask while it serves.
 	learnTimeout = 10 * time.Second
 	// learnPeers is the number of peer hosts that it asks at a time.
 	learnPeers = 2
 )
 
-// memory returns what this host knows and the store may not, nil if it is not ready.
+// memory returns what this host holds and the store may lack, nil if it is not ready.
 func (n *Node) memory() *wire.Memory {
 	if !n.board.Health.Ready() {
 		return nil
@@ -68,7 +68,7 @@
 	for _, m := range sources {
 		answer, err := n.fetchItemsFrom(m, wire.FetchItems{Revision: eras.Revision(from), Era: eras.Of(from), Memory: true})
 		if err != nil || answer.Memory == nil {
-			n.log.Debug().AnErr("cause", err).Str("peer", m.Name).Msg("peer host does not tell what the store may have lost")
+			n.log.Debug().AnErr("cause", err).Str("peer", m.Name).Msg("peer host does not report what the store may have lost")
 			continue
 		}
 		n.applyMemory(m.Name, answer.Memory)
@@ -78,7 +78,7 @@
 	n.setReadyOnce()
 }
 
-// applyMemory applies what a peer host knows.
+// applyMemory applies what a peer host reported.
 func (n *Node) applyMemory(peer string, m *wire.Memory) {
 	dropped := n.board.Registry.Learn(regis.Memory{
 		Listed: eras.Join(m.ListedEra, m.Listed), Restored: eras.Join(m.RestoredEra, m.Restored),
@@ -91,5 +91,5 @@
 		}
 	}
 	n.log.Info().Str("peer", peer).Strs("dropped", dropped).Int("draining", len(m.Draining)).Int("leaving", len(m.Leaving)).
-		Uint64("version", n.board.Routes.Version()).Msg("learned from peer host what the store may have lost")
+		Uint64("version", n.board.Routes.Version()).Msg("received from peer host what the store may have lost")
 }
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -73,10 +73,10 @@
 	// boot returns the time since the machine started.
 	boot    func() time.Duration
 	started time.Time
-	// bootedAt is when the process started, heardAt when it first heard from a peer host that has
+	// bootedAt is when the process started, contactAt when it first received a packet of a peer host that has
 	// rules in force, 0 until then; both by boot.
-	bootedAt time.Duration
-	heardAt  atomic.Int64
+	bootedAt  time.Duration
+	contactAt atomic.Int64
 	// behindSince is when the rules in force were first known not to be the newest, by boot, 0 if
 	// they are.
 	behindSince atomic.Int64
@@ -111,10 +111,10 @@
 	// warnedItems bounds the warnings of items that can't be decoded.
 	warnedItems warnedKeys
 	// rulesMu makes the rules in force and rulesItem, their item of the store, change together:
-	// the feed and what a peer host tells may bring rules at the same time.
+	// the feed and the answer of a peer host may bring rules at the same time.
 	rulesMu   sync.Mutex
 	rulesItem atomic.Pointer[wire.Item]
-	// learned reports whether a peer host has told what the store may have lost, or none is
+	// learned reports whether a peer host has reported what the store may have lost, or none is
 	// asked any more.
 	learned atomic.Bool
 	// coldChecks is only used by its controller.
@@ -128,7 +128,7 @@
 	wg          sync.WaitGroup
 	refusing    atomic.Bool
 	storeListed atomic.Bool
-	// needsPeers reports whether peer hosts may know more than the last listing: it named an era, or
+	// needsPeers reports whether peer hosts may hold more than the last listing: it named an era, or
 	// was that of a peer host.
 	needsPeers atomic.Bool
 }
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -132,7 +132,7 @@
 	}
 	n.board.Remotes.MarkSeen(now, m.Region)
 	if p.Revision > 0 {
-		n.heardAt.CompareAndSwap(0, int64(n.boot()))
+		n.contactAt.CompareAndSwap(0, int64(n.boot()))
 	}
 	if m.Region == n.board.Region && p.HostLoads != nil {
 		list := make(map[string]endpt.HostLoad, len(p.HostLoads))
--- a/internal/serve/node/usage.go
+++ b/internal/serve/node/usage.go
@@ -87,7 +87,7 @@
 		}
 	}
 	for _, name := range n.usage.Peers() {
-		// Also those that count as dead: they may be heard again.
+		// Also those that count as dead: they may be reachable again.
 		if m, ok := n.board.Members.Member(name); ok && !included[name] {
 			to = append(to, m)
 		}
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -114,7 +114,7 @@
 	// busy holds the connections with an attempt, by address.
 	busy map[string]map[*conn]bool
 	// unnamed holds the addresses of endpoints whose answers lack ids, and until when
-	// connections to them are not reused: nothing tells their answers apart.
+	// connections to them are not reused: their answers can't be told apart.
 	unnamed map[string]time.Time
 	closed  bool
 	opened  uint64
@@ -186,7 +186,7 @@
 	}
 }
 
-// withoutID is the hash of the empty id, which health checks have: nothing tells their answers
+// withoutID is the hash of the empty id, which health checks have: their answers can't be told
 // apart.
 var withoutID = xxhash.Sum64String("")
 
--- a/internal/serve/proxy/keys.go
+++ b/internal/serve/proxy/keys.go
@@ -17,7 +17,7 @@
 }
 
 // keyRefusal returns a refusal if the key that a request came with may have been taken away since.
-// A request that may have run goes on: it was accepted in time.
+// A request that may have run is served on: it was accepted in time.
 func (p *Proxy) keyRefusal(t *task) *fault.Refusal {
 	if t.Customer == nil || t.ran != fault.RanNo || t.report.Started {
 		return nil
