Take no endpoint's failure for the rest of a relayed stream

The relay can't tell that an answer has begun before the first event. Change: the caller's host fails the attempt if a begun stream is continued by a head with another status than 200, so that it is retried, held or cut. Ruled out: the release check, which saw the same release.

--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
@@ -74,12 +75,19 @@
 	return !acked || p.hasAlternative(t, start)
 }
 
+// errNotContinued is the error of a relayed answer that is an endpoint's failure instead of the rest
+// of a stream that has begun. The relay can't tell: no event may have been passed on yet.
+var errNotContinued = errors.New("answer does not continue the stream")
+
 // remoteSink returns a sink that records the endpoint of another region's answer and fails
 // if it would continue the stream at another release.
 func (p *Proxy) remoteSink(t *task, sink client.Sink) client.Sink {
 	return client.Sink{
 		Head: func(h wire.Head) error {
 			t.report.Endpoint = h.Endpoint
+			if t.report.Started && h.Status != http.StatusOK {
+				return errNotContinued
+			}
 			if err := p.checkRelease(t, h); err != nil {
 				return err
 			}
@@ -137,6 +145,11 @@
 			started: started, reason: retry.Relay, ran: fault.RanUnknown,
 			refusal: newRefusal(fault.RelayError, fault.RanUnknown, err, "other region would continue the stream at another release"),
 		}
+	case errors.Is(err, errNotContinued):
+		return result{
+			started: started, reason: retry.Relay, ran: fault.RanYes,
+			refusal: newRefusal(fault.RelayError, fault.RanYes, err, "endpoint of the other region did not continue the stream"),
+		}
 	case errors.Is(err, flow.ErrSink):
 		return result{callerLeft: true, started: started, ran: fault.RanUnknown, reason: retry.Broken, refusal: newRefusal(fault.Cancelled, fault.RanUnknown, err, "caller disconnected")}
 	case errors.Is(err, link.ErrNotSent):
