--- a/internal/board/proof/proof.go
+++ b/internal/board/proof/proof.go
@@ -36,7 +36,7 @@
 func (t *Table) Life() time.Duration { return t.life }
 
 // Confirm records that a read which was sent at a time showed no newer version than the given one.
-// Reads that were sent before the latest one are ignored, as late answers say nothing new.
+// Reads that were sent before the latest one are ignored, as late answers add nothing.
 func (t *Table) Confirm(at time.Duration, version uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -245,8 +245,8 @@
 	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
 		e := t.endpoints[id]
 		_, expiring := t.expiring[id]
-		spoiled := expiring && !e.Lapsed
-		if listed[id] || e.Revision > revision || spoiled {
+		invalid := expiring && !e.Lapsed
+		if listed[id] || e.Revision > revision || invalid {
 			continue
 		}
 		if until.IsZero() {
@@ -275,10 +275,10 @@
 	return dropped
 }
 
-// Spoil records that the registration of an endpoint was overwritten, at a revision, with a value that
+// MarkInvalid records that the registration of an endpoint was overwritten, at a revision, with a value that
 // can't be decoded. The earlier registration stays in force until the endpoint writes it again, or
-// until a time. Spoil reports whether the endpoint is registered and did not expire already.
-func (t *Table) Spoil(id string, revision uint64, until time.Time) bool {
+// until a time. It reports whether the endpoint is registered and did not expire already.
+func (t *Table) MarkInvalid(id string, revision uint64, until time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.endpoints[id]
--- a/internal/board/regis/start_test.go
+++ b/internal/board/regis/start_test.go
@@ -46,13 +46,13 @@
 	}
 }
 
-// TestSpoiledRegistrationIsKeptForAWhile guards against a live endpoint that is lost because another
+// TestInvalidRegistrationIsKeptForAWhile guards against a live endpoint that is lost because another
 // writer overwrote its registration, be it watched or listed, and against one that is kept for ever.
-func TestSpoiledRegistrationIsKeptForAWhile(t *testing.T) {
+func TestInvalidRegistrationIsKeptForAWhile(t *testing.T) {
 	for _, again := range []bool{false, true} {
 		table, until := NewTable(), start.Add(5*time.Second)
 		table.Put(entry("e", 1))
-		if !table.Spoil("e", 2, until) || table.Spoil("e", 3, until.Add(time.Hour)) || table.Spoil("f", 3, until) {
+		if !table.MarkInvalid("e", 2, until) || table.MarkInvalid("e", 3, until.Add(time.Hour)) || table.MarkInvalid("f", 3, until) {
 			t.Fatal("want the first overwrite of a registered endpoint to be new, and no other")
 		}
 		if _, dropped := table.Replace(nil, 4, time.Time{}); len(dropped) != 0 || len(table.Endpoints("s")) != 1 || table.Endpoints("s")[0].Cold(start) {
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -26,7 +26,7 @@
 	Waiting int
 	Slots   int
 	// Pace is how long work takes there at the moment, as a multiple of the usual time; 0 if
-	// the endpoint does not say.
+	// the endpoint does not report it.
 	Pace float64
 }
 
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -200,7 +200,7 @@
 	Version uint64 `cbor:"2,keyasint,omitempty"`
 	// AgeMS is the time since that read was sent, in milliseconds, rounded up.
 	AgeMS uint64 `cbor:"3,keyasint,omitempty"`
-	// Unproven says whether the sender has no confirmation; Cut means that it has none.
+	// Unproven reports whether the sender has no confirmation; Cut means that it has none.
 	Unproven *CutHost `cbor:"4,keyasint,omitempty"`
 }
 
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -30,22 +30,23 @@
 type Meter struct {
 	Registry *prometheus.Registry
 
-	refusals      *prometheus.CounterVec
-	retries       *prometheus.CounterVec
-	retriesDenied *prometheus.CounterVec
-	crossings     *prometheus.CounterVec
-	placements    *prometheus.CounterVec
-	requests      *prometheus.CounterVec
-	firstToken    *prometheus.HistogramVec
-	tokenGap      *prometheus.HistogramVec
-	queueTime     *prometheus.HistogramVec
-	requestTime   *prometheus.HistogramVec
-	controlBytes  *prometheus.CounterVec
-	Pauses        prometheus.Counter
-	DedupHits     prometheus.Counter
-	StaleHeads    prometheus.Counter
-	RejectedHeads prometheus.Counter
-	InFlight      prometheus.Gauge
+	refusals        *prometheus.CounterVec
+	retries         *prometheus.CounterVec
+	retriesDenied   *prometheus.CounterVec
+	crossings       *prometheus.CounterVec
+	placements      *prometheus.CounterVec
+	promptCrossings *prometheus.CounterVec
+	requests        *prometheus.CounterVec
+	firstToken      *prometheus.HistogramVec
+	tokenGap        *prometheus.HistogramVec
+	queueTime       *prometheus.HistogramVec
+	requestTime     *prometheus.HistogramVec
+	controlBytes    *prometheus.CounterVec
+	Pauses          prometheus.Counter
+	DedupHits       prometheus.Counter
+	StaleHeads      prometheus.Counter
+	RejectedHeads   prometheus.Counter
+	InFlight        prometheus.Gauge
 	// HeldBytes are the bytes of answers that were read and not passed on yet.
 	HeldBytes prometheus.Gauge
 	// LimitedEndpoints and LimitedAttempts are the endpoints of the region that name a rate
@@ -93,15 +94,16 @@
 		Registry:  prometheus.NewRegistry(),
 		routes:    map[string]bool{},
 		customers: map[string]bool{}, limited: map[string]bool{},
-		refusals:      counters("refusals_total", "Refused requests by reason and whether they ran.", "reason", "ran"),
-		retries:       counters("retries_total", "Attempts made again by the reason of the failure.", "reason"),
-		retriesDenied: counters("retries_denied_total", "Failures that were not tried again.", "reason"),
-		crossings:     counters("crossings_total", "Requests by whether they left their region.", "service", "crossing"),
-		placements:    counters("plain_placements_total", "Decisions on first attempts at plain services.", "service", "decision"),
-		requests:      counters("requests_total", "Requests by outcome.", "service", "outcome"),
-		firstToken:    histogram("first_token_seconds", "Time to the first byte of an answer's body."),
-		tokenGap:      histogram("token_gap_seconds", "Time between parts of a streamed answer."),
-		queueTime:     histogram("queue_seconds", "Time spent waiting for a place."),
+		refusals:        counters("refusals_total", "Refused requests by reason and whether they ran.", "reason", "ran"),
+		retries:         counters("retries_total", "Attempts made again by the reason of the failure.", "reason"),
+		retriesDenied:   counters("retries_denied_total", "Failures that were not tried again.", "reason"),
+		crossings:       counters("crossings_total", "Requests by whether they left their region.", "service", "crossing"),
+		promptCrossings: counters("prompt_crossings_total", "Prompts sent to another region that their own could serve too.", "service", "reason"),
+		placements:      counters("plain_placements_total", "Decisions on first attempts at plain services.", "service", "decision"),
+		requests:        counters("requests_total", "Requests by outcome.", "service", "outcome"),
+		firstToken:      histogram("first_token_seconds", "Time to the first byte of an answer's body."),
+		tokenGap:        histogram("token_gap_seconds", "Time between parts of a streamed answer."),
+		queueTime:       histogram("queue_seconds", "Time spent waiting for a place."),
 		requestTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time of a whole request by route and outcome.", Buckets: requestTimeBuckets,
 		}, []string{"route", "outcome"}),
@@ -126,7 +128,7 @@
 			Namespace: namespace, Name: "customer_level", Help: "Level of a customer's token bucket at this host.",
 		}, []string{"customer"}),
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.placements, m.requests, m.firstToken, m.tokenGap,
+	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.promptCrossings, m.placements, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
 		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals, m.ConfirmationAge, m.customerRefusals,
 		m.customerRequests, m.customerLevels,
@@ -205,6 +207,21 @@
 	m.crossings.WithLabelValues(service, string(c)).Inc()
 }
 
+// PromptCrossing is the reason for which a prompt goes to another region that could also be served in
+// its own.
+type PromptCrossing string
+
+// The reasons: the slots of the region's engines are busy, or the prompt starts sooner elsewhere.
+const (
+	BusySlots   PromptCrossing = "slots"
+	SoonerStart PromptCrossing = "sooner"
+)
+
+// CountPromptCrossing counts a decision to send a prompt to another region.
+func (m *Meter) CountPromptCrossing(service string, reason PromptCrossing) {
+	m.promptCrossings.WithLabelValues(service, string(reason)).Inc()
+}
+
 // CountPlacement counts a decision on the first attempt at a plain service.
 func (m *Meter) CountPlacement(service, decision string) {
 	m.placements.WithLabelValues(service, decision).Inc()
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -46,8 +46,8 @@
 	Endpoint *regis.Endpoint
 	// RemovedEndpoint is the id of an endpoint whose registration was removed.
 	RemovedEndpoint string
-	// SpoiledEndpoint is the id of an endpoint whose registration can't be decoded; Err says why.
-	SpoiledEndpoint string
+	// InvalidEndpoint is the id of an endpoint whose registration can't be decoded; Err is the reason.
+	InvalidEndpoint string
 	// Centre is a data centre whose evacuation was started, if Evacuated is true, or
 	// cancelled.
 	Centre    string
--- a/internal/plat/feed/proofs.go
+++ b/internal/plat/feed/proofs.go
@@ -104,7 +104,7 @@
 	f.mu.Lock()
 	newest, known := f.proofs.newest, f.proofs.known && f.proofs.unknownAt == 0
 	f.mu.Unlock()
-	// A store without rules that can be read says nothing of those in force.
+	// A store without rules that can be read does not confirm those in force.
 	if !known || !f.Proofs.OnConfirmed(sent, newest) {
 		return
 	}
--- a/internal/plat/feed/proofs_test.go
+++ b/internal/plat/feed/proofs_test.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// TestPeersPassDeletedRulesOn guards against a host that gets its changes from a peer host going on from a
-// revision after the rules were deleted without knowing, and confirming them by its own watches.
+// TestPeersPassDeletedRulesOn guards against a host that gets its changes from a peer host continuing from a
+// revision after the rules were deleted without the deletion, and confirming them by its own watches.
 func TestPeersPassDeletedRulesOn(t *testing.T) {
 	now, confirmed := noon, []string(nil)
 	peer, f := proving(t, &now, &confirmed), proving(t, &now, &confirmed)
--- a/internal/route/pick/peak_test.go
+++ b/internal/route/pick/peak_test.go
@@ -47,7 +47,7 @@
 	seen := map[uint64]bool{}
 	again, late, count := 0, 0, 0
 	lost := false
-	// views holds when each engine is idle as far as each host knows.
+	// views holds when each engine is idle in the view of each host.
 	var views [hosts][engines]time.Duration
 	shared := time.Duration(0)
 	for at := time.Duration(0); at < length; at += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second)) {
--- a/internal/route/spill/choice_test.go
+++ b/internal/route/spill/choice_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// earlierChoice is the choice by the lowest load that did not know the speed of endpoints.
+// earlierChoice is the choice by the lowest load that did not use the speed of endpoints.
 func earlierChoice(p *play, _ *host, list []pick.Candidate) int {
 	best := p.rnd.IntN(len(list))
 	for i := range list {
--- a/internal/route/spill/spill.go
+++ b/internal/route/spill/spill.go
@@ -1,8 +1,9 @@
 // Package spill decides whether a request of a plain service is sent to a local endpoint, waits at
 // its host, goes to another region, or is refused. It is made for regions whose callers peak one
 // after the other, at nearly all of the region's slots while the other regions are idle, and for
-// many hosts that decide at once by views that are older than the work takes: a view then says
-// little of the slots that are free at the moment, but its mean says well how many are in use.
+// many hosts that decide at once by views that are older than the work takes: a single view
+// shows little of the slots that are free at the moment, but the mean of views shows well how many are
+// in use.
 package spill
 
 import (
--- a/internal/route/usage/peers.go
+++ b/internal/route/usage/peers.go
@@ -11,7 +11,7 @@
 	staleAfter = 1500 * time.Millisecond
 	// delayedBy is how much later than the fastest announcements of a host one may arrive. A later
 	// one was buffered, while one of the hosts was frozen for example, and does not show that
-	// the host can still be heard.
+	// the host can still be reached.
 	delayedBy = time.Second
 	// delayMemory is the time after which the delay of the fastest announcements is measured
 	// anew, as the clock of a host stops while its machine is suspended.
@@ -54,10 +54,10 @@
 // peer is another host.
 type peer struct {
 	incarnation uint64
-	// sent is the Sent of the last announcement, heard the time of receipt of the last that was not late.
-	sent  time.Duration
-	heard time.Time
-	quiet bool
+	// sent is the Sent of the last announcement, receivedAt when the last that was not late arrived.
+	sent       time.Duration
+	receivedAt time.Time
+	quiet      bool
 	// fastest and fastestBefore are the least difference of arrival and Sent in the current and
 	// the previous span of delayMemory, which began at span.
 	fastest, fastestBefore time.Duration
@@ -120,7 +120,7 @@
 		}
 	}
 	for name, p := range t.peers {
-		if !listed[name] && now.Sub(p.heard) > forgetAfter {
+		if !listed[name] && now.Sub(p.receivedAt) > forgetAfter {
 			t.remove(name, p)
 		}
 	}
@@ -166,7 +166,7 @@
 	}
 	p.sent = in.Sent
 	if !late {
-		p.heard = now
+		p.receivedAt = now
 		p.quiet = in.Quiet
 		t.heal(now, p)
 	}
@@ -306,7 +306,7 @@
 		if p.quiet {
 			continue
 		}
-		if !p.stale && now.Sub(p.heard) > staleAfter {
+		if !p.stale && now.Sub(p.receivedAt) > staleAfter {
 			t.markStale(p, before)
 			newest = append(newest, p)
 		}
@@ -422,7 +422,7 @@
 
 // markStale keeps a host's part of each rate and level for it.
 func (t *Table) markStale(p *peer, before time.Time) {
-	p.stale, p.long, p.staleSince = true, false, p.heard.Add(staleAfter)
+	p.stale, p.long, p.staleSince = true, false, p.receivedAt.Add(staleAfter)
 	p.even = 1 / float64(t.hostCount)
 	for id, u := range p.uses {
 		a := t.byID[id]
--- a/internal/route/usage/report.go
+++ b/internal/route/usage/report.go
@@ -27,7 +27,7 @@
 	// urgentPart is the part of this host's share of what may be unknown, and of the bucket's
 	// level, from which use is announced at once.
 	urgentPart = 0.25
-	// quietReports is how often a host that has nothing more to announce says so, a period apart,
+	// quietReports is how often a host that has nothing more to announce reports that, a period apart,
 	// and quietPeriod the time between any further ones. A host that missed the first ones, as it was
 	// frozen or cut off, would keep a part of the limits for the quiet host until it has use again.
 	quietReports = 3
--- a/internal/route/usage/table_test.go
+++ b/internal/route/usage/table_test.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// TestNewProcess: a process that starts uses the whole rate although it does not know yet how many
+// TestNewProcess: a process that starts uses the whole rate before it has discovered how many
 // others there are, or a full burst that its predecessor has spent.
 func TestNewProcess(t *testing.T) {
 	u := New(start, "self", bound)
@@ -113,7 +113,7 @@
 	}
 }
 
-// TestHostWithoutCallers: a host that callers are not given, and to which nobody announces, admits a
+// TestHostWithoutCallers: a host that callers are not given, and that receives no announcements, admits a
 // whole burst that the others have spent.
 func TestHostWithoutCallers(t *testing.T) {
 	u := newTable(start, 0)
@@ -156,7 +156,7 @@
 }
 
 // TestBufferedAnnouncements: announcements that waited in the socket while this process was frozen
-// count as a sign that their hosts are heard.
+// count as a sign that their hosts can be reached.
 func TestBufferedAnnouncements(t *testing.T) {
 	u := newTable(start, 2)
 	woken := start.Add(10 * time.Second)
--- a/internal/route/usage/usage.go
+++ b/internal/route/usage/usage.go
@@ -128,7 +128,7 @@
 	settled bool
 	// entry reports whether callers are given this host, so that the others announce to it.
 	entry bool
-	// isolated reports whether this host has no part beyond its own as nobody announces to it.
+	// isolated reports whether this host has no part beyond its own as it receives no announcements.
 	isolated bool
 	// hostCount is the number of hosts that share the limits, this one included.
 	hostCount int
@@ -419,7 +419,7 @@
 	s := State{Level: a.level, Share: 1 - a.silent, Own: a.own / w, Others: max(0, a.all.now-a.own) / w, Silent: t.silentCount}
 	for _, p := range t.peers {
 		if !p.quiet {
-			s.OldestAge = max(s.OldestAge, now.Sub(p.heard))
+			s.OldestAge = max(s.OldestAge, now.Sub(p.receivedAt))
 		}
 	}
 	return s, true
--- a/internal/route/usage/usage_test.go
+++ b/internal/route/usage/usage_test.go
@@ -445,7 +445,7 @@
 }
 
 // TestHotHosts: a customer at six times its usual use on three hosts of one region exceeds its
-// limit, as other hosts hear of that use late.
+// limit, as that use is announced to other hosts late.
 func TestHotHosts(t *testing.T) {
 	for _, hosts := range []int{62, 195} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
@@ -487,7 +487,7 @@
 }
 
 // TestFloodFromRest: a demand of 80 times the limit that begins at all hosts at once, with a full
-// bucket, is admitted everywhere before the hosts hear of each other's use.
+// bucket, is admitted everywhere before the hosts receive each other's use.
 func TestFloodFromRest(t *testing.T) {
 	f := newFleet(t, 12, 62, 3, loadsOf(62, func(at time.Duration, _ *host) float64 {
 		if at < 16*time.Second {
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -242,7 +242,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.settings.Limits.DrainTimeout())
 	defer cancel()
 	ctrl.Sleep(ctx, minDrainTime)
-	// A request that has begun to arrive gets an answer, which says that it has not run.
+	// A request that has begun to arrive gets an answer, which states that it has not run.
 	for h.board.Health.InFlight() > 0 || h.front.OpenRequests() > 0 {
 		if ctx.Err() != nil {
 			return false
--- a/internal/serve/node/customer_test.go
+++ b/internal/serve/node/customer_test.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// TestMalformedKeys guards against requests whose key can't be told running, or being answered
+// TestMalformedKeys guards against requests without a readable key running, or being answered
 // without a clear error.
 func TestMalformedKeys(t *testing.T) {
 	f := startKeyFleet(t, "a1")
--- a/internal/serve/node/duties.go
+++ b/internal/serve/node/duties.go
@@ -15,7 +15,7 @@
 	}
 }
 
-// fitness says how well a host suits as an entry host. Of a region, only hosts of the best one that
+// fitness is how well a host suits as an entry host. Of a region, only hosts of the best one that
 // any of them has are entry hosts.
 type fitness int
 
--- a/internal/serve/node/keys_test.go
+++ b/internal/serve/node/keys_test.go
@@ -222,7 +222,7 @@
 }
 
 // TestKeyEndsOnHostsCutOffFromTheStore guards against hosts that the store does not answer, and
-// that only hear each other, accepting a key for longer than the revocation period.
+// that only reach each other, accepting a key for longer than the revocation period.
 func TestKeyEndsOnHostsCutOffFromTheStore(t *testing.T) {
 	f := startKeyFleet(t, "a1", "a2", "b1")
 	for name, h := range f.hosts {
@@ -281,11 +281,11 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	})
-	for i, spoil := range []func() uint64{
+	for i, damage := range []func() uint64{
 		func() uint64 { return f.platform.Put("op/config", "{") },
 		func() uint64 { return f.platform.Delete("op/config") },
 	} {
-		spoil()
+		damage()
 		f.refusesAfter(time.Now(), revokePeriod+500*time.Millisecond)
 		f.publish(8+i, "k1")
 		for name := range f.nodes {
@@ -471,7 +471,7 @@
 	return strings.Contains(string(body), f.nodes[host].settings.Callers)
 }
 
-// TestKeyOfUnreadableVersionGetsNo401 guards against a host that knows of a newer version, which it can't
+// TestKeyOfUnreadableVersionGetsNo401 guards against a host that has read a newer version, which it can't
 // use, refusing that version's keys for good because its own rules were confirmed before.
 func TestKeyOfUnreadableVersionGetsNo401(t *testing.T) {
 	f := startKeyFleet(t, "a1")
--- a/internal/serve/node/late_test.go
+++ b/internal/serve/node/late_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestRepeatedAnswersReachNoOtherCaller guards against a late copy of an answer on a reused
-// connection, which the next caller must not get, or be told by it that its request did not run.
+// connection, which must not reach the next caller, nor make its request count as not run.
 func TestRepeatedAnswersReachNoOtherCaller(t *testing.T) {
 	for _, region := range []string{"a", "b"} {
 		for _, service := range []string{"plain", "model"} {
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -318,8 +318,8 @@
 	lastBusy := began
 	for ctx.Err() == nil {
 		now := n.now()
-		// A request that has begun to arrive gets an answer: served, or a refusal, which tells
-		// its caller that it has not run, as a closed connection would not.
+		// A request that has begun to arrive gets an answer: served, or a refusal, which states
+		// that it has not run, as a closed connection would not.
 		if n.board.Health.InFlight() > 0 || n.front.OpenRequests() > 0 {
 			lastBusy = now
 		}
--- a/internal/serve/node/ran_test.go
+++ b/internal/serve/node/ran_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestRequestsThatMayHaveRun guards against a second run of an unsafe request whose answer was
-// lost or is in doubt, and against a status that tells its caller that it did not run. All
+// lost or is in doubt, and against a status that states that it did not run. All
 // endpoints have the fault, so that no attempt of a safe request can hide the first one's.
 func TestRequestsThatMayHaveRun(t *testing.T) {
 	lost := 502
--- a/internal/serve/node/restore_test.go
+++ b/internal/serve/node/restore_test.go
@@ -162,7 +162,7 @@
 
 // TestRestartForgetsWhatPeersKnow guards against a host that starts again after the store came
 // back from an older copy, and uses an endpoint that had left, or rules that were replaced,
-// though other hosts know better.
+// though other hosts have seen it leave.
 func TestRestartForgetsWhatPeersKnow(t *testing.T) {
 	store, err := stand.New()
 	if err != nil {
--- a/internal/serve/node/stop_test.go
+++ b/internal/serve/node/stop_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestPlannedStopAnswersArrivingRequests guards against a planned stop that closes connections
-// with requests that are still arriving: their callers could not know that they have not run.
+// with requests that are still arriving: their callers had no sign that they have not run.
 func TestPlannedStopAnswersArrivingRequests(t *testing.T) {
 	f := startFleet(t)
 	n := f.nodes["a"]
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -18,9 +18,9 @@
 	// disappeared during a store outage is kept. Live endpoints register again within
 	// about two seconds.
 	outageGrace = 2200 * time.Millisecond
-	// spoiledGrace is how long an endpoint whose registration was overwritten with something that
+	// invalidGrace is how long an endpoint whose registration was overwritten with something that
 	// can't be decoded stays in force. Live endpoints write theirs again within about two seconds.
-	spoiledGrace = 5 * time.Second
+	invalidGrace = 5 * time.Second
 )
 
 // setUpFeed sets the feed's callbacks, which update the registry and the routes.
@@ -48,7 +48,7 @@
 		if c.Endpoint != nil {
 			list = append(list, n.withRegion(*c.Endpoint))
 		}
-		n.spoil(now, c)
+		n.keepInvalid(now, c)
 	}
 	restored := n.listedAt != 0 && eras.Of(b.Revision) > eras.Of(n.listedAt)
 	if restored {
@@ -85,7 +85,7 @@
 	for _, c := range b.Changes {
 		switch {
 		case c.Err != nil:
-			n.spoil(now, c)
+			n.keepInvalid(now, c)
 			if !n.warnedItems.due(now, c.Key) {
 				continue
 			}
@@ -111,14 +111,14 @@
 	n.runner.Trigger(storeStateName)
 }
 
-// spoil keeps an endpoint in force for spoiledGrace if its registration can't be decoded.
-func (n *Node) spoil(now time.Time, c feed.Change) {
-	if c.SpoiledEndpoint == "" || !n.board.Registry.Spoil(c.SpoiledEndpoint, c.Revision, now.Add(spoiledGrace)) {
+// keepInvalid keeps an endpoint in force for invalidGrace if its registration can't be decoded.
+func (n *Node) keepInvalid(now time.Time, c feed.Change) {
+	if c.InvalidEndpoint == "" || !n.board.Registry.MarkInvalid(c.InvalidEndpoint, c.Revision, now.Add(invalidGrace)) {
 		return
 	}
 	// The endpoint and the other writer may overwrite each other's item again and again.
-	if n.warnedItems.due(now, "kept/"+c.SpoiledEndpoint) {
-		n.log.Warn().Str("endpoint", c.SpoiledEndpoint).Uint64("revision", eras.Revision(c.Revision)).Dur("kept", spoiledGrace).
+	if n.warnedItems.due(now, "kept/"+c.InvalidEndpoint) {
+		n.log.Warn().Str("endpoint", c.InvalidEndpoint).Uint64("revision", eras.Revision(c.Revision)).Dur("kept", invalidGrace).
 			Msg("registration of an endpoint was overwritten with something that can't be decoded")
 	}
 }
--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -305,7 +305,7 @@
 
 // TestRepeatedAnswersReachNoOtherRequest guards against an answer that an endpoint sends a second
 // time, when the connection carries the next request already: the next caller must not get it,
-// also if it says that the request was not run.
+// also if it states that the request was not run.
 func TestRepeatedAnswersReachNoOtherRequest(t *testing.T) {
 	const own = "own answer"
 	refused := func(id string) string {
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -114,7 +114,7 @@
 	// busy holds the connections with an attempt, by address.
 	busy map[string]map[*conn]bool
 	// unnamed holds the addresses of endpoints whose answers lack ids, and until when
-	// connections to them are not reused: their answers can't be told apart.
+	// connections to them are not reused: their answers can't be distinguished.
 	unnamed map[string]time.Time
 	closed  bool
 	opened  uint64
@@ -186,8 +186,8 @@
 	}
 }
 
-// withoutID is the hash of the empty id, which health checks have: their answers can't be told
-// apart.
+// withoutID is the hash of the empty id, which health checks have: their answers can't be
+// distinguished.
 var withoutID = xxhash.Sum64String("")
 
 // pop removes and returns the connection that became idle last, of those that have not carried
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -196,10 +196,6 @@
 		(t.Route.Prompts && local.expectedLatency >= queuedLatency)
 }
 
-// queuedLatency is the expected time to first token from which other regions are considered for a
-// prompt. Below it the round trip costs what a shorter queue elsewhere would save.
-const queuedLatency = 150 * time.Millisecond
-
 // anyServing reports whether there is a region whose endpoints are not known to all
 // fail.
 func anyServing(remotes []pick.Region) bool {
--- a/internal/serve/proxy/plain.go
+++ b/internal/serve/proxy/plain.go
@@ -7,10 +7,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
-	"github.com/hyssopspindle/hyssopspindle/internal/route/admit"
-	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/spill"
-	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
 // freshReport is the age up to which an endpoint's report counts in the decision where to send a
@@ -52,51 +49,6 @@
 	return decision{}, false
 }
 
-// crossingRegion returns the region that a short prompt goes to because the slots of the local
-// engines are busy, empty if it stays. It holds for the first attempt, as with plain services.
-func (p *Proxy) crossingRegion(now time.Time, t *task, req pick.Request) string {
-	if !t.Route.Prompts || !t.mayCross || t.report.Attempts > 0 || t.lastEventID != stream.NoID || !t.Route.Allows(p.Board.Region) ||
-		p.Board.CutHosts.SelfCut() || p.Board.Frail.Share(now, t.Service) < 1 || req.PrefixPrefill+req.SuffixPrefill >= admit.LongPrefill {
-		return ""
-	}
-	r := p.spillRequest(now, t)
-	if r.Slots == 0 {
-		return ""
-	}
-	if i := p.spills.Crossing(now, r); i >= 0 {
-		return r.Regions[i].Name
-	}
-	return ""
-}
-
-// soonerRegion returns the region in which a prompt starts well before it would at the chosen local
-// endpoint, empty if there is none.
-func (p *Proxy) soonerRegion(now time.Time, t *task, req pick.Request, local decision, remotes []pick.Region) string {
-	if !t.Route.Prompts || local.refusal != nil || local.expectedLatency < queuedLatency {
-		return ""
-	}
-	if hasLongPrefix(req) {
-		p.markCached(now, t, req.Prefix, remotes)
-	}
-	if i := pick.SoonerRegion(req, local.expectedLatency, p.Board.Speeds.BaseTime(t.Service), local.prefixCached, remotes); i >= 0 {
-		return remotes[i].Name
-	}
-	return ""
-}
-
-// markCached marks the regions in which an endpoint that may serve the request has its prefix
-// cached.
-func (p *Proxy) markCached(now time.Time, t *task, prefix uint64, regions []pick.Region) {
-	for _, e := range p.Board.Registry.Endpoints(t.Service) {
-		if e.Region == p.Board.Region || !p.mayServe(t, e) || !p.Prefixes.Cached(now, e.ID, prefix) {
-			continue
-		}
-		for i := range regions {
-			regions[i].Cached = regions[i].Cached || regions[i].Name == e.Region
-		}
-	}
-}
-
 // spillRequest returns what the decision on a request of a plain service depends on.
 func (p *Proxy) spillRequest(now time.Time, t *task) spill.Request {
 	r := spill.Request{
@@ -135,7 +87,7 @@
 		}
 		slots := reachable[i].Slots
 		if slots == 0 {
-			// The endpoint does not say how many requests it takes.
+			// The endpoint does not report how many requests it takes.
 			return
 		}
 		announced := st.KnownInFlight(now)
--- a/internal/serve/proxy/plain_test.go
+++ b/internal/serve/proxy/plain_test.go
@@ -87,7 +87,7 @@
 }
 
 // TestPlainRequestWaitsForSlot guards against requests that are sent to full endpoints while no
-// region has room, and against ones that go on waiting when a slot is free.
+// region has room, and against ones that still wait when a slot is free.
 func TestPlainRequestWaitsForSlot(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	p, task := plainProxy(&now, 1)
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -76,7 +76,7 @@
 }
 
 // errNotContinued is the error of a relayed answer that is an endpoint's failure instead of the rest
-// of a stream that has begun. The relay can't tell: no event may have been passed on yet.
+// of a stream that has begun. The relay has no sign of that if no event was passed on yet.
 var errNotContinued = errors.New("answer does not continue the stream")
 
 // remoteSink returns a sink that records the endpoint of another region's answer and fails
--- a/internal/stand/routed/late.go
+++ b/internal/stand/routed/late.go
@@ -11,7 +11,7 @@
 type Late string
 
 // The copies: with the id of an earlier request, with an unknown id, without an id, and without
-// an id as a refusal that says that the request was not run.
+// an id as a refusal that states that the request was not run.
 const (
 	LateEarlier Late = "earlier"
 	LateUnknown Late = "unknown"
