Log each part of a stream that breaks or is continued, and keep warnings

Cause: the users' record of streams that end as complete before their last event can't tell what was joined: a request's line has the last attempt's endpoint only, and 7,041 lines were dropped at one host. Change: a warning and a counter (stream_parts_total) for each attempt at a stream that broke off or was to continue one: status, media type, framing, the events before it, its first and last event, what it was taken for. Warnings have a rate (1,000 a second) and a part of the queue of their own; the line on dropped lines counts by class. No decision changes. Result: TestWarningsAreKeptAmongInfoLines fails before, as warnings shared the rate of info lines, and passes now.

--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -115,6 +116,16 @@
 	Release *string `cbor:"4,keyasint,omitempty"`
 }
 
+// Field returns the value of the first header field of a name, empty if there is none.
+func (h Head) Field(name string) string {
+	for _, f := range h.Fields {
+		if strings.EqualFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return ""
+}
+
 // End is the end of an answer. An answer without an End is truncated.
 type End struct {
 	Code         fault.Code `cbor:"1,keyasint,omitempty"`
--- a/internal/ops/lines/lines.go
+++ b/internal/ops/lines/lines.go
@@ -1,6 +1,7 @@
 // Package lines writes log lines without blocking the code that logs: lines pass
 // through a bounded queue, and are dropped and counted if the queue is full or a
-// rate limit is exceeded. Debug lines are dropped before lines of higher levels.
+// rate limit is exceeded. Each level has a rate and a part of the queue of its own, so
+// that lines of lower levels do not cause the loss of warnings.
 package lines
 
 import (
@@ -14,14 +15,17 @@
 )
 
 const (
-	// debugLineRate and infoLineRate bound the lines per second of level debug and
-	// of higher levels; a burst of one second's lines is allowed.
+	// debugLineRate, infoLineRate and warnLineRate bound the lines per second of level
+	// debug, of level info, and of higher levels; a burst of one second's lines is allowed.
 	debugLineRate = 40.0
 	infoLineRate  = 400.0
+	warnLineRate  = 1000.0
 	// bufferLines is the capacity of the queue, in lines.
-	bufferLines = 2048
-	// reservedLines is the part of the queue that debug lines can't use.
-	reservedLines = bufferLines / 4
+	bufferLines = 2560
+	// infoRoom and debugRoom are the parts of the queue that lines of level info and of level
+	// debug can use.
+	infoRoom  = 2048
+	debugRoom = 1536
 	// batchBytes bounds one write to the output, unless a single line is longer: a pipe
 	// takes up to PIPE_BUF bytes whole, while longer writes can be cut or mixed with others.
 	batchBytes = 4 << 10
@@ -57,18 +61,50 @@
 	queue chan []byte
 	done  chan struct{}
 
-	mu          sync.Mutex
-	debugBucket tokenBucket
-	infoBucket  tokenBucket
-	closed      bool
-	dropped     atomic.Uint64
+	mu      sync.Mutex
+	classes [classCount]class
+	closed  bool
+	// failed counts the failed writes.
+	failed atomic.Uint64
+}
+
+// class is what bounds the lines of some levels.
+type class struct {
+	// name is the key of the class in the line with the number of dropped lines.
+	name    string
+	bucket  tokenBucket
+	room    int
+	dropped atomic.Uint64
+}
+
+// The classes by index.
+const (
+	debugClass = iota
+	infoClass
+	warnClass
+	classCount
+)
+
+// classOf returns the class of a level.
+func classOf(level zerolog.Level) int {
+	switch {
+	case level <= zerolog.DebugLevel:
+		return debugClass
+	case level == zerolog.InfoLevel, level == zerolog.NoLevel:
+		return infoClass
+	}
+	return warnClass
 }
 
 // New returns a writer and starts its goroutine; Close stops it.
 func New(out io.Writer, now func() time.Time) *Writer {
 	w := &Writer{
 		out: out, now: now, queue: make(chan []byte, bufferLines), done: make(chan struct{}),
-		debugBucket: tokenBucket{rate: debugLineRate}, infoBucket: tokenBucket{rate: infoLineRate},
+		classes: [classCount]class{
+			debugClass: {name: "debug", bucket: tokenBucket{rate: debugLineRate}, room: debugRoom},
+			infoClass:  {name: "info", bucket: tokenBucket{rate: infoLineRate}, room: infoRoom},
+			warnClass:  {name: "warn", bucket: tokenBucket{rate: warnLineRate}, room: bufferLines},
+		},
 	}
 	go w.writeLoop()
 	return w
@@ -77,17 +113,14 @@
 // Write queues a line without a level, as one of level info.
 func (w *Writer) Write(p []byte) (int, error) { return w.WriteLevel(zerolog.InfoLevel, p) }
 
-// WriteLevel queues or drops a line. Lines of level debug and below are routine;
-// higher levels report failures and state changes.
+// WriteLevel queues or drops a line. Lines of level debug and below are routine, those of level
+// info report failures and state changes, and higher levels what must not be lost.
 func (w *Writer) WriteLevel(level zerolog.Level, p []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	b, room := &w.infoBucket, bufferLines
-	if level <= zerolog.DebugLevel {
-		b, room = &w.debugBucket, bufferLines-reservedLines
-	}
-	if w.closed || len(w.queue) >= room || !b.take(w.now()) {
-		w.dropped.Add(1)
+	c := &w.classes[classOf(level)]
+	if w.closed || len(w.queue) >= c.room || !c.bucket.take(w.now()) {
+		c.dropped.Add(1)
 		return len(p), nil
 	}
 	// The logger reuses p for its next line.
@@ -96,7 +129,23 @@
 }
 
 // Dropped returns the number of lines dropped so far; a failed write counts as one.
-func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
+func (w *Writer) Dropped() uint64 {
+	n := w.failed.Load()
+	for i := range w.classes {
+		n += w.classes[i].dropped.Load()
+	}
+	return n
+}
+
+// appendDropped appends a line with the number of lines dropped so far, in all and by class.
+func (w *Writer) appendDropped(b []byte, total uint64) []byte {
+	b = fmt.Appendf(b, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"dropped\":%d", total)
+	for i := range w.classes {
+		c := &w.classes[i]
+		b = fmt.Appendf(b, ",%q:%d", c.name, c.dropped.Load())
+	}
+	return append(b, "}\n"...)
+}
 
 // writeLoop writes queued lines in batches and adds a line with the number of dropped
 // lines whenever it has grown.
@@ -118,8 +167,8 @@
 		buf, next = w.fillBatch(append(buf[:0], next...), timer.C)
 		timer.Stop()
 		w.write(buf)
-		if n := w.dropped.Load(); n > reported {
-			w.write(fmt.Appendf(nil, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"dropped\":%d}\n", n))
+		if n := w.Dropped(); n > reported {
+			w.write(w.appendDropped(nil, n))
 			reported = n
 		}
 	}
@@ -127,7 +176,7 @@
 
 func (w *Writer) write(p []byte) {
 	if _, err := w.out.Write(p); err != nil {
-		w.dropped.Add(1)
+		w.failed.Add(1)
 	}
 }
 
--- a/internal/ops/lines/lines_test.go
+++ b/internal/ops/lines/lines_test.go
@@ -128,3 +128,28 @@
 		t.Errorf("%d lines were written, want %d", count, lines)
 	}
 }
+
+// TestWarningsAreKeptAmongInfoLines guards against the loss of warnings, which are rare, at a host
+// that drops thousands of info lines.
+func TestWarningsAreKeptAmongInfoLines(t *testing.T) {
+	out := &buffer{}
+	now := start
+	w := New(out, func() time.Time { return now })
+	for range 1000 {
+		now = now.Add(5 * time.Millisecond)
+		for range 10 {
+			_, _ = w.WriteLevel(zerolog.InfoLevel, []byte("change\n"))
+		}
+		_, _ = w.WriteLevel(zerolog.WarnLevel, []byte("broken\n"))
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	text := out.b.String()
+	if n := strings.Count(text, "broken"); n != 1000 {
+		t.Errorf("%d warnings were written, want all 1000", n)
+	}
+	if !strings.Contains(text, `"warn":0`) {
+		t.Error("output does not report by class which lines were dropped")
+	}
+}
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -3,6 +3,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -69,6 +70,7 @@
 
 	customerRefusals *prometheus.CounterVec
 	resumed          *prometheus.CounterVec
+	streamParts      *prometheus.CounterVec
 
 	// customerRequests are the requests of customers with a limit, by outcome, customerLevels the
 	// levels of their buckets.
@@ -127,6 +129,7 @@
 		ConfirmationAge:      gauge("confirmation_age_seconds", "Time since the read was sent that last confirmed that the rules are the newest; since the start if there was none."),
 		EndedRequests:        counter("ended_requests_total", "Requests that were not placed, as the connections of their callers had ended."),
 		resumed:              counters("resumed_streams_total", "Streams that callers resumed, by how the release that began them is known: known, asked, only, history or refused.", "outcome"),
+		streamParts:          counters("stream_parts_total", "Attempts at streams that broke off or were to continue one, by whether the stream had begun and how they ended: whole, broke, rejected or left.", "begun", "outcome"),
 		customerRefusals:     counters("customer_refusals_total", "Refused requests to routes that need a key, by reason and customer; without customer if the key is not known.", "reason", "customer"),
 		customerRequests:     counters("customer_requests_total", "Requests of customers with a limit by whether they were admitted.", "customer", "outcome"),
 		customerLevels: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -135,7 +138,7 @@
 	}
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.promptCrossings, m.placements, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
-		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.EndedRequests, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals, m.ConfirmationAge, m.customerRefusals, m.resumed,
+		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.EndedRequests, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals, m.ConfirmationAge, m.customerRefusals, m.resumed, m.streamParts,
 		m.customerRequests, m.customerLevels,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
@@ -206,6 +209,12 @@
 // CountResumed counts a stream that a caller resumed, by how the release that began it is known.
 func (m *Meter) CountResumed(outcome string) { m.resumed.WithLabelValues(outcome).Inc() }
 
+// CountStreamPart counts an attempt at a stream that broke off, or that was to continue one that had
+// begun.
+func (m *Meter) CountStreamPart(begun bool, outcome string) {
+	m.streamParts.WithLabelValues(strconv.FormatBool(begun), outcome).Inc()
+}
+
 // CountRetryDenied counts a failed attempt that is not retried, by the reason of its
 // failure.
 func (m *Meter) CountRetryDenied(r retry.Reason) { m.retriesDenied.WithLabelValues(string(r)).Inc() }
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -150,11 +150,36 @@
 	EventWrites int
 	// Reused reports whether the attempt used a pooled connection.
 	Reused bool
+	// MediaType is the value of the answer's Content-Type.
+	MediaType string
+	// Framing is how the answer stated its end, empty if no head arrived.
+	Framing Framing
 	// Unframed reports whether the answer stated no length and ended with its connection, so
 	// that its end does not show whether it is complete.
 	Unframed bool
 }
 
+// Framing is how an answer states where it ends.
+type Framing string
+
+// The framings: chunks, a length, or the end of the connection.
+const (
+	Chunked    Framing = "chunks"
+	Length     Framing = "length"
+	Connection Framing = "connection"
+)
+
+// framingOf returns the framing of an answer.
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return Chunked
+	case resp.ContentLength >= 0:
+		return Length
+	}
+	return Connection
+}
+
 // Client sends attempts to endpoints.
 type Client struct {
 	Pool  *Pool
@@ -252,7 +277,8 @@
 		_ = resp.Body.Close()
 	}()
 	e.result.Status, e.result.TimeToHead = resp.StatusCode, e.client.Now().Sub(e.start)
-	e.result.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	e.result.MediaType, e.result.Framing = resp.Header.Get("Content-Type"), framingOf(resp)
+	e.result.Unframed = e.result.Framing == Connection
 	if load, ok := e.client.Terms.ParseLoad(resp.Header.Get(e.client.Terms.Load)); ok {
 		e.result.Load = load
 	}
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -339,6 +339,7 @@
 func endpointResult(out pool.Result) result {
 	res := result{
 		whole: out.Whole, started: out.Started, callerLeft: out.CallerLeft, reason: out.Reason, ran: out.Ran, errorAnswer: out.ErrorAnswer,
+		head: localHead{status: out.Status, mediaType: out.MediaType, framing: out.Framing, err: out.Err},
 	}
 	// Without a connection, the request did not reach the endpoint.
 	res.uncharged = out.Reason == retry.Dial
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -26,6 +26,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/usage"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/splice"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -336,6 +337,8 @@
 	refusal   *fault.Refusal
 	// errorAnswer is the endpoint's error response, if it was not passed on.
 	errorAnswer *wire.Answer
+	// head describes the answer of a local endpoint, also if it was not passed on.
+	head localHead
 }
 
 // retryLoop makes attempts until one returns a whole answer. It returns a refusal if
@@ -415,10 +418,17 @@
 }
 
 func (p *Proxy) attempt(ctx context.Context, t *task, d decision, sink client.Sink) result {
+	begun, after := t.report.Started, t.lastEventID
+	var part splice.Part
+	sink = recordingSink(sink, &part)
+	var res result
 	if d.region != "" {
-		return p.attemptRemote(ctx, t, d, sink)
+		res = p.attemptRemote(ctx, t, d, sink)
+	} else {
+		res = p.attemptLocal(ctx, t, d, sink)
 	}
-	return p.attemptLocal(ctx, t, d, sink)
+	p.recordPart(t, begun, after, part, d.region != "", res)
+	return res
 }
 
 // stalePollInterval is the time between checks whether the state is fresh again
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -162,6 +162,26 @@
 	return false
 }
 
+// FirstID returns the first event id in whole events, NoID if there is none.
+func FirstID(events []byte) int {
+	for line := range bytes.Lines(events) {
+		if id, ok := parseID(line); ok {
+			return id
+		}
+	}
+	return NoID
+}
+
+// parseID returns the event id that a line gives, and false if it gives none.
+func parseID(line []byte) (int, bool) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if !bytes.Equal(name, idField) {
+		return 0, false
+	}
+	n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
+	return n, err == nil && n >= 0
+}
+
 // LastID returns the last event id in whole events, NoID if there is none.
 func LastID(events []byte) int {
 	for {
