Play streams that break off and whose rest is something else

Callers saw streams that ended as complete before their last event, after an answer of another region (docs/incidents/joined.md). Nothing played that with processes. TestRelayedAnswerEndsStreamEarly runs three hosts in three regions. A stream begins with two events, with a comment or with an event without an id, in the caller's region or in another one, and its rest is answered with 500, 404, 204, 206, with 200 of another type or without one, with encoded events, or properly.

--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -53,6 +53,11 @@
 	// Late sends a copy of an earlier answer before the answer. Together with CutAfter, it does
 	// so only if the request resumes a stream, which is not cut then.
 	Late Late
+	// Odd runs the request and sends this answer. Together with CutAfter, it does so only if the
+	// request resumes a stream, which is not cut then.
+	Odd Odd
+	// Only is all that is sent of a stream before its connection is closed, empty for the events.
+	Only string
 }
 
 // Crash makes the endpoint end as it begins to write an answer to a request with a prompt
@@ -477,7 +482,16 @@
 		e.sendAfterLate(w, f.Late, e.events(id, from+1))
 		return
 	}
+	if f.Odd != (Odd{}) && (f.CutAfter == 0 || from >= 0) {
+		sendOdd(w, f.Odd, e.events(id, from+1))
+		return
+	}
 	flush := http.NewResponseController(w)
+	if f.Only != "" {
+		_, _ = w.Write([]byte(f.Only))
+		_ = flush.Flush()
+		panic(http.ErrAbortHandler)
+	}
 	for n := from + 1; n < e.EventCount; n++ {
 		if f.CutAfter > 0 && n >= f.CutAfter && (!f.CutOnce || from < 0) {
 			_, _ = w.Write([]byte("id: 99\nda"))
