Judge by what the caller has which answer may continue a stream

Cause: which answer may follow was decided in three places, each by a part of the facts: an endpoint's answer by a prefix of its media type and whether this host had passed on a head, a relayed one by its status, and at the relay by nothing, as the message did not say that the caller has the beginning. None looked at Content-Encoding, or at events without ids. Change: serve/splice holds what the caller has received, and Accept is the one check, for local and relayed attempts. Messages between hosts carry Begun, so that a relay fails the attempt instead of passing the answer on; without it (older builds) a request that follows an event counts as begun. An answer that began as anything but a stream of events is continued by nothing. TestFailureDoesNotContinueStream now plays 15 heads through both paths instead of a status through one; tests that set a stream as begun by its report alone set what the caller received as well. Ruled out: the release check, which saw the same release.

--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -103,6 +103,9 @@
 	// Caller is the caller's address without the port, empty if the sender is of a build that
 	// does not have the field.
 	Caller string `cbor:"9,keyasint,omitempty"`
+	// Begun reports whether the caller has the head of a stream, which only a stream of events can
+	// continue; nil if the sender is of a build that does not have the field.
+	Begun *bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Head is the start of an answer: status, header fields and the endpoint that
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -24,6 +24,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/splice"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -38,7 +39,6 @@
 	maxSkippedAnswers = 4
 	// maxSkippedBytes bounds the body of each of them.
 	maxSkippedBytes = 256 << 10
-	eventStreamType = "text/event-stream"
 	// minRate is the rate, in bytes per second, at which the bytes of an unfinished event or of
 	// a whole answer extend the wait for its end. It is far below that of any link to an
 	// endpoint, so that large events and answers arrive, and bytes sent now and then gain nothing.
@@ -91,9 +91,9 @@
 	// RetryServerErrors makes a status of 500 or above, 408 or 429 fail the attempt. Otherwise
 	// such an answer is passed on.
 	RetryServerErrors bool
-	// Resuming reports whether the caller has received the start of a stream, so that
-	// only a stream can continue the answer.
-	Resuming bool
+	// Accept returns an error if the endpoint's answer can't be passed on by its head, as the caller
+	// has the beginning of another one. Nil accepts any.
+	Accept func(wire.Head) error
 }
 
 // Notice is what the head of an answer says of its endpoint.
@@ -193,8 +193,10 @@
 	attempt Attempt
 	sink    client.Sink
 	conn    *conn
-	start   time.Time
-	result  Result
+	// head is that of the endpoint's answer.
+	head   wire.Head
+	start  time.Time
+	result Result
 	// writeDone is closed when the background write of the request has ended, nil if
 	// there is none.
 	writeDone   chan struct{}
@@ -287,11 +289,12 @@
 	if e.attempt.OnNotice != nil {
 		e.attempt.OnNotice(n)
 	}
-	if e.failedByStatus(resp) {
+	e.head = answerHead(resp)
+	if e.failedByHead(resp) {
 		return e.consumeAnswer(resp)
 	}
 	e.awaitBody()
-	if isStream(resp) {
+	if splice.IsEvents(e.head) {
 		return e.passEvents(resp)
 	}
 	return e.passWhole(resp)
@@ -338,10 +341,6 @@
 	return true
 }
 
-func isStream(resp *http.Response) bool {
-	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) && resp.StatusCode == http.StatusOK
-}
-
 // send writes the request, in the background if its body is long.
 func (e *exchange) send() error {
 	var b bytes.Buffer
@@ -475,10 +474,10 @@
 	return status >= http.StatusInternalServerError || fault.StatesNotRun(status)
 }
 
-// failedByStatus reports whether the attempt fails by the head of the answer, and
+// failedByHead reports whether the attempt fails by the head of the answer, and
 // records the failure: the endpoint refused the request without running it, the
-// status calls for a retry, or the answer can't continue a resumed stream.
-func (e *exchange) failedByStatus(resp *http.Response) bool {
+// status calls for a retry, or the answer can't be passed on.
+func (e *exchange) failedByHead(resp *http.Response) bool {
 	e.result.Misdirected = resp.StatusCode == http.StatusMisdirectedRequest
 	notRun := e.client.markedNotRun(resp.Header)
 	if e.result.Misdirected || (notRun && resp.StatusCode >= http.StatusBadRequest) {
@@ -492,12 +491,19 @@
 		e.result.Err = fmt.Errorf("endpoint marked an answer with status %d as not run", resp.StatusCode)
 		return true
 	}
-	serverError := e.attempt.RetryServerErrors && isError(resp.StatusCode)
-	if serverError || (e.attempt.Resuming && !isStream(resp)) {
+	if e.attempt.RetryServerErrors && isError(resp.StatusCode) {
 		e.result.Reason, e.result.Ran = retry.Status, fault.RanYes
 		e.result.Err = fmt.Errorf("endpoint answered status %d", resp.StatusCode)
 		return true
 	}
+	if e.attempt.Accept == nil {
+		return false
+	}
+	if err := e.attempt.Accept(e.head); err != nil {
+		e.result.Reason, e.result.Ran = retry.Status, fault.RanYes
+		e.result.Err = fmt.Errorf("check head of answer: %w", err)
+		return true
+	}
 	return false
 }
 
@@ -512,7 +518,7 @@
 		return 0
 	}
 	if e.result.Reason == retry.Status && isError(resp.StatusCode) {
-		e.result.ErrorAnswer = &wire.Answer{Head: answerHead(resp), Body: body}
+		e.result.ErrorAnswer = &wire.Answer{Head: e.head, Body: body}
 	}
 	return keepAliveTimeout(resp)
 }
@@ -575,7 +581,7 @@
 		return 0
 	}
 	e.result.Started, e.result.Ran = true, fault.RanYes
-	if err := e.sink.Head(answerHead(resp)); err != nil {
+	if err := e.sink.Head(e.head); err != nil {
 		e.callerLeft(err)
 		return keepAliveTimeout(resp)
 	}
@@ -682,7 +688,7 @@
 // keep-alive timeout of the connection, 0 if it must be closed.
 func (e *exchange) finishStream(resp *http.Response) time.Duration {
 	if !e.result.Started {
-		if err := e.sink.Head(answerHead(resp)); err != nil {
+		if err := e.sink.Head(e.head); err != nil {
 			e.callerLeft(err)
 			return 0
 		}
@@ -701,7 +707,7 @@
 	events, splitErr := splitter.Add(p)
 	if len(events) > 0 {
 		if !e.result.Started {
-			if err := e.sink.Head(answerHead(resp)); err != nil {
+			if err := e.sink.Head(e.head); err != nil {
 				e.callerLeft(err)
 				return false
 			}
--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -585,7 +585,7 @@
 func TestPausedHostGivesUpSoundStream(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Id", "r")
-		w.Header().Set("Content-Type", eventStreamType)
+		w.Header().Set("Content-Type", "text/event-stream")
 		for n := range 5 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
 			_ = http.NewResponseController(w).Flush()
--- a/internal/serve/proxy/continue_test.go
+++ b/internal/serve/proxy/continue_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"testing"
@@ -8,37 +9,172 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
-// TestFailureDoesNotContinueStream guards against a stream that breaks off, is continued in another
-// region, gets an endpoint's failure there and reaches its caller as complete: the head of the
-// failure was dropped, as the caller has one, and its end taken for that of the stream.
+// head returns the head of an answer with a status and a media type.
+func head(status int, mediaType string, fields ...wire.Field) wire.Head {
+	if mediaType != "" {
+		fields = append(fields, wire.Field{Name: "Content-Type", Value: mediaType})
+	}
+	return wire.Head{Status: status, Fields: fields}
+}
+
+// streamProxy returns a proxy, a stream that its caller has sent, and the sink of the caller's answer,
+// which counts heads and bytes.
+func streamProxy(now time.Time) (p *Proxy, t *task, sink client.Sink, heads, bytes *int) {
+	p = New()
+	p.Meter, p.Now, p.Terms = meter.New(), func() time.Time { return now }, &terms.Terms{}
+	p.Board = board.New(now, "h", "a", "a-1", 1)
+	p.Budget = retry.NewFleetBudget(retry.Bound{Window: 10 * time.Second, Slack: 100}, func() int { return 1 })
+	p.StoreAge = func(time.Time) time.Duration { return time.Hour }
+	t = &task{
+		Request:  Request{Route: &rules.Route{Kind: rules.Stream, Resumable: true, Attempts: 2}, Service: "s", Deadline: now.Add(time.Second), AttemptsLeft: 2},
+		mayCross: true, lastEventID: stream.NoID, tried: map[string]bool{},
+	}
+	heads, bytes = new(int), new(int)
+	return p, t, p.observedSink(t, client.Sink{
+		Head: func(wire.Head) error { *heads++; return nil },
+		Data: func(data []byte) error { *bytes += len(data); return nil },
+	}), heads, bytes
+}
+
+// TestFailureDoesNotContinueStream guards against an endpoint's failure, or any answer that is no stream
+// of events, whose end and body pass as those of a stream that broke off and is continued elsewhere.
 func TestFailureDoesNotContinueStream(t *testing.T) {
-	p := New()
-	p.Board = board.New(time.Now(), "h", "a", "a-1", 1)
+	const events = "text/event-stream"
+	gzip := wire.Field{Name: "Content-Encoding", Value: "gzip"}
 	for _, tt := range []struct {
-		started bool
-		status  int
-		fails   bool
-	}{{true, http.StatusInternalServerError, true}, {true, http.StatusOK, false}, {false, http.StatusInternalServerError, false}} {
-		task := &task{Request: Request{Route: &rules.Route{Kind: rules.Stream, Resumable: true}}}
-		task.report.Started = tt.started
-		passed := 0
-		sink := p.remoteSink(task, client.Sink{Head: func(wire.Head) error { passed++; return nil }})
-		err := sink.Head(wire.Head{Status: tt.status})
-		if (err != nil) != tt.fails || passed == 1 == tt.fails {
-			t.Errorf("started %v, status %d: error %v, %d heads passed on", tt.started, tt.status, err, passed)
+		name  string
+		next  wire.Head
+		fails bool
+	}{
+		{"server error", head(http.StatusInternalServerError, "text/plain"), true},
+		{"server error as events", head(http.StatusInternalServerError, events), true},
+		{"bad gateway", head(http.StatusBadGateway, ""), true},
+		{"not found", head(http.StatusNotFound, "text/plain"), true},
+		{"text", head(http.StatusOK, "text/plain; charset=utf-8"), true},
+		{"JSON", head(http.StatusOK, "application/json"), true},
+		{"lines of JSON", head(http.StatusOK, "application/x-ndjson"), true},
+		{"no type", head(http.StatusOK, ""), true},
+		{"type with the same beginning", head(http.StatusOK, "text/event-streams"), true},
+		{"encoded events", head(http.StatusOK, events, gzip), true},
+		{"no content", head(http.StatusNoContent, ""), true},
+		{"a part", head(http.StatusPartialContent, events), true},
+		{"accepted", head(http.StatusAccepted, events), true},
+		{"events", head(http.StatusOK, events), false},
+		{"events with a parameter", head(http.StatusOK, "Text/Event-Stream;charset=utf-8"), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p, task, sink, heads, bytes := streamProxy(time.Unix(1_000_000, 0))
+			if err := errors.Join(sink.Head(head(http.StatusOK, events)), sink.Data([]byte("id: 0\ndata: x\n\n"))); err != nil {
+				t.Fatal(err)
+			}
+			release := "v1"
+			task.release = &release
+			tt.next.Release = &release
+			before := *bytes
+			err := p.remoteSink(task, sink).Head(tt.next)
+			if (err != nil) != tt.fails || *heads != 1 {
+				t.Errorf("relayed: error %v, %d heads passed on", err, *heads)
+			}
+			local := p.endpointAttempt(task, decision{endpoint: regis.Endpoint{ID: "e"}}).Accept(tt.next)
+			if (local != nil) != tt.fails {
+				t.Errorf("local: error %v", local)
+			}
+			if !tt.fails {
+				return
+			}
+			res := p.relayResult(task, nil, fmt.Errorf("%w: %w", flow.ErrSink, err))
+			if res.whole || res.callerLeft || res.ran != fault.RanYes || res.refusal == nil {
+				t.Errorf("result is %+v, want a failed attempt that ran", res)
+			}
+			if *bytes != before {
+				t.Errorf("%d bytes of the other answer were passed on", *bytes-before)
+			}
+		})
+	}
+}
+
+// TestFirstAnswerIsPassedOn: an answer that has not begun may be of any status and type.
+func TestFirstAnswerIsPassedOn(t *testing.T) {
+	for _, first := range []wire.Head{head(http.StatusInternalServerError, "text/plain"), head(http.StatusOK, "application/json"), head(http.StatusNotFound, "")} {
+		p, task, sink, heads, _ := streamProxy(time.Unix(1_000_000, 0))
+		if err := p.remoteSink(task, sink).Head(first); err != nil || *heads != 1 {
+			t.Errorf("status %d: error %v, %d heads passed on, want 1", first.Status, err, *heads)
+		}
+	}
+}
+
+// TestBrokenTextIsNotContinuedByEvents guards against the events of another endpoint behind a part of an
+// answer that is no stream of events, whose body a relay did not bring whole.
+func TestBrokenTextIsNotContinuedByEvents(t *testing.T) {
+	for _, tt := range []struct {
+		first     wire.Head
+		continues bool
+	}{{head(http.StatusOK, "text/plain"), false}, {head(http.StatusOK, "text/event-stream"), true}} {
+		p, task, sink, _, _ := streamProxy(time.Unix(1_000_000, 0))
+		release := "v1"
+		tt.first.Release = &release
+		if err := p.remoteSink(task, sink).Head(tt.first); err != nil {
+			t.Fatal(err)
+		}
+		res := p.relayResult(task, nil, errors.New("connection lost"))
+		if refusal := p.afterFailure(t.Context(), task, res); (refusal == nil) != tt.continues {
+			t.Errorf("%v: refusal %v, want another attempt: %v", tt.first, refusal, tt.continues)
+		}
+	}
+}
+
+// TestRelayPassesFailureOnAsStream guards against a relay that passes any answer on to a host whose
+// caller has the beginning of a stream, above all when it has no event yet.
+func TestRelayPassesFailureOnAsStream(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	unknown := (*bool)(nil)
+	for _, tt := range []struct {
+		name      string
+		started   bool
+		lastEvent int
+		change    func(*wire.Routing)
+		want      bool
+	}{
+		{"not begun", false, stream.NoID, func(*wire.Routing) {}, false},
+		{"begun without an event", true, stream.NoID, func(*wire.Routing) {}, true},
+		{"begun", true, 3, func(*wire.Routing) {}, true},
+		{"resumed by the caller", false, 3, func(*wire.Routing) {}, false},
+		{"from an older build", false, stream.NoID, func(r *wire.Routing) { r.Begun = unknown }, false},
+		{"from an older build, after an event", false, 3, func(r *wire.Routing) { r.Begun = unknown }, true},
+	} {
+		p, task, sink, _, _ := streamProxy(now)
+		if tt.started {
+			if err := sink.Head(head(http.StatusOK, "text/event-stream")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		task.lastEventID = tt.lastEvent
+		msg := p.newWireRequest(task)
+		tt.change(msg.Routing)
+		data, err := wire.Encode(msg)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if !tt.fails {
-			continue
+		var received wire.Request
+		if err := wire.Decode(data, &received); err != nil {
+			t.Fatal(err)
 		}
-		res := p.relayResult(task, nil, fmt.Errorf("%w: %w", flow.ErrSink, err))
-		if res.whole || res.callerLeft || res.ran != fault.RanYes || res.refusal == nil {
-			t.Errorf("result is %+v, want a failed attempt that ran", res)
+		r := NewRelayed(&received, now).Request
+		relayed := newTask(&r, false)
+		attempt := p.endpointAttempt(relayed, decision{endpoint: regis.Endpoint{ID: "e"}})
+		if rejected := attempt.Accept(head(http.StatusInternalServerError, "")) != nil; rejected != tt.want {
+			t.Errorf("%s: failure is rejected: %v, want %v", tt.name, rejected, tt.want)
 		}
 	}
 }
--- a/internal/serve/proxy/hold.go
+++ b/internal/serve/proxy/hold.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
@@ -20,7 +19,7 @@
 
 // resumes reports whether the answer is a begun stream that may be resumed at another endpoint.
 func (t *task) resumes() bool {
-	return t.report.Started && t.report.Status == http.StatusOK && t.Route.Kind == rules.Stream && t.Route.Resumable
+	return t.report.Started && t.received.Resumable() && t.Route.Kind == rules.Stream && t.Route.Resumable
 }
 
 // mayHold reports whether the request waits for an endpoint to continue its stream when
--- a/internal/serve/proxy/hold_test.go
+++ b/internal/serve/proxy/hold_test.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/splice"
 )
 
 // TestBegunStreamIsCutForBusyEndpoints: of the requests whose attempt failed, only a begun
@@ -46,6 +47,9 @@
 			Request:  Request{Route: &rules.Route{Kind: tt.kind, Resumable: tt.resumable}, Service: "s", Deadline: now.Add(time.Second), AttemptsLeft: 2},
 			mayCross: tt.mayCross, release: tt.release, report: Report{Started: tt.started, Status: http.StatusOK, Attempts: 9},
 		}
+		if tt.started {
+			task.received = splice.Begun()
+		}
 		refusal := p.afterFailure(t.Context(), task, result{reason: retry.Refused, refusal: fault.New(fault.Busy, fault.RanNo, "endpoint does not accept requests")})
 		if held := refusal == nil && task.paced && task.unpaid; held != tt.want {
 			t.Errorf("%s: held = %v, refusal %v, want held = %v", tt.name, held, refusal, tt.want)
@@ -82,7 +86,7 @@
 	return p, &task{
 		Request:  Request{Route: &rules.Route{Kind: rules.Stream, Resumable: true}, Service: "s", Deadline: now.Add(30 * time.Second), AttemptsLeft: 2},
 		mayCross: true, release: &release, runs: 1, tried: map[string]bool{}, ran: fault.RanUnknown,
-		report: Report{Started: true, Status: http.StatusOK, Attempts: 1, Region: "x"},
+		report: Report{Started: true, Status: http.StatusOK, Attempts: 1, Region: "x"}, received: splice.Begun(),
 	}
 }
 
@@ -109,7 +113,8 @@
 // continued by the events of another endpoint.
 func TestFailureGoesOnAsStream(t *testing.T) {
 	p, task := begunStream(time.Unix(1_000_000, 0))
-	task.report.Status, task.AttemptsLeft = http.StatusInternalServerError, 3
+	failure := wire.Head{Status: http.StatusInternalServerError}
+	task.report.Status, task.received, task.AttemptsLeft = failure.Status, splice.Answer{}.WithHead(failure), 3
 	res := p.relayResult(task, nil, errors.New("connection lost"))
 	if refusal := p.afterFailure(t.Context(), task, res); refusal == nil {
 		t.Error("the request is sent on, want a refusal")
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -146,8 +146,8 @@
 		attempt.HeadTimeout = t.Route.Target + d.expectedLatency
 	}
 	attempt.IdleTimeout = idleTimeout(t.Route)
-	attempt.RetryServerErrors, attempt.Resuming = retryable, t.report.Started
-	if attempt.Resuming && attempt.HeadTimeout > 0 {
+	attempt.RetryServerErrors, attempt.Accept = retryable, t.received.Accept
+	if t.report.Started && attempt.HeadTimeout > 0 {
 		// The target of the first token is met or missed already.
 		attempt.HeadTimeout = max(attempt.HeadTimeout, minSilence)
 	}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -60,6 +60,8 @@
 	Prompt         terms.Prompt
 	// LastEventID is the id of the last event that the caller received, stream.NoID for none.
 	LastEventID int
+	// Begun reports whether the caller has the head of a stream already, for a relayed request.
+	Begun bool
 	// Resumes is the id of the caller's request that brought the first event of the stream
 	// that this request takes up, empty if the caller named none.
 	Resumes string
@@ -205,6 +207,9 @@
 	// ran combines what all attempts so far report about the run.
 	ran    fault.Ran
 	report Report
+	// received is what the caller has received of its answer, also through the host that relayed the
+	// request.
+	received splice.Answer
 	// lastEventID is the id of the last event passed to the caller.
 	lastEventID int
 	// release is that of the endpoints which may continue the stream; nil means any.
@@ -237,10 +242,21 @@
 	errorAnswer *wire.Answer
 }
 
+func newTask(r *Request, mayCross bool) *task {
+	t := &task{
+		Request: *r, suspects: newSuspects(r), mayCross: mayCross, tried: map[string]bool{}, ran: fault.RanNo,
+		lastEventID: r.LastEventID, release: r.Release,
+	}
+	if r.Begun {
+		t.received = splice.Begun()
+	}
+	return t
+}
+
 func (p *Proxy) serve(ctx context.Context, r Request, sink client.Sink, mayCross bool) Report {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	t := &task{Request: r, suspects: newSuspects(&r), mayCross: mayCross, tried: map[string]bool{}, ran: fault.RanNo, lastEventID: r.LastEventID, release: r.Release}
+	t := newTask(&r, mayCross)
 	t.report.Region = p.Board.Region
 	sink = p.observedSink(t, sink)
 	var refusal *fault.Refusal
@@ -287,13 +303,12 @@
 // observedSink returns a sink that records the progress of the answer in t and
 // passes only the first head on: later attempts resume the same answer.
 func (p *Proxy) observedSink(t *task, sink client.Sink) client.Sink {
-	passed := false
 	return client.Sink{
 		Head: func(h wire.Head) error {
-			if passed {
+			if t.report.Started {
 				return nil
 			}
-			passed = true
+			t.received = t.received.WithHead(h)
 			if fault.StatesNotRun(h.Status) {
 				// An endpoint's answer that is passed on may come of a run, whatever its status.
 				h.Status = http.StatusBadGateway
@@ -310,6 +325,7 @@
 				t.report.TimeToFirstByte = p.Now().Sub(t.Arrived)
 				p.Meter.ObserveFirstToken(t.Service, t.report.TimeToFirstByte)
 			}
+			t.received = t.received.WithData(data)
 			if t.Route.Kind == rules.Stream {
 				if id := stream.LastID(data); id != stream.NoID {
 					t.lastEventID = id
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
@@ -16,6 +15,8 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/splice"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
 // ackTimeout is the longest time to the first frame from a host of another region for
@@ -75,18 +76,15 @@
 	return !acked || p.hasAlternative(t, start)
 }
 
-// errNotContinued is the error of a relayed answer that is an endpoint's failure instead of the rest
-// of a stream that has begun. The relay has no sign of that if no event was passed on yet.
-var errNotContinued = errors.New("answer does not continue the stream")
-
-// remoteSink returns a sink that records the endpoint of another region's answer and fails
-// if it would continue the stream at another release.
+// remoteSink returns a sink that records the endpoint of another region's answer and fails if the
+// answer does not continue the stream that has begun, or would at another release. A relay of an
+// older build does not check either.
 func (p *Proxy) remoteSink(t *task, sink client.Sink) client.Sink {
 	return client.Sink{
 		Head: func(h wire.Head) error {
 			t.report.Endpoint = h.Endpoint
-			if t.report.Started && h.Status != http.StatusOK {
-				return errNotContinued
+			if err := t.received.Accept(h); err != nil {
+				return err
 			}
 			if err := p.checkRelease(t, h); err != nil {
 				return err
@@ -100,7 +98,7 @@
 
 // newWireRequest returns the message that relays the request to another host.
 func (p *Proxy) newWireRequest(t *task) wire.Request {
-	now := p.Now()
+	now, begun := p.Now(), t.received.Begun()
 	return wire.Request{
 		Role: wire.Relay, ID: t.ID, Service: t.Service, Method: t.Method, Path: t.Target,
 		Fields: t.Fields, Body: t.Body, TimeLeftMS: max(0, t.Deadline.Sub(now).Milliseconds()),
@@ -108,6 +106,7 @@
 		Routing: &wire.Routing{
 			Route: *t.Route, Host: t.Host, Prompt: t.Prompt, LastEventID: t.lastEventID, AttemptsLeft: t.AttemptsLeft - t.runs,
 			AgeMS: now.Sub(t.Arrived).Milliseconds(), Release: t.release, Trial: t.Trial && t.report.Attempts <= 1, Caller: t.Caller,
+			Begun: &begun,
 		},
 	}
 }
@@ -121,9 +120,19 @@
 		Arrived:  now.Add(-time.Duration(msg.Routing.AgeMS) * time.Millisecond),
 		Deadline: now.Add(time.Duration(msg.TimeLeftMS) * time.Millisecond), EntryRegion: msg.EntryRegion, AttemptsLeft: msg.Routing.AttemptsLeft,
 		Release: msg.Routing.Release, Trial: msg.Routing.Trial, Caller: msg.Routing.Caller,
+		Begun: hasBegun(msg.Routing),
 	}}
 }
 
+// hasBegun reports whether the caller of a relayed request has the head of a stream. A host of an
+// older build does not state it: then the caller may, if it has an event.
+func hasBegun(r *wire.Routing) bool {
+	if r.Begun == nil {
+		return r.LastEventID != stream.NoID
+	}
+	return *r.Begun
+}
+
 // notSentResult returns the result of an attempt that reached no host.
 func notSentResult(err error) result {
 	return result{
@@ -145,7 +154,7 @@
 			started: started, reason: retry.Relay, ran: fault.RanUnknown,
 			refusal: newRefusal(fault.RelayError, fault.RanUnknown, err, "other region would continue the stream at another release"),
 		}
-	case errors.Is(err, errNotContinued):
+	case errors.Is(err, splice.ErrOther):
 		return result{
 			started: started, reason: retry.Relay, ran: fault.RanYes,
 			refusal: newRefusal(fault.RelayError, fault.RanYes, err, "endpoint of the other region did not continue the stream"),
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -91,19 +91,7 @@
 // accept parses an event, updates the last id and done, and reports whether the event
 // is new.
 func (s *Splitter) accept(event []byte) (bool, error) {
-	id, data, hasData := NoID, []byte(nil), false
-	for line := range bytes.Lines(event) {
-		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
-		switch {
-		case bytes.Equal(name, dataField):
-			data, hasData = value, true
-		case bytes.Equal(name, idField):
-			if n, err := strconv.Atoi(string(value)); err == nil && n >= 0 {
-				id = n
-			}
-		}
-	}
+	id, data, hasData := parseEvent(event)
 	if id != NoID {
 		if id <= s.lastID {
 			if hasData && id > s.skippedID {
@@ -129,6 +117,43 @@
 	return true, nil
 }
 
+// parseEvent returns the id of an event, NoID if it has none, and its last line of data.
+func parseEvent(event []byte) (id int, data []byte, hasData bool) {
+	id = NoID
+	for line := range bytes.Lines(event) {
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch {
+		case bytes.Equal(name, dataField):
+			data, hasData = value, true
+		case bytes.Equal(name, idField):
+			if n, err := strconv.Atoi(string(value)); err == nil && n >= 0 {
+				id = n
+			}
+		}
+	}
+	return id, data, hasData
+}
+
+// EndsUnnumbered reports whether a stream has an event with data behind its last event with an id,
+// the closing event aside. before states this of the stream without the given whole events.
+func EndsUnnumbered(before bool, events []byte) bool {
+	for {
+		n := eventEnd(events)
+		if n < 0 {
+			return before
+		}
+		id, data, hasData := parseEvent(events[:n])
+		switch {
+		case id != NoID:
+			before = false
+		case hasData && !bytes.Equal(data, doneData):
+			before = true
+		}
+		events = events[n:]
+	}
+}
+
 // Progress returns the number of events with data so far, also those that were left out as the
 // caller has them. Comments and repeated events show no progress.
 func (s *Splitter) Progress() int { return s.progress }
@@ -164,22 +189,16 @@
 
 // FirstID returns the first event id in whole events, NoID if there is none.
 func FirstID(events []byte) int {
-	for line := range bytes.Lines(events) {
-		if id, ok := parseID(line); ok {
+	for {
+		n := eventEnd(events)
+		if n < 0 {
+			return NoID
+		}
+		if id, _, _ := parseEvent(events[:n]); id != NoID {
 			return id
 		}
+		events = events[n:]
 	}
-	return NoID
-}
-
-// parseID returns the event id that a line gives, and false if it gives none.
-func parseID(line []byte) (int, bool) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	if !bytes.Equal(name, idField) {
-		return 0, false
-	}
-	n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
-	return n, err == nil && n >= 0
 }
 
 // LastID returns the last event id in whole events, NoID if there is none.
