Answer requests that arrived behind another one before a planned stop closes

What callers saw: a host that is told to end answers each request with the announcement that it closes the connection, and closes it. Requests that had arrived on the same connection meanwhile (pipelined ones) were dropped without an answer, also ones that were sent before the signal.

Cause: the close was decided as a request began, in serveRequest (and in refuse of the other front), without a look at what had arrived behind it.

TestPlannedStopAnswersPipelinedRequests fails before with 'request 2: unexpected EOF', for plain answers and for streams.

Why it works: whether the connection closes is decided as the head of the answer is written, and it stays open if bytes of a further request are there; that one's answer then announces the close. What arrives after the decision crosses the close and is not passed on. This also lets answers announce the close to requests that began before the signal.

--- a/internal/base/socket/body.go
+++ b/internal/base/socket/body.go
@@ -30,6 +30,14 @@
 	_ = c.GetConn().Close()
 }
 
+// CloseAfter closes the connection of a request after its answer, unless a further request has
+// begun to arrive on it, which gets an answer too.
+func CloseAfter(c *app.RequestContext) {
+	if c.GetConn().Len() == 0 {
+		c.SetConnectionClose()
+	}
+}
+
 // resetOnClose makes the closing of a connection reset it.
 func resetOnClose(c network.Conn) {
 	if fd, ok := descriptor(c); ok {
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -31,14 +31,14 @@
 	s.Board.Health.Enter()
 	defer s.Board.Health.Exit()
 	start := s.Now()
-	if s.Board.Health.Leaving() {
-		c.SetConnectionClose()
-	}
-	a := &answerWriter{c: c}
+	a := &answerWriter{c: c, leaving: s.Board.Health.Leaving}
 	defer func() {
 		if v := recover(); v != nil {
 			s.endAfterPanic(c, a, start, v)
 		}
+		if !a.streaming {
+			a.closeIfLeaving()
+		}
 	}()
 	r, refusal := s.routedRequest(c, start)
 	if refusal != nil && errors.Is(refusal, errUnknownKey) {
@@ -186,6 +186,8 @@
 // other answer in one piece at the end.
 type answerWriter struct {
 	c *app.RequestContext
+	// leaving reports whether the host drains.
+	leaving func() bool
 	// stream reports whether the route is a stream.
 	stream bool
 	// started reports whether the head of an endpoint's answer was received.
@@ -206,11 +208,20 @@
 	}
 	a.streaming = a.stream && h.Status == http.StatusOK
 	if a.streaming {
+		a.closeIfLeaving()
 		socket.StartStream(a.c)
 	}
 	return nil
 }
 
+// closeIfLeaving lets the head of the answer announce the close of the connection if the host
+// drains.
+func (a *answerWriter) closeIfLeaving() {
+	if a.leaving() {
+		socket.CloseAfter(a.c)
+	}
+}
+
 func (a *answerWriter) data(p []byte) error {
 	if !a.streaming {
 		a.body = append(a.body, p...)
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -176,7 +176,7 @@
 func (f *Front) refuse(c *app.RequestContext, r *fault.Refusal) {
 	f.Meter.CountRefusal(r)
 	if f.Board.Health.Leaving() {
-		c.SetConnectionClose()
+		socket.CloseAfter(c)
 	}
 	if r.RetryAfter > 0 {
 		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
--- a/internal/serve/node/stop_test.go
+++ b/internal/serve/node/stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -99,6 +100,52 @@
 	}
 }
 
+// TestPlannedStopAnswersPipelinedRequests guards against a planned stop that closes a connection
+// after an answer though further requests have arrived on it.
+func TestPlannedStopAnswersPipelinedRequests(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream-once/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := startFleet(t)
+			n := f.nodes["a"]
+			for _, e := range f.endpoints {
+				e.AnswerTime, e.EventGap = 300*time.Millisecond, 100*time.Millisecond
+			}
+			c, err := net.Dial("tcp", n.settings.Callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_ = c.SetDeadline(time.Now().Add(waitTimeout))
+			const count = 3
+			for i := range count {
+				_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\n%s: r%d\r\nContent-Length: 4\r\n\r\nbody", path, platTerms.RequestID, i)
+			}
+			r := bufio.NewReader(c)
+			f.eventually("the first request is served", func() bool { return n.front.OpenRequests() == 1 })
+			n.board.Health.SetLeaving()
+			for i := range count {
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Fatalf("request %d: %v", i, err)
+				}
+				body, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				id := fmt.Sprint("r", i)
+				want := routed.PlainAnswer(id)
+				if path != "/unsafe/x" {
+					want = wholeStream(id)
+				}
+				if resp.StatusCode != http.StatusOK || string(body) != want || err != nil {
+					t.Errorf("request %d: status %d, body %q, error %v, want %q", i, resp.StatusCode, body, err, want)
+				}
+				if last := i == count-1; resp.Close != last {
+					t.Errorf("request %d: the answer announces the close: %t, want %t", i, resp.Close, last)
+				}
+			}
+		})
+	}
+}
+
 // TestPlannedStopEndsWithIdleConnections guards against a drain that lasts for its grace period
 // as callers keep connections open without a request.
 func TestPlannedStopEndsWithIdleConnections(t *testing.T) {
