--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -300,48 +300,6 @@
 	return n.shares.Share(n.now(), endpoint, int(s.ColdRate*b.ColdOver+b.ColdSlack))
 }
 
-const (
-	// acceptTime is how long a draining host still accepts new requests, because
-	// callers keep using open connections and cached directory answers. The rest of
-	// the grace period is for in-flight requests. It is less than 3 s, the time for which
-	// requests are certain to have enough of that rest, as a request is read some time
-	// after it was sent, and the signal is handled some time after it was.
-	acceptTime = 2800 * time.Millisecond
-	// idleTime is how long a draining host must have no in-flight requests before
-	// Drain returns.
-	idleTime = 700 * time.Millisecond
-	// closeMargin is the part of the grace period that is reserved for Close.
-	closeMargin = 1200 * time.Millisecond
-)
-
-// Drain prepares the host for Close: it reports not ready, accepts new requests for
-// acceptTime and then refuses them. It returns once the host is idle, or before the
-// grace period ends.
-func (n *Node) Drain(ctx context.Context) {
-	n.board.Health.SetLeaving()
-	n.updateSelf()
-	n.sendPackets(n.board.Members.Announce(true))
-	n.log.Info().Int("open", n.board.Health.InFlight()).Msg("host is draining")
-	began := n.now()
-	lastBusy := began
-	for ctx.Err() == nil {
-		now := n.now()
-		// A request that has begun to arrive gets an answer: served, or a refusal, which states
-		// that it has not run, as a closed connection would not.
-		if n.board.Health.InFlight() > 0 || n.front.OpenRequests() > 0 {
-			lastBusy = now
-		}
-		elapsed := now.Sub(began)
-		if elapsed > acceptTime {
-			n.refusing.Store(true)
-		}
-		if elapsed > n.settings.Bounds.GracePeriod()-closeMargin || (elapsed > acceptTime && now.Sub(lastBusy) > idleTime) {
-			return
-		}
-		ctrl.Sleep(ctx, drainPollPeriod)
-	}
-}
-
 // Close stops the host and waits until all its goroutines have ended.
 func (n *Node) Close() error {
 	err := n.front.Close()
