Pass the first write after a restore of the store on as a change

What callers saw: after the store came back from an older copy, an endpoint that had left before and was written again got no requests from the hosts that rely on others to read the store, for as long as they rely on them.

Cause: hosts keep what had left as ended until it is written again. A reading host compared that write with the registration of the older copy, which is the same, took it for a heartbeat, and did not pass it on.

Why it works: of a listing of a new era no registration is remembered, so the next write of each endpoint counts as a change, once per endpoint and restore.

--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -261,20 +261,27 @@
 // caller holds the lock.
 func (f *Feed) apply(now time.Time, b Batch, listing bool) {
 	list := make([]items.Item, 0, len(b.Changes))
+	restored := f.listed && eras.Of(b.Revision) > eras.Of(f.revision)
+	if restored {
+		clear(f.endpoints)
+	}
 	if listing {
 		f.proofs.newest, f.proofs.known, f.proofs.unknownAt = 0, false, 0
 	}
 	for _, c := range b.Changes {
 		f.proofs.observe(c)
-		it := items.Item{
-			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, ReadAt: c.ReadAt, Heartbeat: f.recordRegistration(c),
+		it := items.Item{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, ReadAt: c.ReadAt}
+		// The first write after a restore counts as a change even if it only renews what the older
+		// copy has: hosts may keep the endpoint as ended or draining until it is written again.
+		if !restored {
+			it.Heartbeat = f.recordRegistration(c)
 		}
 		if it.ReadAt.IsZero() {
 			it.ReadAt = now
 		}
 		list = append(list, it)
 	}
-	if f.listed && eras.Of(b.Revision) > eras.Of(f.revision) {
+	if restored {
 		// Registrations that the older copy lacks are written again.
 		f.lastUnstable = now
 	}
--- a/internal/serve/node/restore_test.go
+++ b/internal/serve/node/restore_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
 	"github.com/hyssopspindle/hyssopspindle/platform"
 	"github.com/hyssopspindle/hyssopspindle/platform/stand"
 )
@@ -160,6 +161,54 @@
 	f.allSee(nodes, "version 7 ready [ends stays] draining [drains] evacuated []")
 }
 
+// TestRestoredCopyHidesEndpointFromFollowers guards against hosts that rely on others to read the
+// store and do not get an endpoint that was removed, is in the older copy, and was written again.
+func TestRestoredCopyHidesEndpointFromFollowers(t *testing.T) {
+	store, err := stand.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	store.Put("op/config", restoreConfig)
+	f := &fleet{t: t}
+	nodes := startOnStore(t, store, 5)
+	var renewed time.Time
+	renew := func() {
+		if time.Since(renewed) > 100*time.Millisecond {
+			store.Put("servers/stays", registration("ready"))
+			renewed = time.Now()
+		}
+	}
+	renew()
+	store.Put("servers/ends", registration("ready"))
+	f.allSee(nodes, "version 7 ready [ends stays] draining [] evacuated []")
+	older := store.Copy()
+	store.Delete("servers/ends")
+	const without = "version 7 ready [stays] draining [] evacuated []"
+	f.allSee(nodes, without)
+	followers := func() int {
+		renew()
+		count := 0
+		for _, n := range nodes {
+			if _, reads := n.feed.State(time.Now()); !reads {
+				count++
+			}
+		}
+		return count
+	}
+	f.eventually("two hosts follow the others", func() bool { return followers() == 2 })
+	store.Restore(older)
+	f.eventually("all hosts have seen the restore, and two follow", func() bool {
+		ahead := func(n *Node) bool { return eras.Of(n.feed.Reached()) < 2 }
+		return followers() == 2 && !slices.ContainsFunc(nodes, ahead)
+	})
+	f.allSee(nodes, without)
+	store.Put("servers/ends", registration("ready"))
+	f.eventually("all hosts use the endpoint that was written again", func() bool {
+		return followers() >= 0 && allSee(nodes, "version 7 ready [ends stays] draining [] evacuated []")()
+	})
+}
+
 // TestRestartForgetsWhatPeersKnow guards against a host that starts again after the store came
 // back from an older copy, and uses an endpoint that had left, or rules that were replaced,
 // though other hosts have seen it leave.
