--- /dev/null
+++ b/internal/serve/node/entries_test.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+	"github.com/hyssopspindle/hyssopspindle/platform"
+	"github.com/hyssopspindle/hyssopspindle/platform/stand"
+)
+
+var errCut = errors.New("cut off from the store")
+
+// oddFleet is the hosts of a data centre: a few read the store, others follow these, and the last is
+// cut off from the store, so that it has its items from its peers from the start.
+type oddFleet struct {
+	*fleet
+	store *stand.Store
+	hosts []*Node
+}
+
+const oddHosts = 5
+
+// startOddFleet starts the hosts on a store. before is called once the store has rules and a sound
+// endpoint.
+func startOddFleet(t *testing.T, before func(f *oddFleet)) *oddFleet {
+	t.Helper()
+	store, err := stand.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	f := &oddFleet{fleet: &fleet{t: t, log: &logRecorder{}, endpoints: map[string]*routed.Endpoint{}}, store: store}
+	store.Put("op/config", restoreConfig)
+	f.startSound("sound")
+	before(f)
+	seed := freeAddress(t)
+	for i := range oddHosts {
+		peers := seed
+		if i > 0 {
+			peers = freeAddress(t)
+		}
+		source := (&platform.Store{Address: store.Address(), Now: time.Now}).Feed()
+		if i == oddHosts-1 {
+			cut := func(context.Context) (feed.Batch, error) { return feed.Batch{}, errCut }
+			cutAfter := func(ctx context.Context, _ uint64) (feed.Batch, error) { return cut(ctx) }
+			source.List, source.Watch, source.History = cut, cutAfter, cutAfter
+			source.Proofs.Read = func(context.Context) (feed.Change, error) { return feed.Change{}, errCut }
+		}
+		n, err := New(setup.Hosted{
+			Name: fmt.Sprint("n", i), Region: "a", Centre: "z1", Callers: freeAddress(t), Ready: freeAddress(t), Directory: freeAddress(t),
+			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"z1": "a", "z2": "a"}, Bounds: setup.DefaultBounds(),
+		}, platTerms, source, zerolog.New(f.log).With().Str("host", fmt.Sprint("n", i)).Logger())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = n.Close() })
+		f.hosts = append(f.hosts, n)
+	}
+	f.eventually("a host follows others", func() bool {
+		return slices.ContainsFunc(f.hosts[:oddHosts-1], func(n *Node) bool { return !n.board.Duties.Plan().SelfReads })
+	})
+	f.eventually("all hosts are ready", func() bool {
+		return !slices.ContainsFunc(f.hosts, func(n *Node) bool { return !n.board.Health.Ready() })
+	})
+	return f
+}
+
+// allKnow waits until the endpoints that take requests are the given ones at all hosts, and those that
+// drain at all hosts that reach the store: a host that does not keeps those that were removed.
+func (f *oddFleet) allKnow(ready, draining string) {
+	f.t.Helper()
+	want := fmt.Sprint("version 7 ready [", ready, "] draining [", draining, "] evacuated []")
+	f.allSee(f.hosts[:oddHosts-1], want)
+	head, _, _ := strings.Cut(want, " draining")
+	last := f.hosts[oddHosts-1]
+	f.eventually("the cut host sees "+head+", it sees "+storeView(last), func() bool { return strings.HasPrefix(storeView(last), head+" draining") })
+}
+
+// startSound starts an endpoint and registers it.
+func (f *oddFleet) startSound(id string) {
+	f.t.Helper()
+	e, err := routed.New(id, platTerms)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = e.Close() })
+	f.endpoints[id] = e
+	f.putSound(id, false)
+}
+
+func (f *oddFleet) putSound(id string, draining bool) {
+	f.store.Register(id, stand.Registration{Service: "s", Address: f.endpoints[id].Address(), Centre: "z1", Release: "v1", Slots: 8, Draining: draining, Born: time.UnixMilli(5)})
+}
+
+// serve sends a request to each host and fails the test unless a sound endpoint answers it.
+func (f *oddFleet) serve(what string) {
+	f.t.Helper()
+	for i, n := range f.hosts {
+		status, body, err := f.callAt(n, fmt.Sprint("r", time.Now().UnixNano()))
+		if err != nil || status != http.StatusOK {
+			f.t.Errorf("%s: host %d answers %d %q, %v, want the answer of a sound endpoint", what, i, status, body, err)
+		}
+	}
+}
+
+func (f *oddFleet) callAt(n *Node, id string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+n.settings.Callers+"/p/1", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set(platTerms.RequestID, id)
+	req.Header.Set(platTerms.Deadline, "3000")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// follow checks that the hosts follow the store: a sound entry, its leaving and its removal take
+// effect.
+func (f *oddFleet) follow(id string) {
+	f.t.Helper()
+	f.startSound(id)
+	f.allKnow("sound "+id, "")
+	f.serve("with " + id)
+	f.putSound(id, true)
+	f.allKnow("sound", id)
+	f.store.Delete("servers/" + id)
+	f.allKnow("sound", "")
+	f.serve("after the removal of " + id)
+}
+
+// oddKeys are keys that no endpoint and no operator writes.
+func oddKeys() []string {
+	long := strings.Repeat("x", 190)
+	return []string{
+		"servers/", "servers//", "servers/a/b/c", "servers/" + long, "servers/\x00\x01", "servers/a\r\nX-Odd: 1", "servers/\u00e9\u2028", "servers/a b",
+		"server", "op/", "op/config/", "op/config2", "op/evacuate/", "op/evacuate", "\x00", "zz/" + long,
+	}
+}
+
+// TestOddEntryOfAnotherWriter guards against one entry of another writer among those of the endpoints
+// that ends hosts or keeps them from following the store.
+func TestOddEntryOfAnotherWriter(t *testing.T) {
+	f := startOddFleet(t, func(f *oddFleet) {
+		for name, value := range stand.OddValues("s", "z1") {
+			f.store.Put("servers/before-"+name, value)
+		}
+	})
+	f.allKnow("sound", "")
+	f.serve("at the start")
+	f.follow("t1")
+	for name, value := range stand.OddValues("s", "z1") {
+		f.store.Put("servers/later-"+name, value)
+	}
+	for _, key := range oddKeys() {
+		f.store.Put(key, `{"service":"s","zone":"z1"}`)
+	}
+	f.follow("t2")
+	for name, value := range stand.OddValues("s", "z1") {
+		f.store.Put("servers/later-"+name, value)
+		f.store.Put("servers/sound", value)
+		f.putSound("sound", false)
+		f.store.Delete("servers/before-" + name)
+	}
+	f.follow("t3")
+}
+
+// TestOddIDIsNoHeader guards against the id of an entry that ends the header field which names the
+// expected endpoint, so that the rest of the id is a field that no caller sent.
+func TestOddIDIsNoHeader(t *testing.T) {
+	var injected atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Odd") != "" {
+			injected.Add(1)
+		}
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	t.Cleanup(other.Close)
+	f := startOddFleet(t, func(f *oddFleet) {
+		for i := range 4 {
+			f.store.Register(fmt.Sprint("a", i, "\r\nX-Odd: 1"), stand.Registration{Service: "s", Address: other.Listener.Addr().String(), Centre: "z1", Slots: 8})
+		}
+	})
+	for range 5 {
+		f.serve("beside odd ids")
+	}
+	if n := injected.Load(); n > 0 {
+		t.Errorf("endpoint received %d requests with a field that their callers did not send", n)
+	}
+}
