Follow a store whose entries have the largest size

- A watch answer of over 8 MiB is an error, and the next watch from the same revision only gets longer: the host stops following until the store drops the history.
"answer too long: exceeds 8388608 bytes".
- A host kept and passed on each value, whether it uses it or not.
Nine of them exceed the answer to a peer host (8 MiB), so a host that is cut off from the store got nothing: "timed out waiting until all hosts are ready"; a few hundred exceed a host's memory.
- A page holds as little as one such value, and more than 100 pages were an error: "list store: more than 100 pages".

Whether the store returned a part of its history followed from the sizes of the kept values; the batch now states the size that was read, so that a short part still isn't taken for the whole (TestPartsOfLargeValues).

TestOddEntryOfLargestSize: five hosts, one of them cut off from the store, 36 writes of 1 MiB; the heap grows by less than 16 MiB beyond the stand-in's own.

--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -30,7 +30,7 @@
 type Change struct {
 	Key      string
 	Revision uint64
-	// Value is the item's encoded value.
+	// Value is the item's encoded value, as far as peer hosts need it.
 	Value   []byte
 	Deleted bool
 	// ReadAt is when the change was read from the store; zero means now.
@@ -64,6 +64,8 @@
 	Revision uint64
 	// Events is the number of events that a watch returned, with those that are not in Changes.
 	Events int
+	// Bytes is the size of the values of these events.
+	Bytes int
 	// Gap reports whether items may have been written and deleted since this host's last view of the
 	// store that are not among the changes.
 	Gap bool
--- a/internal/plat/past/past.go
+++ b/internal/plat/past/past.go
@@ -122,13 +122,7 @@
 }
 
 // isPart reports whether the store may have returned only a part of the changes.
-func isPart(b feed.Batch) bool {
-	bytes := 0
-	for _, c := range b.Changes {
-		bytes += len(c.Value)
-	}
-	return b.Events >= partChanges || bytes >= partBytes
-}
+func isPart(b feed.Batch) bool { return b.Events >= partChanges || b.Bytes >= partBytes }
 
 // view returns the view of a list of changes, in their order.
 func view(changes []feed.Change, beat time.Duration) View {
--- a/internal/plat/past/past_test.go
+++ b/internal/plat/past/past_test.go
@@ -22,6 +22,8 @@
 	// floor is the revision up to which the history was dropped, part the most changes of one answer.
 	floor uint64
 	part  int
+	// bytes is the size of the values of a part.
+	bytes int
 	calls int
 	err   error
 }
@@ -61,6 +63,9 @@
 		b.Changes, b.Revision = append(b.Changes, c), eras.Join(eras.Of(after), c.Revision)
 	}
 	b.Events = len(b.Changes)
+	if len(b.Changes) == h.part {
+		b.Bytes = h.bytes
+	}
 	return b, nil
 }
 
@@ -150,6 +155,17 @@
 	}
 }
 
+// TestPartsOfLargeValues guards against a part that is short as its values are large and counts as all
+// of the history, whether the values are used or not.
+func TestPartsOfLargeValues(t *testing.T) {
+	h := &history{at: 5000, floor: 5000, part: 60, bytes: partBytes}
+	h.run("v1", 30, 12)
+	h.put("v2-0", "v2")
+	if v, releases := h.releases(t, 30, 8*time.Second); !releases["v2"] || v.Revision != h.at {
+		t.Errorf("view ends at revision %d with releases %v, want %d with v2", v.Revision, releases, h.at)
+	}
+}
+
 // TestNoHistory: a store that can't be reached, or an unknown beat, gives no view.
 func TestNoHistory(t *testing.T) {
 	h := &history{at: 5000, err: io.ErrUnexpectedEOF}
--- a/internal/serve/node/entries_test.go
+++ b/internal/serve/node/entries_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -187,6 +188,41 @@
 	f.follow("t3")
 }
 
+// TestOddEntryOfLargestSize guards against entries of the largest size that the store accepts which
+// end hosts for their memory, or make an answer of the store or of a peer host too long to be read.
+func TestOddEntryOfLargestSize(t *testing.T) {
+	const entries, maxGrowth = 12, 16 << 20
+	// The stand-in keeps each write.
+	const written = 2 * entries << 20
+	large := stand.LargeValue("s")
+	f := startOddFleet(t, func(f *oddFleet) {
+		for i := range entries {
+			f.store.Put(fmt.Sprint("servers/before-", i), large)
+		}
+	})
+	f.allKnow("sound", "")
+	before := heapInUse()
+	for i := range entries {
+		f.store.Put(fmt.Sprint("servers/later-", i), large)
+	}
+	f.follow("t1")
+	for i := range entries {
+		f.store.Put(fmt.Sprint("servers/later-", i), large)
+	}
+	f.follow("t2")
+	if growth := heapInUse() - before - written; growth > maxGrowth {
+		t.Errorf("the heap grew by %d MiB, want at most %d MiB", growth>>20, maxGrowth>>20)
+	}
+}
+
+// heapInUse returns the bytes of reachable objects.
+func heapInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // TestOddIDIsNoHeader guards against the id of an entry that ends the header field which names the
 // expected endpoint, so that the rest of the id is a field that no caller sent.
 func TestOddIDIsNoHeader(t *testing.T) {
