Send no requests on to an entry with the address of a host

Cause: such an entry is sound by its form. The host sent a request to it, so to a host, which placed it like any caller's: at a sound endpoint, or at the entry again, with all attempts of its route to spend anew, until its deadline.

A registration with the address at which this host or a known one accepts callers now counts as draining: it gets no requests.

Ruled out: refusing whatever names an expected endpoint. Callers may send the field, and it is dropped (TestReservedHeadersAreDropped).

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -68,6 +68,8 @@
 	Internal       Code = "internal"
 	// Poisoned refuses a request under which, or under whose prompt parts, endpoints end.
 	Poisoned Code = "poisoned"
+	// Misdirected refuses a request that another host sent as if this one were an endpoint.
+	Misdirected Code = "misdirected"
 )
 
 // statuses maps each refusal code to its HTTP status.
@@ -77,7 +79,7 @@
 	Leaving: 503, NotReady: 503, EndpointError: 502, EndpointSilent: 504,
 	Truncated: 502, RelayError: 502, KeyMissing: 428, KeyInvalid: 400, KeyExpired: 410,
 	KeyReused: 422, HomeLost: 502, HomeGone: 410, HomeFull: 503, Cancelled: 499, Internal: 502,
-	Poisoned: 503,
+	Poisoned: 503, Misdirected: 421,
 }
 
 // StatesNotRun reports whether a status guarantees callers that the request was not run and will
--- a/internal/base/socket/socket.go
+++ b/internal/base/socket/socket.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -80,3 +81,13 @@
 		time.Sleep(startPollPeriod)
 	}
 }
+
+// Port returns the port of an address IP:port, the same however the IP address is written; it is not
+// valid if there is none.
+func Port(address string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -83,6 +83,9 @@
 	if s.Refusing() {
 		return r, fault.New(fault.Leaving, fault.RanNo, "host is shutting down").WithRetryAfter(time.Millisecond)
 	}
+	if s.takenForEndpoint(c) {
+		return r, fault.New(fault.Misdirected, fault.RanNo, "a host is no endpoint")
+	}
 	if hasConflictingLengths(c) {
 		c.SetConnectionClose()
 		return r, fault.New(fault.BadRequest, fault.RanNo, "request has both Transfer-Encoding and Content-Length")
@@ -106,6 +109,18 @@
 	return s.parseRequest(c, published, r, now)
 }
 
+// takenForEndpoint reports whether a request is for a registered endpoint that has this host's own
+// address. Hosts would send such a request to each other until its deadline.
+func (s *Server) takenForEndpoint(c *app.RequestContext) bool {
+	id := c.Request.Header.Peek(s.Terms.ExpectedEndpoint)
+	if len(id) == 0 {
+		return false
+	}
+	e, ok := s.Board.Registry.Get(string(id))
+	own := socket.Port(c.GetConn().LocalAddr().String())
+	return ok && own.IsValid() && socket.Port(e.Address) == own
+}
+
 // callerAddress returns the address of the caller without its port, empty if it has none.
 func callerAddress(c *app.RequestContext) string {
 	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
--- a/internal/serve/node/entries_test.go
+++ b/internal/serve/node/entries_test.go
@@ -114,14 +114,15 @@
 func (f *oddFleet) serve(what string) {
 	f.t.Helper()
 	for i, n := range f.hosts {
-		status, body, err := f.callAt(n, fmt.Sprint("r", time.Now().UnixNano()))
+		status, body, err := f.callAt(n, fmt.Sprint("r", time.Now().UnixNano()), "")
 		if err != nil || status != http.StatusOK {
 			f.t.Errorf("%s: host %d answers %d %q, %v, want the answer of a sound endpoint", what, i, status, body, err)
 		}
 	}
 }
 
-func (f *oddFleet) callAt(n *Node, id string) (int, string, error) {
+// callAt sends a request with an id to a host; expected is the endpoint that it names, empty for none.
+func (f *oddFleet) callAt(n *Node, id, expected string) (int, string, error) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+n.settings.Callers+"/p/1", nil)
 	if err != nil {
 		f.t.Fatal(err)
@@ -129,6 +130,9 @@
 	req.Host = "h"
 	req.Header.Set(platTerms.RequestID, id)
 	req.Header.Set(platTerms.Deadline, "3000")
+	if expected != "" {
+		req.Header.Set(platTerms.ExpectedEndpoint, expected)
+	}
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return 0, "", err
@@ -246,3 +250,64 @@
 		t.Errorf("endpoint received %d requests with a field that their callers did not send", n)
 	}
 }
+
+// TestEntryWithAddressOfHost guards against an entry with the address of a host, by which hosts send
+// each other requests again and again until their deadline.
+func TestEntryWithAddressOfHost(t *testing.T) {
+	const requests = 10
+	f := startOddFleet(t, func(*oddFleet) {})
+	f.serve("at the start")
+	for i, n := range f.hosts {
+		f.store.Register(fmt.Sprint("host", i), stand.Registration{Service: "s", Address: n.settings.Callers, Centre: "z1", Slots: 8})
+	}
+	f.eventually("all hosts have the entries", func() bool {
+		return !slices.ContainsFunc(f.hosts, func(n *Node) bool { return n.board.Registry.Len() != oddHosts+1 })
+	})
+	for range requests {
+		f.serve("beside the addresses of hosts")
+	}
+	f.store.Delete("servers/sound")
+	f.eventually("hosts know that the sound endpoint is gone", func() bool {
+		return !slices.ContainsFunc(f.hosts[:oddHosts-1], func(n *Node) bool { _, ok := n.board.Registry.Get("sound"); return ok })
+	})
+	before := f.log.countRequests()
+	for range requests {
+		if status, body, err := f.callAt(f.hosts[0], fmt.Sprint("x", time.Now().UnixNano()), ""); err != nil || status != http.StatusServiceUnavailable {
+			t.Errorf("got %d %q, %v, want status 503", status, body, err)
+		}
+	}
+	if n := f.log.countRequests() - before; n != requests {
+		t.Errorf("hosts received %d requests, callers sent %d", n, requests)
+	}
+}
+
+// TestHostRefusesRequestsForEndpoints guards against a host that sends on what another host, which does
+// not know it yet, sent it as to an endpoint.
+func TestHostRefusesRequestsForEndpoints(t *testing.T) {
+	f := startOddFleet(t, func(*oddFleet) {})
+	n := f.hosts[0]
+	_, port, _ := strings.Cut(n.settings.Callers, ":")
+	f.store.Register("host", stand.Registration{Service: "s", Address: "[::ffff:127.0.0.1]:" + port, Centre: "z1", Slots: 8})
+	f.eventually("the host has the entry", func() bool { _, ok := n.board.Registry.Get("host"); return ok })
+	for expected, want := range map[string]int{"host": http.StatusMisdirectedRequest, "sound": http.StatusOK, "forged": http.StatusOK, "": http.StatusOK} {
+		if status, body, err := f.callAt(n, "r"+expected, expected); err != nil || status != want {
+			t.Errorf("request for endpoint %q: got %d %q, %v, want status %d", expected, status, body, err, want)
+		}
+	}
+	if runs := len(f.endpoints["sound"].Runs()); runs != 3 {
+		t.Errorf("%d requests ran, want 3", runs)
+	}
+}
+
+// countRequests returns the number of requests that hosts have ended.
+func (l *logRecorder) countRequests() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, line := range l.lines {
+		if line["message"] == "request" {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
@@ -40,6 +42,7 @@
 // registrations that are not in the listing are removed.
 func (n *Node) applyListing(now time.Time, b feed.Batch, until time.Time) {
 	n.board.Registry.RecordReleases(now)
+	hosts := n.hostPorts()
 	evacuated := map[string]bool{}
 	var list []regis.Endpoint
 	for _, c := range b.Changes {
@@ -47,7 +50,7 @@
 			evacuated[c.Centre] = true
 		}
 		if c.Endpoint != nil {
-			list = append(list, n.withRegion(*c.Endpoint))
+			list = append(list, n.registered(*c.Endpoint, hosts))
 		}
 		n.keepInvalid(now, c)
 	}
@@ -84,6 +87,7 @@
 // applyChanges applies changes of the store in their order.
 func (n *Node) applyChanges(now time.Time, b feed.Batch, until time.Time) {
 	n.board.Registry.RecordReleases(now)
+	hosts := n.hostPorts()
 	if b.Gap {
 		n.board.Registry.ResetReleases(now)
 	}
@@ -101,7 +105,7 @@
 			n.heldEvacuations.release(c.Centre)
 			n.setEvacuated(c.Centre, c.Evacuated, c.Revision)
 		case c.Endpoint != nil:
-			if e := n.withRegion(*c.Endpoint); n.board.Registry.Put(e) {
+			if e := n.registered(*c.Endpoint, hosts); n.board.Registry.Put(e) {
 				n.endpointChanged(e)
 			}
 		case c.RemovedEndpoint != "":
@@ -160,12 +164,29 @@
 	n.log.Info().Str("centre", centre).Bool("evacuated", on).Uint64("revision", eras.Revision(revision)).Msg("evacuation changed")
 }
 
-// withRegion returns a registration with the region of its data centre filled in.
-func (n *Node) withRegion(e regis.Endpoint) regis.Endpoint {
+// registered returns a registration with the region of its data centre filled in. One with the address
+// of a host gets no requests: the host would send them on.
+func (n *Node) registered(e regis.Endpoint, hosts map[netip.AddrPort]bool) regis.Endpoint {
 	e.Region = n.settings.Regions[e.Centre]
+	if hosts[socket.Port(e.Address)] {
+		e.Draining = true
+		if n.warnedItems.due(n.now(), "host/"+e.ID) {
+			n.log.Warn().Str("endpoint", e.ID).Str("address", e.Address).Msg("registration has the address of a host; it gets no requests")
+		}
+	}
 	return e
 }
 
+// hostPorts returns the ports at which this host and all known ones accept callers.
+func (n *Node) hostPorts() map[netip.AddrPort]bool {
+	out := map[netip.AddrPort]bool{socket.Port(n.settings.Callers): true}
+	for _, m := range n.board.Members.Members() {
+		out[socket.Port(m.Callers)] = true
+	}
+	delete(out, netip.AddrPort{})
+	return out
+}
+
 func (n *Node) endpointChanged(e regis.Endpoint) {
 	if stored, ok := n.board.Registry.Get(e.ID); ok {
 		n.board.Endpoints.SetStart(n.now(), e.ID, stored.Start)
