Take an answer with several ids for that of no request

Seen by callers: a request that its endpoint ran was refused with 503 and a time to come back, or ran at a second endpoint, and other callers got an answer to an earlier request. Cause: the pool compared the first request id of an answer with that of the request. A late copy of an earlier answer that carries the request's id as well as its own was taken for the request's answer, also if it was a refusal. Evidence: endpoints that write a refusal once more on the kept connection, before, in two parts around and after the next request, and after an interim answer, with 400, 421, 429 and 503, and with eight forms of the id. Ruled out, by the cases that pass before and after: copies with the earlier id, an unknown or an empty one, without one, with both in one field, after an answered request, a refused one and a health check; bytes hidden behind a refusal that is too short; copies beside a body that is being written; kept connections that end before or after their endpoint reads the request (never counted as not run). Why it works: an answer belongs to a request if it names it and no other. With several ids it may be anyone's, so it is skipped like a foreign one, the connection is not kept, and without another answer the request may have run. An endpoint that always adds a second, different id to its answers is not usable any more; the protocol has one.

--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -446,7 +447,7 @@
 			}
 			return nil, err
 		}
-		id := resp.Header.Get(e.client.Terms.RequestID)
+		id := e.client.answerID(resp)
 		if id == e.attempt.ID {
 			e.ownAnswerOnly = skipped == 0
 			return resp, nil
@@ -469,6 +470,14 @@
 	}
 }
 
+// answerID returns the id of the request that an answer belongs to, empty if it names none. For an
+// answer with several ids, which may belong to any of them, it returns that of no request.
+func (c *Client) answerID(resp *http.Response) string {
+	ids := slices.Compact(slices.Clone(resp.Header.Values(c.Terms.RequestID)))
+	// No field has a line break.
+	return strings.Join(ids, "\n")
+}
+
 // isError reports whether an endpoint that answers with a status has failed to serve a sound
 // request. Without the mark of a refusal, it may have run it.
 func isError(status int) bool {
--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -30,6 +30,10 @@
 var testTerms = &terms.Terms{
 	RequestID: "X-Id", NotRun: "X-Not-Run", Load: "X-Load",
 	ParseLoad: func(v string) (terms.Load, bool) { return terms.Load{Running: 3, Slots: 8}, v == "3" },
+	ParseDecimal: func(v string) (float64, bool) {
+		n, err := strconv.ParseFloat(v, 64)
+		return n, err == nil
+	},
 }
 
 // scriptedEndpoint answers each request, on any connection, with the next text of its
--- a/internal/stand/routed/late.go
+++ b/internal/stand/routed/late.go
@@ -10,45 +10,84 @@
 // to the next request.
 type Late string
 
-// The copies: with the id of an earlier request, with an unknown id, without an id, and without
-// an id as a refusal that states that the request was not run.
+// The copies: with the id of an earlier request, with an unknown id, without an id, with an empty
+// one, with the ids of the request and of an earlier one, and without an id as a refusal that states
+// that the request was not run.
 const (
 	LateEarlier Late = "earlier"
 	LateUnknown Late = "unknown"
 	LateNoID    Late = "no id"
+	LateEmptyID Late = "empty id"
+	LateTwoIDs  Late = "two ids"
 	LateRefusal Late = "refusal"
 )
 
 // LateCopies returns all copies.
-func LateCopies() []Late { return []Late{LateEarlier, LateUnknown, LateNoID, LateRefusal} }
+func LateCopies() []Late {
+	return []Late{LateEarlier, LateUnknown, LateNoID, LateEmptyID, LateTwoIDs, LateRefusal}
+}
 
-// sendAfterLate takes the connection over and sends the copy, then the parts of the answer with
-// their length, and closes it.
-func (e *Endpoint) sendAfterLate(w http.ResponseWriter, l Late, parts []string) {
-	earlier := "none"
-	if runs := e.Runs(); len(runs) > 1 {
-		earlier = runs[len(runs)-2].ID
+// earlierID returns the id of the request that was answered before the newest run: the last one that
+// was refused for a copy of a refusal, else the last one that ran.
+func (e *Endpoint) earlierID(refusal bool) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case refusal && e.refusedID != "":
+		return e.refusedID
+	case len(e.runs) > 1:
+		return e.runs[len(e.runs)-2].ID
 	}
-	status, id := "200 OK", ""
+	return "none"
+}
+
+// lateFields returns the header fields of a copy with ids.
+func (e *Endpoint) lateFields(l Late, earlier, own string) string {
+	field := func(id string) string { return fmt.Sprintf("%s: %s\r\n", e.Terms.RequestID, id) }
 	switch l {
 	case LateEarlier:
-		id = fmt.Sprintf("%s: %s\r\n", e.Terms.RequestID, earlier)
+		return field(earlier)
 	case LateUnknown:
-		id = fmt.Sprintf("%s: unknown\r\n", e.Terms.RequestID)
-	case LateRefusal:
-		status, id = "503 Service Unavailable", e.Terms.NotRun+": 1\r\n"
-	case LateNoID:
+		return field("unknown")
+	case LateEmptyID:
+		return field("")
+	case LateTwoIDs:
+		return field(own) + field(earlier)
+	case LateNoID, LateRefusal:
 	}
-	late, body := PlainAnswer(earlier), strings.Join(parts, "")
+	return ""
+}
+
+// sendAfterLate takes the connection over and sends the copy, then the parts of the answer with
+// their length, and closes it. If the fault is silent too, it sends the copy only.
+func (e *Endpoint) sendAfterLate(w http.ResponseWriter, f Fault, parts []string) {
+	status := f.LateStatus
+	if status == 0 && f.Late == LateRefusal {
+		status = http.StatusServiceUnavailable
+	}
+	earlier := e.earlierID(status != 0)
+	late, fields := PlainAnswer(earlier), e.lateFields(f.Late, earlier, w.Header().Get(e.Terms.RequestID))
+	if status == 0 {
+		status = http.StatusOK
+	} else {
+		fields += e.Terms.NotRun + ": 1\r\nRetry-After: 9\r\n"
+	}
+	body := strings.Join(parts, "")
 	var text strings.Builder
-	fmt.Fprintf(&text, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, len(late), late)
-	fmt.Fprintf(&text, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n", len(body))
-	_ = w.Header().Write(&text)
-	text.WriteString("\r\n" + body)
-	c, _, err := http.NewResponseController(w).Hijack()
+	fmt.Fprintf(&text, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), fields, len(late), late)
+	if !f.Silent {
+		fmt.Fprintf(&text, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n", len(body))
+		_ = w.Header().Write(&text)
+		text.WriteString("\r\n" + body)
+	}
+	c, r, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	_, _ = c.Write([]byte(text.String()))
+	if f.Silent {
+		// The client closes the connection.
+		_, _ = r.ReadByte()
+	}
 	_ = c.Close()
 }
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -51,10 +51,15 @@
 	// Flood runs the request and sends bytes without end.
 	Flood Flood
 	// Late sends a copy of an earlier answer before the answer. Together with CutAfter, it does
-	// so only if the request resumes a stream, which is not cut then.
-	Late Late
+	// so only if the request resumes a stream, which is not cut then; together with Silent, no
+	// answer follows. LateStatus makes the copy a refusal with that status; 0 is off.
+	Late       Late
+	LateStatus int
 }
 
+// sendsNothing reports whether the endpoint neither answers nor sends a copy.
+func (f Fault) sendsNothing() bool { return f.Silent && f.Late == "" }
+
 // Crash makes the endpoint end as it begins to write an answer to a request with a prompt
 // part, unless the part is the prompt's last, or to a request for a target.
 type Crash struct {
@@ -78,8 +83,9 @@
 	// ResumeAfter is the id of the event after which the stream resumes, -1 if the
 	// request does not resume a stream.
 	ResumeAfter int
-	// At is when the request arrived.
-	At time.Time
+	// At is when the request arrived, and Conn the address that its connection came from.
+	At   time.Time
+	Conn string
 }
 
 // Endpoint is a running stand-in.
@@ -114,6 +120,8 @@
 	runs        []Run
 	cancelled   int
 	refused     int
+	// refusedID and refusedConn are the id and the connection of the last refused request.
+	refusedID, refusedConn string
 }
 
 // New starts an endpoint on a loopback address. The caller closes it.
@@ -307,10 +315,18 @@
 	return e.refused
 }
 
-func (e *Endpoint) countRefused() {
+// RefusedConn returns the address that the connection of the last refused request came from.
+func (e *Endpoint) RefusedConn() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.refusedConn
+}
+
+func (e *Endpoint) countRefused(r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.refused++
+	e.refusedID, e.refusedConn = r.Header.Get(e.Terms.RequestID), r.RemoteAddr
 }
 
 // SetHeadDelay sets how long the endpoint is silent before the head of each answer.
@@ -367,14 +383,14 @@
 		if f.RetryAfter != "" {
 			h.Set("Retry-After", f.RetryAfter)
 		}
-		e.countRefused()
+		e.countRefused(r)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	leave, hasRoom := e.enterRoom(r)
 	if !hasRoom {
 		h.Set(e.Terms.NotRun, "1")
-		e.countRefused()
+		e.countRefused(r)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -387,7 +403,7 @@
 		e.end(w, c, id)
 	}
 	switch {
-	case f.Silent:
+	case f.sendsNothing():
 		<-r.Context().Done()
 		e.countCancelled()
 	case f.Drop:
@@ -430,7 +446,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.runs = append(e.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: body.String(), Header: r.Header.Clone(), ResumeAfter: from, At: time.Now()})
+	e.runs = append(e.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: body.String(), Header: r.Header.Clone(), ResumeAfter: from, At: time.Now(), Conn: r.RemoteAddr})
 	return from
 }
 
@@ -456,7 +472,7 @@
 		return
 	}
 	if f.Late != "" {
-		e.sendAfterLate(w, f.Late, PlainParts(id))
+		e.sendAfterLate(w, f, PlainParts(id))
 		return
 	}
 	if f.CutBody {
@@ -474,7 +490,7 @@
 		return
 	}
 	if f.Late != "" && (f.CutAfter == 0 || from >= 0) {
-		e.sendAfterLate(w, f.Late, e.events(id, from+1))
+		e.sendAfterLate(w, f, e.events(id, from+1))
 		return
 	}
 	flush := http.NewResponseController(w)
