Doubt a refusal without an id behind another answer on a new connection

Seen by callers: a request that its endpoint ran was refused as not run. Cause: on a new connection an answer without an id was taken for the request's, also behind an answer to another request. An endpoint that sends answers to other requests there may send one without an id as well. Evidence: TestRefusalWithoutIDAfterAnotherAnswer fails before with "got "", ran no (error endpoint refused with status 503)", behind an answer and behind a refusal of another request, although the request's own answer follows. Why it works: only the first answer on a new connection is the request's without naming it. Behind another one, the answer is skipped as on a kept connection, and without an own answer the request may have run.

--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -433,7 +433,7 @@
 }
 
 // readHead reads the head of the answer. It skips interim answers, and whole answers
-// to other requests. On a new connection, an answer without an id can only be the request's.
+// to other requests. The first answer on a new connection can only be the request's if it has no id.
 // A connection is reused only if its last answer had the id of its request, so one without may
 // be a late copy of an earlier answer there. If no other follows, it was the endpoint's answer
 // after all, and connections to this endpoint are not reused for a time.
@@ -452,7 +452,7 @@
 			e.ownAnswerOnly = skipped == 0
 			return resp, nil
 		}
-		if id == "" && !e.result.Reused {
+		if id == "" && skipped == 0 && !e.result.Reused {
 			e.client.Pool.setUnnamed(e.attempt.Address)
 			return resp, nil
 		}
--- a/internal/serve/pool/refusal_test.go
+++ b/internal/serve/pool/refusal_test.go
@@ -241,6 +241,25 @@
 	}
 }
 
+// TestRefusalWithoutIDAfterAnotherAnswer guards against a refusal without an id, on a new connection,
+// that follows the answer to another request: it need not be that of the request.
+func TestRefusalWithoutIDAfterAnotherAnswer(t *testing.T) {
+	for _, tt := range []struct{ name, before string }{
+		{"answer to another request", answer("z", "foreign")},
+		{"refusal of another request", refusedAs(503, "X-Id: z\r\n")},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := listen(t, tt.before+refusedAs(503, "")+answer("a", ownAnswer))
+			c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+			defer c.Pool.Close()
+			out, body := do(c, s.Addr().String(), nil)
+			if out.Ran == fault.RanNo || (body != "" && body != ownAnswer) {
+				t.Errorf("got %q, ran %s (error %v), want the own answer or none, and no word that it did not run", body, out.Ran, out.Err)
+			}
+		})
+	}
+}
+
 // TestRefusalHidesAnotherAnswer guards against bytes behind a refusal that is shorter than its endpoint
 // meant it to be.
 func TestRefusalHidesAnotherAnswer(t *testing.T) {
