Keep the ids of all requests that a connection carried

Seen by callers: a request with an id that was on the connection before (the caller's or this host's repeat of a refused request) is refused as not run, although its endpoint runs it: the endpoint wrote the earlier refusal once more. Cause: a connection remembered its last 32 ids. After more exchanges, a request with an earlier id was sent on it again, and its id did not distinguish the copy from its own answer. Ruled out: a new connection for each repeat, as callers choose ids and may repeat them on a host that can't recognise a repeat. Why it works: a connection keeps the ids of all its requests and carries no id twice, so an answer with the request's id can't be one to an earlier request there. It carries 512 requests, so that the ids take 4 KB at most; one new connection in 512 requests is the price. Health checks have no id and do not count.

--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -34,9 +34,8 @@
 	// dropped fails soon, one whose endpoint is silent for a second or so does not.
 	unackedTimeout       = 3 * time.Second
 	tcpUserTimeoutOption = 0x12
-	// maxRecent is the number of request ids that a connection remembers. A repeated answer
-	// arrives within a few exchanges.
-	maxRecent = 32
+	// maxRequests bounds the requests that a connection carries, as it keeps their ids.
+	maxRequests = 512
 	// unnamedPeriod is how long connections to an endpoint whose answers lack ids are not reused.
 	unnamedPeriod = 10 * time.Minute
 	// arrivedTimeout is the time to read bytes that have already arrived.
@@ -49,12 +48,11 @@
 // conn is a pooled connection to an endpoint. It carries one exchange at a time.
 type conn struct {
 	net.Conn
-	address   string
-	reader    *head.Reader
-	rawConn   syscall.RawConn
-	exchanges int
-	// recent holds the hashes of the ids of the last requests.
-	recent [maxRecent]uint64
+	address string
+	reader  *head.Reader
+	rawConn syscall.RawConn
+	// ids holds the hashes of the ids of its requests. Health checks have none.
+	ids []uint64
 	// reuseBefore is the time from which the idle connection is no longer reused.
 	reuseBefore time.Time
 	// onTimeout is called when a read times out. If it returns true, it has set a new
@@ -186,10 +184,6 @@
 	}
 }
 
-// withoutID is the hash of the empty id, which health checks have: their answers can't be
-// distinguished.
-var withoutID = xxhash.Sum64String("")
-
 // pop removes and returns the connection that became idle last, of those that have not carried
 // a request with an id of this hash.
 func (p *Pool) pop(address string, id uint64) *conn {
@@ -200,7 +194,7 @@
 	}
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if id == withoutID || !slices.Contains(c.recent[:min(c.exchanges, maxRecent)], id) {
+		if !slices.Contains(c.ids, id) {
 			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
@@ -295,14 +289,15 @@
 	p.unnamed[address] = p.now().Add(unnamedPeriod)
 }
 
-// put returns a connection to the pool after a complete exchange of a request with an id. It
-// can be reused within keepAlive.
+// put returns a connection to the pool after a complete exchange of a request with an id, empty
+// for a health check. It can be reused within keepAlive.
 func (p *Pool) put(c *conn, id string, keepAlive time.Duration) {
-	c.recent[c.exchanges%maxRecent] = xxhash.Sum64String(id)
-	c.exchanges++
+	if id != "" {
+		c.ids = append(c.ids, xxhash.Sum64String(id))
+	}
 	c.onTimeout, c.overdue = nil, time.Time{}
 	c.reuseBefore = p.now().Add(keepAlive)
-	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if len(c.ids) >= maxRequests || c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
--- a/internal/serve/pool/refusal_test.go
+++ b/internal/serve/pool/refusal_test.go
@@ -7,11 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 )
 
@@ -241,6 +245,78 @@
 	}
 }
 
+// TestRequestsComeBackToNoConnectionTheyWereOn guards against a refusal that is written once more
+// when the request with the same id is back on the connection: its id does not distinguish the two.
+func TestRequestsComeBackToNoConnectionTheyWereOn(t *testing.T) {
+	const others = 100
+	refused := refusedAs(503, "X-Id: a\r\n")
+	script := []string{refused}
+	for i := range others {
+		script = append(script, answer("other"+strconv.Itoa(i), "x"))
+	}
+	s := listen(t, append(script, refused+answer("a", ownAnswer))...)
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	do(c, s.Addr().String(), nil)
+	for i := range others {
+		if out, _ := do(c, s.Addr().String(), func(a *Attempt) { a.ID = "other" + strconv.Itoa(i) }); !out.Whole || !out.Reused {
+			t.Fatalf("request %d: whole %v, reused %v (error %v), want a whole answer on the kept connection", i, out.Whole, out.Reused, out.Err)
+		}
+	}
+	// On a new connection, the copy would be the answer to the request.
+	if out, _ := do(c, s.Addr().String(), nil); out.Reused {
+		t.Errorf("the request is back on the connection that refused it before: ran %s", out.Ran)
+	}
+}
+
+// TestNoConnectionCarriesAnIDTwice guards against connections that forget the ids they carried, and
+// against new ones for no reason.
+func TestNoConnectionCarriesAnIDTwice(t *testing.T) {
+	const requests = 2 * maxRequests
+	for _, tt := range []struct {
+		distinct int
+		// most is the number of connections that the requests need, and one for the last check.
+		most int
+	}{{1, requests}, {33, (requests-1)/33 + 1}, {maxRequests + 88, 3}, {requests, 3}} {
+		t.Run(strconv.Itoa(tt.distinct), func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			conns, carried := map[string]bool{}, map[string]bool{}
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				defer mu.Unlock()
+				id := r.Header.Get("X-Id")
+				conns[r.RemoteAddr] = true
+				if key := r.RemoteAddr + " " + id; id != "" && carried[key] {
+					t.Errorf("a connection carries the id %s a second time", id)
+				} else {
+					carried[key] = true
+				}
+				w.Header().Set("X-Id", id)
+			}))
+			defer s.Close()
+			c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+			defer c.Pool.Close()
+			for i := range requests {
+				send := func(id string) {
+					if out, _ := do(c, s.Listener.Addr().String(), func(a *Attempt) {
+						a.ID, a.Fields = id, []wire.Field{{Name: "X-Id", Value: id}}
+					}); !out.Whole {
+						t.Fatalf("request %d: %v", i, out.Err)
+					}
+				}
+				send(strconv.Itoa(i % tt.distinct))
+				if i%3 == 0 {
+					send("")
+				}
+			}
+			if len(conns) > tt.most {
+				t.Errorf("got %d connections, want %d or fewer", len(conns), tt.most)
+			}
+		})
+	}
+}
+
 // TestRefusalWithoutIDAfterAnotherAnswer guards against a refusal without an id, on a new connection,
 // that follows the answer to another request: it need not be that of the request.
 func TestRefusalWithoutIDAfterAnotherAnswer(t *testing.T) {
