Don't wait for the rest of a refusal

Seen by callers: a request that an endpoint refused at once was held up to its deadline if the refusal's body did not arrive whole; it was neither sent to another endpoint nor refused with a time to come back. Cause: the pool reads the body of a refusal, so that the connection can be reused, and waited for it like for an answer, as long as no alternative served the request. Evidence: TestRefusalWithoutItsBodyHoldsRequestUp fails before with "ran no after 20.002329759s", which is the attempt's deadline, and passes now. Ruled out: a body that is cut off with its connection (its end shows), error answers that are passed on (the caller gets their body, so the wait stays). Why it works: the head of a refusal says all that counts. The rest gets 50 ms; without it the connection is closed, as before.

--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -39,6 +39,8 @@
 	maxSkippedAnswers = 4
 	// maxSkippedBytes bounds the body of each of them.
 	maxSkippedBytes = 256 << 10
+	// refusalTimeout bounds the wait for the rest of a refusal, which only its connection's reuse needs.
+	refusalTimeout  = 50 * time.Millisecond
 	eventStreamType = "text/event-stream"
 	// minRate is the rate, in bytes per second, at which the bytes of an unfinished event or of
 	// a whole answer extend the wait for its end. It is far below that of any link to an
@@ -516,6 +518,10 @@
 	if resp.ContentLength > readChunkBytes || resp.ContentLength < 0 {
 		return 0
 	}
+	if e.result.Reason == retry.Refused {
+		e.conn.onTimeout = nil
+		e.setReadDeadline(refusalTimeout)
+	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0
--- a/internal/serve/pool/refusal_test.go
+++ b/internal/serve/pool/refusal_test.go
@@ -348,3 +348,21 @@
 		})
 	}
 }
+
+// TestRefusalWithoutItsBodyHoldsRequestUp guards against a request that was refused at once and waits
+// for the rest of the refusal, up to its deadline, before it is sent to another endpoint.
+func TestRefusalWithoutItsBodyHoldsRequestUp(t *testing.T) {
+	s := listen(t, strings.TrimSuffix(refusedAs(503, "X-Id: a\r\n"), "ull"))
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	begin := time.Now()
+	out, _ := do(c, s.Addr().String(), func(a *Attempt) {
+		a.HeadTimeout, a.Abandon = time.Second, func() bool { return false }
+	})
+	if took := time.Since(begin); out.Ran != fault.RanNo || took > testTimeout/4 {
+		t.Errorf("ran %s after %v (error %v), want at once that it did not run", out.Ran, took, out.Err)
+	}
+	if n := len(c.Pool.idle); n != 0 {
+		t.Error("the connection of an answer that is not whole is in the pool")
+	}
+}
