--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	maxSkippedAnswers = 4
 	// maxSkippedBytes bounds the body of each of them.
 	maxSkippedBytes = 256 << 10
+	// refusalTimeout bounds the wait for the rest of a refusal, which only its connection's reuse needs.
+	refusalTimeout = 50 * time.Millisecond
 	// minRate is the rate, in bytes per second, at which the bytes of an unfinished event or of
 	// a whole answer extend the wait for its end. It is far below that of any link to an
 	// endpoint, so that large events and answers arrive, and bytes sent now and then gain nothing.
@@ -431,7 +434,7 @@
 }
 
 // readHead reads the head of the answer. It skips interim answers, and whole answers
-// to other requests. On a new connection, an answer without an id can only be the request's.
+// to other requests. The first answer on a new connection can only be the request's if it has no id.
 // A connection is reused only if its last answer had the id of its request, so one without may
 // be a late copy of an earlier answer there. If no other follows, it was the endpoint's answer
 // after all, and connections to this endpoint are not reused for a time.
@@ -445,12 +448,12 @@
 			}
 			return nil, err
 		}
-		id := resp.Header.Get(e.client.Terms.RequestID)
+		id := e.client.answerID(resp)
 		if id == e.attempt.ID {
 			e.ownAnswerOnly = skipped == 0
 			return resp, nil
 		}
-		if id == "" && !e.result.Reused {
+		if id == "" && skipped == 0 && !e.result.Reused {
 			e.client.Pool.setUnnamed(e.attempt.Address)
 			return resp, nil
 		}
@@ -468,6 +471,14 @@
 	}
 }
 
+// answerID returns the id of the request that an answer belongs to, empty if it names none. For an
+// answer with several ids, which may belong to any of them, it returns that of no request.
+func (c *Client) answerID(resp *http.Response) string {
+	ids := slices.Compact(slices.Clone(resp.Header.Values(c.Terms.RequestID)))
+	// No field has a line break.
+	return strings.Join(ids, "\n")
+}
+
 // isError reports whether an endpoint that answers with a status has failed to serve a sound
 // request. Without the mark of a refusal, it may have run it.
 func isError(status int) bool {
@@ -513,6 +524,10 @@
 	if resp.ContentLength > readChunkBytes || resp.ContentLength < 0 {
 		return 0
 	}
+	if e.result.Reason == retry.Refused {
+		e.conn.onTimeout = nil
+		e.setReadDeadline(refusalTimeout)
+	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0
