Send no frame after one that was cut

What callers could get: the bytes of the next frames as data of their answer. A frame that is larger than what flow control allows is sent in part; when its timeout of 10 s passed (the entry host's caller reads slowly), the write failed, but the stream stayed open. The relay then wrote a keep-alive or the end of the answer, and the receiver completed the cut frame with them: an event with the encoded end in its middle, passed on to the caller, and after it an error or, as chance has it, an end.

Cause: link.Stream.Write returned the error of the write and left the stream as it was. quic-go's SendStream.Write states how much was taken and continues with the next call's bytes.

Evidence: TestFrameFollowsCutFrame on the old code: "received a frame with bytes of data, end <nil>, after a frame that was cut", "a frame was written after one that was cut".

Ruled out: frames that are below a packet are copied whole or not at all; frames of two writers can't mix, as frameWriter has a lock.

The stream is reset after a failed write, so the receiver's read fails and the attempt is a broken one.

--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -199,3 +199,40 @@
 		t.Error("a stream was opened after the peer closed, want an error")
 	}
 }
+
+// TestFrameFollowsCutFrame guards against a frame that is cut by its timeout and completed with the
+// bytes of the next ones, so that the receiver takes those for data of an answer.
+func TestFrameFollowsCutFrame(t *testing.T) {
+	const cutAfter = 200 * time.Millisecond
+	// cut exceeds the window of a stream, so that a part of its frame is sent.
+	cut := wire.Frame{Data: make([]byte, 16<<20)}
+	failed, failedAgain := make(chan error, 1), make(chan error, 1)
+	a, b := newLinkPairWith(t, Handlers{Stream: func(_ context.Context, _ string, s *Stream) {
+		_, _ = s.Read(wire.MaxFrame, time.Now().Add(waitTimeout))
+		failed <- s.Write(cut, time.Now().Add(cutAfter))
+		end := wire.Frame{Data: make([]byte, len(cut.Data)), End: &wire.End{}}
+		failedAgain <- s.Write(end, time.Now().Add(waitTimeout))
+	}})
+	defer func() { _ = b.Close() }()
+	s, err := a.OpenStream(context.Background(), "b", b.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Abort()
+	if err := s.Write(wire.Frame{KeepAlive: true}, time.Now().Add(waitTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-failed; err == nil {
+		t.Fatal("the frame was written whole, want a timeout")
+	}
+	for {
+		f, err := s.Read(wire.MaxFrame, time.Now().Add(waitTimeout))
+		if err != nil {
+			break
+		}
+		t.Errorf("received a frame with %d bytes of data, end %v, after a frame that was cut", len(f.Data), f.End)
+	}
+	if err := <-failedAgain; err == nil {
+		t.Error("a frame was written after one that was cut")
+	}
+}
--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -17,12 +17,14 @@
 	release func()
 }
 
-// Write sends a frame. It fails if flow control blocks it until the deadline.
+// Write sends a frame. It fails if flow control blocks it until the deadline. After a failure it
+// resets the stream: a part of the frame may have been sent, which the next one would complete.
 func (s *Stream) Write(f wire.Frame, deadline time.Time) error {
 	if err := s.s.SetWriteDeadline(deadline); err != nil {
 		return fmt.Errorf("set write deadline: %w", err)
 	}
 	if err := wire.Write(s.s, f); err != nil {
+		s.s.CancelWrite(streamCancelled)
 		return fmt.Errorf("write to stream: %w", err)
 	}
 	return nil
