Fail an exchange whose frames are out of order

What callers could get: data that came before a head was passed on as the start of their answer, also before the whole answer of a later attempt (the entry host collects it); a second head was dropped where the caller had one and its data passed on under the first; of a frame with a head and data, or data and an end, a part was lost and the answer counted as whole.

Cause: readAnswer checked only that a whole answer has a head.

Ruled out: our relays send a head before data and one head only (proxy.observedSink, client.Do, Outcome.Send), so this build causes none of it; a host of another build or a fault in the relay may.

ErrDisorder counts as a failure of the host, not of the link to it, like ErrNoHead. Frames without content stay allowed: data of no bytes is encoded as one.

--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -100,6 +100,10 @@
 // ErrNoHead is the error of a whole answer without a head, which can't be passed on as a success.
 var ErrNoHead = errors.New("answer has no head")
 
+// ErrDisorder is the error of an answer whose frames are out of order: data or a further head that
+// would be passed on are not a part of one answer.
+var ErrDisorder = errors.New("frames of the answer are out of order")
+
 // ErrStalled is the error of a begun stream that was given up although the other host sent
 // frames: they had no events.
 var ErrStalled = errors.New("stream of the other host has no events")
@@ -215,7 +219,7 @@
 	if err == nil {
 		return end, nil
 	}
-	if HostFailed(err) && !errors.Is(err, ErrNoHead) {
+	if HostFailed(err) && !errors.Is(err, ErrNoHead) && !errors.Is(err, ErrDisorder) {
 		l.DropConn(host)
 	}
 	return nil, fmt.Errorf("read answer from %s: %w", host, err)
@@ -235,6 +239,9 @@
 			}
 			return nil, err
 		}
+		if err := checkOrder(fr, begun); err != nil {
+			return nil, err
+		}
 		if fr.End != nil {
 			if fr.End.Code == "" && !begun {
 				return nil, ErrNoHead
@@ -258,6 +265,31 @@
 	}
 }
 
+// checkOrder returns ErrDisorder unless a frame may come next in an answer, whose head has arrived or
+// not. A frame may have no content: data of no bytes, or what another build sends.
+func checkOrder(fr wire.Frame, begun bool) error {
+	contents := 0
+	for _, has := range []bool{
+		fr.Head != nil, fr.Data != nil, fr.End != nil, fr.KeepAlive, fr.Request != nil,
+		fr.FetchParts != nil, fr.FetchItems != nil, fr.Parts != nil, fr.Items != nil,
+	} {
+		if has {
+			contents++
+		}
+	}
+	switch {
+	case contents > 1:
+		return fmt.Errorf("%w: frame has %d contents", ErrDisorder, contents)
+	case fr.Head != nil && begun:
+		return fmt.Errorf("%w: second head, status %d", ErrDisorder, fr.Head.Status)
+	case fr.Data != nil && !begun:
+		return fmt.Errorf("%w: %d bytes of data before a head", ErrDisorder, len(fr.Data))
+	case contents > 0 && fr.Head == nil && fr.Data == nil && fr.End == nil && !fr.KeepAlive:
+		return fmt.Errorf("%w: frame is no part of an answer", ErrDisorder)
+	}
+	return nil
+}
+
 // markCancelled wraps ErrCancelled if the caller has disconnected, or if the deadline of a
 // request that the other host had acknowledged has passed. An unacknowledged one may have
 // been lost on the link.
--- a/internal/serve/flow/remote_test.go
+++ b/internal/serve/flow/remote_test.go
@@ -214,6 +214,67 @@
 	}
 }
 
+// TestDisorderedAnswerIsPassedOn guards against an answer whose frames are out of order, whose parts
+// reach the caller as an answer, or as a part of another attempt's.
+func TestDisorderedAnswerIsPassedOn(t *testing.T) {
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	head, other := wire.Frame{Head: &wire.Head{Status: 200}}, wire.Frame{Head: &wire.Head{Status: 500}}
+	data, text, end := wire.Frame{Data: []byte("data: x\n\n")}, wire.Frame{Data: []byte("failed")}, wire.Frame{End: &wire.End{}}
+	for _, tt := range []struct {
+		name    string
+		frames  []wire.Frame
+		heads   int
+		body    string
+		ordered bool
+	}{
+		{"in order", []wire.Frame{{KeepAlive: true}, head, {}, data, {KeepAlive: true}, data, end}, 1, "data: x\n\ndata: x\n\n", true},
+		{"refusal without a head", []wire.Frame{{KeepAlive: true}, {End: &wire.End{Code: fault.Busy}}}, 0, "", true},
+		{"data before the head", []wire.Frame{{KeepAlive: true}, text, head, data, end}, 0, "", false},
+		{"data, then a refusal", []wire.Frame{text, {End: &wire.End{Code: fault.Busy}}}, 0, "", false},
+		{"second head", []wire.Frame{head, other, text, end}, 1, "", false},
+		{"second head after data", []wire.Frame{head, data, other, text, end}, 1, "data: x\n\n", false},
+		{"head with data", []wire.Frame{{Head: head.Head, Data: text.Data}, end}, 0, "", false},
+		{"end with data", []wire.Frame{head, {Data: text.Data, End: end.End}}, 1, "", false},
+		{"end with a head", []wire.Frame{{Head: head.Head, End: end.End}}, 0, "", false},
+		{"request", []wire.Frame{head, {Request: &wire.Request{ID: "r"}}, data, end}, 1, "", false},
+	} {
+		relay := newLink(t, ca, "relay", link.Handlers{Stream: func(_ context.Context, _ string, s *link.Stream) {
+			if _, err := s.Read(wire.MaxFrame, later()); err == nil {
+				for _, f := range tt.frames {
+					_ = s.Write(f, later())
+				}
+			}
+			s.Finish()
+		}})
+		entry := newLink(t, ca, "entry", link.Handlers{})
+		heads, body := 0, ""
+		sink := client.Sink{
+			Head: func(wire.Head) error { heads++; return nil },
+			Data: func(p []byte) error { body += string(p); return nil },
+		}
+		got, err := Exchange(t.Context(), entry, "relay", relay.Address(), wire.Request{ID: "r"}, sink, time.Second)
+		if heads != tt.heads || body != tt.body {
+			t.Errorf("%s: passed on %d heads and %q, want %d and %q", tt.name, heads, body, tt.heads, tt.body)
+		}
+		if tt.ordered {
+			if got == nil || err != nil {
+				t.Errorf("%s: got end %+v, error %v", tt.name, got, err)
+			}
+			continue
+		}
+		if got != nil || err == nil || errors.Is(err, ErrSink) || errors.Is(err, link.ErrNotSent) || !HostFailed(err) {
+			t.Errorf("%s: got end %+v, error %v, want a failure of the relay", tt.name, got, err)
+		}
+		if !entry.Connected("relay") {
+			t.Errorf("%s: the link to the relay is lost", tt.name)
+		}
+	}
+}
+
 // TestUnknownRanOfRelay guards against a value of another build that would count as not run.
 func TestUnknownRanOfRelay(t *testing.T) {
 	for ran, want := range map[fault.Ran]fault.Ran{"": fault.RanUnknown, "partly": fault.RanUnknown, fault.RanNo: fault.RanNo} {
