Hold a relayed answer's head until its first data

What callers of the inventory could get: the answer of one endpoint under the head of another's. A relay sends the head and breaks off before the data, as a large whole answer is one frame. The attempt counted as not begun, since only data made it so, and another was made; but the caller's side had the first head and dropped the second. A failure's text came as a stream of events that ends as complete, or an answer of 200 under a status of 500.

Evidence: TestHeadOfBrokenAnswerIsPassedOn on the old code: "answer that broke off after its head: ... passed on [200]", then "passed on [200 404 unknown], want the second answer only".

Ruled out: attempts at local endpoints pass head and first data on together; published routes count the answer as begun from its head on; forwardHome makes one attempt.

The head is passed on with the first data, or at the end of an answer without a body. Nothing waits longer: relays send the head of a stream with its first event.

--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -37,9 +37,13 @@
 	t.tried[m.Name] = true
 	t.report.Endpoint, t.report.Region = "", d.region
 	req := NewWireRequest(t.Request, wire.Relay, f.now(), f.board.Revisions.Revision())
-	end, err := f.Exchange(ctx, m.Name, m.Address, req, f.observedSink(t, ObserveHead(sink, func(h wire.Head) {
+	held := &heldHead{sink: sink}
+	end, err := f.Exchange(ctx, m.Name, m.Address, req, f.observedSink(t, ObserveHead(held.holding(), func(h wire.Head) {
 		t.report.Endpoint, t.report.Status = h.Endpoint, h.Status
 	})), f.ackTimeout(t, d.region))
+	if err == nil && end.Code == "" {
+		err = held.pass()
+	}
 	if HostFailed(err) {
 		f.board.Remotes.MarkFailed(f.now(), d.region)
 	}
@@ -69,6 +73,44 @@
 	}
 }
 
+// heldHead holds the head of an answer until its first data or its end, so that nothing has reached
+// the caller of an answer that breaks off before: another attempt's takes its place, with its own head.
+type heldHead struct {
+	sink client.Sink
+	// head is nil if there is none that was not passed on.
+	head *wire.Head
+}
+
+// holding returns a sink that passes data on after the head.
+func (h *heldHead) holding() client.Sink {
+	return client.Sink{
+		Head: func(hd wire.Head) error {
+			h.head = &hd
+			return nil
+		},
+		Data: func(p []byte) error {
+			if err := h.pass(); err != nil {
+				return err
+			}
+			return h.sink.Data(p)
+		},
+		Acked: h.sink.Acked, Received: h.sink.Received,
+	}
+}
+
+// pass passes the head on. The error is ErrSink.
+func (h *heldHead) pass() error {
+	if h.head == nil {
+		return nil
+	}
+	hd := *h.head
+	h.head = nil
+	if err := h.sink.Head(hd); err != nil {
+		return fmt.Errorf("%w: %w", ErrSink, err)
+	}
+	return nil
+}
+
 // NewWireRequest returns the message that asks another host to serve a request.
 func NewWireRequest(r Request, role wire.Role, now time.Time, revision uint64) wire.Request {
 	return wire.Request{
--- a/internal/serve/flow/remote_test.go
+++ b/internal/serve/flow/remote_test.go
@@ -4,13 +4,19 @@
 	"bytes"
 	"context"
 	"errors"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 )
 
@@ -275,6 +281,57 @@
 	}
 }
 
+// TestHeadOfBrokenAnswerIsPassedOn guards against an answer of one endpoint under the head of another's:
+// a relay's answer breaks off after its head, and another relay's is taken.
+func TestHeadOfBrokenAnswerIsPassedOn(t *testing.T) {
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	requests := 0
+	relay := newLink(t, ca, "relay", link.Handlers{Stream: func(_ context.Context, _ string, s *link.Stream) {
+		if _, err := s.Read(wire.MaxFrame, later()); err != nil {
+			return
+		}
+		if requests++; requests == 1 {
+			_ = s.Write(wire.Frame{Head: &wire.Head{Status: 200, Endpoint: "broken"}}, later())
+			s.Finish()
+			return
+		}
+		_ = s.Write(wire.Frame{Head: &wire.Head{Status: 404, Endpoint: "whole"}}, later())
+		if requests == 2 {
+			_ = s.Write(wire.Frame{Data: []byte("unknown")}, later())
+		}
+		_ = s.Write(wire.Frame{End: &wire.End{}}, later())
+		s.Finish()
+	}})
+	now := time.Now()
+	b := board.New(now, "entry", "a", "a-1", 1)
+	b.Members.SetCandidates(now, []member.Candidate{{Name: "relay", Address: relay.Address(), Region: "b"}})
+	b.Members.Receive(now, wire.Packet{Kind: wire.Announce, From: "relay", Incarnation: 5, Updates: []wire.Update{{Host: "relay", Life: 5, State: wire.Alive}}})
+	f := New(b, meter.New(), newLink(t, ca, "entry", link.Handlers{}))
+	task := &task{
+		Request:   Request{ID: "r", Caller: &invent.Caller{}, Service: &invent.Service{}, Deadline: later()},
+		inventory: &invent.Inventory{}, tried: map[string]bool{},
+	}
+	var passed []string
+	sink := client.Sink{
+		Head: func(h wire.Head) error { passed = append(passed, strconv.Itoa(h.Status)); return nil },
+		Data: func(p []byte) error { passed = append(passed, string(p)); return nil },
+	}
+	attempt := func() result { return f.attemptRemote(t.Context(), task, decision{region: "b"}, sink) }
+	if res := attempt(); res.whole || res.started || len(passed) > 0 {
+		t.Errorf("answer that broke off after its head: result %+v, passed on %v", res, passed)
+	}
+	if res := attempt(); !res.whole || !slices.Equal(passed, []string{"404", "unknown"}) || task.report.Status != 404 {
+		t.Errorf("result %+v, passed on %v, want the second answer only", res, passed)
+	}
+	if res := attempt(); !res.whole || !slices.Equal(passed[2:], []string{"404"}) {
+		t.Errorf("whole answer without a body: result %+v, passed on %v", res, passed[2:])
+	}
+}
+
 // TestUnknownRanOfRelay guards against a value of another build that would count as not run.
 func TestUnknownRanOfRelay(t *testing.T) {
 	for ran, want := range map[fault.Ran]fault.Ran{"": fault.RanUnknown, "partly": fault.RanUnknown, fault.RanNo: fault.RanNo} {
