Reset streams to callers of HTTP/1.0 unless they are completed

What callers of HTTP/1.0 got: a stream that ends as complete, since the end of the connection is the end of such an answer, when the host closed the connection otherwise than by BreakStream (the caller's connection half-closed, a write that timed out for a slow caller, a host that ended a flood) and when the host's process ended.

Cause: only BreakStream made the connection's close a reset.

Evidence: on the old code TestBrokenStreamLooksWhole fails for "closed", "write timeout", "write timeout, then completed" and "half-closed by the caller" with HTTP/1.0 ("whole true, want false"), and TestKilledHostEndsStream ("HTTP/1.0: the stream ends as whole after ... data: x").

Ruled out: callers of HTTP/1.1. In the same cases (also BreakStream with data that is not flushed, and with a second request on the connection) no last chunk arrives and no second answer: netpoll's Flush refuses a closed connection, so what the library writes after the handler stays in user space.

The connection is set to be reset when the stream starts, which the kernel does also for a process that was killed, and to end normally only after the whole answer was written without an error.

--- a/internal/base/socket/body.go
+++ b/internal/base/socket/body.go
@@ -11,37 +11,41 @@
 )
 
 // StartStream lets the body of an answer be sent as it is written: in chunks, or up to the
-// end of the connection for a caller of HTTP/1.0, which has no chunks.
+// end of the connection for a caller of HTTP/1.0, which has no chunks. That connection is reset
+// unless the answer is completed, also by the kernel when the process ends.
 func StartStream(c *app.RequestContext) {
 	if c.Request.Header.IsHTTP11() {
 		c.Response.HijackWriter(resp.NewChunkedBodyWriter(&c.Response, c.GetWriter()))
 		return
 	}
 	c.SetConnectionClose()
-	c.Response.HijackWriter(&unframedWriter{response: &c.Response, writer: c.GetWriter()})
+	resetOnClose(c.GetConn(), true)
+	c.Response.HijackWriter(&unframedWriter{response: &c.Response, conn: c.GetConn(), writer: c.GetWriter()})
 }
 
 // BreakStream closes the connection of a stream that StartStream started, such that the
 // caller can't take what it received for the whole.
-func BreakStream(c *app.RequestContext) {
-	if !c.Request.Header.IsHTTP11() {
-		resetOnClose(c.GetConn())
-	}
-	_ = c.GetConn().Close()
-}
+func BreakStream(c *app.RequestContext) { _ = c.GetConn().Close() }
 
-// resetOnClose makes the closing of a connection reset it.
-func resetOnClose(c network.Conn) {
+// resetOnClose makes the closing of a connection reset it, or end it after all that was written.
+func resetOnClose(c network.Conn, reset bool) {
+	linger := &syscall.Linger{}
+	if reset {
+		linger.Onoff = 1
+	}
 	if fd, ok := descriptor(c); ok {
-		_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, linger)
 	}
 }
 
 // unframedWriter writes a body without a length or chunks.
 type unframedWriter struct {
 	response *protocol.Response
+	conn     network.Conn
 	writer   network.Writer
 	begun    bool
+	// err is the first error: what was written after one is not the whole.
+	err error
 }
 
 // Write implements network.ExtWriter.
@@ -49,12 +53,21 @@
 	if err := w.begin(); err != nil {
 		return 0, err
 	}
-	return w.writer.WriteBinary(p)
+	n, err := w.writer.WriteBinary(p)
+	return n, w.keep(err)
+}
+
+// keep records the first error and returns it.
+func (w *unframedWriter) keep(err error) error {
+	if w.err == nil {
+		w.err = err
+	}
+	return w.err
 }
 
 func (w *unframedWriter) begin() error {
 	if w.begun {
-		return nil
+		return w.err
 	}
 	w.begun = true
 	const noLength = -2
@@ -62,17 +75,23 @@
 	h.SetContentLength(noLength)
 	h.Del("Transfer-Encoding")
 	if err := resp.WriteHeader(h, w.writer); err != nil {
-		return fmt.Errorf("write head: %w", err)
+		return w.keep(fmt.Errorf("write head: %w", err))
 	}
 	return nil
 }
 
 // Flush implements network.ExtWriter.
-func (w *unframedWriter) Flush() error { return w.writer.Flush() }
+func (w *unframedWriter) Flush() error { return w.keep(w.writer.Flush()) }
 
+// Finalize implements network.ExtWriter. The server calls it for each answer, also a broken one,
+// whose connection is closed.
 func (w *unframedWriter) Finalize() error { //nolint:misspell // The interface names it so.
 	if err := w.begin(); err != nil {
 		return err
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	resetOnClose(w.conn, false)
+	return nil
 }
