Take only the closing event for the end of a stream

What callers of the inventory got: a stream that ends as complete too early. (1) An event whose text ends like the closing event ("data: it ends with data: [DONE]") passed over a relay that broke off after it: the stream counted as whole. (2) An event of several lines whose last is "[DONE]": the stream was ended there. And a stream closed by "data:[DONE]" with carriage returns got an error event after it if the relay broke off before its last frame.

Cause: flow compared the suffix of the bytes, the splitter the last line of an event's data.

Both now parse events, and the closing event has that one line of data.

--- a/internal/serve/flow/local.go
+++ b/internal/serve/flow/local.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"strconv"
@@ -75,7 +74,7 @@
 			if err := sink.Data(p); err != nil {
 				return err
 			}
-			t.closingSent = t.closingSent || bytes.HasSuffix(p, stream.DoneEvent)
+			t.closingSent = t.closingSent || stream.HasClosing(p)
 			return nil
 		},
 	}
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -20,9 +20,6 @@
 // NoID stands for no event id: the position before the first event.
 const NoID = -1
 
-// DoneEvent is the usual form of the closing event, which ends a whole stream.
-var DoneEvent = []byte("data: [DONE]\n\n")
-
 var (
 	doneData  = []byte("[DONE]")
 	dataField = []byte("data")
@@ -91,13 +88,14 @@
 // accept parses an event, updates the last id and done, and reports whether the event
 // is new.
 func (s *Splitter) accept(event []byte) (bool, error) {
-	id, data, hasData := NoID, []byte(nil), false
+	id, hasData, closes := NoID, false, false
 	for line := range bytes.Lines(event) {
 		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
 		case bytes.Equal(name, dataField):
-			data, hasData = value, true
+			// The data of several lines is one text, which is not that of the closing event.
+			closes, hasData = !hasData && bytes.Equal(value, doneData), true
 		case bytes.Equal(name, idField):
 			if n, err := strconv.Atoi(string(value)); err == nil && n >= 0 {
 				id = n
@@ -117,7 +115,7 @@
 		}
 		s.lastID = id
 	}
-	if bytes.Equal(data, doneData) {
+	if closes {
 		if s.done {
 			return false, nil
 		}
@@ -151,6 +149,16 @@
 // Partial reports whether a partial event is buffered. Empty lines after an event are none.
 func (s *Splitter) Partial() bool { return len(bytes.Trim(s.buf, "\r\n")) > 0 }
 
+// HasClosing reports whether the closing event is among whole events.
+func HasClosing(events []byte) bool {
+	if !bytes.Contains(events, doneData) {
+		return false
+	}
+	s := NewSplitter()
+	_, err := s.Add(events)
+	return err == nil && s.Done()
+}
+
 // HasData reports whether there is an event with data among whole events. Comments have none.
 func HasData(events []byte) bool {
 	for line := range bytes.Lines(events) {
--- a/internal/serve/stream/stream_test.go
+++ b/internal/serve/stream/stream_test.go
@@ -76,3 +76,22 @@
 		}
 	}
 }
+
+// TestTextIsNoClosingEvent guards against a stream that ends as complete at an event whose text names
+// the closing event.
+func TestTextIsNoClosingEvent(t *testing.T) {
+	for _, text := range []string{
+		"data: a\ndata: [DONE]\n\n", "data: [DONE]\ndata: a\n\n", "data: say data: [DONE]\n\n", "event: data: [DONE]\n\n", ": data: [DONE]\n\n",
+		"data: [DONE]", "data: [DONE]\n",
+	} {
+		s := NewSplitter()
+		if _, err := s.Add([]byte(text)); err != nil || s.Done() || HasClosing([]byte(text)) {
+			t.Errorf("%q: error %v, done %v, closing %v, want an event like others", text, err, s.Done(), HasClosing([]byte(text)))
+		}
+	}
+	for _, text := range []string{"data: [DONE]\n\n", "data:[DONE]\r\n\r\n", "data: a\n\nid: 3\ndata: [DONE]\n\n"} {
+		if !HasClosing([]byte(text)) {
+			t.Errorf("%q: the closing event is not found", text)
+		}
+	}
+}
