Continue streams of the inventory with streams of events only

What callers of the inventory got: a stream that broke off, then the text of another answer in its middle, and, where that text ends with the closing event or the stream was completed later, an end as if it were complete. A resumed stream was checked for the status 200 only; the body of a page, of JSON or of an encoded answer went through the splitter, which passes on each text up to an empty line.

Also: a stream whose media type is in capitals was collected as a whole answer, whose closing event nobody looks for; and an encoded one was split at chance bytes.

Ruled out: a resumed stream that ends without its closing event never counted as whole; events out of sequence end it (ErrGap).

The media type is parsed in one place for both hosts' sides, and a resumed answer must be a stream of events that is not encoded. Such an attempt isn't resumed again, as after another status.

--- a/internal/serve/client/client.go
+++ b/internal/serve/client/client.go
@@ -36,13 +36,12 @@
 
 // The header fields and paths of the protocol between the gateway and its endpoints.
 const (
-	StreamIDField   = "X-Stream-Id"
-	LeavingField    = "X-Leaving"
-	RequestIDField  = "X-Request-Id"
-	PriorityField   = "X-Priority"
-	eventStreamType = "text/event-stream"
-	resumePath      = "/v1/resume"
-	cancelPath      = "/v1/cancel"
+	StreamIDField  = "X-Stream-Id"
+	LeavingField   = "X-Leaving"
+	RequestIDField = "X-Request-Id"
+	PriorityField  = "X-Priority"
+	resumePath     = "/v1/resume"
+	cancelPath     = "/v1/cancel"
 )
 
 // Attempt is one attempt of a request at one endpoint.
@@ -223,7 +222,6 @@
 
 // passAnswer passes the head and the body of an answer on.
 func (r *attemptRun) passAnswer(e *exchange) {
-	isEvents := strings.HasPrefix(e.resp.Header.Get("Content-Type"), eventStreamType)
 	headSent := false
 	sendHead := func() error {
 		if headSent || r.result.Started {
@@ -233,11 +231,22 @@
 		r.result.Started = true
 		return r.sink.Head(r.answerHead(e))
 	}
-	if !isEvents {
+	switch {
+	case !stream.IsEvents(e.resp.Header.Get("Content-Type")):
 		r.passWhole(e, sendHead)
-		return
+	case isEncoded(e.resp):
+		r.recordFailure(e, errEncoded)
+	default:
+		r.passEvents(e, sendHead)
 	}
-	r.passEvents(e, sendHead)
+}
+
+// errEncoded is the error of a stream whose bytes can't be split into events.
+var errEncoded = errors.New("stream of events is encoded")
+
+func isEncoded(resp *http.Response) bool {
+	encoding := resp.Header.Get("Content-Encoding")
+	return encoding != "" && !strings.EqualFold(encoding, "identity")
 }
 
 // passWhole reads the whole body of an answer that is not a stream before it passes
@@ -373,9 +382,10 @@
 	e := newExchange(ctx, r.attempt.Address, r.attempt.Deadline, r.attempt.IdleTimeout)
 	defer e.close()
 	err := e.do(http.MethodGet, resumePath+"?stream="+r.streamID+"&from="+strconv.Itoa(r.splitter.LastID()+1), nil, nil)
-	if err == nil && e.resp.StatusCode != 200 {
-		err = fmt.Errorf("endpoint answered status %d", e.resp.StatusCode)
-		r.result.Resumes = maxResumes
+	if err == nil {
+		if err = continues(e.resp); err != nil {
+			r.result.Resumes = maxResumes
+		}
 	}
 	if err != nil {
 		r.recordFailure(e, fmt.Errorf("resume stream: %w", err))
@@ -386,6 +396,15 @@
 	r.passEvents(e, func() error { return nil })
 }
 
+// continues returns an error unless an answer is the rest of a stream of events.
+func continues(resp *http.Response) error {
+	kind := resp.Header.Get("Content-Type")
+	if resp.StatusCode != http.StatusOK || !stream.IsEvents(kind) || isEncoded(resp) {
+		return fmt.Errorf("endpoint answered status %d, media type %q, encoding %q", resp.StatusCode, kind, resp.Header.Get("Content-Encoding"))
+	}
+	return nil
+}
+
 // cancelStream asks the endpoint to stop generating the stream, as nobody reads it.
 func (r *attemptRun) cancelStream() {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
--- a/internal/serve/client/ending_test.go
+++ b/internal/serve/client/ending_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
 )
@@ -79,6 +80,82 @@
 	}
 }
 
+// listenEach starts an endpoint that sends the answers to its requests in turn, each on a connection
+// that it closes then.
+func listenEach(t *testing.T, answers ...string) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for i := 0; ; i++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil && i < len(answers) {
+				_, _ = c.Write([]byte(answers[i]))
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestOtherAnswerContinuesStream guards against a resumed stream that has the text of an answer in it
+// that is no stream of events, although its status is 200.
+func TestOtherAnswerContinuesStream(t *testing.T) {
+	const first = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Stream-Id: s\r\n\r\nid: 0\ndata: a\n\n"
+	const rest, closing = "id: 1\ndata: b\n\n", "data: [DONE]\n\n"
+	for _, tt := range []struct {
+		name, head, body string
+		whole            bool
+	}{
+		{"events", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\n\r\n", rest + closing, true},
+		{"events, type in capitals", "HTTP/1.1 200 OK\r\nContent-Type: Text/Event-Stream\r\n\r\n", rest + closing, true},
+		{"text", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", "not found\n\ntry again\n\n" + closing, false},
+		{"similar type", "HTTP/1.1 200 OK\r\nContent-Type: text/event-streams\r\n\r\n", rest + closing, false},
+		{"JSON", "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", "{\"error\":1}\n\n" + closing, false},
+		{"no type", "HTTP/1.1 200 OK\r\n\r\n", "<html>\n\n" + closing, false},
+		{"encoded", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Encoding: gzip\r\n\r\n", "\x1f\x8b\n\n" + closing, false},
+		{"failure", "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/event-stream\r\n\r\n", rest + closing, false},
+		{"a head in the body", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", "HTTP/1.1 500 x\r\n\r\n" + closing, false},
+	} {
+		address := listenEach(t, first, tt.head+tt.body)
+		out, got := doOnce(address, func() {})
+		want := "id: 0\ndata: a\n\n"
+		if tt.whole {
+			want += rest + closing
+		}
+		if out.Whole != tt.whole || got != want || !out.Started {
+			t.Errorf("%s: whole %v, body %q, want %v and %q (error %v)", tt.name, out.Whole, got, tt.whole, want, out.Err)
+		}
+		if !tt.whole && out.Ran != fault.RanUnknown {
+			t.Errorf("%s: ran %s, want unknown", tt.name, out.Ran)
+		}
+	}
+}
+
+// TestStreamOfOddTypeIsTakenForWhole guards against a stream that is collected as a whole answer, whose
+// closing event nobody looks for, and against an encoded one whose bytes are passed on as events.
+func TestStreamOfOddTypeIsTakenForWhole(t *testing.T) {
+	for _, fields := range []string{
+		"Content-Type: Text/Event-Stream\r\n", "Content-Type: text/event-stream;charset=utf-8\r\n", "Content-Type:  text/event-stream ;x\r\n",
+		"Content-Type: text/event-stream\r\nContent-Encoding: gzip\r\n",
+	} {
+		out, got := doOnce(listenEach(t, "HTTP/1.1 200 OK\r\n"+fields+"\r\ndata: a\n\n"), func() {})
+		want := "data: a\n\n"
+		if strings.Contains(fields, "gzip") {
+			want = ""
+		}
+		if out.Whole || got != want {
+			t.Errorf("%q without its closing event: whole %v, body %q", fields, out.Whole, got)
+		}
+	}
+}
+
 func TestUnframedStreamIsPassedOnAsItArrives(t *testing.T) {
 	passed := make(chan struct{}, 2)
 	address := listenOnce(t, func(c net.Conn) {
--- a/internal/serve/front/request.go
+++ b/internal/serve/front/request.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
 // promptPrefixBytes is the length of the hashed prompt prefix. Requests that have it
@@ -201,10 +202,8 @@
 	a.c.SetStatusCode(h.Status)
 	for _, f := range h.Fields {
 		a.c.Response.Header.Set(f.Name, f.Value)
-		if f.Name == "Content-Type" && strings.HasPrefix(f.Value, "text/event-stream") {
-			a.streaming = true
-		}
 	}
+	a.streaming = stream.IsEvents(h.Field("Content-Type"))
 	if h.Endpoint != "" {
 		a.c.Header(ServedByField, h.Endpoint)
 	}
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"errors"
+	"mime"
 	"strconv"
 )
 
@@ -20,6 +21,9 @@
 // NoID stands for no event id: the position before the first event.
 const NoID = -1
 
+// mediaType is that of a stream of events.
+const mediaType = "text/event-stream"
+
 var (
 	doneData  = []byte("[DONE]")
 	dataField = []byte("data")
@@ -149,6 +153,12 @@
 // Partial reports whether a partial event is buffered. Empty lines after an event are none.
 func (s *Splitter) Partial() bool { return len(bytes.Trim(s.buf, "\r\n")) > 0 }
 
+// IsEvents reports whether a value of the field Content-Type is that of a stream of events.
+func IsEvents(contentType string) bool {
+	kind, _, err := mime.ParseMediaType(contentType)
+	return kind == mediaType && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
+}
+
 // HasClosing reports whether the closing event is among whole events.
 func HasClosing(events []byte) bool {
 	if !bytes.Contains(events, doneData) {
