Refuse answers of HTTP/1.0 with a transfer encoding

What callers got of an endpoint that answers so: the sizes of its chunks in the body ("f\r\nid: 0 ..."), and an end as complete also where the chunks broke off, as net/http drops the field in answers of HTTP/1.0 and takes the end of the connection for theirs.

Such framing is faulty (RFC 9112, 6.1), so the attempt fails; both the published routes and the inventory read through this reader. The field is found where the lines of a head are counted, by byte too.

--- a/internal/serve/head/head.go
+++ b/internal/serve/head/head.go
@@ -21,6 +21,10 @@
 // ErrTooLong is the error of an answer that exceeds a limit.
 var ErrTooLong = errors.New("answer too long")
 
+// ErrFraming is the error of an answer of HTTP/1.0 with a transfer encoding. That version has none, so
+// where such an answer ends is not known (RFC 9112, 6.1), and its body may be encoded.
+var ErrFraming = errors.New("answer of HTTP/1.0 has a transfer encoding")
+
 // Reader reads answers from a connection. The bodies of the answers read from it too.
 type Reader struct {
 	*bufio.Reader
@@ -45,7 +49,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("peek at buffered bytes: %w", err)
 		}
-		r.meter.open, r.meter.lineBytes = true, 0
+		r.meter.open, r.meter.lineBytes, r.meter.encoded = true, 0, false
 		r.meter.add(buffered)
 		resp, err := http.ReadResponse(r.Reader, req)
 		if r.meter.err != nil {
@@ -54,6 +58,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if r.meter.encoded && !resp.ProtoAtLeast(1, 1) {
+			return nil, ErrFraming
+		}
 		if resp.StatusCode < 100 || resp.StatusCode >= 200 {
 			return resp, nil
 		}
@@ -72,6 +79,10 @@
 	lineBytes int
 	// returned reports whether the current line starts with a carriage return.
 	returned bool
+	// name is the beginning of the current line, as far as it may be encodingName; encoded reports
+	// whether a line of the head was. The library drops that field from answers of HTTP/1.0.
+	name    []byte
+	encoded bool
 	// err is ErrTooLong after a limit was exceeded, or the error of a read. It is kept, as the
 	// readers above drop the error of a read ahead or within a line, and read on.
 	err error
@@ -93,6 +104,8 @@
 	return n, err
 }
 
+var encodingName = []byte("Transfer-Encoding:")
+
 // add counts bytes that were read.
 func (m *meter) add(p []byte) {
 	for len(p) > 0 && m.open && m.err == nil {
@@ -100,6 +113,11 @@
 		if m.lineBytes == 0 && len(line) > 0 {
 			m.returned = line[0] == '\r'
 		}
+		if m.lineBytes == 0 {
+			m.name = m.name[:0]
+		}
+		m.name = append(m.name, line[:min(len(line), len(encodingName)-len(m.name))]...)
+		m.encoded = m.encoded || bytes.EqualFold(m.name, encodingName)
 		m.lineBytes += len(line)
 		m.bytes += len(line)
 		if ended {
--- a/internal/serve/head/head_test.go
+++ b/internal/serve/head/head_test.go
@@ -48,6 +48,29 @@
 	}
 }
 
+// TestChunksOfOldVersionArePassedOn guards against the sizes of chunks in the body of an answer of
+// HTTP/1.0, which has none.
+func TestChunksOfOldVersionArePassedOn(t *testing.T) {
+	for answer, refused := range map[string]bool{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n":                       true,
+		"HTTP/1.0 200 OK\nA: b\ntransfer-encoding:chunked\nContent-Length: 1\n\nx":                       true,
+		"HTTP/1.0 200 OK\r\nX-Transfer-Encoding: chunked\r\nTransfer: a\r\nLength: 1\r\n\r\nx":           false,
+		"HTTP/1.0 200 OK\r\n\r\nTransfer-Encoding: x":                                                    false,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n":                       false,
+		"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.0 200 OK\r\nA: b\r\n\r\nx": false,
+	} {
+		for _, slow := range []func(io.Reader) io.Reader{func(r io.Reader) io.Reader { return r }, iotest.OneByteReader, iotest.HalfReader} {
+			resp, err := NewReader(slow(strings.NewReader(answer)), 4<<10).ReadAnswer("GET")
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			if errors.Is(err, ErrFraming) != refused || (err != nil) != refused {
+				t.Errorf("%q: got error %v, want refused %v", answer, err, refused)
+			}
+		}
+	}
+}
+
 // FuzzReadAnswer: whatever arrives, no more is read for a head than its limit and a buffer.
 func FuzzReadAnswer(f *testing.F) {
 	for _, seed := range []string{
