Fail a stream whose connection ends before an event

What callers got: an empty stream, or the rest of one that another endpoint began, as complete, when an endpoint without a length or chunks sent the head and ended (killed, or its connection closed) before its first event. An engine sends the head before it reads a prompt, so this is the longest part of a run.

The protocol has it that an answer without a length ends with its connection, and that stays so once an event with data has arrived, also one that the caller has already. Before that, nothing tells a whole answer from none: a stream is a series of events, and a rest that is empty is there only if the first endpoint broke off exactly after its last event. The attempt counts as broken, so the stream is continued elsewhere or ends for its caller as broken off. The price: a sound rest without events from an endpoint that frames nothing reaches the caller as broken off.

Evidence, on the old code: TestAnswersEnd, "connection, before the first event: got whole true", "rest, connection, before an event: got whole true".

The test also states what else counts as whole, which holds without a change: trailers, extensions of chunks, bytes and a second answer after the end (the connection isn't used again), lengths that are too short, too long, doubled or negative, a rest of length 0.

--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -669,6 +669,11 @@
 				e.fail(fmt.Errorf("stream ended within an event: %w", io.ErrUnexpectedEOF))
 				return 0
 			}
+			if e.result.Unframed && splitter.Progress() == 0 {
+				// The endpoint has closed the connection or ended before its first event.
+				e.fail(fmt.Errorf("connection of a stream ended before an event: %w", io.ErrUnexpectedEOF))
+				return 0
+			}
 			return e.finishStream(resp)
 		}
 		if err != nil {
--- /dev/null
+++ b/internal/serve/pool/ending_test.go
@@ -0,0 +1,91 @@
+package pool
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
+)
+
+// TestAnswersEnd states which answers count as whole. It guards against a broken answer that looks
+// whole, as far as the two can be told apart: an answer that states no length is whole once its
+// connection is closed, as the protocol has it.
+func TestAnswersEnd(t *testing.T) {
+	const (
+		first, second = "id: 0\ndata: x\n\n", "id: 1\ndata: y\n\n"
+		kind          = "X-Id: a\r\nContent-Type: text/event-stream\r\n"
+		head11        = "HTTP/1.1 200 OK\r\n" + kind
+		head10        = "HTTP/1.0 200 OK\r\n" + kind
+		chunked       = "Transfer-Encoding: chunked\r\n"
+		length        = "Content-Length: 15\r\n"
+		closes        = "Connection: close\r\n"
+		chunk         = "f\r\n" + first + "\r\n"
+		plain         = "HTTP/1.1 200 OK\r\nX-Id: a\r\n"
+		plain10       = "HTTP/1.0 200 OK\r\nX-Id: a\r\n"
+	)
+	for _, tt := range []struct {
+		name, script string
+		// after is the last event that the caller has.
+		after int
+		whole bool
+		body  string
+		// reused reports whether the next request uses the connection.
+		reused bool
+	}{
+		{"chunks", head11 + chunked + "\r\n" + chunk + lastChunk, stream.NoID, true, first, true},
+		{"chunks with extensions", head11 + chunked + "\r\nf;a=\"b\";c\r\n" + first + "\r\n0;last\r\n\r\n", stream.NoID, true, first, true},
+		{"chunks with a trailer", head11 + chunked + "\r\n" + chunk + "0\r\nX-Sum: 1\r\n\r\n", stream.NoID, true, first, true},
+		{"chunks cut within the trailer", head11 + chunked + closes + "\r\n" + chunk + "0\r\nX-Sum: 1", stream.NoID, false, first, false},
+		{"chunks cut before the empty line", head11 + chunked + closes + "\r\n" + chunk + "0\r\nX-Sum: 1\r\n", stream.NoID, false, first, false},
+		{"chunk of a bad size", head11 + chunked + closes + "\r\n" + chunk + "zz\r\n", stream.NoID, false, first, false},
+		{"chunks of which one is longer than its size", head11 + chunked + closes + "\r\n" + "e\r\n" + first + "\r\n" + lastChunk, stream.NoID, false, "", false},
+		{"bytes after the last chunk", head11 + chunked + "\r\n" + chunk + lastChunk + "data: z\n\n", stream.NoID, true, first, false},
+		{"second answer after the last chunk", head11 + chunked + "\r\n" + chunk + lastChunk + plain + "Content-Length: 4\r\n\r\nevil", stream.NoID, true, first, false},
+		{"length", head11 + length + "\r\n" + first, stream.NoID, true, first, true},
+		{"bytes after the length", head11 + length + "\r\n" + first + second, stream.NoID, true, first, false},
+		{"length that ends within an event", head11 + "Content-Length: 20\r\n" + closes + "\r\n" + first + second, stream.NoID, false, first, false},
+		{"length that exceeds the stream", head11 + "Content-Length: 99\r\n" + closes + "\r\n" + first, stream.NoID, false, first, false},
+		{"two lengths", head11 + length + "Content-Length: 30\r\n" + closes + "\r\n" + first + second, stream.NoID, false, "", false},
+		{"negative length", head11 + "Content-Length: -1\r\n" + closes + "\r\n" + first, stream.NoID, false, "", false},
+		{"chunks and a length", head11 + chunked + "Content-Length: 4\r\n" + closes + "\r\n" + chunk + lastChunk, stream.NoID, true, first, false},
+		{"other encoding than chunks", head11 + "Transfer-Encoding: gzip, chunked\r\n" + closes + "\r\n" + chunk + lastChunk, stream.NoID, false, "", false},
+		{"connection", head11 + "\r\n" + first, stream.NoID, true, first, false},
+		{"connection, within an event", head11 + "\r\n" + first + second[:9], stream.NoID, false, first, false},
+		{"connection, before the first event", head11 + "\r\n", stream.NoID, false, "", false},
+		{"connection, within the first event", head11 + "\r\n" + first[:9], stream.NoID, false, "", false},
+		{"HTTP/1.0 connection", head10 + "\r\n" + first, stream.NoID, true, first, false},
+		{"HTTP/1.0 length", head10 + length + "\r\n" + first, stream.NoID, true, first, false},
+		{"HTTP/1.0 short", head10 + "Content-Length: 30\r\n" + closes + "\r\n" + first, stream.NoID, false, first, false},
+		{"HTTP/1.0 chunks", head10 + chunked + closes + "\r\n" + chunk + lastChunk, stream.NoID, false, "", false},
+		{"HTTP/1.0 chunks cut off", head10 + chunked + closes + "\r\n" + chunk, stream.NoID, false, "", false},
+		{"HTTP/1.0 plain chunks", plain10 + "transfer-encoding: chunked\r\n" + closes + "\r\n5\r\nhello\r\n" + lastChunk, stream.NoID, false, "", false},
+		{"HTTP/1.0 plain", plain10 + "\r\nhello", stream.NoID, true, "hello", false},
+		{"plain, connection, no body", plain + "\r\n", stream.NoID, true, "", false},
+		{"no events", head11 + "Content-Length: 0\r\n\r\n", stream.NoID, true, "", true},
+		{"rest with a length of 0", head11 + "Content-Length: 0\r\n\r\n", 0, true, "", true},
+		{"rest without chunks", head11 + chunked + "\r\n" + lastChunk, 0, true, "", true},
+		{"rest that repeats the last event", head11 + chunked + "\r\n" + chunk + lastChunk, 0, true, "", true},
+		{"rest, connection", head11 + "\r\n" + second, 0, true, second, false},
+		{"rest, connection, after the last event", head11 + "\r\n" + first, 0, true, "", false},
+		{"rest, connection, before an event", head11 + "\r\n", 0, false, "", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := listen(t, tt.script, answer("b", "next"))
+			c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+			defer c.Pool.Close()
+			out, body := do(c, s.Addr().String(), func(a *Attempt) { a.LastEventID = tt.after })
+			if out.Whole != tt.whole || body != tt.body {
+				t.Errorf("got whole %v, body %q (error %v), want %v and %q", out.Whole, body, out.Err, tt.whole, tt.body)
+			}
+			if !out.Whole && (out.Ran != fault.RanUnknown || out.Err == nil || out.CallerLeft) {
+				t.Errorf("broken answer: ran %s, error %v", out.Ran, out.Err)
+			}
+			next, body := do(c, s.Addr().String(), func(a *Attempt) { a.ID = "b" })
+			if next.Reused != tt.reused || !next.Whole || !strings.HasPrefix(body, "next") {
+				t.Errorf("next answer: connection reused %v, body %q (error %v), want %v", next.Reused, body, next.Err, tt.reused)
+			}
+		})
+	}
+}
