Reset a stream only for a frame that was sent in part

TestCutFrameIsReceived pins that no frame is received that its sender cut by ending the stream, returning, aborting or closing the link, at eight lengths each.

--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"time"
@@ -200,6 +201,62 @@
 	}
 }
 
+// TestCutFrameIsReceived guards against a frame that is received although its sender, or the sender's
+// host, ended within it: after its length, within it, or but for its last byte.
+func TestCutFrameIsReceived(t *testing.T) {
+	var frame bytes.Buffer
+	if err := wire.Write(&frame, wire.Frame{Data: []byte("id: 1\ndata: 0123456789\n\n")}); err != nil {
+		t.Fatal(err)
+	}
+	for name, end := range map[string]func(l *Link, s *Stream){
+		"finished": func(_ *Link, s *Stream) { s.Finish() }, "closed": func(_ *Link, s *Stream) { s.Close() },
+		"aborted": func(_ *Link, s *Stream) { s.Abort() }, "handler returned": func(*Link, *Stream) {},
+		"link closed": func(l *Link, _ *Stream) { go func() { _ = l.Close() }() },
+	} {
+		for _, sent := range []int{0, 1, 3, 4, 5, frame.Len() / 2, frame.Len() - 1, frame.Len()} {
+			var b *Link
+			ready := make(chan struct{})
+			a, started := newLinkPairWith(t, Handlers{Stream: func(_ context.Context, _ string, s *Stream) {
+				<-ready
+				_, _ = s.Read(wire.MaxFrame, time.Now().Add(waitTimeout))
+				_ = s.Write(wire.Frame{Head: &wire.Head{Status: 200}}, time.Now().Add(waitTimeout))
+				_, _ = s.s.Write(frame.Bytes()[:sent])
+				end(b, s)
+			}})
+			b = started
+			close(ready)
+			s, err := a.OpenStream(context.Background(), "b", b.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := s.Write(wire.Frame{KeepAlive: true}, time.Now().Add(waitTimeout)); err != nil {
+				t.Fatal(err)
+			}
+			var heads, data, ends int
+			for err == nil {
+				var f wire.Frame
+				if f, err = s.Read(wire.MaxFrame, time.Now().Add(waitTimeout)); err != nil {
+					break
+				}
+				switch {
+				case f.Head != nil:
+					heads++
+				case f.Data != nil:
+					data++
+				default:
+					ends++
+				}
+			}
+			if heads > 1 || data > 1 || ends > 0 || (sent < frame.Len() && data > 0) {
+				t.Errorf("%s after %d of %d bytes: received %d heads, %d frames of data, %d others", name, sent, frame.Len(), heads, data, ends)
+			}
+			s.Abort()
+			_ = b.Close()
+			_ = a.Close()
+		}
+	}
+}
+
 // TestFrameFollowsCutFrame guards against a frame that is cut by its timeout and completed with the
 // bytes of the next ones, so that the receiver takes those for data of an answer.
 func TestFrameFollowsCutFrame(t *testing.T) {
@@ -236,3 +293,30 @@
 		t.Error("a frame was written after one that was cut")
 	}
 }
+
+// TestLateFrameEndsStream guards against a stream that is reset for a frame of which nothing was sent:
+// the next one, which states the end, arrives.
+func TestLateFrameEndsStream(t *testing.T) {
+	a, b := newLinkPairWith(t, Handlers{Stream: func(_ context.Context, _ string, s *Stream) {
+		_, _ = s.Read(wire.MaxFrame, time.Now().Add(waitTimeout))
+		if s.Write(wire.Frame{Data: []byte("late")}, time.Now().Add(-time.Second)) == nil {
+			t.Error("a frame was written after its deadline")
+		}
+		if s.Write(wire.Frame{Data: make([]byte, wire.MaxFrame+1)}, time.Now().Add(waitTimeout)) == nil {
+			t.Error("a frame was written that is too large")
+		}
+		_ = s.Write(wire.Frame{End: &wire.End{Code: "busy"}}, time.Now().Add(waitTimeout))
+	}})
+	defer func() { _ = b.Close() }()
+	s, err := a.OpenStream(context.Background(), "b", b.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Abort()
+	if err := s.Write(wire.Frame{KeepAlive: true}, time.Now().Add(waitTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	if f, err := s.Read(wire.MaxFrame, time.Now().Add(waitTimeout)); err != nil || f.End == nil {
+		t.Errorf("received %+v, error %v, want the end", f, err)
+	}
+}
--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -17,19 +17,30 @@
 	release func()
 }
 
-// Write sends a frame. It fails if flow control blocks it until the deadline. After a failure it
-// resets the stream: a part of the frame may have been sent, which the next one would complete.
+// Write sends a frame. It fails if flow control blocks it until the deadline. If a part of the frame
+// was sent then, it resets the stream, as the next frame would complete it.
 func (s *Stream) Write(f wire.Frame, deadline time.Time) error {
 	if err := s.s.SetWriteDeadline(deadline); err != nil {
 		return fmt.Errorf("set write deadline: %w", err)
 	}
-	if err := wire.Write(s.s, f); err != nil {
-		s.s.CancelWrite(streamCancelled)
+	if err := wire.Write(uncutWriter{s.s}, f); err != nil {
 		return fmt.Errorf("write to stream: %w", err)
 	}
 	return nil
 }
 
+// uncutWriter resets a stream to which a part of a frame was written.
+type uncutWriter struct{ s *quic.Stream }
+
+// Write implements io.Writer.
+func (w uncutWriter) Write(p []byte) (int, error) {
+	n, err := w.s.Write(p)
+	if err != nil && n > 0 {
+		w.s.CancelWrite(streamCancelled)
+	}
+	return n, err
+}
+
 // Read receives a frame of at most limit bytes. It fails if no complete frame
 // arrives before the deadline.
 func (s *Stream) Read(limit int, deadline time.Time) (wire.Frame, error) {
