Keep an event with an id that has the closing event's text

What callers got: a stream without one of its events. After an event with the text "[DONE]", which ends no stream of a published route, a later one with that text was dropped as a repetition, with its own new id.

Evidence on the old code: TestEventLikeClosingOneIsDropped, "got "id: 1\ndata: [DONE]\n\nid: 3\ndata: a\n\n"", without event 2.

An event with an id is a repetition only by its id; the closing event without one is still passed on once.

--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -120,7 +120,7 @@
 		s.lastID = id
 	}
 	if closes {
-		if s.done {
+		if s.done && id == NoID {
 			return false, nil
 		}
 		s.done = true
--- a/internal/serve/stream/stream_test.go
+++ b/internal/serve/stream/stream_test.go
@@ -95,3 +95,18 @@
 		}
 	}
 }
+
+// TestEventLikeClosingOneIsDropped guards against a stream that lacks an event, with an id of its own,
+// because an earlier one had the text of the closing event too.
+func TestEventLikeClosingOneIsDropped(t *testing.T) {
+	const text = "id: 1\ndata: [DONE]\n\nid: 2\ndata: [DONE]\n\nid: 3\ndata: a\n\n"
+	s := NewSplitter()
+	if out, err := s.Add([]byte(text)); err != nil || string(out) != text || s.LastID() != 3 {
+		t.Errorf("got %q, error %v, want all events", out, err)
+	}
+	s = NewSplitter()
+	const closing = "data: [DONE]\n\n"
+	if out, err := s.Add([]byte(closing + closing)); err != nil || string(out) != closing {
+		t.Errorf("got %q, error %v, want the closing event once", out, err)
+	}
+}
