Send a refusal without the head fields of an answer that broke off

What callers of the inventory got: a refusal as JSON with the Content-Encoding, the Etag and other fields of an endpoint's answer of which a part had arrived (a relay or a home host ended before its last frame).

Evidence on the old code: TestRefusalHasFieldsOfBrokenAnswer, "Content-Encoding: br", "Etag: x" in a refusal with status 502.

--- a/internal/serve/front/front_test.go
+++ b/internal/serve/front/front_test.go
@@ -5,13 +5,17 @@
 	"strings"
 	"testing"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/ut"
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/health"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
 )
 
 // TestPanicEndsRequestWithoutAnswer: a request whose handler panics, here for want of the
@@ -28,3 +32,29 @@
 		t.Errorf("the log has no line on the panic: %s", log.String())
 	}
 }
+
+// TestRefusalHasFieldsOfBrokenAnswer guards against a refusal under the head of an answer that broke off:
+// a caller can't read it by an encoding that it does not have.
+func TestRefusalHasFieldsOfBrokenAnswer(t *testing.T) {
+	f := &Front{Meter: meter.New()}
+	c := app.NewContext(0)
+	c.Header(RequestIDField, "r")
+	a := &answerWriter{c: c}
+	broken := wire.Head{Status: http.StatusOK, Fields: []wire.Field{
+		{Name: "Content-Type", Value: "text/plain"}, {Name: "Content-Encoding", Value: "gzip"}, {Name: "Etag", Value: "x"}, {Name: "Content-Encoding", Value: "br"},
+	}}
+	if err := a.head(broken); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.data([]byte("part")); err != nil {
+		t.Fatal(err)
+	}
+	f.finishAnswer(c, a, flow.Report{Refusal: fault.New(fault.RelayError, fault.RanUnknown, "broke off")})
+	h := &c.Response.Header
+	if h.Get("Content-Encoding") != "" || h.Get("Etag") != "" || !strings.HasPrefix(h.Get("Content-Type"), "application/json") || h.Get(RequestIDField) != "r" {
+		t.Errorf("got the fields\n%s", h.Header())
+	}
+	if c.Response.StatusCode() != fault.RelayError.Status() || strings.Contains(string(c.Response.Body()), "part") {
+		t.Errorf("got status %d, body %s", c.Response.StatusCode(), c.Response.Body())
+	}
+}
--- a/internal/serve/front/request.go
+++ b/internal/serve/front/request.go
@@ -190,6 +190,8 @@
 	c         *app.RequestContext
 	headSent  bool
 	streaming bool
+	// fields are those of the endpoint's head.
+	fields []wire.Field
 }
 
 func (a *answerWriter) sink() client.Sink { return client.Sink{Head: a.head, Data: a.data} }
@@ -198,7 +200,7 @@
 	if a.headSent {
 		return nil
 	}
-	a.headSent = true
+	a.headSent, a.fields = true, h.Fields
 	a.c.SetStatusCode(h.Status)
 	for _, f := range h.Fields {
 		a.c.Response.Header.Set(f.Name, f.Value)
@@ -238,6 +240,9 @@
 	f.Meter.CountRefusal(r)
 	if !a.streaming {
 		c.Response.ResetBody()
+		for _, field := range a.fields {
+			c.Response.Header.Del(field.Name)
+		}
 		c.JSON(r.Code.Status(), newErrorBody(r))
 		return
 	}
