Pin that a host that closes completes no stream of its callers

TestHostThatEndsCompletesStream: the entry host, or the relay, closes without a drain in the middle of relayed streams; callers of HTTP/1.1 and 1.0. A host that closes lets streams of local endpoints run on in the test's process; that its end breaks them off is TestKilledHostEndsStream.

--- a/internal/serve/node/ending_test.go
+++ b/internal/serve/node/ending_test.go
@@ -159,3 +159,48 @@
 		}
 	}
 }
+
+// TestHostThatEndsCompletesStream guards against a stream that ends for its caller as complete because
+// its entry host, or the relay, closed without a drain in the middle of it.
+func TestHostThatEndsCompletesStream(t *testing.T) {
+	for _, stopped := range []string{"a", "b"} {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run("host "+stopped+" closes, "+version, func(t *testing.T) {
+				t.Parallel()
+				f := startFleet(t)
+				first, second := f.onlyIn("b", "model")
+				for _, id := range []string{first, second} {
+					f.endpoints[id].EventGap = 300 * time.Millisecond
+				}
+				answers := make(chan received)
+				const calls = 4
+				for i := range calls {
+					go func() { answers <- f.callRaw(version, "/stream-once/x", fmt.Sprint("r", i)) }()
+				}
+				f.eventually("all streams run", func() bool { return len(f.runs(first, second)) == calls })
+				time.Sleep(150 * time.Millisecond)
+				closed := make(chan struct{})
+				n := f.nodes[stopped]
+				go func() {
+					defer close(closed)
+					_ = n.Close()
+				}()
+				broken := 0
+				for range calls {
+					got := <-answers
+					if got.whole && got.status == 200 && strings.Count(got.body, "\n\n") < 5 {
+						t.Errorf("got %+v, want all events or a stream that is broken off", got)
+					}
+					if !got.whole {
+						broken++
+					}
+				}
+				if broken == 0 {
+					t.Error("no stream was broken off")
+				}
+				<-closed
+				delete(f.nodes, stopped)
+			})
+		}
+	}
+}
