Keep a reset that arrives with a late look at the connection

What callers got: a stream, or another answer, without a length that broke off by a reset and ends as complete. A host whose read has timed out looks once more for bytes that arrived (it may have been paused); a reset that this read met was dropped, and the kernel reports it only once: the next read found a connection that is closed, the end of an answer without a length.

So a host that was frozen, or slow for a moment, while an endpoint ended took its broken answers for whole.

Ruled out: answers with a length or chunks, whose early end is an error also then; connections of the inventory, which are not read again after a timeout; the check of idle connections, which closes one with any error.

The look's error ends the read unless it is a timeout.

--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -78,8 +78,9 @@
 			c.overdue = now
 		}
 		if now.Sub(c.overdue) < arrivedPeriod {
-			if n := c.readArrived(p); n > 0 {
-				return n, nil
+			// The kernel reports a reset once, and the connection as closed by the peer from then on.
+			if n, err := c.readArrived(p); n > 0 || !isTimeout(err) {
+				return n, err
 			}
 		}
 		if !c.onTimeout() {
@@ -90,12 +91,11 @@
 
 // readArrived reads bytes that have arrived although the read timed out: after a pause of
 // the process, a passed deadline is reported first.
-func (c *conn) readArrived(p []byte) int {
-	if c.SetReadDeadline(c.now().Add(arrivedTimeout)) != nil {
-		return 0
+func (c *conn) readArrived(p []byte) (int, error) {
+	if err := c.SetReadDeadline(c.now().Add(arrivedTimeout)); err != nil {
+		return 0, err
 	}
-	n, _ := c.Conn.Read(p)
-	return n
+	return c.Conn.Read(p)
 }
 
 func isTimeout(err error) bool {
--- a/internal/serve/pool/ending_test.go
+++ b/internal/serve/pool/ending_test.go
@@ -1,7 +1,11 @@
 package pool
 
 import (
+	"bufio"
+	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,3 +93,54 @@
 		})
 	}
 }
+
+// TestResetAfterPauseEndsStreamAsWhole guards against a reset that is lost, as the kernel reports it once
+// and its connection as closed from then on: a host that was paused reads it with what arrived after a
+// timeout, and takes an answer without a length for whole.
+func TestResetAfterPauseEndsStreamAsWhole(t *testing.T) {
+	for _, kind := range []string{"text/event-stream", "text/plain"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		reset, gone := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(gone)
+			defer func() { _ = l.Close() }()
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: " + kind + "\r\n\r\nid: 0\ndata: x\n\n"))
+				<-reset
+			}
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = c.Close()
+		}()
+		// late is how far the host's clock is behind, so that its next deadline has passed already.
+		var late atomic.Int64
+		c := &Client{Pool: New(), Terms: testTerms, Now: func() time.Time { return time.Now().Add(-time.Duration(late.Load())) }}
+		asked := 0
+		out, _ := do(c, l.Addr().String(), func(a *Attempt) {
+			a.Body, a.IdleTimeout = nil, 50*time.Millisecond
+			a.Abandon = func() bool {
+				if asked++; asked == 1 {
+					close(reset)
+					<-gone
+					time.Sleep(20 * time.Millisecond)
+					late.Store(int64(time.Minute))
+				} else {
+					late.Store(0)
+				}
+				return false
+			}
+		})
+		c.Pool.Close()
+		if out.Whole || out.Err == nil || asked == 0 {
+			t.Errorf("%s: a reset answer counts as whole: %v (asked %d times, error %v)", kind, out.Whole, asked, out.Err)
+		}
+	}
+}
