Keep a reset that arrives while a long request is written

What callers got: a stream, or another answer, without a length that broke off by a reset and ends as complete, if the body of their request (8 KiB or more, written while the answer is read) was not written yet. The kernel reports a reset once; the write got it, and the read found the end of the connection.

Evidence on the old code, with real sockets: TestResetWhileWritingEndsAnswerAsWhole, 16, 18 and 20 of 20 reset answers count as whole (161 to 186 of 200 in three longer runs).

Ruled out: requests that are written before their answer is read (a failed write ends the attempt, and the inventory writes all of them so); answers with a length or chunks.

The end of an answer without a length counts once the request is written, for which it waits a second: an endpoint that ends its answer early may still read (TestEarlyEndOfAnswerIsWhole).

--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -34,6 +34,8 @@
 	// asyncWriteBytes is the body size from which the request is written while the
 	// answer is read, because an endpoint may answer before it has read the whole body.
 	asyncWriteBytes = 8 << 10
+	// restTimeout is how long the rest of a request may be written once its answer has ended.
+	restTimeout = time.Second
 	// maxSkippedAnswers bounds the answers to other requests that an attempt skips.
 	maxSkippedAnswers = 4
 	// maxSkippedBytes bounds the body of each of them.
@@ -616,6 +618,9 @@
 			return nil, err
 		}
 		if errors.Is(err, io.EOF) {
+			if err := e.confirmEnd(); err != nil {
+				return nil, err
+			}
 			if len(blocks) == 0 {
 				return block, nil
 			}
@@ -669,6 +674,10 @@
 				e.fail(fmt.Errorf("stream ended within an event: %w", io.ErrUnexpectedEOF))
 				return 0
 			}
+			if err := e.confirmEnd(); err != nil {
+				e.fail(err)
+				return 0
+			}
 			if e.result.Unframed && splitter.Progress() == 0 {
 				// The endpoint has closed the connection or ended before its first event.
 				e.fail(fmt.Errorf("connection of a stream ended before an event: %w", io.ErrUnexpectedEOF))
@@ -683,6 +692,24 @@
 	}
 }
 
+// confirmEnd returns an error unless the connection of an answer without a length ended by its
+// endpoint. The kernel reports a reset once: the write of the request may get it, and the read an end. An
+// endpoint that ended its answer may read the rest of the request still.
+func (e *exchange) confirmEnd() error {
+	if !e.result.Unframed || e.writeDone == nil {
+		return nil
+	}
+	select {
+	case <-e.writeDone:
+	case <-e.ctx.Done():
+	case <-time.After(restTimeout):
+	}
+	if !e.requestWritten() {
+		return fmt.Errorf("connection ended before the request was written: %w", io.ErrUnexpectedEOF)
+	}
+	return nil
+}
+
 // finishStream records that a stream ended after a complete event. It returns the
 // keep-alive timeout of the connection, 0 if it must be closed.
 func (e *exchange) finishStream(resp *http.Response) time.Duration {
--- a/internal/serve/pool/ending_test.go
+++ b/internal/serve/pool/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -144,3 +145,68 @@
 		}
 	}
 }
+
+// TestResetWhileWritingEndsAnswerAsWhole guards against a reset that is lost, as the write of a long
+// request's body gets its error and the read of the answer, which has no length, an end.
+func TestResetWhileWritingEndsAnswerAsWhole(t *testing.T) {
+	const rounds = 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c, _ := nc.(*net.TCPConn)
+			_, _ = c.Read(make([]byte, 1<<10))
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: text/event-stream\r\n\r\nid: 0\ndata: x\n\n"))
+			time.Sleep(3 * time.Millisecond)
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	whole := 0
+	for range rounds {
+		c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+		if out, _ := do(c, l.Addr().String(), func(a *Attempt) { a.Body = make([]byte, 8<<20) }); out.Whole {
+			whole++
+		}
+		c.Pool.Close()
+	}
+	if whole > 0 {
+		t.Errorf("%d of %d reset answers count as whole", whole, rounds)
+	}
+}
+
+// TestEarlyEndOfAnswerIsWhole: an endpoint that ends an answer without a length and reads the rest of
+// the request then has sent it whole.
+func TestEarlyEndOfAnswerIsWhole(t *testing.T) {
+	for _, kind := range []string{"text/event-stream", "text/plain"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			defer func() { _ = l.Close() }()
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c, _ := nc.(*net.TCPConn)
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: " + kind + "\r\n\r\nid: 0\ndata: x\n\n"))
+			_ = c.CloseWrite()
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.Copy(io.Discard, c)
+			_ = c.Close()
+		}()
+		c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+		if out, body := do(c, l.Addr().String(), func(a *Attempt) { a.Body = make([]byte, 8<<20) }); !out.Whole || body != "id: 0\ndata: x\n\n" {
+			t.Errorf("%s: whole %v, body %q (error %v)", kind, out.Whole, body, out.Err)
+		}
+		c.Pool.Close()
+	}
+}
