--- a/internal/base/socket/body.go
+++ b/internal/base/socket/body.go
@@ -83,8 +83,8 @@
 // Flush implements network.ExtWriter.
 func (w *unframedWriter) Flush() error { return w.keep(w.writer.Flush()) }
 
-// Finalize implements network.ExtWriter. The server calls it for each answer, also a broken one,
-// whose connection is closed.
+// The server calls this for each answer, also a broken one, whose connection is closed: what it
+// writes is not sent then.
 func (w *unframedWriter) Finalize() error { //nolint:misspell // The interface names it so.
 	if err := w.begin(); err != nil {
 		return err
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -670,19 +670,10 @@
 			err = fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, e.attempt.MaxAnswerBytes)
 		}
 		if errors.Is(err, io.EOF) {
-			if splitter.Partial() {
-				e.fail(fmt.Errorf("stream ended within an event: %w", io.ErrUnexpectedEOF))
-				return 0
-			}
-			if err := e.confirmEnd(); err != nil {
+			if err := e.checkStreamEnd(splitter); err != nil {
 				e.fail(err)
 				return 0
 			}
-			if e.result.Unframed && splitter.Progress() == 0 {
-				// The endpoint has closed the connection or ended before its first event.
-				e.fail(fmt.Errorf("connection of a stream ended before an event: %w", io.ErrUnexpectedEOF))
-				return 0
-			}
 			return e.finishStream(resp)
 		}
 		if err != nil {
@@ -692,6 +683,18 @@
 	}
 }
 
+// checkStreamEnd returns an error if a stream of these events can't end here.
+func (e *exchange) checkStreamEnd(splitter *stream.Splitter) error {
+	if splitter.Partial() {
+		return fmt.Errorf("stream ended within an event: %w", io.ErrUnexpectedEOF)
+	}
+	if e.result.Unframed && splitter.Progress() == 0 {
+		// The endpoint has closed the connection or ended before its first event.
+		return fmt.Errorf("connection of a stream ended before an event: %w", io.ErrUnexpectedEOF)
+	}
+	return e.confirmEnd()
+}
+
 // confirmEnd returns an error unless the connection of an answer without a length ended by its
 // endpoint. The kernel reports a reset once: the write of the request may get it, and the read an end. An
 // endpoint that ended its answer may read the rest of the request still.
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -89,10 +89,10 @@
 	return crlf + len("\r\n\r\n")
 }
 
-// accept parses an event, updates the last id and done, and reports whether the event
-// is new.
-func (s *Splitter) accept(event []byte) (bool, error) {
-	id, hasData, closes := NoID, false, false
+// parse returns the id of an event, NoID if it has none, and whether it has data and is the closing
+// event.
+func parse(event []byte) (id int, hasData, closes bool) {
+	id = NoID
 	for line := range bytes.Lines(event) {
 		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
@@ -106,6 +106,12 @@
 			}
 		}
 	}
+	return id, hasData, closes
+}
+
+// accept updates the last id and done with an event, and reports whether the event is new.
+func (s *Splitter) accept(event []byte) (bool, error) {
+	id, hasData, closes := parse(event)
 	if id != NoID {
 		if id <= s.lastID {
 			if hasData && id > s.skippedID {
