--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -37,9 +37,13 @@
 	t.tried[m.Name] = true
 	t.report.Endpoint, t.report.Region = "", d.region
 	req := NewWireRequest(t.Request, wire.Relay, f.now(), f.board.Revisions.Revision())
-	end, err := f.Exchange(ctx, m.Name, m.Address, req, f.observedSink(t, ObserveHead(sink, func(h wire.Head) {
+	held := &heldHead{sink: sink}
+	end, err := f.Exchange(ctx, m.Name, m.Address, req, f.observedSink(t, ObserveHead(held.holding(), func(h wire.Head) {
 		t.report.Endpoint, t.report.Status = h.Endpoint, h.Status
 	})), f.ackTimeout(t, d.region))
+	if err == nil && end.Code == "" {
+		err = held.pass()
+	}
 	if HostFailed(err) {
 		f.board.Remotes.MarkFailed(f.now(), d.region)
 	}
@@ -69,6 +73,44 @@
 	}
 }
 
+// heldHead holds the head of an answer until its first data or its end, so that nothing has reached
+// the caller of an answer that breaks off before: another attempt's takes its place, with its own head.
+type heldHead struct {
+	sink client.Sink
+	// head is nil if there is none that was not passed on.
+	head *wire.Head
+}
+
+// holding returns a sink that passes data on after the head.
+func (h *heldHead) holding() client.Sink {
+	return client.Sink{
+		Head: func(hd wire.Head) error {
+			h.head = &hd
+			return nil
+		},
+		Data: func(p []byte) error {
+			if err := h.pass(); err != nil {
+				return err
+			}
+			return h.sink.Data(p)
+		},
+		Acked: h.sink.Acked, Received: h.sink.Received,
+	}
+}
+
+// pass passes the head on. The error is ErrSink.
+func (h *heldHead) pass() error {
+	if h.head == nil {
+		return nil
+	}
+	hd := *h.head
+	h.head = nil
+	if err := h.sink.Head(hd); err != nil {
+		return fmt.Errorf("%w: %w", ErrSink, err)
+	}
+	return nil
+}
+
 // NewWireRequest returns the message that asks another host to serve a request.
 func NewWireRequest(r Request, role wire.Role, now time.Time, revision uint64) wire.Request {
 	return wire.Request{
@@ -100,6 +142,10 @@
 // ErrNoHead is the error of a whole answer without a head, which can't be passed on as a success.
 var ErrNoHead = errors.New("answer has no head")
 
+// ErrDisorder is the error of an answer whose frames are out of order: data or a further head that
+// would be passed on are not a part of one answer.
+var ErrDisorder = errors.New("frames of the answer are out of order")
+
 // ErrStalled is the error of a begun stream that was given up although the other host sent
 // frames: they had no events.
 var ErrStalled = errors.New("stream of the other host has no events")
@@ -215,7 +261,7 @@
 	if err == nil {
 		return end, nil
 	}
-	if HostFailed(err) && !errors.Is(err, ErrNoHead) {
+	if HostFailed(err) && !errors.Is(err, ErrNoHead) && !errors.Is(err, ErrDisorder) {
 		l.DropConn(host)
 	}
 	return nil, fmt.Errorf("read answer from %s: %w", host, err)
@@ -235,6 +281,9 @@
 			}
 			return nil, err
 		}
+		if err := checkOrder(fr, begun); err != nil {
+			return nil, err
+		}
 		if fr.End != nil {
 			if fr.End.Code == "" && !begun {
 				return nil, ErrNoHead
@@ -258,6 +307,31 @@
 	}
 }
 
+// checkOrder returns ErrDisorder unless a frame may come next in an answer, whose head has arrived or
+// not. A frame may have no content: data of no bytes, or what another build sends.
+func checkOrder(fr wire.Frame, begun bool) error {
+	contents := 0
+	for _, has := range []bool{
+		fr.Head != nil, fr.Data != nil, fr.End != nil, fr.KeepAlive, fr.Request != nil,
+		fr.FetchParts != nil, fr.FetchItems != nil, fr.Parts != nil, fr.Items != nil,
+	} {
+		if has {
+			contents++
+		}
+	}
+	switch {
+	case contents > 1:
+		return fmt.Errorf("%w: frame has %d contents", ErrDisorder, contents)
+	case fr.Head != nil && begun:
+		return fmt.Errorf("%w: second head, status %d", ErrDisorder, fr.Head.Status)
+	case fr.Data != nil && !begun:
+		return fmt.Errorf("%w: %d bytes of data before a head", ErrDisorder, len(fr.Data))
+	case contents > 0 && fr.Head == nil && fr.Data == nil && fr.End == nil && !fr.KeepAlive:
+		return fmt.Errorf("%w: frame is no part of an answer", ErrDisorder)
+	}
+	return nil
+}
+
 // markCancelled wraps ErrCancelled if the caller has disconnected, or if the deadline of a
 // request that the other host had acknowledged has passed. An unacknowledged one may have
 // been lost on the link.
--- a/internal/serve/flow/remote_test.go
+++ b/internal/serve/flow/remote_test.go
@@ -4,13 +4,19 @@
 	"bytes"
 	"context"
 	"errors"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 )
 
@@ -214,6 +220,151 @@
 	}
 }
 
+// TestDisorderedAnswerIsPassedOn guards against an answer whose frames are out of order, whose parts
+// reach the caller as an answer, or as a part of another attempt's.
+func TestDisorderedAnswerIsPassedOn(t *testing.T) {
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	head, other := wire.Frame{Head: &wire.Head{Status: 200}}, wire.Frame{Head: &wire.Head{Status: 500}}
+	data, text, end := wire.Frame{Data: []byte("data: x\n\n")}, wire.Frame{Data: []byte("failed")}, wire.Frame{End: &wire.End{}}
+	for _, tt := range []struct {
+		name    string
+		frames  []wire.Frame
+		heads   int
+		body    string
+		ordered bool
+	}{
+		{"in order", []wire.Frame{{KeepAlive: true}, head, {}, data, {KeepAlive: true}, data, end}, 1, "data: x\n\ndata: x\n\n", true},
+		{"refusal without a head", []wire.Frame{{KeepAlive: true}, {End: &wire.End{Code: fault.Busy}}}, 0, "", true},
+		{"data before the head", []wire.Frame{{KeepAlive: true}, text, head, data, end}, 0, "", false},
+		{"data, then a refusal", []wire.Frame{text, {End: &wire.End{Code: fault.Busy}}}, 0, "", false},
+		{"second head", []wire.Frame{head, other, text, end}, 1, "", false},
+		{"second head after data", []wire.Frame{head, data, other, text, end}, 1, "data: x\n\n", false},
+		{"head with data", []wire.Frame{{Head: head.Head, Data: text.Data}, end}, 0, "", false},
+		{"end with data", []wire.Frame{head, {Data: text.Data, End: end.End}}, 1, "", false},
+		{"end with a head", []wire.Frame{{Head: head.Head, End: end.End}}, 0, "", false},
+		{"request", []wire.Frame{head, {Request: &wire.Request{ID: "r"}}, data, end}, 1, "", false},
+	} {
+		relay := newLink(t, ca, "relay", link.Handlers{Stream: func(_ context.Context, _ string, s *link.Stream) {
+			if _, err := s.Read(wire.MaxFrame, later()); err == nil {
+				for _, f := range tt.frames {
+					_ = s.Write(f, later())
+				}
+			}
+			s.Finish()
+		}})
+		entry := newLink(t, ca, "entry", link.Handlers{})
+		heads, body := 0, ""
+		sink := client.Sink{
+			Head: func(wire.Head) error { heads++; return nil },
+			Data: func(p []byte) error { body += string(p); return nil },
+		}
+		got, err := Exchange(t.Context(), entry, "relay", relay.Address(), wire.Request{ID: "r"}, sink, time.Second)
+		if heads != tt.heads || body != tt.body {
+			t.Errorf("%s: passed on %d heads and %q, want %d and %q", tt.name, heads, body, tt.heads, tt.body)
+		}
+		if tt.ordered {
+			if got == nil || err != nil {
+				t.Errorf("%s: got end %+v, error %v", tt.name, got, err)
+			}
+			continue
+		}
+		if got != nil || err == nil || errors.Is(err, ErrSink) || errors.Is(err, link.ErrNotSent) || !HostFailed(err) {
+			t.Errorf("%s: got end %+v, error %v, want a failure of the relay", tt.name, got, err)
+		}
+		if !entry.Connected("relay") {
+			t.Errorf("%s: the link to the relay is lost", tt.name)
+		}
+	}
+}
+
+// remoteAttempt returns a function that makes attempts at one request by a relay of region b.
+func remoteAttempt(t *testing.T, ca *certs.Authority, relay *link.Link) func(sink client.Sink) result {
+	t.Helper()
+	now := time.Now()
+	b := board.New(now, "entry", "a", "a-1", 1)
+	b.Members.SetCandidates(now, []member.Candidate{{Name: "relay", Address: relay.Address(), Region: "b"}})
+	b.Members.Receive(now, wire.Packet{Kind: wire.Announce, From: "relay", Incarnation: 5, Updates: []wire.Update{{Host: "relay", Life: 5, State: wire.Alive}}})
+	f := New(b, meter.New(), newLink(t, ca, "entry", link.Handlers{}))
+	task := &task{
+		Request:   Request{ID: "r", Caller: &invent.Caller{}, Service: &invent.Service{}, Deadline: now.Add(time.Minute)},
+		inventory: &invent.Inventory{}, tried: map[string]bool{},
+	}
+	return func(sink client.Sink) result { return f.attemptRemote(t.Context(), task, decision{region: "b"}, sink) }
+}
+
+// TestQuotedClosingEventEndsStream guards against a stream that ends as complete because its relay ended
+// after an event whose text ends like the closing event.
+func TestQuotedClosingEventEndsStream(t *testing.T) {
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	for event, whole := range map[string]bool{
+		"data: [DONE]\n\n": true, "data:[DONE]\r\n\r\n": true, "id: 4\ndata: [DONE]\n\n": true,
+		"data: it ends with data: [DONE]\n\n": false, "data: a\n\n": false, "data: a\ndata: [DONE]\n\n": false,
+	} {
+		relay := newLink(t, ca, "relay", link.Handlers{Stream: func(_ context.Context, _ string, s *link.Stream) {
+			if _, err := s.Read(wire.MaxFrame, later()); err == nil {
+				_ = s.Write(wire.Frame{Head: &wire.Head{Status: 200}}, later())
+				_ = s.Write(wire.Frame{Data: []byte(event)}, later())
+			}
+			s.Finish()
+		}})
+		sink := client.Sink{Head: func(wire.Head) error { return nil }, Data: func([]byte) error { return nil }}
+		if res := remoteAttempt(t, ca, relay)(sink); res.whole != whole || (!whole && !res.started) {
+			t.Errorf("stream that breaks off after %q: result %+v, want whole %v", event, res, whole)
+		}
+	}
+}
+
+// TestHeadOfBrokenAnswerIsPassedOn guards against an answer of one endpoint under the head of another's:
+// a relay's answer breaks off after its head, and another relay's is taken.
+func TestHeadOfBrokenAnswerIsPassedOn(t *testing.T) {
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	requests := 0
+	relay := newLink(t, ca, "relay", link.Handlers{Stream: func(_ context.Context, _ string, s *link.Stream) {
+		if _, err := s.Read(wire.MaxFrame, later()); err != nil {
+			return
+		}
+		if requests++; requests == 1 {
+			_ = s.Write(wire.Frame{Head: &wire.Head{Status: 200, Endpoint: "broken"}}, later())
+			s.Finish()
+			return
+		}
+		_ = s.Write(wire.Frame{Head: &wire.Head{Status: 404, Endpoint: "whole"}}, later())
+		if requests == 2 {
+			_ = s.Write(wire.Frame{Data: []byte("unknown")}, later())
+		}
+		_ = s.Write(wire.Frame{End: &wire.End{}}, later())
+		s.Finish()
+	}})
+	attemptAt := remoteAttempt(t, ca, relay)
+	var passed []string
+	sink := client.Sink{
+		Head: func(h wire.Head) error { passed = append(passed, strconv.Itoa(h.Status)); return nil },
+		Data: func(p []byte) error { passed = append(passed, string(p)); return nil },
+	}
+	attempt := func() result { return attemptAt(sink) }
+	if res := attempt(); res.whole || res.started || len(passed) > 0 {
+		t.Errorf("answer that broke off after its head: result %+v, passed on %v", res, passed)
+	}
+	if res := attempt(); !res.whole || !slices.Equal(passed, []string{"404", "unknown"}) {
+		t.Errorf("result %+v, passed on %v, want the second answer only", res, passed)
+	}
+	if res := attempt(); !res.whole || !slices.Equal(passed[2:], []string{"404"}) {
+		t.Errorf("whole answer without a body: result %+v, passed on %v", res, passed[2:])
+	}
+}
+
 // TestUnknownRanOfRelay guards against a value of another build that would count as not run.
 func TestUnknownRanOfRelay(t *testing.T) {
 	for ran, want := range map[fault.Ran]fault.Ran{"": fault.RanUnknown, "partly": fault.RanUnknown, fault.RanNo: fault.RanNo} {
--- a/internal/serve/splice/splice.go
+++ b/internal/serve/splice/splice.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"mime"
 	"net/http"
 	"strings"
 
@@ -11,9 +10,6 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
-// eventsType is the media type of a stream of events.
-const eventsType = "text/event-stream"
-
 // ErrOther is the error of an answer that is not the rest of the one that has begun.
 var ErrOther = errors.New("answer does not continue the stream")
 
@@ -63,10 +59,6 @@
 // IsEvents reports whether an answer with the head is a stream of events. An encoded one is not, as
 // its bytes can't be split into events.
 func IsEvents(h wire.Head) bool {
-	kind, _, err := mime.ParseMediaType(MediaType(h))
-	if err != nil && !errors.Is(err, mime.ErrInvalidMediaParameter) {
-		return false
-	}
 	encoding := h.Field("Content-Encoding")
-	return h.Status == http.StatusOK && kind == eventsType && (encoding == "" || strings.EqualFold(encoding, "identity"))
+	return h.Status == http.StatusOK && stream.IsEvents(MediaType(h)) && (encoding == "" || strings.EqualFold(encoding, "identity"))
 }
--- a/internal/serve/splice/splice_test.go
+++ b/internal/serve/splice/splice_test.go
@@ -9,6 +9,8 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
+const eventsType = "text/event-stream"
+
 func answerHead(status int, mediaType string) wire.Head {
 	return wire.Head{Status: status, Fields: []wire.Field{{Name: "content-type", Value: mediaType}}}
 }
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"errors"
+	"mime"
 	"strconv"
 )
 
@@ -20,8 +21,8 @@
 // NoID stands for no event id: the position before the first event.
 const NoID = -1
 
-// DoneEvent is the usual form of the closing event, which ends a whole stream.
-var DoneEvent = []byte("data: [DONE]\n\n")
+// mediaType is that of a stream of events.
+const mediaType = "text/event-stream"
 
 var (
 	doneData  = []byte("[DONE]")
@@ -88,10 +89,29 @@
 	return crlf + len("\r\n\r\n")
 }
 
-// accept parses an event, updates the last id and done, and reports whether the event
-// is new.
+// parse returns the id of an event, NoID if it has none, and whether it has data and is the closing
+// event.
+func parse(event []byte) (id int, hasData, closes bool) {
+	id = NoID
+	for line := range bytes.Lines(event) {
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch {
+		case bytes.Equal(name, dataField):
+			// The data of several lines is one text, which is not that of the closing event.
+			closes, hasData = !hasData && bytes.Equal(value, doneData), true
+		case bytes.Equal(name, idField):
+			if n, err := strconv.Atoi(string(value)); err == nil && n >= 0 {
+				id = n
+			}
+		}
+	}
+	return id, hasData, closes
+}
+
+// accept updates the last id and done with an event, and reports whether the event is new.
 func (s *Splitter) accept(event []byte) (bool, error) {
-	id, data, hasData := parseEvent(event)
+	id, hasData, closes := parse(event)
 	if id != NoID {
 		if id <= s.lastID {
 			if hasData && id > s.skippedID {
@@ -105,8 +125,8 @@
 		}
 		s.lastID = id
 	}
-	if bytes.Equal(data, doneData) {
-		if s.done {
+	if closes {
+		if s.done && id == NoID {
 			return false, nil
 		}
 		s.done = true
@@ -117,24 +137,6 @@
 	return true, nil
 }
 
-// parseEvent returns the id of an event, NoID if it has none, and its last line of data.
-func parseEvent(event []byte) (id int, data []byte, hasData bool) {
-	id = NoID
-	for line := range bytes.Lines(event) {
-		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
-		switch {
-		case bytes.Equal(name, dataField):
-			data, hasData = value, true
-		case bytes.Equal(name, idField):
-			if n, err := strconv.Atoi(string(value)); err == nil && n >= 0 {
-				id = n
-			}
-		}
-	}
-	return id, data, hasData
-}
-
 // EndsUnnumbered reports whether a stream has an event with data behind its last event with an id,
 // the closing event aside. before states this of the stream without the given whole events.
 func EndsUnnumbered(before bool, events []byte) bool {
@@ -143,11 +145,11 @@
 		if n < 0 {
 			return before
 		}
-		id, data, hasData := parseEvent(events[:n])
+		id, hasData, closes := parse(events[:n])
 		switch {
 		case id != NoID:
 			before = false
-		case hasData && !bytes.Equal(data, doneData):
+		case hasData && !closes:
 			before = true
 		}
 		events = events[n:]
@@ -176,6 +178,22 @@
 // Partial reports whether a partial event is buffered. Empty lines after an event are none.
 func (s *Splitter) Partial() bool { return len(bytes.Trim(s.buf, "\r\n")) > 0 }
 
+// IsEvents reports whether a value of the field Content-Type is that of a stream of events.
+func IsEvents(contentType string) bool {
+	kind, _, err := mime.ParseMediaType(contentType)
+	return kind == mediaType && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
+}
+
+// HasClosing reports whether the closing event is among whole events.
+func HasClosing(events []byte) bool {
+	if !bytes.Contains(events, doneData) {
+		return false
+	}
+	s := NewSplitter()
+	_, err := s.Add(events)
+	return err == nil && s.Done()
+}
+
 // HasData reports whether there is an event with data among whole events. Comments have none.
 func HasData(events []byte) bool {
 	for line := range bytes.Lines(events) {
@@ -194,7 +212,7 @@
 		if n < 0 {
 			return NoID
 		}
-		if id, _, _ := parseEvent(events[:n]); id != NoID {
+		if id, _, _ := parse(events[:n]); id != NoID {
 			return id
 		}
 		events = events[n:]
--- a/internal/serve/stream/stream_test.go
+++ b/internal/serve/stream/stream_test.go
@@ -76,3 +76,37 @@
 		}
 	}
 }
+
+// TestTextIsNoClosingEvent guards against a stream that ends as complete at an event whose text names
+// the closing event.
+func TestTextIsNoClosingEvent(t *testing.T) {
+	for _, text := range []string{
+		"data: a\ndata: [DONE]\n\n", "data: [DONE]\ndata: a\n\n", "data: say data: [DONE]\n\n", "event: data: [DONE]\n\n", ": data: [DONE]\n\n",
+		"data: [DONE]", "data: [DONE]\n",
+	} {
+		s := NewSplitter()
+		if _, err := s.Add([]byte(text)); err != nil || s.Done() || HasClosing([]byte(text)) {
+			t.Errorf("%q: error %v, done %v, closing %v, want an event like others", text, err, s.Done(), HasClosing([]byte(text)))
+		}
+	}
+	for _, text := range []string{"data: [DONE]\n\n", "data:[DONE]\r\n\r\n", "data: a\n\nid: 3\ndata: [DONE]\n\n"} {
+		if !HasClosing([]byte(text)) {
+			t.Errorf("%q: the closing event is not found", text)
+		}
+	}
+}
+
+// TestEventLikeClosingOneIsDropped guards against a stream that lacks an event, with an id of its own,
+// because an earlier one had the text of the closing event too.
+func TestEventLikeClosingOneIsDropped(t *testing.T) {
+	const text = "id: 1\ndata: [DONE]\n\nid: 2\ndata: [DONE]\n\nid: 3\ndata: a\n\n"
+	s := NewSplitter()
+	if out, err := s.Add([]byte(text)); err != nil || string(out) != text || s.LastID() != 3 {
+		t.Errorf("got %q, error %v, want all events", out, err)
+	}
+	s = NewSplitter()
+	const closing = "data: [DONE]\n\n"
+	if out, err := s.Add([]byte(closing + closing)); err != nil || string(out) != closing {
+		t.Errorf("got %q, error %v, want the closing event once", out, err)
+	}
+}
