Cut the frame of a test by its window, not by its encoding

TestFrameFollowsCutFrame failed once in a run of 13 packages with -race: encoding 16 MiB took longer than the write's 200 ms, so that nothing of the frame was sent, the stream was sound and the next frame arrived whole. The frame is now 2 MiB, above the window of a stream that isn't read, and has a second. As strict: on the code before it fails 2 of 2 ("received a frame with 2097152 bytes of data, end <nil>"); with the fix it passes 8 of 8 with -race.

--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -260,9 +260,9 @@
 // TestFrameFollowsCutFrame guards against a frame that is cut by its timeout and completed with the
 // bytes of the next ones, so that the receiver takes those for data of an answer.
 func TestFrameFollowsCutFrame(t *testing.T) {
-	const cutAfter = 200 * time.Millisecond
+	const cutAfter = time.Second
 	// cut exceeds the window of a stream, so that a part of its frame is sent.
-	cut := wire.Frame{Data: make([]byte, 16<<20)}
+	cut := wire.Frame{Data: make([]byte, 2<<20)}
 	failed, failedAgain := make(chan error, 1), make(chan error, 1)
 	a, b := newLinkPairWith(t, Handlers{Stream: func(_ context.Context, _ string, s *Stream) {
 		_, _ = s.Read(wire.MaxFrame, time.Now().Add(waitTimeout))
