Bound numbers of callers and endpoints that overflow

What callers saw: a stated wait of NaN got 503 "deadline passed" at once, where other malformed numbers get 400. On amd64 the same conversion makes 1e300 and Inf a time in the past; that was not run, this machine is arm64, where it saturates (1e300 was served before).

- Deadline-Milliseconds went through a conversion that NaN and numbers over 2^63 ns overflow.
It's now parsed as the other decimals are, and bounded.
Inf counts as malformed now, as elsewhere.
- Keep-Alive: timeout= overflowed to a negative time, so that no connection to the endpoint was used again: "got 2 connections, want 1".

Ruled out: Server-Limit, Server-Brittle, Retry-After, Cold-Milliseconds and cold-remaining-ms were bounded already; the cost to a customer's limit is added as floating numbers.

--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -27,6 +27,10 @@
 // notReadyRetryAfter is the retry delay that a starting host gives to callers.
 const notReadyRetryAfter = 200 * time.Millisecond
 
+// maxPatienceMS bounds the time that a caller states to wait, in milliseconds, so that it does not
+// overflow a duration.
+const maxPatienceMS = 1e12
+
 func (s *Server) serveRequest(ctx context.Context, c *app.RequestContext) {
 	s.Board.Health.Enter()
 	defer s.Board.Health.Exit()
@@ -146,11 +150,11 @@
 	r.Body = c.Request.Body()
 	r.Deadline = now.Add(r.Route.Timeout)
 	if text := string(h.Peek(s.Terms.Deadline)); text != "" {
-		ms, err := strconv.ParseFloat(text, 64)
-		if err != nil || ms < 0 {
+		ms, ok := s.Terms.ParseDecimal(text)
+		if !ok {
 			return r, fault.New(fault.BadRequest, fault.RanNo, "%s %q is not a number of milliseconds", s.Terms.Deadline, text)
 		}
-		r.Patience = time.Duration(ms * float64(time.Millisecond))
+		r.Patience = time.Duration(min(ms, maxPatienceMS) * float64(time.Millisecond))
 		r.Deadline = now.Add(min(r.Route.Timeout, r.Patience))
 	}
 	if r.Route.Prompts {
--- a/internal/serve/pool/client_test.go
+++ b/internal/serve/pool/client_test.go
@@ -208,6 +208,8 @@
 		{"framed answer", answer("a", "x"), 1},
 		{"endpoint sends Connection: close", answer("a", "x", "Connection: close\r\n"), 2},
 		{"endpoint's keep-alive timeout is 0", answer("a", "x", "Keep-Alive: timeout=0\r\n"), 2},
+		{"endpoint's keep-alive timeout overflows a duration", answer("a", "x", "Keep-Alive: timeout=9999999999\r\n"), 1},
+		{"endpoint's keep-alive timeout overflows an integer", answer("a", "x", "Keep-Alive: timeout=99999999999999999999\r\n"), 1},
 		{"bytes after the answer", answer("a", "x") + answer("z", "extra"), 2},
 		{"stream", events("id: 0\ndata: x\n\n") + lastChunk, 1},
 		{"answer without an id", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", 2},
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -27,6 +27,8 @@
 	// keepAliveMargin is subtracted from the endpoint's keep-alive timeout, because
 	// the next request takes time to arrive.
 	keepAliveMargin = 500 * time.Millisecond
+	// maxKeepAliveSeconds bounds the timeout that an endpoint states, which can overflow a duration.
+	maxKeepAliveSeconds = 3600
 	// defaultKeepAlive is the keep-alive timeout if the endpoint states none.
 	defaultKeepAlive = 4 * time.Second
 	// unackedTimeout is how long sent bytes may stay unacknowledged or unread while the
@@ -408,7 +410,7 @@
 			continue
 		}
 		if n, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && n >= 0 {
-			return max(0, time.Duration(n)*time.Second-keepAliveMargin)
+			return max(0, time.Duration(min(n, maxKeepAliveSeconds))*time.Second-keepAliveMargin)
 		}
 	}
 	return defaultKeepAlive
