Test that an answer lost on a kept connection leaves its request in doubt

No fault was found: the request runs once and its caller gets 502. TestAnswersLostOnKeptConnections pins it; unlike TestRequestsThatMayHaveRun it checks that the connection is a kept one.

--- a/internal/serve/node/ran_test.go
+++ b/internal/serve/node/ran_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -104,3 +105,38 @@
 		}
 	}
 }
+
+// TestAnswersLostOnKeptConnections guards against a second run of a request, or a word that there was
+// none, when a kept connection ends after its endpoint ran the request.
+func TestAnswersLostOnKeptConnections(t *testing.T) {
+	for _, region := range []string{"a", "b"} {
+		for name, lost := range map[string]routed.Fault{
+			"closed": {Drop: true}, "body cut off": {CutBody: true}, "reset": {Ending: routed.EndReset},
+		} {
+			t.Run(fmt.Sprint(map[string]string{"a": "local", "b": "relayed"}[region], " ", name), func(t *testing.T) {
+				t.Parallel()
+				f := startFleet(t)
+				first, second := f.onlyIn(region, "plain")
+				for _, path := range []string{"/unsafe/x", "/unsafe-twice/x"} {
+					kept := map[string]bool{}
+					if status, _, err := f.call("POST", path, "before "+path, nil); status != http.StatusOK || err != nil {
+						t.Fatalf("%s: got status %d, error %v, want an answer", path, status, err)
+					}
+					for _, r := range f.runs(first, second) {
+						kept[r.Conn] = true
+					}
+					lost.Times = 2
+					f.endpoints[first].SetFault(lost)
+					f.endpoints[second].SetFault(lost)
+					status, _, _ := f.call("POST", path, "lost "+path, nil)
+					f.endpoints[first].SetFault(routed.Fault{})
+					f.endpoints[second].SetFault(routed.Fault{})
+					runs := slices.DeleteFunc(f.runs(first, second), func(r routed.Run) bool { return r.ID != "lost "+path })
+					if len(runs) != 1 || !kept[runs[0].Conn] || status != http.StatusBadGateway {
+						t.Errorf("%s: ran %d times, got status %d, want one run on a kept connection and status 502", path, len(runs), status)
+					}
+				}
+			})
+		}
+	}
+}
