Use what was written after a restore though it is in a host's first listing

What callers saw: after the store came back from an older copy, an endpoint that had left before and was written again got no requests from a host that listed the store only after that write: until the next write if the host reads the store, and for as long as it relies on other hosts if not.

Cause: a host can't tell which of the items of its first listing of an era are the copy's own, and took all of them for that.

Evidence: TestRestoredCopyHidesEndpoint writes as soon as one of five hosts has seen the restore.

Why it works: hosts that read the store announce at which revision they first listed the era, with the state that they announce twice a second. What has a later revision was written after the restore, whoever listed it. A host keeps what it withheld, and puts it in force when it receives a lower revision. The field is sent only after a restore; older builds ignore it.

--- a/internal/board/regis/memory.go
+++ b/internal/board/regis/memory.go
@@ -50,6 +50,9 @@
 	dropped = t.learnGone(m.Gone)
 	for _, l := range m.Draining {
 		if e, known := t.endpoints[l.ID]; known && e.Incarnation == l.Incarnation && e.Revision <= t.restored {
+			if !e.Draining {
+				t.withheld[l.ID] = e
+			}
 			e.Draining = true
 			t.endpoints[l.ID] = e
 		}
@@ -68,6 +71,7 @@
 			t.gone[id] = true
 		case known && e.Revision <= t.restored:
 			t.drop(id)
+			t.withheld[id] = e
 			dropped = append(dropped, id)
 		}
 	}
@@ -89,3 +93,29 @@
 		}
 	}
 }
+
+// Restored returns the revision of the first listing of the present era, 0 before the first
+// restore of the store.
+func (t *Table) Restored() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.restored
+}
+
+// LowerRestored applies that a peer host has listed the restored store at a revision already: what
+// was written later is not the older copy's own, though it is in this host's first listing. It
+// returns the registrations that are in force by that.
+func (t *Table) LowerRestored(revision uint64) (changed []Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if revision >= t.restored || eras.Of(revision) != eras.Of(t.restored) {
+		return nil
+	}
+	t.restored = revision
+	for _, id := range slices.Sorted(maps.Keys(t.withheld)) {
+		if e := t.withheld[id]; e.Revision > revision && t.put(e) {
+			changed = append(changed, e)
+		}
+	}
+	return changed
+}
--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -82,6 +82,9 @@
 	// restored is the revision of the first listing of the present era, 0 before the first
 	// restore of the store. A write up to it may be one of the older copy.
 	restored uint64
+	// withheld holds, as they were read, the registrations that may be of the older copy and are
+	// not in force as such, by id.
+	withheld map[string]Endpoint
 	// listed is the revision of the last listing.
 	listed uint64
 	// leaving holds the endpoints that announced that they leave, by id. It outlives their
@@ -115,7 +118,7 @@
 		endpoints: map[string]Endpoint{}, services: map[string][]Endpoint{},
 		evacuations: map[string]evacuation{}, expiring: map[string]time.Time{},
 		releases: map[serviceRelease]time.Time{}, gone: map[string]bool{},
-		leaving: map[string]leavingMark{}, starts: map[string]process{},
+		leaving: map[string]leavingMark{}, starts: map[string]process{}, withheld: map[string]Endpoint{},
 	}
 }
 
@@ -133,14 +136,17 @@
 		return false
 	}
 	older := e.Revision <= t.restored
+	delete(t.withheld, e.ID)
 	if older && t.gone[e.ID] {
+		t.withheld[e.ID] = e
 		return false
 	}
-	t.setStart(&e)
-	if older {
+	if older && !e.Draining && ok && old.Draining && old.Incarnation == e.Incarnation {
 		// The older copy does not know yet that the endpoint drains.
-		e.Draining = e.Draining || (ok && old.Draining && old.Incarnation == e.Incarnation)
+		t.withheld[e.ID] = e
+		e.Draining = true
 	}
+	t.setStart(&e)
 	if mark, ok := t.leaving[e.ID]; ok {
 		if mark.incarnation == e.Incarnation {
 			e.Draining = true
@@ -181,6 +187,7 @@
 func (t *Table) Remove(id string, revision uint64, until time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.overwriteWithheld(id, revision)
 	e, ok := t.endpoints[id]
 	if !ok || revision < e.Revision {
 		return false
@@ -193,6 +200,13 @@
 	return true
 }
 
+// overwriteWithheld forgets a withheld registration that was removed or overwritten at a revision.
+func (t *Table) overwriteWithheld(id string, revision uint64) {
+	if e, ok := t.withheld[id]; ok && revision >= e.Revision {
+		delete(t.withheld, id)
+	}
+}
+
 // lapse keeps an endpoint whose registration was removed until a time.
 func (t *Table) lapse(id string, until time.Time) {
 	if _, scheduled := t.expiring[id]; scheduled {
@@ -226,6 +240,7 @@
 		t.restored = revision
 	}
 	t.listed = revision
+	clear(t.withheld)
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
@@ -275,6 +290,7 @@
 func (t *Table) MarkInvalid(id string, revision uint64, until time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.overwriteWithheld(id, revision)
 	e, ok := t.endpoints[id]
 	if _, scheduled := t.expiring[id]; !ok || scheduled || revision < e.Revision {
 		return false
--- a/internal/board/regis/regis_test.go
+++ b/internal/board/regis/regis_test.go
@@ -250,6 +250,64 @@
 	})
 }
 
+// TestLateListingHidesWhatIsWrittenAgain guards against a host whose first listing of a restored
+// store comes after writes, and that takes these for the older copy's own.
+func TestLateListingHidesWhatIsWrittenAgain(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &storeModel{era: 1, at: 10, items: map[string]Endpoint{}}
+		early, late := NewTable(), NewTable()
+		tables := []*Table{early, late}
+		for _, table := range tables {
+			table.Replace(nil, eras.Join(1, 10), time.Time{})
+		}
+		change := func(tables ...*Table) {
+			id := fmt.Sprint("e", rapid.IntRange(0, 3).Draw(rt, "id"))
+			kind := rapid.SampledFrom([]string{"ready", "drain", "remove"}).Draw(rt, "kind")
+			if kind == "remove" {
+				m.at++
+				delete(m.items, id)
+				for _, table := range tables {
+					table.Remove(id, eras.Join(m.era, m.at), time.Time{})
+				}
+				return
+			}
+			e := m.write(id, kind == "drain")
+			for _, table := range tables {
+				table.Put(e)
+			}
+		}
+		steps := func(name string) int { return rapid.IntRange(0, 12).Draw(rt, name) }
+		for range steps("before the copy") {
+			change(tables...)
+		}
+		copied, copiedAt := maps.Clone(m.items), m.at
+		for range steps("after the copy") {
+			change(tables...)
+		}
+		m.items, m.at, m.era = copied, copiedAt, 2
+		list, revision := m.list()
+		early.Replace(list, revision, time.Time{})
+		for range steps("before the late listing") {
+			change(early)
+		}
+		list, revision = m.list()
+		late.Replace(list, revision, time.Time{})
+		for range steps("before the announcement") {
+			change(tables...)
+		}
+		late.LowerRestored(early.Restored())
+		describe := func(table *Table) (out []string) {
+			for _, e := range table.Endpoints("s") {
+				out = append(out, fmt.Sprint(e.ID, " draining ", e.Draining))
+			}
+			return out
+		}
+		if got, want := describe(late), describe(early); !slices.Equal(got, want) {
+			rt.Fatalf("the host that listed late has %v, want %v", got, want)
+		}
+	})
+}
+
 // TestRestoreRevivesNoEvacuation: an evacuation whose end was seen is not started by the
 // copy that still has it, and a new one is.
 func TestRestoreRevivesNoEvacuation(t *testing.T) {
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -81,6 +81,9 @@
 	// StoreEra is the era of the revisions in Store. Hosts of builds that do not know the
 	// field send none.
 	StoreEra uint64 `cbor:"22,keyasint,omitempty"`
+	// StoreRestored is the revision of the sender's first listing of that era, 0 if the store was
+	// never restored. Hosts of older builds ignore the field.
+	StoreRestored uint64 `cbor:"32,keyasint,omitempty"`
 	// HostLoads are the sender's in-flight requests at the endpoints of its region.
 	HostLoads []HostLoad `cbor:"14,keyasint,omitempty"`
 	// ServiceLoads are service loads by name.
--- a/internal/serve/node/items.go
+++ b/internal/serve/node/items.go
@@ -42,9 +42,25 @@
 		return
 	}
 	inCentre := func(m member.Member) bool { return m.Centre == n.board.Centre }
-	n.announce(math.MaxInt, inCentre, wire.Packet{StoreEra: eras.Of(state.Revision), Store: &wire.StoreState{
+	p := wire.Packet{StoreEra: eras.Of(state.Revision), Store: &wire.StoreState{
 		Revision: eras.Revision(state.Revision), Changed: eras.Revision(state.Changed), AgeMS: uint64(max(0, state.Age.Milliseconds())),
-	}})
+	}}
+	if restored := n.board.Registry.Restored(); eras.Of(restored) == p.StoreEra {
+		p.StoreRestored = eras.Revision(restored)
+	}
+	n.announce(math.MaxInt, inCentre, p)
+}
+
+// receiveRestored applies at which revision a host had listed the restored store already.
+func (n *Node) receiveRestored(now time.Time, m member.Member, era, revision uint64) {
+	changed := n.board.Registry.LowerRestored(eras.Join(era, revision))
+	for _, e := range changed {
+		n.log.Info().Str("endpoint", e.ID).Str("peer", m.Name).Msg("endpoint was written again after the restore of the store")
+		n.endpointChanged(e)
+	}
+	if len(changed) > 0 {
+		n.board.Endpoints.Sync(now, n.board.Registry.IDs(n.board.Region))
+	}
 }
 
 // receiveStoreState compares this host's view of the store with that of a host that reads
--- a/internal/serve/node/restore_test.go
+++ b/internal/serve/node/restore_test.go
@@ -161,52 +161,63 @@
 	f.allSee(nodes, "version 7 ready [ends stays] draining [drains] evacuated []")
 }
 
-// TestRestoredCopyHidesEndpointFromFollowers guards against hosts that rely on others to read the
-// store and do not get an endpoint that was removed, is in the older copy, and was written again.
-func TestRestoredCopyHidesEndpointFromFollowers(t *testing.T) {
-	store, err := stand.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = store.Close() })
-	store.Put("op/config", restoreConfig)
-	f := &fleet{t: t}
-	nodes := startOnStore(t, store, 5)
-	var renewed time.Time
-	renew := func() {
-		if time.Since(renewed) > 100*time.Millisecond {
-			store.Put("servers/stays", registration("ready"))
-			renewed = time.Now()
-		}
-	}
-	renew()
-	store.Put("servers/ends", registration("ready"))
-	f.allSee(nodes, "version 7 ready [ends stays] draining [] evacuated []")
-	older := store.Copy()
-	store.Delete("servers/ends")
-	const without = "version 7 ready [stays] draining [] evacuated []"
-	f.allSee(nodes, without)
-	followers := func() int {
-		renew()
-		count := 0
-		for _, n := range nodes {
-			if _, reads := n.feed.State(time.Now()); !reads {
-				count++
+// TestRestoredCopyHidesEndpoint guards against hosts that do not get an endpoint that was removed, is
+// in the older copy, and was written again: hosts that rely on others to read the store, and hosts
+// that list the store only after that write.
+func TestRestoredCopyHidesEndpoint(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// seen is the number of hosts that have listed the restored store before the write.
+		seen int
+	}{{"all hosts have listed the store", 5}, {"some hosts have not listed the store", 1}} {
+		t.Run(tt.name, func(t *testing.T) {
+			store, err := stand.New()
+			if err != nil {
+				t.Fatal(err)
 			}
-		}
-		return count
+			t.Cleanup(func() { _ = store.Close() })
+			store.Put("op/config", restoreConfig)
+			f := &fleet{t: t}
+			nodes := startOnStore(t, store, 5)
+			var renewed time.Time
+			// count renews the endpoint that stays, and returns the hosts for which holds is true.
+			count := func(holds func(n *Node) bool) (out int) {
+				if time.Since(renewed) > 100*time.Millisecond {
+					store.Put("servers/stays", registration("ready"))
+					renewed = time.Now()
+				}
+				for _, n := range nodes {
+					if holds(n) {
+						out++
+					}
+				}
+				return out
+			}
+			sees := func(want string) func(n *Node) bool {
+				return func(n *Node) bool { return storeView(n) == want }
+			}
+			follows := func(n *Node) bool {
+				_, reads := n.feed.State(time.Now())
+				return !reads
+			}
+			const with, without = "version 7 ready [ends stays] draining [] evacuated []", "version 7 ready [stays] draining [] evacuated []"
+			store.Put("servers/ends", registration("ready"))
+			f.eventually("all hosts use both endpoints", func() bool { return count(sees(with)) == 5 })
+			older := store.Copy()
+			store.Delete("servers/ends")
+			f.eventually("all hosts have seen the end", func() bool { return count(sees(without)) == 5 })
+			f.eventually("two hosts follow the others", func() bool { return count(follows) == 2 })
+			store.Restore(older)
+			f.eventually("hosts have seen the restore", func() bool {
+				return count(func(n *Node) bool { return eras.Of(n.feed.Reached()) == 2 }) >= tt.seen && count(follows) == 2
+			})
+			if n := count(sees(without)); n != 5 {
+				t.Errorf("%d hosts do not use the endpoint of the older copy, want 5", n)
+			}
+			store.Put("servers/ends", registration("ready"))
+			f.eventually("all hosts use the endpoint that was written again", func() bool { return count(sees(with)) == 5 })
+		})
 	}
-	f.eventually("two hosts follow the others", func() bool { return followers() == 2 })
-	store.Restore(older)
-	f.eventually("all hosts have seen the restore, and two follow", func() bool {
-		ahead := func(n *Node) bool { return eras.Of(n.feed.Reached()) < 2 }
-		return followers() == 2 && !slices.ContainsFunc(nodes, ahead)
-	})
-	f.allSee(nodes, without)
-	store.Put("servers/ends", registration("ready"))
-	f.eventually("all hosts use the endpoint that was written again", func() bool {
-		return followers() >= 0 && allSee(nodes, "version 7 ready [ends stays] draining [] evacuated []")()
-	})
 }
 
 // TestRestartForgetsWhatPeersKnow guards against a host that starts again after the store came
