--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -135,17 +135,9 @@
 	if ok && e.Revision < old.Revision {
 		return false
 	}
-	older := e.Revision <= t.restored
-	delete(t.withheld, e.ID)
-	if older && t.gone[e.ID] {
-		t.withheld[e.ID] = e
+	if t.withhold(&e, old.Draining && old.Incarnation == e.Incarnation) {
 		return false
 	}
-	if older && !e.Draining && ok && old.Draining && old.Incarnation == e.Incarnation {
-		// The older copy does not know yet that the endpoint drains.
-		t.withheld[e.ID] = e
-		e.Draining = true
-	}
 	t.setStart(&e)
 	if mark, ok := t.leaving[e.ID]; ok {
 		if mark.incarnation == e.Incarnation {
@@ -167,6 +159,23 @@
 	return true
 }
 
+// withhold reports whether a registration is not in force, as the store's older copy may have it of an
+// endpoint that has left. draining states that the same process drained before the restore, which such
+// a registration does not withdraw.
+func (t *Table) withhold(e *Endpoint, draining bool) bool {
+	delete(t.withheld, e.ID)
+	switch {
+	case e.Revision > t.restored:
+	case t.gone[e.ID]:
+		t.withheld[e.ID] = *e
+		return true
+	case draining && !e.Draining:
+		t.withheld[e.ID] = *e
+		e.Draining = true
+	}
+	return false
+}
+
 // coldSlack is the largest difference between two ColdUntil values that count as the
 // same: heartbeats are delayed, and each restates the remaining time.
 const coldSlack = 500 * time.Millisecond
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -670,7 +670,7 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			total += n
-			if !e.passChunk(resp, splitter, buf[:n]) {
+			if !e.passChunk(splitter, buf[:n]) {
 				return 0
 			}
 			if growErr := hold.Grow(splitter.Buffered() - partial); growErr != nil {
@@ -750,7 +750,7 @@
 
 // passChunk passes on the events that p completes and reports whether the stream can
 // go on.
-func (e *exchange) passChunk(resp *http.Response, splitter *stream.Splitter, p []byte) bool {
+func (e *exchange) passChunk(splitter *stream.Splitter, p []byte) bool {
 	if e.result.TimeToFirstByte == 0 {
 		e.result.TimeToFirstByte = e.client.Now().Sub(e.start)
 	}
