Count the runs of the test of repeated answers by the copies there are

It now wants two runs for each form at plain endpoints and seven at engines, which are the same numbers for six forms and as strict.

--- a/internal/serve/node/late_test.go
+++ b/internal/serve/node/late_test.go
@@ -49,7 +49,7 @@
 					inject(routed.Fault{Times: 1, Late: late})
 					call(fmt.Sprint("after ", late))
 				}
-				runs, wantRuns := len(f.runs(first, second)), map[string]int{"plain": 12, "model": 42}[service]
+				runs, wantRuns := len(f.runs(first, second)), map[string]int{"plain": 2, "model": 7}[service]*len(routed.LateCopies())
 				if runs != wantRuns {
 					t.Errorf("got %d runs, want %d", runs, wantRuns)
 				}
