Soak streams that break off and compare each event and each end

Callers saw streams that ended as complete before their last event (docs/incidents/joined.md). The soaks broke no stream off within an event, had no error answers to a continuation, and their endpoints' runs wrote the same text, so that joined runs could not be told apart. TestSoakBrokenStreams runs six hosts in three regions for 20 s. Endpoints break streams off at any event, with a length, chunks or neither, are silent, send late copies, and answer the rest of a stream with errors, other types and encodings; four series of faults overlap: hosts paused, told to end and killed, connections to endpoints reset, endpoints that break most streams off. Callers keep to a host while it answers, leave, and resume streams themselves. Each event names its run, and each run records what it wrote; afterwards each event, each joint of two runs and each end are compared. A late copy is now of another request always: with requests that overlap, it could have the id of its own.

--- a/internal/load/soak/calls.go
+++ b/internal/load/soak/calls.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -20,6 +22,7 @@
 	callTimeout = 6 * time.Second
 	// resumeTimeout is what is left of it when a caller resumes a stream.
 	resumeTimeout = 4 * time.Second
+	readBytes     = 4 << 10
 	// farRegion is the only region that serves the routes with a home.
 	farRegion = "b"
 )
@@ -46,7 +49,11 @@
 	route  stand.Route
 	host   string
 	status int
-	body   string
+	// mediaType is the value of the answer's Content-Type.
+	mediaType string
+	body      string
+	// leaveAfter is the number of events after which the caller closes its connection, 0 for none.
+	leaveAfter int
 	// err is why the answer is not whole, or nil.
 	err error
 	// resumes is the id of the request whose stream the call resumes, empty for none, and from the
@@ -104,14 +111,37 @@
 		return c
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	c.status, c.body = resp.StatusCode, string(body)
+	body, err := c.read(resp.Body)
+	c.status, c.mediaType, c.body = resp.StatusCode, resp.Header.Get("Content-Type"), string(body)
 	if err != nil {
 		c.err = fmt.Errorf("read answer: %w", err)
 	}
 	return c
 }
 
+// errLeft is the error of a call whose caller closed its connection.
+var errLeft = errors.New("caller left")
+
+// read reads an answer until its end, or until the caller leaves.
+func (c *call) read(r io.Reader) ([]byte, error) {
+	if c.leaveAfter == 0 {
+		return io.ReadAll(r)
+	}
+	var body []byte
+	for buf := make([]byte, readBytes); ; {
+		n, err := r.Read(buf)
+		body = append(body, buf[:n]...)
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return body, err
+		case bytes.Count(body, []byte("\n\n")) >= c.leaveAfter:
+			return body, errLeft
+		}
+	}
+}
+
 // ledger holds the calls that have ended.
 type ledger struct {
 	mu    sync.Mutex
--- a/internal/load/soak/fleet.go
+++ b/internal/load/soak/fleet.go
@@ -52,6 +52,8 @@
 	folder  string
 	regions map[string]string
 	client  *http.Client
+	// retrySlack is the number of retries that need no budget, 0 for the default.
+	retrySlack float64
 }
 
 // New returns a fleet without hosts. It runs the program at a path and keeps settings and
@@ -90,6 +92,9 @@
 	h := &Host{Name: name, Region: region, file: filepath.Join(f.folder, name+".toml")}
 	s := &h.settings
 	*s = setup.Hosted{Name: name, Region: region, Centre: region, Store: f.Store.Address(), LogLevel: "debug", Bounds: setup.DefaultBounds()}
+	if f.retrySlack > 0 {
+		s.Bounds.RetrySlack = f.retrySlack
+	}
 	s.Bounds.BeatMS, s.Bounds.HistoryS = float64(renewInterval.Milliseconds()), historyS
 	for _, a := range []*string{&s.Callers, &s.Ready, &s.Directory, &s.Metrics, &s.Peers} {
 		address, err := freeAddress()
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -36,6 +36,7 @@
 	rand   *rand.Rand
 	log    func(format string, args ...any)
 	ledger ledger
+	routes []stand.Route
 
 	mu       sync.Mutex
 	findings []string
@@ -47,13 +48,20 @@
 
 // NewRun returns a run on a fleet. The seed gives its faults, which are written to log.
 func NewRun(f *Fleet, seed uint64, log func(format string, args ...any)) *Run {
-	return &Run{fleet: f, rand: rand.New(rand.NewPCG(seed, 1)), log: log, starts: map[string]int{}}
+	return &Run{fleet: f, rand: rand.New(rand.NewPCG(seed, 1)), log: log, routes: routes(), disturbed: map[string]bool{}, starts: map[string]int{}}
 }
 
 // Build adds hosts and endpoints to an empty fleet and starts them.
 func (r *Run) Build() error {
+	return r.build(map[string]int{"a": 2, farRegion: 2, "c": 1}, func(e *routed.Endpoint) {
+		e.EventCount, e.EventGap, e.AnswerTime = eventCount, 30*time.Millisecond, 20*time.Millisecond
+	})
+}
+
+// build adds a number of hosts and two endpoints to each region of an empty fleet and starts them.
+func (r *Run) build(regions map[string]int, setup func(*routed.Endpoint)) error {
 	f := r.fleet
-	for region, hosts := range map[string]int{"a": 2, farRegion: 2, "c": 1} {
+	for region, hosts := range regions {
 		f.AddRegion(region)
 		for i := range hosts {
 			if _, err := f.AddHost(fmt.Sprint(region, i+1), region); err != nil {
@@ -61,10 +69,7 @@
 			}
 		}
 		for i := range 2 {
-			_, err := f.AddEndpoint(fmt.Sprint("e", region, i+1), service, region, func(e *routed.Endpoint) {
-				e.EventCount, e.EventGap, e.AnswerTime = eventCount, 30*time.Millisecond, 20*time.Millisecond
-			})
-			if err != nil {
+			if _, err := f.AddEndpoint(fmt.Sprint("e", region, i+1), service, region, setup); err != nil {
 				return err
 			}
 		}
@@ -72,7 +77,7 @@
 	// The order must not depend on that of the map.
 	slices.SortFunc(f.Hosts, func(a, b *Host) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(f.Endpoints, func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	f.Store.Publish(1, []string{service}, routes()...)
+	f.Store.Publish(1, []string{service}, r.routes...)
 	for _, h := range f.Hosts {
 		if err := r.start(h); err != nil {
 			return err
@@ -180,7 +185,7 @@
 	defer client.CloseIdleConnections()
 	end := time.Now().Add(recoveryTime)
 	for _, h := range r.fleet.Hosts {
-		for _, route := range routes() {
+		for _, route := range r.routes {
 			for {
 				id := fmt.Sprintf("probe-%s-%s-%d", h.Name, route.Name, time.Now().UnixNano())
 				c := r.fleet.send(client, h, route, id)
@@ -320,5 +325,5 @@
 // operator then write again what it lacks.
 func (r *Run) restoreStore(saved stand.Copy) func() {
 	r.fleet.Store.Restore(saved)
-	return func() { r.fleet.Store.Publish(1, []string{service}, routes()...) }
+	return func() { r.fleet.Store.Publish(1, []string{service}, r.routes...) }
 }
--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/seeds"
 	"github.com/hyssopspindle/hyssopspindle/platform/stand"
@@ -46,3 +47,29 @@
 		t.Error(finding)
 	}
 }
+
+// brokenTime is how long TestSoakBrokenStreams injects faults.
+const brokenTime = 20 * time.Second
+
+// TestSoakBrokenStreams breaks streams off and answers their rest with something else, while hosts are
+// paused and ended in series that overlap. It guards against streams with events or an end that no
+// endpoint wrote for them (docs/incidents/joined.md).
+func TestSoakBrokenStreams(t *testing.T) {
+	seed, err := strconv.ParseUint(seeds.Value(), 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("seed %d; set %s to use another one", seed, seeds.EnvVariable)
+	f := newFleet(t)
+	findings, err := PlayBroken(f, seed, brokenTime, t.Logf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, finding := range findings {
+		t.Error(finding)
+		if _, rest, ok := strings.Cut(finding, ": "); ok {
+			id, _, _ := strings.Cut(rest, " ")
+			logs(t, f, `"request":"`+id+`"`)
+		}
+	}
+}
--- a/internal/stand/routed/late.go
+++ b/internal/stand/routed/late.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -11,8 +12,8 @@
 type Late string
 
 // The copies: with the id of an earlier request, with an unknown id, without an id, with an empty
-// one, with the ids of the request and of an earlier one, and without an id as a refusal that states
-// that the request was not run.
+// one, with the ids of the request and of an earlier one, without an id as a refusal that states
+// that the request was not run, and with the id of an earlier request as a stream.
 const (
 	LateEarlier Late = "earlier"
 	LateUnknown Late = "unknown"
@@ -20,23 +21,26 @@
 	LateEmptyID Late = "empty id"
 	LateTwoIDs  Late = "two ids"
 	LateRefusal Late = "refusal"
+	LateStream  Late = "stream"
 )
 
 // LateCopies returns all copies.
 func LateCopies() []Late {
-	return []Late{LateEarlier, LateUnknown, LateNoID, LateEmptyID, LateTwoIDs, LateRefusal}
+	return []Late{LateEarlier, LateUnknown, LateNoID, LateEmptyID, LateTwoIDs, LateRefusal, LateStream}
 }
 
-// earlierID returns the id of the request that was answered before the newest run: the last one that
-// was refused for a copy of a refusal, else the last one that ran.
-func (e *Endpoint) earlierID(refusal bool) string {
+// earlierID returns the id of an earlier request than the one with the id own: the last one that was
+// refused for a copy of a refusal, else the last other one that ran.
+func (e *Endpoint) earlierID(own string, refusal bool) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	switch {
-	case refusal && e.refusedID != "":
+	if refusal && e.refusedID != "" {
 		return e.refusedID
-	case len(e.runs) > 1:
-		return e.runs[len(e.runs)-2].ID
+	}
+	for _, r := range slices.Backward(e.runs) {
+		if r.ID != own {
+			return r.ID
+		}
 	}
 	return "none"
 }
@@ -47,6 +51,8 @@
 	switch l {
 	case LateEarlier:
 		return field(earlier)
+	case LateStream:
+		return field(earlier) + "Content-Type: " + StreamType + "\r\n"
 	case LateUnknown:
 		return field("unknown")
 	case LateEmptyID:
@@ -65,8 +71,12 @@
 	if status == 0 && f.Late == LateRefusal {
 		status = http.StatusServiceUnavailable
 	}
-	earlier := e.earlierID(status != 0)
-	late, fields := PlainAnswer(earlier), e.lateFields(f.Late, earlier, w.Header().Get(e.Terms.RequestID))
+	own := w.Header().Get(e.Terms.RequestID)
+	earlier := e.earlierID(own, status != 0)
+	late, fields := PlainAnswer(earlier), e.lateFields(f.Late, earlier, own)
+	if f.Late == LateStream {
+		late = strings.Join(e.events(earlier, 0), "")
+	}
 	if status == 0 {
 		status = http.StatusOK
 	} else {
--- a/internal/stand/routed/odd.go
+++ b/internal/stand/routed/odd.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"fmt"
 	"net/http"
 	"strings"
 )
@@ -23,14 +24,15 @@
 // StreamType is the media type of streams.
 const StreamType = "text/event-stream"
 
-// sendOdd sends an answer that ends as whole; events are those that the client lacks of its stream.
-func sendOdd(w http.ResponseWriter, o Odd, events []string) {
+// sendOdd sends the answer of a run, which ends as whole; events are those that the client lacks of
+// its stream.
+func (e *Endpoint) sendOdd(w http.ResponseWriter, o Odd, run int, events []string) {
 	h := w.Header()
 	h["Content-Type"] = nil
 	if o.Type != "" {
 		h.Set("Content-Type", o.Type)
 	}
-	body := "failed\n"
+	body := fmt.Sprintf("failed at %s.%d\n", e.ID, run)
 	if o.Type == StreamType {
 		body = strings.Join(events, "")
 	}
@@ -38,6 +40,7 @@
 		h.Set("Content-Encoding", o.Encoding)
 		body = pack(body, o.Level)
 	}
+	e.recordWritten(run, body, true)
 	w.WriteHeader(o.Status)
 	if o.Status != http.StatusNoContent {
 		_, _ = w.Write([]byte(body))
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -60,6 +61,8 @@
 	Odd Odd
 	// Only is all that is sent of a stream before its connection is closed, empty for the events.
 	Only string
+	// Paced is how a stream is sent, nil for the other faults. It needs a plan.
+	Paced *Paced
 }
 
 // sendsNothing reports whether the endpoint neither answers nor sends a copy.
@@ -91,6 +94,9 @@
 	// At is when the request arrived, and Conn the address that its connection came from.
 	At   time.Time
 	Conn string
+	// Written is what was written of a marked answer, and Ended reports whether its end was.
+	Written string
+	Ended   bool
 }
 
 // Endpoint is a running stand-in.
@@ -107,6 +113,8 @@
 
 	mu        sync.Mutex
 	fault     Fault
+	plan      func(r Run, n int) Fault
+	paced     map[net.Conn]bool
 	room      room
 	crash     Crash
 	ended     bool
@@ -131,7 +139,7 @@
 
 // New starts an endpoint on a loopback address. The caller closes it.
 func New(id string, t *terms.Terms) (*Endpoint, error) {
-	e := &Endpoint{ID: id, Terms: t, EventCount: 5}
+	e := &Endpoint{ID: id, Terms: t, EventCount: 5, paced: map[net.Conn]bool{}}
 	s, err := httpd.Serve("127.0.0.1:0", http.HandlerFunc(e.serve))
 	if err != nil {
 		return nil, fmt.Errorf("endpoint %s: %w", id, err)
@@ -198,6 +206,25 @@
 	e.fault = f
 }
 
+// SetPlan replaces injected faults by those that a function returns for the run of a number, and
+// marks the events of streams with their run.
+func (e *Endpoint) SetPlan(plan func(r Run, n int) Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.plan = plan
+}
+
+// planned returns the fault of a run by the plan, f if there is none.
+func (e *Endpoint) planned(run int, f Fault) Fault {
+	e.mu.Lock()
+	plan, r := e.plan, e.runs[run]
+	e.mu.Unlock()
+	if plan == nil {
+		return f
+	}
+	return plan(r, run)
+}
+
 // SetRateLimit sets the rate limit that the endpoint names in its answers, as the value of
 // the header field; an empty value names none. The endpoint does not enforce it.
 func (e *Endpoint) SetRateLimit(value string) {
@@ -400,7 +427,8 @@
 		return
 	}
 	defer leave()
-	from := e.recordRun(r, id)
+	run, from := e.recordRun(r, id)
+	f = e.planned(run, f)
 	e.delayHead()
 	h.Set(SignedBy, e.ID)
 	if c, ends := e.crashOn(r.RequestURI, e.Terms.ParsePrompt(r.Header.Get(e.Terms.Tokens), r.Header.Get(e.Terms.Parts))); ends {
@@ -418,7 +446,7 @@
 	case f.Status != 0:
 		e.sendStatus(w, f)
 	case strings.Contains(r.URL.Path, "stream"):
-		e.sendStream(w, r, id, from, f)
+		e.sendStream(w, r, streamRun{id: id, run: run, from: from}, f)
 	default:
 		e.sendBody(w, r, id, f)
 	}
@@ -432,8 +460,9 @@
 	_, _ = w.Write([]byte("failed"))
 }
 
-// recordRun records a run and returns the id of the event to resume after, -1 for none.
-func (e *Endpoint) recordRun(r *http.Request, id string) int {
+// recordRun records a run and returns its number and the id of the event to resume after, -1 for
+// none.
+func (e *Endpoint) recordRun(r *http.Request, id string) (run, from int) {
 	body := new(strings.Builder)
 	buf := make([]byte, 4096)
 	for {
@@ -443,7 +472,7 @@
 			break
 		}
 	}
-	from := -1
+	from = -1
 	if text := r.Header.Get(e.Terms.LastEvent); text != "" {
 		if n, err := strconv.Atoi(text); err == nil {
 			from = n
@@ -452,7 +481,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs = append(e.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: body.String(), Header: r.Header.Clone(), ResumeAfter: from, At: time.Now(), Conn: r.RemoteAddr})
-	return from
+	return len(e.runs) - 1, from
 }
 
 func (e *Endpoint) countCancelled() {
@@ -488,20 +517,33 @@
 	_, _ = w.Write([]byte(PlainAnswer(id)))
 }
 
-func (e *Endpoint) sendStream(w http.ResponseWriter, r *http.Request, id string, from int, f Fault) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	if f.Ending != "" {
-		e.sendUpTo(w, f.Ending, e.events(id, from+1))
-		return
-	}
-	if f.Late != "" && (f.CutAfter == 0 || from >= 0) {
-		e.sendAfterLate(w, f, e.events(id, from+1))
-		return
-	}
-	if f.Odd != (Odd{}) && (f.CutAfter == 0 || from >= 0) {
-		sendOdd(w, f.Odd, e.events(id, from+1))
-		return
+// streamRun is a run of a request for a stream.
+type streamRun struct {
+	id        string
+	run, from int
+}
+
+func (e *Endpoint) sendStream(w http.ResponseWriter, r *http.Request, s streamRun, f Fault) {
+	w.Header().Set("Content-Type", StreamType)
+	events, mayReplace := e.runEvents(s), f.CutAfter == 0 || s.from >= 0
+	switch {
+	case f.Paced != nil:
+		e.sendPaced(w, r, *f.Paced, s.run, events)
+	case f.Ending != "":
+		e.sendUpTo(w, f.Ending, events)
+	case f.Late != "" && mayReplace:
+		e.recordWritten(s.run, strings.Join(events, ""), true)
+		e.sendAfterLate(w, f, events)
+	case f.Odd != (Odd{}) && mayReplace:
+		e.sendOdd(w, f.Odd, s.run, events)
+	default:
+		e.sendEachEvent(w, r, s, f)
 	}
+}
+
+// sendEachEvent sends the events of a run one by one.
+func (e *Endpoint) sendEachEvent(w http.ResponseWriter, r *http.Request, s streamRun, f Fault) {
+	id, from := s.id, s.from
 	flush := http.NewResponseController(w)
 	if f.Only != "" {
 		_, _ = w.Write([]byte(f.Only))
