--- a/internal/load/soak/pieces.go
+++ b/internal/load/soak/pieces.go
@@ -18,11 +18,11 @@
 
 func (r *run) String() string { return fmt.Sprintf("%s.%d", r.endpoint, r.number) }
 
-// eventID returns the id of a marked event, and false if it has none.
-func eventID(event string) (int, bool) {
-	line, _, _ := strings.Cut(event, "\n")
+// eventID returns the id of a marked event, and false for anything else.
+func eventID(piece string) (int, bool) {
+	line, _, _ := strings.Cut(piece, "\n")
 	n, err := strconv.Atoi(strings.TrimPrefix(line, "id: "))
-	return n, err == nil
+	return n, err == nil && strings.HasSuffix(piece, "\n\n")
 }
 
 // isComment reports whether a piece of a stream is a comment, which belongs to no event.
@@ -32,7 +32,7 @@
 func (c *call) next() int {
 	next := c.from
 	for piece := range strings.SplitAfterSeq(c.body, "\n\n") {
-		if n, ok := eventID(piece); ok && strings.HasSuffix(piece, "\n\n") {
+		if n, isEvent := eventID(piece); isEvent {
 			next = n + 1
 		}
 	}
