--- a/internal/load/soak/broken.go
+++ b/internal/load/soak/broken.go
@@ -56,6 +56,7 @@
 	*Run
 	seed uint64
 
+	// mu guards the fields below; those of Run have a lock of their own.
 	mu sync.Mutex
 	// calm reports whether endpoints send whole streams only; storms holds the endpoints that break
 	// most streams off, and busy the hosts that a fault is being injected into.
@@ -104,7 +105,8 @@
 	b.calm = calm
 }
 
-// plan returns how an endpoint answers its run number n. It depends on the seed and the run only.
+// plan returns how an endpoint answers its run number n. It depends on the seed, the run and on
+// whether the endpoint is in a storm.
 func (b *brokenRun) plan(endpoint string, run routed.Run, n int) routed.Fault {
 	b.mu.Lock()
 	calm, share := b.calm, troubleShare
@@ -176,40 +178,49 @@
 	return list[rnd.IntN(len(list))]
 }
 
-// callBroken sends streams one after the other until ctx ends, to the same host while it answers, and
-// resumes those that break off.
+// callBroken sends streams one after the other until ctx ends, and resumes those that break off. Half
+// of the callers keep to a host while it answers, the others while it serves them.
 func (b *brokenRun) callBroken(ctx context.Context, caller int) {
 	f := b.fleet
 	rnd := rand.New(rand.NewPCG(b.seed, uint64(caller)+100))
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	defer client.CloseIdleConnections()
-	at := caller
+	at, stays := caller, caller%2 == 0
 	for n := 0; ctx.Err() == nil; n++ {
 		c := &call{id: fmt.Sprintf("b%d-%d", caller, n), route: b.routes[rnd.IntN(len(b.routes))]}
 		if rnd.Float64() < leaveShare {
 			c.leaveAfter = 1 + rnd.IntN(brokenEvents)
 		}
 		b.ledger.add(f.sendCall(client, f.Hosts[at%len(f.Hosts)], c))
-		if c.err != nil && c.leaveAfter == 0 {
-			at++
-		}
-		next := c.next()
-		for try := 0; try < resumeTries && c.route.Resumable && c.err != nil && next > 0 && next < brokenEvents && ctx.Err() == nil; try++ {
-			time.Sleep(pollInterval)
-			up := &call{id: fmt.Sprintf("%s-up%d", c.id, try), route: c.route, resumes: c.id, from: next}
-			b.ledger.add(f.sendCall(client, f.Hosts[at%len(f.Hosts)], up))
-			if up.err == nil && up.status == http.StatusOK {
-				break
-			}
-			next = max(next, up.next())
+		if (c.err != nil && c.leaveAfter == 0) || (c.status != http.StatusOK && !stays) {
 			at++
 		}
+		at += b.resumeBroken(ctx, client, at, c)
 		if c.status != http.StatusOK {
 			time.Sleep(pollInterval)
 		}
 	}
 }
 
+// resumeBroken resumes the stream of a call that broke off, first at the host of a number, then at the
+// following ones. It returns the number of hosts that failed.
+func (b *brokenRun) resumeBroken(ctx context.Context, client *http.Client, at int, c *call) int {
+	f, next := b.fleet, c.next()
+	for try := range resumeTries {
+		if !c.route.Resumable || c.err == nil || next == 0 || next == brokenEvents || ctx.Err() != nil {
+			return try
+		}
+		time.Sleep(pollInterval)
+		up := &call{id: fmt.Sprintf("%s-up%d", c.id, try), route: c.route, resumes: c.id, from: next}
+		b.ledger.add(f.sendCall(client, f.Hosts[(at+try)%len(f.Hosts)], up))
+		if up.err == nil && up.status == http.StatusOK {
+			return try
+		}
+		next = max(next, up.next())
+	}
+	return resumeTries
+}
+
 // injectSeries injects one fault after the other until ctx ends.
 func (b *brokenRun) injectSeries(ctx context.Context, series uint64) {
 	f := b.fleet
@@ -220,6 +231,7 @@
 		inject func(h *Host, e *Endpoint, length time.Duration) (end func())
 	}{
 		{"host is paused", true, b.pauseHost},
+		{"host is paused for thrice as long", true, b.pauseLong},
 		{"host is told to end", true, b.restartHost},
 		{"host is killed", true, b.killHost},
 		{"endpoint breaks most streams off", false, b.stormEndpoint},
@@ -272,6 +284,13 @@
 	return func() { set(false) }
 }
 
+// pauseLong pauses a host until others give up the requests that they relayed to it.
+func (b *brokenRun) pauseLong(h *Host, e *Endpoint, length time.Duration) func() {
+	end := b.pauseHost(h, e, length)
+	time.Sleep(2 * length)
+	return end
+}
+
 // resetEndpoint resets an endpoint's connections several times.
 func (b *brokenRun) resetEndpoint(_ *Host, e *Endpoint, length time.Duration) func() {
 	for range 3 {
