Don't wait for the rest of an answer that does not continue a stream

What callers could see: a begun stream stood still up to its deadline after another endpoint answered its rest with text whose body did not arrive whole. Evidence: TestOtherAnswerWithoutItsBodyHoldsStreamUp fails without the change, after the attempt's deadline of 20 s, and passes with it.

--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -42,7 +42,8 @@
 	maxSkippedAnswers = 4
 	// maxSkippedBytes bounds the body of each of them.
 	maxSkippedBytes = 256 << 10
-	// refusalTimeout bounds the wait for the rest of a refusal, which only its connection's reuse needs.
+	// refusalTimeout bounds the wait for the rest of a refusal, or of an answer that does not continue
+	// a stream, which only its connection's reuse needs.
 	refusalTimeout = 50 * time.Millisecond
 	// minRate is the rate, in bytes per second, at which the bytes of an unfinished event or of
 	// a whole answer extend the wait for its end. It is far below that of any link to an
@@ -526,7 +527,7 @@
 	if resp.ContentLength > readChunkBytes || resp.ContentLength < 0 {
 		return 0
 	}
-	if e.result.Reason == retry.Refused {
+	if e.result.Reason == retry.Refused || errors.Is(e.result.Err, splice.ErrOther) {
 		e.conn.onTimeout = nil
 		e.setReadDeadline(refusalTimeout)
 	}
--- a/internal/serve/pool/refusal_test.go
+++ b/internal/serve/pool/refusal_test.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/splice"
 )
 
 const ownAnswer = "own answer"
@@ -366,3 +367,21 @@
 		t.Error("the connection of an answer that is not whole is in the pool")
 	}
 }
+
+// TestOtherAnswerWithoutItsBodyHoldsStreamUp guards against a begun stream that waits for the rest of an
+// answer that does not continue it, up to its deadline, before another endpoint continues it.
+func TestOtherAnswerWithoutItsBodyHoldsStreamUp(t *testing.T) {
+	s := listen(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: text/plain\r\nContent-Length: 9\r\n\r\nhalf")
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	begin := time.Now()
+	out, passed := do(c, s.Addr().String(), func(a *Attempt) {
+		a.HeadTimeout, a.Abandon, a.Accept = time.Second, func() bool { return false }, splice.Begun().Accept
+	})
+	if took := time.Since(begin); out.Ran != fault.RanYes || took > testTimeout/4 {
+		t.Errorf("ran %s after %v (error %v), want at once that it ran", out.Ran, took, out.Err)
+	}
+	if passed != "" {
+		t.Errorf("%q was passed on", passed)
+	}
+}
