--- a/internal/serve/node/entries_test.go
+++ b/internal/serve/node/entries_test.go
@@ -83,9 +83,9 @@
 	return f
 }
 
-// allKnow waits until the endpoints that take requests are the given ones at all hosts, and those that
+// allHave waits until the endpoints that take requests are the given ones at all hosts, and those that
 // drain at all hosts that reach the store: a host that does not keeps those that were removed.
-func (f *oddFleet) allKnow(ready, draining string) {
+func (f *oddFleet) allHave(ready, draining string) {
 	f.t.Helper()
 	want := fmt.Sprint("version 7 ready [", ready, "] draining [", draining, "] evacuated []")
 	f.allSee(f.hosts[:len(f.hosts)-1], want)
@@ -147,12 +147,12 @@
 func (f *oddFleet) follow(id string) {
 	f.t.Helper()
 	f.startSound(id)
-	f.allKnow("sound "+id, "")
+	f.allHave("sound "+id, "")
 	f.serve("with " + id)
 	f.putSound(id, true)
-	f.allKnow("sound", id)
+	f.allHave("sound", id)
 	f.store.Delete("servers/" + id)
-	f.allKnow("sound", "")
+	f.allHave("sound", "")
 	f.serve("after the removal of " + id)
 }
 
@@ -173,7 +173,7 @@
 			f.store.Put("servers/before-"+name, value)
 		}
 	})
-	f.allKnow("sound", "")
+	f.allHave("sound", "")
 	f.serve("at the start")
 	f.follow("t1")
 	for name, value := range stand.OddValues("s", "z1") {
@@ -208,7 +208,7 @@
 		before = heapInUse()
 		put(f)
 	})
-	f.allKnow("sound", "")
+	f.allHave("sound", "")
 	for round := 1; round < rounds; round++ {
 		put(f)
 		f.follow(fmt.Sprint("t", round))
@@ -276,7 +276,7 @@
 		f.serve("beside the addresses of hosts")
 	}
 	f.store.Delete("servers/sound")
-	f.eventually("hosts know that the sound endpoint is gone", func() bool {
+	f.eventually("hosts record that the sound endpoint is gone", func() bool {
 		return !slices.ContainsFunc(f.hosts[:oddHosts-1], func(n *Node) bool { _, ok := n.board.Registry.Get("sound"); return ok })
 	})
 	before := f.log.countRequests()
@@ -290,8 +290,8 @@
 	}
 }
 
-// TestHostRefusesRequestsForEndpoints guards against a host that sends on what another host, which does
-// not know it yet, sent it as to an endpoint.
+// TestHostRefusesRequestsForEndpoints guards against a host that sends on what another host, which has
+// not found it yet, sent it as to an endpoint.
 func TestHostRefusesRequestsForEndpoints(t *testing.T) {
 	f := startOddFleet(t, oddHosts, func(*oddFleet) {})
 	n := f.hosts[0]
