--- a/internal/serve/node/entries_test.go
+++ b/internal/serve/node/entries_test.go
@@ -228,6 +228,37 @@
 	}
 }
 
+// TestThousandsOfOddEntries guards against many odd entries, written and removed at once, which keep
+// hosts from following the store.
+func TestThousandsOfOddEntries(t *testing.T) {
+	const entries = 5000
+	put := func(f *oddFleet) {
+		for i := range entries {
+			f.store.Put(fmt.Sprint("servers/odd-", i), fmt.Sprintf(`{"service":"s","address":"127.0.0.1:%d","zone":"z1","slots":8,"state":"ready"}`, 65536+i))
+		}
+	}
+	f := startOddFleet(t, oddHosts, put)
+	f.allHave("sound", "")
+	f.serve("at the start")
+	put(f)
+	f.follow("t1")
+	for i := range entries {
+		f.store.Delete(fmt.Sprint("servers/odd-", i))
+	}
+	f.follow("t2")
+}
+
+// TestEntryWithManySlots guards against an entry out of reach that gets all requests, as it states more
+// slots than any endpoint has.
+func TestEntryWithManySlots(t *testing.T) {
+	f := startOddFleet(t, oddHosts, func(*oddFleet) {})
+	f.store.Register("big", stand.Registration{Service: "s", Address: "127.0.0.1:9", Centre: "z1", Slots: 1e6})
+	f.allHave("big sound", "")
+	for range 20 {
+		f.serve("beside a million slots")
+	}
+}
+
 // heapInUse returns the bytes of reachable objects.
 func heapInUse() int64 {
 	var m runtime.MemStats
