--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -135,18 +135,17 @@
 	if ok && e.Revision < old.Revision {
 		return false
 	}
-	older := e.Revision <= t.restored
+	read := e
 	delete(t.withheld, e.ID)
-	if older && t.gone[e.ID] {
-		t.withheld[e.ID] = e
+	if e.Revision <= t.restored && t.gone[e.ID] {
+		t.withheld[e.ID] = read
 		return false
 	}
-	if older && !e.Draining && ok && old.Draining && old.Incarnation == e.Incarnation {
-		// The older copy does not know yet that the endpoint drains.
-		t.withheld[e.ID] = e
+	t.setStart(&e)
+	if t.keepsDraining(old, e) {
+		t.withheld[e.ID] = read
 		e.Draining = true
 	}
-	t.setStart(&e)
 	if mark, ok := t.leaving[e.ID]; ok {
 		if mark.incarnation == e.Incarnation {
 			e.Draining = true
@@ -167,6 +166,13 @@
 	return true
 }
 
+// keepsDraining reports whether a registration that takes requests may be of the older copy of the
+// store, which does not know yet that the endpoint drains. old is the one in force, its zero value
+// if there is none.
+func (t *Table) keepsDraining(old, e Endpoint) bool {
+	return e.Revision <= t.restored && !e.Draining && old.Draining && old.Incarnation == e.Incarnation
+}
+
 // coldSlack is the largest difference between two ColdUntil values that count as the
 // same: heartbeats are delayed, and each restates the remaining time.
 const coldSlack = 500 * time.Millisecond
--- a/internal/board/regis/regis_test.go
+++ b/internal/board/regis/regis_test.go
@@ -250,6 +250,28 @@
 	})
 }
 
+// TestOlderCopyWithoutAnIncarnationRevivesNothing guards against requests to an endpoint that was
+// seen to drain, as the older copy names no incarnation of its process.
+func TestOlderCopyWithoutAnIncarnationRevivesNothing(t *testing.T) {
+	table := NewTable()
+	e := entry("e", eras.Join(1, 10))
+	e.Incarnation, e.Draining = 5, true
+	table.Replace([]Endpoint{e}, eras.Join(1, 10), time.Time{})
+	e.Incarnation, e.Draining, e.Revision = 0, false, eras.Join(2, 8)
+	table.Replace([]Endpoint{e}, eras.Join(2, 12), time.Time{})
+	if got, _ := table.Get("e"); !got.Draining {
+		t.Error("the endpoint takes requests again")
+	}
+	table.LowerRestored(eras.Join(2, 9))
+	if got, _ := table.Get("e"); !got.Draining {
+		t.Error("the endpoint takes requests again, though its registration is not known to be written after the restore")
+	}
+	table.LowerRestored(eras.Join(2, 7))
+	if got, _ := table.Get("e"); got.Draining {
+		t.Error("the endpoint drains, though its registration was written after the restore")
+	}
+}
+
 // TestLateListingHidesWhatIsWrittenAgain guards against a host whose first listing of a restored
 // store comes after writes, and that takes these for the older copy's own.
 func TestLateListingHidesWhatIsWrittenAgain(t *testing.T) {
--- a/internal/serve/node/items.go
+++ b/internal/serve/node/items.go
@@ -51,8 +51,12 @@
 	n.announce(math.MaxInt, inCentre, p)
 }
 
-// receiveRestored applies at which revision a host had listed the restored store already.
+// receiveRestored applies at which revision a host had listed the restored store already, 0 if
+// it was never restored.
 func (n *Node) receiveRestored(now time.Time, m member.Member, era, revision uint64) {
+	if revision == 0 {
+		return
+	}
 	changed := n.board.Registry.LowerRestored(eras.Join(era, revision))
 	for _, e := range changed {
 		n.log.Info().Str("endpoint", e.ID).Str("peer", m.Name).Msg("endpoint was written again after the restore of the store")
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -152,9 +152,7 @@
 	}
 	if p.Store != nil && m.Centre == n.board.Centre {
 		n.receiveStoreState(now, m, p.StoreEra, p.Store)
-		if p.StoreRestored > 0 {
-			n.receiveRestored(now, m, p.StoreEra, p.StoreRestored)
-		}
+		n.receiveRestored(now, m, p.StoreEra, p.StoreRestored)
 	}
 	n.receiveProof(m, p)
 	n.receivePoison(now, p)
