--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -135,10 +135,17 @@
 	if ok && e.Revision < old.Revision {
 		return false
 	}
-	if t.withhold(&e, old.Draining && old.Incarnation == e.Incarnation) {
+	read := e
+	delete(t.withheld, e.ID)
+	if e.Revision <= t.restored && t.gone[e.ID] {
+		t.withheld[e.ID] = read
 		return false
 	}
 	t.setStart(&e)
+	if t.keepsDraining(old, e) {
+		t.withheld[e.ID] = read
+		e.Draining = true
+	}
 	if mark, ok := t.leaving[e.ID]; ok {
 		if mark.incarnation == e.Incarnation {
 			e.Draining = true
@@ -159,21 +166,11 @@
 	return true
 }
 
-// withhold reports whether a registration is not in force, as the store's older copy may have it of an
-// endpoint that has left. draining states that the same process drained before the restore, which such
-// a registration does not withdraw.
-func (t *Table) withhold(e *Endpoint, draining bool) bool {
-	delete(t.withheld, e.ID)
-	switch {
-	case e.Revision > t.restored:
-	case t.gone[e.ID]:
-		t.withheld[e.ID] = *e
-		return true
-	case draining && !e.Draining:
-		t.withheld[e.ID] = *e
-		e.Draining = true
-	}
-	return false
+// keepsDraining reports whether a registration that takes requests may be of the older copy of the
+// store, which does not know yet that the endpoint drains. old is the one in force, its zero value
+// if there is none.
+func (t *Table) keepsDraining(old, e Endpoint) bool {
+	return e.Revision <= t.restored && !e.Draining && old.Draining && old.Incarnation == e.Incarnation
 }
 
 // coldSlack is the largest difference between two ColdUntil values that count as the
--- a/internal/serve/node/items.go
+++ b/internal/serve/node/items.go
@@ -51,8 +51,8 @@
 	n.announce(math.MaxInt, inCentre, p)
 }
 
-// receiveRestored applies at which revision a host had listed the restored store already, 0 if it
-// announces none.
+// receiveRestored applies at which revision a host had listed the restored store already, 0 if
+// it was never restored.
 func (n *Node) receiveRestored(now time.Time, m member.Member, era, revision uint64) {
 	if revision == 0 {
 		return
