Keep the connections of whole streams in the soak, and probe hosts at once

A trial of the soak of streams with 30 hosts reported "not served 10s after the last fault" twice, before and after all faults. Two causes, both of the soak: the probes went to one host after the other, five streams of 0.24 s each, which for 30 hosts takes longer than the 10 s for all; and the stand-in closed each connection after its answer without saying so, so that a request that may run once and met the close was answered 502 ("connection reset by peer" on a reused connection). Hosts are now probed at once, within the same 10 s; whole streams are sent on connections that are kept, and the other ones say that they close. Answers also have to name an endpoint that ran the request.

--- a/internal/load/soak/calls.go
+++ b/internal/load/soak/calls.go
@@ -51,7 +51,9 @@
 	status int
 	// mediaType is the value of the answer's Content-Type.
 	mediaType string
-	body      string
+	// signedBy is the endpoint that the answer names.
+	signedBy string
+	body     string
 	// leaveAfter is the number of events after which the caller closes its connection, 0 for none.
 	leaveAfter int
 	// err is why the answer is not whole, or nil.
@@ -113,6 +115,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	body, err := c.read(resp.Body)
 	c.status, c.mediaType, c.body = resp.StatusCode, resp.Header.Get("Content-Type"), string(body)
+	c.signedBy = resp.Header.Get(routed.SignedBy)
 	if err != nil {
 		c.err = fmt.Errorf("read answer: %w", err)
 	}
--- a/internal/load/soak/pieces.go
+++ b/internal/load/soak/pieces.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -59,6 +60,9 @@
 		if c.status != http.StatusOK {
 			continue
 		}
+		if !slices.ContainsFunc(own, func(r *run) bool { return r.endpoint == c.signedBy }) {
+			out = append(out, fmt.Sprintf("names %q, which did not run it: %v, runs %v", c.signedBy, c, own))
+		}
 		check := c.checkOther
 		if strings.HasPrefix(c.mediaType, routed.StreamType) {
 			check = c.checkStream
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -181,23 +181,30 @@
 
 // awaitServed waits until each host serves each route.
 func (r *Run) awaitServed() {
-	client := &http.Client{Transport: &http.Transport{}}
-	defer client.CloseIdleConnections()
 	end := time.Now().Add(recoveryTime)
+	var hosts sync.WaitGroup
 	for _, h := range r.fleet.Hosts {
-		for _, route := range r.routes {
-			for {
-				id := fmt.Sprintf("probe-%s-%s-%d", h.Name, route.Name, time.Now().UnixNano())
-				c := r.fleet.send(client, h, route, id)
-				if c.err == nil && c.status == http.StatusOK {
-					break
-				}
-				if time.Now().After(end) {
-					r.find("not served %v after the last fault: %v", recoveryTime, c)
-					return
-				}
-				time.Sleep(pollInterval)
+		hosts.Go(func() { r.awaitHost(h, end) })
+	}
+	hosts.Wait()
+}
+
+// awaitHost waits until a host serves each route, up to a time.
+func (r *Run) awaitHost(h *Host, end time.Time) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for _, route := range r.routes {
+		for {
+			id := fmt.Sprintf("probe-%s-%s-%d", h.Name, route.Name, time.Now().UnixNano())
+			c := r.fleet.send(client, h, route, id)
+			if c.err == nil && c.status == http.StatusOK {
+				break
+			}
+			if time.Now().After(end) {
+				r.find("not served %v after the last fault: %v", recoveryTime, c)
+				return
 			}
+			time.Sleep(pollInterval)
 		}
 	}
 }
--- a/internal/stand/routed/paced.go
+++ b/internal/stand/routed/paced.go
@@ -51,10 +51,12 @@
 	return text + "\n\n"
 }
 
-// Reset resets the connections of all paced streams that are being sent.
+// Reset breaks all paced streams off that are being sent, and resets the connections of those that
+// their endings would break.
 func (e *Endpoint) Reset() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.resets++
 	for c := range e.paced {
 		reset(c)
 	}
@@ -90,13 +92,50 @@
 	e.runs[run].Ended = e.runs[run].Ended || ends
 }
 
-// sendPaced takes the connection over and sends the events of a run.
+// resetCount returns the number of calls of Reset.
+func (e *Endpoint) resetCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resets
+}
+
+// sendWhole sends the events of a run on a connection that is kept open.
+func (e *Endpoint) sendWhole(w http.ResponseWriter, r *http.Request, p Paced, run int, events []string) {
+	if p.Framing == FrameLength {
+		w.Header().Set("Content-Length", p.length(events))
+	}
+	e.recordWritten(run, p.Begin, len(events) == 0)
+	resets, flush := e.resetCount(), http.NewResponseController(w)
+	write := func(text string) bool {
+		if _, err := w.Write([]byte(text)); err != nil || e.resetCount() != resets {
+			return false
+		}
+		return flush.Flush() == nil
+	}
+	if !write(p.Begin) || !e.sendEvents(r, p, run, events, write) {
+		panic(http.ErrAbortHandler)
+	}
+	e.recordWritten(run, "", true)
+}
+
+// length returns the value of Content-Length of an answer with events.
+func (p Paced) length(events []string) string {
+	return strconv.Itoa(len(p.Begin) + len(strings.Join(events, "")))
+}
+
+// sendPaced sends the events of a run. Unless the answer is whole and states where it ends, it takes
+// the connection over and closes it.
 func (e *Endpoint) sendPaced(w http.ResponseWriter, r *http.Request, p Paced, run int, events []string) {
+	if p.Ending == EndWhole && p.Framing != FrameConnection {
+		e.sendWhole(w, r, p, run, events)
+		return
+	}
 	var head strings.Builder
 	head.WriteString("HTTP/1.1 200 OK\r\n")
+	w.Header().Set("Connection", "close")
 	switch p.Framing {
 	case FrameLength:
-		w.Header().Set("Content-Length", strconv.Itoa(len(p.Begin)+len(strings.Join(events, ""))))
+		w.Header().Set("Content-Length", p.length(events))
 	case FrameChunks:
 		w.Header().Set("Transfer-Encoding", "chunked")
 	case FrameConnection:
@@ -184,9 +223,6 @@
 		_, _ = c.Write([]byte("0\r\n"))
 	case EndWhole:
 		e.recordWritten(run, "", true)
-		if p.Framing == FrameChunks {
-			_, _ = c.Write([]byte("0\r\n\r\n"))
-		}
 	default:
 	}
 }
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -115,6 +115,7 @@
 	fault     Fault
 	plan      func(r Run, n int) Fault
 	paced     map[net.Conn]bool
+	resets    int
 	room      room
 	crash     Crash
 	ended     bool
