Send no last chunk behind the head that a caller asked for alone

What callers got: on a route of streams, the answer to HEAD was followed by the end of a stream in chunks. A caller that keeps its connection read that as the beginning of its next answer.

Cause: StartStream writes chunks for any request, and the library ends them after the head.

Evidence: TestEndOfStreamFollowsHead fails before with 'GET: malformed HTTP response "0"'. Without the writer of chunks the library writes the head alone.

--- a/internal/base/socket/body.go
+++ b/internal/base/socket/body.go
@@ -12,8 +12,12 @@
 
 // StartStream lets the body of an answer be sent as it is written: in chunks, or up to the
 // end of the connection for a caller of HTTP/1.0, which has no chunks. That connection is reset
-// unless the answer is completed, also by the kernel when the process ends.
+// unless the answer is completed, also by the kernel when the process ends. The answer to a HEAD
+// request has no body, so no chunk may end it.
 func StartStream(c *app.RequestContext) {
+	if c.Request.Header.IsHead() {
+		return
+	}
 	if c.Request.Header.IsHTTP11() {
 		c.Response.HijackWriter(resp.NewChunkedBodyWriter(&c.Response, c.GetWriter()))
 		return
--- a/internal/base/socket/body_test.go
+++ b/internal/base/socket/body_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"strings"
@@ -186,3 +187,33 @@
 		}
 	}
 }
+
+// TestEndOfStreamFollowsHead guards against the last chunk of a stream behind the head that a caller
+// asked for alone: it would be read as the beginning of the next answer.
+func TestEndOfStreamFollowsHead(t *testing.T) {
+	address := serve(t, bodyTimeout, bodyTimeout, func(_ context.Context, c *app.RequestContext) {
+		c.Response.Header.Set("Content-Type", "text/event-stream")
+		c.SetStatusCode(http.StatusOK)
+		StartStream(c)
+	})
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	_ = nc.SetDeadline(time.Now().Add(bodyTimeout))
+	if _, err := io.WriteString(nc, "HEAD /x HTTP/1.1\r\nHost: h\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(nc)
+	for _, method := range []string{http.MethodHead, http.MethodGet} {
+		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil {
+			t.Fatalf("%s: %v", method, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Errorf("%s: %v", method, err)
+		}
+		_ = resp.Body.Close()
+	}
+}
