Keep a stream at a paused relay if no other attempt may send its rest

What callers could get since: a stream whose last event has no id, cut off as its relay was silent for a while, though the relay had the rest as it woke.

Cause: givesUpRelay asked for the route and the release, not for what the caller has, which decides since whether an attempt may follow.

Evidence: TestPausedRelayLosesStreamWithoutIDs fails before with "last event has no id: gives up = true, want false". It now asks repeatable, as attempts at endpoints do (mayAbandon); for other streams that is the same condition.

--- a/internal/serve/proxy/continue_test.go
+++ b/internal/serve/proxy/continue_test.go
@@ -12,11 +12,13 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/splice"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -178,3 +180,30 @@
 		}
 	}
 }
+
+// TestPausedRelayLosesStreamWithoutIDs guards against a stream that is given up at a paused relay though
+// no other attempt may send its rest, as its last event has no id.
+func TestPausedRelayLosesStreamWithoutIDs(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	release := "v1"
+	for _, tt := range []struct {
+		name, events string
+		want         bool
+	}{{"last event has an id", "id: 0\ndata: x\n\n", true}, {"last event has no id", "id: 0\ndata: x\n\ndata: y\n\n", false}} {
+		p := releaseProxy(now, release)
+		p.Budget = retry.NewFleetBudget(retry.Bound{Slack: 100, Window: 10 * time.Second}, func() int { return 1 })
+		relay := member.Member{Candidate: member.Candidate{Name: "relay", Region: "x"}, Incarnation: 900}
+		p.Board.Members.SetCandidates(now, []member.Candidate{relay.Candidate})
+		p.Board.Members.Receive(now, wire.Packet{Kind: wire.Announce, From: "relay", Incarnation: 900, Updates: []wire.Update{{Host: "relay", Life: 900, State: wire.Suspect}}})
+		task := &task{
+			Request: Request{
+				Route: &rules.Route{Kind: rules.Stream, Resumable: true}, Service: "s", Arrived: now, Deadline: now.Add(4 * time.Second), AttemptsLeft: 2,
+			},
+			tried: map[string]bool{"relay": true}, release: &release, report: Report{Started: true},
+			received: splice.Begun().WithData([]byte(tt.events)),
+		}
+		if got := p.givesUpRelay(task, relay, now, true); got != tt.want {
+			t.Errorf("%s: gives up = %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -8,7 +8,6 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/acks"
-	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
@@ -65,8 +64,7 @@
 	if !known || m.Incarnation != relay.Incarnation || m.State == wire.Left {
 		return true
 	}
-	mayResume := t.Route.Kind == rules.Stream && t.Route.Resumable && t.release != nil
-	if !t.Route.Retryable() || (t.report.Started && !mayResume) {
+	if !t.repeatable() {
 		return false
 	}
 	if p.Board.Health.Leaving() && t.report.Started {
