--- a/internal/serve/pool/ending_test.go
+++ b/internal/serve/pool/ending_test.go
@@ -210,3 +210,15 @@
 		c.Pool.Close()
 	}
 }
+
+// TestHeadOfStreamIsRefused guards against the head of a stream without chunks, the whole answer to a
+// request for no more, that counts as broken off before its first event.
+func TestHeadOfStreamIsRefused(t *testing.T) {
+	s := listen(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	out, body := do(c, s.Addr().String(), func(a *Attempt) { a.Method, a.Body = http.MethodHead, nil })
+	if !out.Whole || body != "" {
+		t.Errorf("got whole %v, body %q (error %v), want the whole answer", out.Whole, body, out.Err)
+	}
+}
