Don't wait for the rest of an answer that does not continue a stream

What callers could get: a begun stream that waits for its next attempt until its deadline, if the answer that was rejected by its head stalls in its body.

Cause: bounds the wait for the rest of a refusal only. An answer that Accept rejects is not passed on either, an error answer neither once the stream has begun; its rest only serves the reuse of its connection. First answers that are errors may be passed on, so the wait for them stays.

--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -42,7 +42,8 @@
 	maxSkippedAnswers = 4
 	// maxSkippedBytes bounds the body of each of them.
 	maxSkippedBytes = 256 << 10
-	// refusalTimeout bounds the wait for the rest of a refusal, which only its connection's reuse needs.
+	// refusalTimeout bounds the wait for the rest of a refusal, or of another answer that is certainly not
+	// passed on, which only its connection's reuse needs.
 	refusalTimeout = 50 * time.Millisecond
 	// minRate is the rate, in bytes per second, at which the bytes of an unfinished event or of
 	// a whole answer extend the wait for its end. It is far below that of any link to an
@@ -149,7 +150,7 @@
 	// LastEventID is the id of the last event passed on, Attempt.LastEventID if none was.
 	LastEventID int
 	// ErrorAnswer is the endpoint's error answer (status 500 or above, 408 or 429) if it was not passed
-	// on. It is nil if the answer is longer than readChunkBytes or of unknown length.
+	// on and Attempt.Accept takes it. It is nil if the answer is longer than readChunkBytes or of unknown length.
 	ErrorAnswer *wire.Answer
 	// EventWrites counts the writes of events to the sink, each of one or more events.
 	EventWrites int
@@ -509,10 +510,7 @@
 		e.result.Err = fmt.Errorf("endpoint answered status %d", resp.StatusCode)
 		return true
 	}
-	if e.attempt.Accept == nil {
-		return false
-	}
-	if err := e.attempt.Accept(e.head); err != nil {
+	if err := e.checkAccepted(); err != nil {
 		e.result.Reason, e.result.Ran = retry.Status, fault.RanYes
 		e.result.Err = fmt.Errorf("check head of answer: %w", err)
 		return true
@@ -520,13 +518,22 @@
 	return false
 }
 
+// checkAccepted returns an error if the answer can't be passed on by its head.
+func (e *exchange) checkAccepted() error {
+	if e.attempt.Accept == nil {
+		return nil
+	}
+	return e.attempt.Accept(e.head)
+}
+
 // consumeAnswer reads the rest of an answer that is not passed on, so that the
 // connection can be reused, and records an error answer for Result.ErrorAnswer.
 func (e *exchange) consumeAnswer(resp *http.Response) time.Duration {
 	if resp.ContentLength > readChunkBytes || resp.ContentLength < 0 {
 		return 0
 	}
-	if e.result.Reason == retry.Refused {
+	mayPass := e.result.Reason == retry.Status && isError(resp.StatusCode) && e.checkAccepted() == nil
+	if !mayPass {
 		e.conn.onTimeout = nil
 		e.setReadDeadline(refusalTimeout)
 	}
@@ -534,7 +541,7 @@
 	if err != nil {
 		return 0
 	}
-	if e.result.Reason == retry.Status && isError(resp.StatusCode) {
+	if mayPass {
 		e.result.ErrorAnswer = &wire.Answer{Head: e.head, Body: body}
 	}
 	return keepAliveTimeout(resp)
--- a/internal/serve/pool/refusal_test.go
+++ b/internal/serve/pool/refusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -366,3 +367,21 @@
 		t.Error("the connection of an answer that is not whole is in the pool")
 	}
 }
+
+// TestRejectedAnswerHoldsStreamUp guards against a begun stream that waits for the rest of an answer
+// that does not continue it before its next attempt.
+func TestRejectedAnswerHoldsStreamUp(t *testing.T) {
+	for _, status := range []string{"200 OK", "500 Internal Server Error"} {
+		s := listen(t, "HTTP/1.1 "+status+"\r\nX-Id: a\r\nContent-Type: text/plain\r\nContent-Length: 9\r\n\r\npart")
+		c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+		begin := time.Now()
+		out, _ := do(c, s.Addr().String(), func(a *Attempt) {
+			a.HeadTimeout, a.Abandon, a.RetryServerErrors = time.Second, func() bool { return false }, true
+			a.Accept = func(wire.Head) error { return errors.New("no stream") }
+		})
+		if took := time.Since(begin); took > testTimeout/4 {
+			t.Errorf("%s: took %v (error %v), want no wait", status, took, out.Err)
+		}
+		c.Pool.Close()
+	}
+}
