--- a/internal/serve/proxy/parts.go
+++ b/internal/serve/proxy/parts.go
@@ -47,8 +47,9 @@
 }
 
 // recordPart counts and logs an attempt at a stream that broke off, or that was to continue one that
-// had begun, after the event with the id after. relayed states whether a relay made the attempt. Such attempts are rare, and what joined them shows in
-// no other line: these are warnings, which are not dropped for others.
+// had begun, after the event with the id after. relayed states whether a relay made the attempt. Such
+// attempts are rare, and what joined them shows in no other line: these are warnings, which are not
+// dropped for others.
 func (p *Proxy) recordPart(t *task, begun bool, after int, part splice.Part, relayed bool, res result) {
 	if t.Route.Kind != rules.Stream || (!begun && (res.whole || part.Status == 0)) {
 		return
