Take no request that is not for a stream as begun, whatever its Last-Event-Id

What callers could get during an upgrade: 502 for a request that ran, if they send Last-Event-Id on a route that is not of streams and their host, of a build before, relays it.

Cause: without Begun in the message, an event id stood for a begun stream; the host of the caller parses it on routes of all kinds, and sends it on.

Evidence: TestRelayPassesFailureOnAsStream fails before with "from an older build, no stream: failure is rejected: true, want false".

--- a/internal/serve/proxy/continue_test.go
+++ b/internal/serve/proxy/continue_test.go
@@ -154,6 +154,7 @@
 		{"resumed by the caller", false, 3, func(*wire.Routing) {}, false},
 		{"from an older build", false, stream.NoID, func(r *wire.Routing) { r.Begun = unknown }, false},
 		{"from an older build, after an event", false, 3, func(r *wire.Routing) { r.Begun = unknown }, true},
+		{"from an older build, no stream", false, 3, func(r *wire.Routing) { r.Begun, r.Route.Kind = unknown, rules.Unsafe }, false},
 	} {
 		p, task, sink, _, _ := streamProxy(now)
 		if tt.started {
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/acks"
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
@@ -123,10 +124,10 @@
 }
 
 // hasBegun reports whether the caller of a relayed request has the head of a stream. A host of an
-// older build does not state it: then the caller may, if it has an event.
+// older build does not state it: then the caller of a stream may, if it has an event.
 func hasBegun(r *wire.Routing) bool {
 	if r.Begun == nil {
-		return r.LastEventID != stream.NoID
+		return r.Route.Kind == rules.Stream && r.LastEventID != stream.NoID
 	}
 	return *r.Begun
 }
