Let no stream that ends before what the caller has complete its own

What callers could get: a stream that ends as complete after event 5, since the endpoint that was to send the rest sent events 0 and 1 and ended properly.

Cause: events that the caller has are left out, so nothing was left of such an answer but its end, which counted as that of an empty rest.

Evidence: TestShorterStreamEndsAnother fails before with "an answer that ends after event 1 counts as the whole rest after event 5". Its events show that it is not the stream that has begun, so the attempt counts as broken. A rest without any event, and one that repeats the last event, count as whole as before (TestAnswersEnd).

--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -716,6 +716,9 @@
 	if splitter.Partial() {
 		return fmt.Errorf("stream ended within an event: %w", io.ErrUnexpectedEOF)
 	}
+	if splitter.Short() {
+		return fmt.Errorf("stream ended before event %d, which the caller has: %w", e.attempt.LastEventID, io.ErrUnexpectedEOF)
+	}
 	if e.result.Unframed && splitter.Progress() == 0 && e.attempt.Method != http.MethodHead {
 		// The endpoint has closed the connection or ended before its first event.
 		return fmt.Errorf("connection of a stream ended before an event: %w", io.ErrUnexpectedEOF)
--- a/internal/serve/pool/ending_test.go
+++ b/internal/serve/pool/ending_test.go
@@ -222,3 +222,15 @@
 		t.Errorf("got whole %v, body %q (error %v), want the whole answer", out.Whole, body, out.Err)
 	}
 }
+
+// TestShorterStreamEndsAnother guards against a stream that ends as complete since another one, which
+// ended before what the caller has, does.
+func TestShorterStreamEndsAnother(t *testing.T) {
+	s := listen(t, events("id: 0\ndata: x\n\n", "id: 1\ndata: y\n\n")+lastChunk)
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	out, body := do(c, s.Addr().String(), func(a *Attempt) { a.LastEventID = 5 })
+	if out.Whole {
+		t.Errorf("an answer that ends after event 1 counts as the whole rest after event 5 (body %q)", body)
+	}
+}
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -37,14 +37,14 @@
 	done   bool
 	// consecutive reports whether event ids must be consecutive numbers from 0.
 	consecutive bool
-	// skippedID is the highest event id that was left out.
-	skippedID int
+	// after is the id of SkipTo, skippedID the highest event id that was left out.
+	after, skippedID int
 	// progress counts the events with data, each id once.
 	progress int
 }
 
 // NewSplitter returns a splitter at the start of a stream.
-func NewSplitter() *Splitter { return &Splitter{lastID: NoID, skippedID: NoID} }
+func NewSplitter() *Splitter { return &Splitter{lastID: NoID, after: NoID, skippedID: NoID} }
 
 // RequireConsecutive makes Add return ErrGap unless the stream's event ids are consecutive
 // numbers from 0.
@@ -114,9 +114,11 @@
 	id, hasData, closes := parse(event)
 	if id != NoID {
 		if id <= s.lastID {
-			if hasData && id > s.skippedID {
+			if id > s.skippedID {
 				s.skippedID = id
-				s.progress++
+				if hasData {
+					s.progress++
+				}
 			}
 			return false, nil
 		}
@@ -170,7 +172,13 @@
 func (s *Splitter) DropPartial() { s.buf = nil }
 
 // SkipTo leaves out the events up to an id, which a caller that resumes already has.
-func (s *Splitter) SkipTo(lastID int) { s.lastID = lastID }
+func (s *Splitter) SkipTo(lastID int) { s.lastID, s.after = lastID, lastID }
+
+// Short reports whether the stream has events that the caller had before and none from the last of
+// those on: if it ends so, it is not the stream that the caller has the beginning of.
+func (s *Splitter) Short() bool {
+	return s.skippedID != NoID && s.skippedID < s.after && s.lastID == s.after
+}
 
 // Buffered returns the length of the partial event that is buffered.
 func (s *Splitter) Buffered() int { return len(s.buf) }
