Leave out events without ids that stand between events the caller has

What callers could get: an event without an id once more and out of its place, if the endpoint that continues their stream sends it from its beginning.

Cause: events are left out by their ids, so those without went through.

Evidence: TestRepeatedStreamRepeatsEventsWithoutIDs fails before with 'body "data: u\n\nid: 2\ndata: z\n\n"'. Not covered: one before the first event with an id of such a repetition, as nothing shows yet that it is one.

--- a/internal/serve/pool/ending_test.go
+++ b/internal/serve/pool/ending_test.go
@@ -234,3 +234,16 @@
 		t.Errorf("an answer that ends after event 1 counts as the whole rest after event 5 (body %q)", body)
 	}
 }
+
+// TestRepeatedStreamRepeatsEventsWithoutIDs guards against events without ids that callers get again, as
+// the endpoint that continues their stream sends it from its beginning.
+func TestRepeatedStreamRepeatsEventsWithoutIDs(t *testing.T) {
+	const rest = "id: 2\ndata: z\n\n"
+	s := listen(t, events("id: 0\ndata: x\n\n", "data: u\n\n", "id: 1\ndata: y\n\n", rest)+lastChunk)
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	out, body := do(c, s.Addr().String(), func(a *Attempt) { a.LastEventID = 1 })
+	if !out.Whole || body != rest {
+		t.Errorf("got whole %v, body %q (error %v), want %q", out.Whole, body, out.Err, rest)
+	}
+}
--- a/internal/serve/stream/stream.go
+++ b/internal/serve/stream/stream.go
@@ -127,6 +127,10 @@
 		}
 		s.lastID = id
 	}
+	if id == NoID && s.Short() {
+		// It stands between events that the caller has.
+		return false, nil
+	}
 	if closes {
 		if s.done && id == NoID {
 			return false, nil
