Take the early end of an answer whose request nobody reads for the end

What callers got since: 502 after a second for a long request (8 KiB or more) that its endpoint refused with an answer without a length and did not read on, e.g. 413.

Cause: the end of such an answer counted only once the request was written. A write that still waits has not failed, so the connection was not reset.

The wait of a second stays.

--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -728,7 +728,8 @@
 
 // confirmEnd returns an error unless the connection of an answer without a length ended by its
 // endpoint. The kernel reports a reset once: the write of the request may get it, and the read an end. An
-// endpoint that ended its answer may read the rest of the request still.
+// endpoint that ended its answer may read the rest of the request still, or leave it: a write that only
+// waits was not reset.
 func (e *exchange) confirmEnd() error {
 	if !e.result.Unframed || e.writeDone == nil {
 		return nil
@@ -737,6 +738,7 @@
 	case <-e.writeDone:
 	case <-e.ctx.Done():
 	case <-time.After(restTimeout):
+		return nil
 	}
 	if !e.requestWritten() {
 		return fmt.Errorf("connection ended before the request was written: %w", io.ErrUnexpectedEOF)
--- a/internal/serve/pool/ending_test.go
+++ b/internal/serve/pool/ending_test.go
@@ -247,3 +247,36 @@
 		t.Errorf("got whole %v, body %q (error %v), want %q", out.Whole, body, out.Err, rest)
 	}
 }
+
+// TestEarlyEndWithoutReadingIsRefused guards against an answer to a part of a long request that counts
+// as broken off, as the endpoint ends it and doesn't read the rest.
+func TestEarlyEndWithoutReadingIsRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	defer func() {
+		close(ended)
+		_ = l.Close()
+	}()
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		_, _ = http.ReadRequest(bufio.NewReaderSize(nc, 16))
+		_, _ = io.WriteString(nc, "HTTP/1.1 413 Too Large\r\nX-Id: a\r\nConnection: close\r\n\r\ntoo large")
+		if c, ok := nc.(*net.TCPConn); ok {
+			_ = c.CloseWrite()
+		}
+		<-ended
+	}()
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	out, body := do(c, l.Addr().String(), func(a *Attempt) { a.Body = make([]byte, 12<<20) })
+	if !out.Whole || body != "too large" {
+		t.Errorf("got whole %v, status %d, body %q (error %v), want the whole answer", out.Whole, out.Status, body, out.Err)
+	}
+}
