--- a/internal/serve/node/entries_test.go
+++ b/internal/serve/node/entries_test.go
@@ -267,7 +267,7 @@
 		f.serve("beside the addresses of hosts")
 	}
 	f.store.Delete("servers/sound")
-	f.eventually("hosts know that the sound endpoint is gone", func() bool {
+	f.eventually("hosts have no sound endpoint any more", func() bool {
 		return !slices.ContainsFunc(f.hosts[:oddHosts-1], func(n *Node) bool { _, ok := n.board.Registry.Get("sound"); return ok })
 	})
 	before := f.log.countRequests()
