--- a/internal/serve/pool/ending_test.go
+++ b/internal/serve/pool/ending_test.go
@@ -210,3 +210,73 @@
 		c.Pool.Close()
 	}
 }
+
+// TestHeadOfStreamIsRefused guards against the head of a stream without chunks, the whole answer to a
+// request for no more, that counts as broken off before its first event.
+func TestHeadOfStreamIsRefused(t *testing.T) {
+	s := listen(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	out, body := do(c, s.Addr().String(), func(a *Attempt) { a.Method, a.Body = http.MethodHead, nil })
+	if !out.Whole || body != "" {
+		t.Errorf("got whole %v, body %q (error %v), want the whole answer", out.Whole, body, out.Err)
+	}
+}
+
+// TestShorterStreamEndsAnother guards against a stream that ends as complete since another one, which
+// ended before what the caller has, does.
+func TestShorterStreamEndsAnother(t *testing.T) {
+	s := listen(t, events("id: 0\ndata: x\n\n", "id: 1\ndata: y\n\n")+lastChunk)
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	out, body := do(c, s.Addr().String(), func(a *Attempt) { a.LastEventID = 5 })
+	if out.Whole {
+		t.Errorf("an answer that ends after event 1 counts as the whole rest after event 5 (body %q)", body)
+	}
+}
+
+// TestRepeatedStreamRepeatsEventsWithoutIDs guards against events without ids that callers get again, as
+// the endpoint that continues their stream sends it from its beginning.
+func TestRepeatedStreamRepeatsEventsWithoutIDs(t *testing.T) {
+	const rest = "id: 2\ndata: z\n\n"
+	s := listen(t, events("id: 0\ndata: x\n\n", "data: u\n\n", "id: 1\ndata: y\n\n", rest)+lastChunk)
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	out, body := do(c, s.Addr().String(), func(a *Attempt) { a.LastEventID = 1 })
+	if !out.Whole || body != rest {
+		t.Errorf("got whole %v, body %q (error %v), want %q", out.Whole, body, out.Err, rest)
+	}
+}
+
+// TestEarlyEndWithoutReadingIsRefused guards against an answer to a part of a long request that counts
+// as broken off, as the endpoint ends it and doesn't read the rest.
+func TestEarlyEndWithoutReadingIsRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	defer func() {
+		close(ended)
+		_ = l.Close()
+	}()
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		_, _ = http.ReadRequest(bufio.NewReaderSize(nc, 16))
+		_, _ = io.WriteString(nc, "HTTP/1.1 413 Too Large\r\nX-Id: a\r\nConnection: close\r\n\r\ntoo large")
+		if c, ok := nc.(*net.TCPConn); ok {
+			_ = c.CloseWrite()
+		}
+		<-ended
+	}()
+	c := &Client{Pool: New(), Terms: testTerms, Now: time.Now}
+	defer c.Pool.Close()
+	out, body := do(c, l.Addr().String(), func(a *Attempt) { a.Body = make([]byte, 12<<20) })
+	if !out.Whole || body != "too large" {
+		t.Errorf("got whole %v, status %d, body %q (error %v), want the whole answer", out.Whole, out.Status, body, out.Err)
+	}
+}
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -65,8 +65,7 @@
 	if !known || m.Incarnation != relay.Incarnation || m.State == wire.Left {
 		return true
 	}
-	mayResume := t.Route.Kind == rules.Stream && t.Route.Resumable && t.release != nil
-	if !t.Route.Retryable() || (t.report.Started && !mayResume) {
+	if !t.repeatable() {
 		return false
 	}
 	if p.Board.Health.Leaving() && t.report.Started {
@@ -125,10 +124,10 @@
 }
 
 // hasBegun reports whether the caller of a relayed request has the head of a stream. A host of an
-// older build does not state it: then the caller may, if it has an event.
+// older build does not state it: then the caller of a stream may, if it has an event.
 func hasBegun(r *wire.Routing) bool {
 	if r.Begun == nil {
-		return r.LastEventID != stream.NoID
+		return r.Route.Kind == rules.Stream && r.LastEventID != stream.NoID
 	}
 	return *r.Begun
 }
