--- a/internal/base/socket/socket.go
+++ b/internal/base/socket/socket.go
@@ -82,9 +82,9 @@
 	}
 }
 
-// Port returns the port of an address IP:port, the same however the IP address is written; it is not
+// AddrPort returns an address IP:port, the same however the IP address is written; it is not
 // valid if there is none.
-func Port(address string) netip.AddrPort {
+func AddrPort(address string) netip.AddrPort {
 	a, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return netip.AddrPort{}
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -121,8 +121,8 @@
 		return false
 	}
 	e, ok := s.Board.Registry.Get(string(id))
-	own := socket.Port(c.GetConn().LocalAddr().String())
-	return ok && own.IsValid() && socket.Port(e.Address) == own
+	own := socket.AddrPort(c.GetConn().LocalAddr().String())
+	return ok && own.IsValid() && socket.AddrPort(e.Address) == own
 }
 
 // callerAddress returns the address of the caller without its port, empty if it has none.
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -42,7 +42,7 @@
 // registrations that are not in the listing are removed.
 func (n *Node) applyListing(now time.Time, b feed.Batch, until time.Time) {
 	n.board.Registry.RecordReleases(now)
-	hosts := n.hostPorts()
+	hosts := n.hostAddresses()
 	evacuated := map[string]bool{}
 	var list []regis.Endpoint
 	for _, c := range b.Changes {
@@ -87,7 +87,7 @@
 // applyChanges applies changes of the store in their order.
 func (n *Node) applyChanges(now time.Time, b feed.Batch, until time.Time) {
 	n.board.Registry.RecordReleases(now)
-	hosts := n.hostPorts()
+	hosts := n.hostAddresses()
 	if b.Gap {
 		n.board.Registry.ResetReleases(now)
 	}
@@ -168,7 +168,7 @@
 // of a host gets no requests: the host would send them on.
 func (n *Node) registered(e regis.Endpoint, hosts map[netip.AddrPort]bool) regis.Endpoint {
 	e.Region = n.settings.Regions[e.Centre]
-	if hosts[socket.Port(e.Address)] {
+	if hosts[socket.AddrPort(e.Address)] {
 		e.Draining = true
 		if n.warnedItems.due(n.now(), "host/"+e.ID) {
 			n.log.Warn().Str("endpoint", e.ID).Str("address", e.Address).Msg("registration has the address of a host; it gets no requests")
@@ -177,11 +177,11 @@
 	return e
 }
 
-// hostPorts returns the ports at which this host and all known ones accept callers.
-func (n *Node) hostPorts() map[netip.AddrPort]bool {
-	out := map[netip.AddrPort]bool{socket.Port(n.settings.Callers): true}
+// hostAddresses returns the addresses at which this host and all known ones accept callers.
+func (n *Node) hostAddresses() map[netip.AddrPort]bool {
+	out := map[netip.AddrPort]bool{socket.AddrPort(n.settings.Callers): true}
 	for _, m := range n.board.Members.Members() {
-		out[socket.Port(m.Callers)] = true
+		out[socket.AddrPort(m.Callers)] = true
 	}
 	delete(out, netip.AddrPort{})
 	return out
--- a/internal/serve/pool/refusal_test.go
+++ b/internal/serve/pool/refusal_test.go
@@ -377,7 +377,7 @@
 	defer c.Pool.Close()
 	begin := time.Now()
 	out, passed := do(c, s.Addr().String(), func(a *Attempt) {
-		a.HeadTimeout, a.Abandon, a.Accept = time.Second, func() bool { return false }, splice.Begun().Accept
+		a.HeadTimeout, a.Abandon, a.Accept = time.Second, func() bool { return false }, splice.NewBegun().Accept
 	})
 	if took := time.Since(begin); out.Ran != fault.RanYes || took > testTimeout/4 {
 		t.Errorf("ran %s after %v (error %v), want at once that it ran", out.Ran, took, out.Err)
--- a/internal/serve/proxy/continue_test.go
+++ b/internal/serve/proxy/continue_test.go
@@ -201,7 +201,7 @@
 				Route: &rules.Route{Kind: rules.Stream, Resumable: true}, Service: "s", Arrived: now, Deadline: now.Add(4 * time.Second), AttemptsLeft: 2,
 			},
 			tried: map[string]bool{"relay": true}, release: &release, report: Report{Started: true},
-			received: splice.Begun().WithData([]byte(tt.events)),
+			received: splice.NewBegun().WithData([]byte(tt.events)),
 		}
 		if got := p.givesUpRelay(task, relay, now, true); got != tt.want {
 			t.Errorf("%s: gives up = %v, want %v", tt.name, got, tt.want)
--- a/internal/serve/proxy/hold_test.go
+++ b/internal/serve/proxy/hold_test.go
@@ -48,7 +48,7 @@
 			mayCross: tt.mayCross, release: tt.release, report: Report{Started: tt.started, Status: http.StatusOK, Attempts: 9},
 		}
 		if tt.started {
-			task.received = splice.Begun()
+			task.received = splice.NewBegun()
 		}
 		refusal := p.afterFailure(t.Context(), task, result{reason: retry.Refused, refusal: fault.New(fault.Busy, fault.RanNo, "endpoint does not accept requests")})
 		if held := refusal == nil && task.paced && task.unpaid; held != tt.want {
@@ -86,7 +86,7 @@
 	return p, &task{
 		Request:  Request{Route: &rules.Route{Kind: rules.Stream, Resumable: true}, Service: "s", Deadline: now.Add(30 * time.Second), AttemptsLeft: 2},
 		mayCross: true, release: &release, runs: 1, tried: map[string]bool{}, ran: fault.RanUnknown,
-		report: Report{Started: true, Status: http.StatusOK, Attempts: 1, Region: "x"}, received: splice.Begun(),
+		report: Report{Started: true, Status: http.StatusOK, Attempts: 1, Region: "x"}, received: splice.NewBegun(),
 	}
 }
 
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -248,7 +248,7 @@
 		lastEventID: r.LastEventID, release: r.Release,
 	}
 	if r.Begun {
-		t.received = splice.Begun()
+		t.received = splice.NewBegun()
 	}
 	return t
 }
--- a/internal/serve/splice/splice.go
+++ b/internal/serve/splice/splice.go
@@ -22,8 +22,8 @@
 	unnumbered bool
 }
 
-// Begun returns an answer that has begun as a stream of events, by an attempt of another host.
-func Begun() Answer { return Answer{begun: true, events: true} }
+// NewBegun returns an answer that has begun as a stream of events, by an attempt of another host.
+func NewBegun() Answer { return Answer{begun: true, events: true} }
 
 // WithHead returns the answer after an attempt's head was accepted. The first one counts.
 func (a Answer) WithHead(h wire.Head) Answer {
--- a/internal/serve/splice/splice_test.go
+++ b/internal/serve/splice/splice_test.go
@@ -27,7 +27,7 @@
 	}{
 		{"nothing", Answer{}, []wire.Head{events, text, failure}, nil, false},
 		{"events", Answer{}.WithHead(events), []wire.Head{events}, []wire.Head{text, failure}, true},
-		{"begun elsewhere", Begun(), []wire.Head{events}, []wire.Head{text, failure}, true},
+		{"begun elsewhere", NewBegun(), []wire.Head{events}, []wire.Head{text, failure}, true},
 		{"text", Answer{}.WithHead(text), nil, []wire.Head{events, text, failure}, false},
 		{"failure", Answer{}.WithHead(failure), nil, []wire.Head{events, text, failure}, false},
 		{"comment", Answer{}.WithHead(events).WithData([]byte(": x\n\n")), []wire.Head{events}, []wire.Head{text}, true},
