Log the parts that relays contribute to begun streams, and reword comments

A relay that continues a stream had not passed on a head itself, so its part had no line if it was whole; the framing of the rest is known there alone.

--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -167,7 +167,7 @@
 }
 
 // keepsDraining reports whether a registration that takes requests may be of the older copy of the
-// store, which does not know yet that the endpoint drains. old is the one in force, its zero value
+// store, which does not show yet that the endpoint drains. old is the one in force, its zero value
 // if there is none.
 func (t *Table) keepsDraining(old, e Endpoint) bool {
 	return e.Revision <= t.restored && !e.Draining && old.Draining && old.Incarnation == e.Incarnation
@@ -206,7 +206,7 @@
 	return true
 }
 
-// overwriteWithheld forgets a withheld registration that was removed or overwritten at a revision.
+// overwriteWithheld drops a withheld registration that was removed or overwritten at a revision.
 func (t *Table) overwriteWithheld(id string, revision uint64) {
 	if e, ok := t.withheld[id]; ok && revision >= e.Revision {
 		delete(t.withheld, id)
--- a/internal/load/soak/stop_test.go
+++ b/internal/load/soak/stop_test.go
@@ -28,7 +28,7 @@
 	done time.Time
 }
 
-// stopCallers sends requests to a host, and goes on until ctx ends.
+// stopCallers sends requests to a host until ctx ends.
 type stopCallers struct {
 	f *Fleet
 	h *Host
--- a/internal/serve/client/ending_test.go
+++ b/internal/serve/client/ending_test.go
@@ -139,7 +139,7 @@
 }
 
 // TestStreamOfOddTypeIsTakenForWhole guards against a stream that is collected as a whole answer, whose
-// closing event nobody looks for, and against an encoded one whose bytes are passed on as events.
+// closing event is not looked for, and against an encoded one whose bytes are passed on as events.
 func TestStreamOfOddTypeIsTakenForWhole(t *testing.T) {
 	for _, fields := range []string{
 		"Content-Type: Text/Event-Stream\r\n", "Content-Type: text/event-stream;charset=utf-8\r\n", "Content-Type:  text/event-stream ;x\r\n",
--- a/internal/serve/node/slow_test.go
+++ b/internal/serve/node/slow_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// TestStalledStreamOutlastsItsDeadline guards against a stream that goes on after its deadline, at
+// TestStalledStreamOutlastsItsDeadline guards against a stream that is open after its deadline, at
 // its caller or at its endpoint, as the endpoint sends a comment or a byte now and then and no other
 // endpoint can serve it.
 func TestStalledStreamOutlastsItsDeadline(t *testing.T) {
--- a/internal/serve/pool/refusal_test.go
+++ b/internal/serve/pool/refusal_test.go
@@ -271,7 +271,7 @@
 	}
 }
 
-// TestNoConnectionCarriesAnIDTwice guards against connections that forget the ids they carried, and
+// TestNoConnectionCarriesAnIDTwice guards against connections that drop the ids they carried, and
 // against new ones for no reason.
 func TestNoConnectionCarriesAnIDTwice(t *testing.T) {
 	const requests = 2 * maxRequests
--- a/internal/serve/pool/slow_test.go
+++ b/internal/serve/pool/slow_test.go
@@ -64,7 +64,7 @@
 }
 
 // TestSlowCallerLosesItsStream guards against a stream that is given up as silent after its caller
-// has not read for a while, though its endpoint has sent events or goes on to send them.
+// has not read for a while, though its endpoint has sent events or still sends them.
 func TestSlowCallerLosesItsStream(t *testing.T) {
 	const bound = 300 * time.Millisecond
 	one, two, three := "id: 0\ndata: x\n\n", "id: 1\ndata: y\n\n", "id: 2\ndata: z\n\n"
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -434,7 +434,7 @@
 }
 
 func (p *Proxy) attempt(ctx context.Context, t *task, d decision, sink client.Sink) result {
-	begun, after := t.report.Started, t.lastEventID
+	begun, after := t.received.Begun(), t.lastEventID
 	var part splice.Part
 	sink = recordingSink(sink, &part)
 	var res result
