--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -65,6 +65,8 @@
 	Status    int    `json:"status"`
 	Signature string `json:"signature"`
 	Weights   int    `json:"weights"`
+	// At is when the line arrived.
+	At time.Time `json:"-"`
 }
 
 // runner is a stand-in for a runner, a process of its own.
@@ -72,8 +74,10 @@
 	id, service, address, zone, version string
 	weights, slots                      int
 	born                                time.Time
-	cmd                                 *exec.Cmd
-	ended                               chan struct{}
+	// coldUntil is the end of its warm-up.
+	coldUntil time.Time
+	cmd       *exec.Cmd
+	ended     chan struct{}
 	// silent stops its heartbeats.
 	silent bool
 }
@@ -199,6 +203,19 @@
 	return f.waitReady()
 }
 
+// restart starts the process of a host again, which has ended.
+func (f *fleet) restart(h *host) error {
+	old := h.cmd
+	h.cmd = exec.Command(old.Path, old.Args[1:]...)
+	h.cmd.Stdout, h.cmd.Stderr = old.Stdout, old.Stderr
+	if err := h.cmd.Start(); err != nil {
+		return err
+	}
+	h.ended = make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) { _ = cmd.Wait(); close(ended) }(h.cmd, h.ended)
+	return nil
+}
+
 func (f *fleet) waitReady() error {
 	end := time.Now().Add(readyWithin)
 	for _, h := range f.hosts {
@@ -270,6 +287,7 @@
 				continue
 			}
 			f.record.printf("runner %s: %s %s %s %s after=%q status=%d signature=%q weights=%d", got.Runner, got.Event, got.ID, got.Method, got.Target, got.After, got.Status, got.Signature, got.Weights)
+			got.At = time.Now()
 			f.mu.Lock()
 			f.runs = append(f.runs, got)
 			f.mu.Unlock()
@@ -287,9 +305,12 @@
 
 // register writes a runner's entry as the protocol's page shows it.
 func (f *fleet) register(r *runner, sequence int) {
+	f.mu.Lock()
+	cold := max(0, time.Until(r.coldUntil).Milliseconds())
+	f.mu.Unlock()
 	f.store.put("servers/"+r.id, map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": "ready",
-		"cold-remaining-ms": 0, "stage": "both", "models": []any{map[string]any{"name": "m", "version": r.weights, "adapters": []any{}}},
+		"cold-remaining-ms": cold, "stage": "both", "models": []any{map[string]any{"name": "m", "version": r.weights, "adapters": []any{}}},
 		"sequence": sequence, "born": r.born.UnixMilli(),
 	})
 }
--- a/review/cases/memory.go
+++ b/review/cases/memory.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"strings"
 	"sync"
 	"syscall"
@@ -66,15 +65,10 @@
 		_ = h.cmd.Process.Signal(syscall.SIGKILL)
 		<-h.ended
 		time.Sleep(restartDelay)
-		old := h.cmd
-		h.cmd = exec.Command(old.Path, old.Args[1:]...)
-		h.cmd.Stdout, h.cmd.Stderr = old.Stdout, old.Stderr
-		if err := h.cmd.Start(); err != nil {
+		if err := f.restart(h); err != nil {
 			f.record.printf("host %s does not start: %v", h.name, err)
 			return
 		}
-		h.ended = make(chan struct{})
-		go func(cmd *exec.Cmd, ended chan struct{}) { _ = cmd.Wait(); close(ended) }(h.cmd, h.ended)
 	}
 }
 
