--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -257,13 +258,13 @@
 	return answer.Addresses, nil
 }
 
-// startRunner starts a runner's process and registers it. extra are further flags of it.
+// startRunner starts a runner's process, at its address if it has one, and registers it. extra are further flags of it.
 func (f *fleet) startRunner(r *runner, extra ...string) error {
 	program, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	args := append([]string{"runner", "--id", r.id, "--weights", fmt.Sprint(r.weights), "--slots", fmt.Sprint(r.slots)}, extra...)
+	args := append([]string{"runner", "--id", r.id, "--weights", fmt.Sprint(r.weights), "--slots", fmt.Sprint(r.slots), "--listen", r.address}, extra...)
 	r.cmd = exec.Command(program, args...)
 	r.cmd.Stderr = os.Stderr
 	out, err := r.cmd.StdoutPipe()
@@ -273,7 +274,8 @@
 	if err := r.cmd.Start(); err != nil {
 		return err
 	}
-	r.ended, r.born = make(chan struct{}), time.Now()
+	cmd, ended := r.cmd, make(chan struct{})
+	r.ended, r.born = ended, time.Now()
 	lines := bufio.NewScanner(out)
 	lines.Buffer(nil, 1<<20)
 	if !lines.Scan() {
@@ -292,11 +294,14 @@
 			f.runs = append(f.runs, got)
 			f.mu.Unlock()
 		}
-		_ = r.cmd.Wait()
-		close(r.ended)
+		_ = cmd.Wait()
+		close(ended)
 	}()
 	f.mu.Lock()
-	f.runners = append(f.runners, r)
+	r.silent = false
+	if !slices.Contains(f.runners, r) {
+		f.runners = append(f.runners, r)
+	}
 	f.mu.Unlock()
 	f.record.printf("runner %s of %s starts at %s, pid %d, version %s, weights %d", r.id, r.service, r.address, r.cmd.Process.Pid, r.version, r.weights)
 	f.register(r, 1)
@@ -315,39 +320,58 @@
 	})
 }
 
-// beat writes the entries of the live runners again and again.
+// beat writes the entries of the live runners again and again, one after the other within a heartbeat.
 func (f *fleet) beat() {
 	for n := 2; ; n++ {
-		select {
-		case <-time.After(heartbeat):
-		case <-f.stop:
-			return
-		}
 		f.mu.Lock()
 		list := append([]*runner(nil), f.runners...)
 		f.mu.Unlock()
-		for _, r := range list {
+		for i := range max(1, len(list)) {
+			select {
+			case <-time.After(heartbeat / time.Duration(max(1, len(list)))):
+			case <-f.stop:
+				return
+			}
+			if i >= len(list) {
+				continue
+			}
 			f.mu.Lock()
-			silent := r.silent
+			silent := list[i].silent
 			f.mu.Unlock()
 			if !silent {
-				f.register(r, n)
+				f.register(list[i], n)
 			}
 		}
 	}
 }
 
-// kill ends a runner's process at once. Its entry lapses after three heartbeats of silence.
-func (f *fleet) kill(r *runner) {
+// kill ends the processes of runners at once. Their entries lapse after three heartbeats of silence.
+func (f *fleet) kill(list ...*runner) {
+	for _, r := range list {
+		_ = r.cmd.Process.Signal(syscall.SIGKILL)
+	}
+	for _, r := range list {
+		f.record.printf("runner %s is killed", r.id)
+		<-r.ended
+		f.lapse(r)
+	}
+}
+
+// lapse ends the heartbeats of a runner, and removes its entry unless it starts again in time.
+func (f *fleet) lapse(r *runner) {
 	f.mu.Lock()
 	r.silent = true
 	f.mu.Unlock()
-	f.record.printf("runner %s is killed", r.id)
-	_ = r.cmd.Process.Signal(syscall.SIGKILL)
 	time.AfterFunc(3*heartbeat, func() {
 		select {
 		case <-f.stop:
+			return
 		default:
+		}
+		f.mu.Lock()
+		silent := r.silent
+		f.mu.Unlock()
+		if silent {
 			f.store.remove("servers/" + r.id)
 		}
 	})
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"weights":   weights,
 	"signature": signature,
+	"upgrade":   upgrade,
 	"entry":     entry,
 	"memory":    memory,
 }
--- a/review/cases/runner.go
+++ b/review/cases/runner.go
@@ -43,8 +43,12 @@
 	flags.IntVar(&p.slots, "slots", 6, "")
 	flags.IntVar(&p.failEvery, "fail-every", 0, "")
 	flags.IntVar(&p.failStatus, "fail-status", 0, "")
+	listen := flags.String("listen", "", "")
 	_ = flags.Parse(args)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if *listen == "" {
+		*listen = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", *listen)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
