--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -27,20 +27,19 @@
 	if len(os.Args) > 1 && os.Args[1] == "runner" {
 		os.Exit(runnerMain(os.Args[2:]))
 	}
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases CASE HOST-PROGRAM RECORD")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: cases CASE HOST-PROGRAM RECORD TROUBLE")
 		os.Exit(2)
 	}
-	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3], os.Args[4] != "0"))
 }
 
-func play(name, program, path string) int {
+func play(name, program, path string, trouble bool) int {
 	rec, err := newRecord(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	trouble := os.Getenv("TROUBLE") != "0"
 	f, err := newFleet(rec, program)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
