review: case 4's runners come back cold, and a case that ends starts no process again

A host's process was started again by the stand-in for the platform if the case was ended by a signal in the half second after a kill.

--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -114,7 +114,9 @@
 
 // close ends all processes that the fleet started and removes its folder.
 func (f *fleet) close() {
+	f.mu.Lock()
 	close(f.stop)
+	f.mu.Unlock()
 	for _, h := range f.hosts {
 		_ = h.cmd.Process.Signal(syscall.SIGKILL)
 		<-h.ended
@@ -204,8 +206,15 @@
 	return f.waitReady()
 }
 
-// restart starts the process of a host again, which has ended.
+// restart starts the process of a host again, which has ended, unless the fleet is being closed.
 func (f *fleet) restart(h *host) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case <-f.stop:
+		return errors.New("the case ends")
+	default:
+	}
 	old := h.cmd
 	h.cmd = exec.Command(old.Path, old.Args[1:]...)
 	h.cmd.Stdout, h.cmd.Stderr = old.Stdout, old.Stderr
--- a/review/cases/runner.go
+++ b/review/cases/runner.go
@@ -29,6 +29,8 @@
 	slots   int
 	// failEvery makes it fail each n-th request with failStatus, 0 for none.
 	failEvery, failStatus int
+	// coldUntil is the end of its warm-up.
+	coldUntil time.Time
 
 	count   atomic.Int64
 	running atomic.Int64
@@ -44,7 +46,9 @@
 	flags.IntVar(&p.failEvery, "fail-every", 0, "")
 	flags.IntVar(&p.failStatus, "fail-status", 0, "")
 	listen := flags.String("listen", "", "")
+	cold := flags.Duration("cold", 0, "")
 	_ = flags.Parse(args)
+	p.coldUntil = time.Now().Add(*cold)
 	if *listen == "" {
 		*listen = "127.0.0.1:0"
 	}
@@ -70,6 +74,9 @@
 	h.Set("Instance-Load", fmt.Sprintf("%d,0,%d", p.running.Load(), p.slots))
 	if r.URL.Path == "/health" {
 		h.Set("Instance-Id", p.id)
+		if left := time.Until(p.coldUntil); left > 0 {
+			h.Set("Cold-Milliseconds", strconv.FormatInt(left.Milliseconds(), 10))
+		}
 		return
 	}
 	id := r.Header.Get("Request-Id")
--- a/review/cases/upgrade.go
+++ b/review/cases/upgrade.go
@@ -9,6 +9,8 @@
 const (
 	// downTime is how long the runners are down; it is 2 to 4.5 s on the site's days.
 	downTime = 150 * time.Millisecond
+	// coldTime is the site's cold-start-s.
+	coldTime = 3 * time.Second
 	// upgradeRounds bounds the upgrades, settleTime is the time between two.
 	upgradeRounds  = 4
 	settleTime     = 3 * time.Second
@@ -80,8 +82,8 @@
 	f.kill(list...)
 	time.Sleep(downTime)
 	for _, r := range list {
-		r.version, r.weights = fmt.Sprintf("v%d", version), version
-		if err := f.startRunner(r); err != nil {
+		r.version, r.weights, r.coldUntil = fmt.Sprintf("v%d", version), version, time.Now().Add(coldTime)
+		if err := f.startRunner(r, "--cold", coldTime.String()); err != nil {
 			return err
 		}
 	}
