--- a/review/cases/weights.go
+++ b/review/cases/weights.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return false, err
 	}
-	const streams = 48
+	const streams = 96
 	answers := make([]answer, streams)
 	var wg sync.WaitGroup
 	for i := range streams {
