Log each change of a host's share of a cold endpoint, and count requests there by reason

A line of its own, a warning so that lines of lower levels do not displace it, has the reason, the share, the hosts counted, the requests of the last 1.1 s and the age of the host's view; cold_requests_total counts by endpoint and reason. No decision changes.

--- a/internal/board/endpt/peers.go
+++ b/internal/board/endpt/peers.go
@@ -146,6 +146,19 @@
 	s.recentRequests = append(s.recentRequests, now)
 }
 
+// RecentRequests returns the number of this host's requests to an endpoint within the window of the
+// cold-endpoint rate limit.
+func (t *Table) RecentRequests(now time.Time, name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.states[name]
+	if !ok {
+		return 0
+	}
+	s.trimRequests(now)
+	return len(s.recentRequests)
+}
+
 // trimRequests drops the requests that are older than coldWindow.
 func (s *State) trimRequests(now time.Time) {
 	for len(s.recentRequests) > 0 && now.Sub(s.recentRequests[0]) >= coldWindow {
--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -50,12 +50,34 @@
 	own bool
 }
 
-// Cold reports whether the endpoint may be cold: it is warming up, or what it does since
-// its registration lapsed is not known.
-func (e Endpoint) Cold(now time.Time) bool {
-	return e.Lapsed || now.Before(e.ColdUntil) || now.Before(e.announced.until)
+// ColdReason is why an endpoint may be cold.
+type ColdReason string
+
+// The reasons. ColdLapsed means that what the endpoint does since its registration lapsed is not known,
+// ColdRegistered that its registration states a warm-up, ColdAnnounced that an answer of the endpoint does.
+const (
+	NotCold        ColdReason = ""
+	ColdLapsed     ColdReason = "lapsed"
+	ColdRegistered ColdReason = "registered"
+	ColdAnnounced  ColdReason = "announced"
+)
+
+// ColdReason returns why the endpoint may be cold, NotCold if it is not.
+func (e Endpoint) ColdReason(now time.Time) ColdReason {
+	switch {
+	case e.Lapsed:
+		return ColdLapsed
+	case now.Before(e.ColdUntil):
+		return ColdRegistered
+	case now.Before(e.announced.until):
+		return ColdAnnounced
+	}
+	return NotCold
 }
 
+// Cold reports whether the endpoint may be cold.
+func (e Endpoint) Cold(now time.Time) bool { return e.ColdReason(now) != NotCold }
+
 // SlotsOf returns the number of slots of an endpoint of a service. An endpoint that
 // reports none has those of the service's engine.
 func (e Endpoint) SlotsOf(s *rules.Service) int {
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -68,6 +68,7 @@
 	// ConfirmationAge is the time since the read that last confirmed the rules was sent.
 	ConfirmationAge prometheus.Gauge
 
+	coldRequests     *prometheus.CounterVec
 	customerRefusals *prometheus.CounterVec
 	resumed          *prometheus.CounterVec
 	streamParts      *prometheus.CounterVec
@@ -84,6 +85,8 @@
 	customers map[string]bool
 	// limited are the published customers with a limit.
 	limited map[string]bool
+	// cold are the endpoints that have series in coldRequests.
+	cold map[string]bool
 }
 
 // timeBuckets are in seconds, from 1 ms to about 65 s.
@@ -98,7 +101,7 @@
 	m := &Meter{
 		Registry:  prometheus.NewRegistry(),
 		routes:    map[string]bool{},
-		customers: map[string]bool{}, limited: map[string]bool{},
+		customers: map[string]bool{}, limited: map[string]bool{}, cold: map[string]bool{},
 		refusals:        counters("refusals_total", "Refused requests by reason and whether they ran.", "reason", "ran"),
 		retries:         counters("retries_total", "Attempts made again by the reason of the failure.", "reason"),
 		retriesDenied:   counters("retries_denied_total", "Failures that were not tried again.", "reason"),
@@ -130,6 +133,7 @@
 		EndedRequests:        counter("ended_requests_total", "Requests that were not placed, as the connections of their callers had ended."),
 		resumed:              counters("resumed_streams_total", "Streams that callers resumed, by how the release that began them is known: known, asked, only, history or refused.", "outcome"),
 		streamParts:          counters("stream_parts_total", "Attempts at streams that broke off or were to continue one, by whether the stream had begun and how they ended: whole, broke, rejected or left.", "begun", "outcome"),
+		coldRequests:         counters("cold_requests_total", "Requests to endpoints that may be cold, by why: lapsed, registered or announced.", "endpoint", "reason"),
 		customerRefusals:     counters("customer_refusals_total", "Refused requests to routes that need a key, by reason and customer; without customer if the key is not known.", "reason", "customer"),
 		customerRequests:     counters("customer_requests_total", "Requests of customers with a limit by whether they were admitted.", "customer", "outcome"),
 		customerLevels: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -138,7 +142,7 @@
 	}
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.promptCrossings, m.placements, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
-		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.EndedRequests, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals, m.ConfirmationAge, m.customerRefusals, m.resumed, m.streamParts,
+		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.EndedRequests, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals, m.ConfirmationAge, m.customerRefusals, m.resumed, m.streamParts, m.coldRequests,
 		m.customerRequests, m.customerLevels,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
@@ -203,6 +207,30 @@
 	}
 }
 
+// CountColdRequest counts a request to an endpoint that may be cold.
+func (m *Meter) CountColdRequest(endpoint, reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.coldRequests.WithLabelValues(endpoint, reason).Inc()
+	m.cold[endpoint] = true
+}
+
+// KeepEndpoints drops the series of all endpoints but the named ones, which are registered.
+func (m *Meter) KeepEndpoints(ids []string) {
+	keep := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		keep[id] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id := range m.cold {
+		if !keep[id] {
+			m.coldRequests.DeletePartialMatch(prometheus.Labels{"endpoint": id})
+			delete(m.cold, id)
+		}
+	}
+}
+
 // CountRetry counts a retry by the reason of the failed attempt.
 func (m *Meter) CountRetry(r retry.Reason) { m.retries.WithLabelValues(string(r)).Inc() }
 
--- a/internal/ops/meter/meter_test.go
+++ b/internal/ops/meter/meter_test.go
@@ -72,3 +72,15 @@
 		t.Errorf("%d series of requests and %d of levels, want those of one customer: 2 and 1", requests, levels)
 	}
 }
+
+// TestRemovedEndpoints checks that the series of endpoints that are no longer registered are dropped.
+func TestRemovedEndpoints(t *testing.T) {
+	m := New()
+	m.CountColdRequest("old", "lapsed")
+	m.CountColdRequest("old", "registered")
+	m.CountColdRequest("kept", "announced")
+	m.KeepEndpoints([]string{"kept", "new"})
+	if got := testutil.CollectAndCount(m.coldRequests); got != 1 {
+		t.Errorf("%d series of requests to cold endpoints, want that of the registered one", got)
+	}
+}
--- a/internal/route/quota/quota.go
+++ b/internal/route/quota/quota.go
@@ -91,17 +91,25 @@
 	if !t.Settled(now) {
 		return 0
 	}
+	return Part(rate, endpoint, t.self, t.others(now, within))
+}
+
+// others returns the other hosts that were listed within a time.
+func (t *Table) others(now time.Time, within time.Duration) []Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	others := make([]Host, 0, len(t.hosts))
+	list := make([]Host, 0, len(t.hosts))
 	for _, h := range t.hosts {
 		if now.Sub(h.lastSeen) <= within {
-			others = append(others, h.Host)
+			list = append(list, h.Host)
 		}
 	}
-	return Part(rate, endpoint, t.self, others)
+	return list
 }
 
+// Hosts returns the number of hosts among which Share divides a rate, this one included.
+func (t *Table) Hosts(now time.Time) int { return 1 + len(t.others(now, departedTime)) }
+
 // Settled reports whether this host has most likely learned of all others since its start.
 func (t *Table) Settled(now time.Time) bool {
 	if now.Sub(t.started) < discoveryTime {
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -119,6 +119,9 @@
 	learned atomic.Bool
 	// coldChecks is only used by its controller.
 	coldChecks coldChecks
+	// loggedShares is the last logged share of each endpoint that may be cold. Only the controller
+	// of logShares uses it.
+	loggedShares map[string]loggedShare
 
 	// announcedLoad reports whether the last announced load was not empty. Only the
 	// controller inFlightName uses it.
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -115,7 +115,9 @@
 		}
 	}
 	n.board.Registry.RecordReleases(now)
-	n.board.Endpoints.Sync(now, n.board.Registry.IDs(n.board.Region))
+	ids := n.board.Registry.IDs(n.board.Region)
+	n.board.Endpoints.Sync(now, ids)
+	n.meter.KeepEndpoints(ids)
 	n.setReadyOnce()
 	n.runner.Trigger(storeStateName)
 }
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -86,6 +86,7 @@
 	add(cutsName, cutsPeriod, n.shareCuts)
 	n.runner.Add(ctrl.Controller{Name: "paths", Period: pathsPeriod, Step: n.checkPaths})
 	add("cold checks", coldCheckPeriod, n.checkCold)
+	add("shares", sharesPeriod, n.logShares)
 	add(itemsName, fetchItemsPeriod, n.fetchItems)
 	add(proofsName, proofsPeriod, func(time.Time) { n.askProofs() })
 	add(storeStateName, storeStatePeriod, n.shareStoreState)
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -262,15 +262,11 @@
 		if d.refusal != nil || d.wait {
 			return d
 		}
-		if e.Cold(now) && service.ColdRate > 0 &&
-			!p.Board.Endpoints.AdmitCold(now, e.ID, p.ColdShare(service, e.ID)) {
+		if service.ColdRate > 0 && !p.admitByRate(now, service, e) {
 			list = append(list[:choice.Index:choice.Index], list[choice.Index+1:]...)
 			endpoints = append(endpoints[:choice.Index:choice.Index], endpoints[choice.Index+1:]...)
 			continue
 		}
-		if !e.Cold(now) && service.ColdRate > 0 {
-			p.Board.Endpoints.RecordWarm(now, e.ID)
-		}
 		return d
 	}
 	if found.full {
@@ -282,6 +278,21 @@
 	return decision{refusal: noEndpoint()}
 }
 
+// admitByRate counts a request to an endpoint of a service with a cold-endpoint rate limit, and
+// returns false if this host's share of the limit is used up.
+func (p *Proxy) admitByRate(now time.Time, s *rules.Service, e regis.Endpoint) bool {
+	reason := e.ColdReason(now)
+	if reason == regis.NotCold {
+		p.Board.Endpoints.RecordWarm(now, e.ID)
+		return true
+	}
+	if !p.Board.Endpoints.AdmitCold(now, e.ID, p.ColdShare(s, e.ID)) {
+		return false
+	}
+	p.Meter.CountColdRequest(e.ID, string(reason))
+	return true
+}
+
 // firstTokenTarget returns the latency target that a request is admitted by, 0 for none: the
 // caller already has the first token of a stream that goes on.
 func (t *task) firstTokenTarget() time.Duration {
