--- a/internal/fleet/member/discover_test.go
+++ b/internal/fleet/member/discover_test.go
@@ -123,3 +123,41 @@
 		t.Error("dead host still in the table after deadRetention")
 	}
 }
+
+// TestStartedHostMissesHostThatIsCutOff: a host that starts while another one is held for dead, as it
+// is cut off, lists it: it may still send to the endpoints that they share.
+func TestStartedHostMissesHostThatIsCutOff(t *testing.T) {
+	const cut, started = 2, 5
+	f := newDiscoveryFleet(7)
+	f.run(startupTime)
+	f.down[address(cut)] = true
+	f.run(20 * time.Second)
+	if m, _ := f.tables[address(1)].Member(address(cut)); m.State != wire.Dead {
+		t.Fatalf("the host that is cut off is %v to its peers, want dead", m.State)
+	}
+	f.start(started, 2)
+	f.run(2500 * time.Millisecond)
+	m, ok := f.tables[address(started)].Member(address(cut))
+	if !ok || m.Region != fmt.Sprint("r", cut%3) || m.State == wire.Left {
+		t.Errorf("after its start the host lists %+v (%v), want the host that is cut off with its region", m, ok)
+	}
+	if got, want := f.tables[address(started)].FleetSize(), 7; got != want {
+		t.Errorf("the started host counts %d hosts, want %d", got, want)
+	}
+}
+
+// TestDeadHostsStayListed: hosts that list a dead host do not prolong its entries at each other.
+func TestDeadHostsStayListed(t *testing.T) {
+	const dead = 2
+	f := newDiscoveryFleet(7)
+	f.run(startupTime)
+	f.down[address(dead)] = true
+	f.run(60 * time.Second)
+	f.start(4, 2)
+	f.run(deadRetention)
+	for i := range 7 {
+		if m, ok := f.tables[address(i)].Member(address(dead)); ok && i != dead {
+			t.Errorf("host %d lists %+v long after its end", i, m)
+		}
+	}
+}
--- a/internal/route/quota/quota_test.go
+++ b/internal/route/quota/quota_test.go
@@ -112,3 +112,29 @@
 		t.Errorf("share %d when a host joins a running fleet, want 3", got)
 	}
 }
+
+// TestViewsOfCoresGiveTheRemainderTwice: hosts that have not learned the cores of all others yet take
+// no more than the rate together.
+func TestViewsOfCoresGiveTheRemainderTwice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(rt, "hosts")
+		rate := rapid.IntRange(0, 60).Draw(rt, "rate")
+		var fleet []Host
+		for i := range n {
+			fleet = append(fleet, Host{Name: strconv.Itoa(i), Cores: float64(rapid.IntRange(1, 3).Draw(rt, "cores"))})
+		}
+		sum := 0
+		for i := range n {
+			others := slices.Delete(slices.Clone(fleet), i, i+1)
+			for j := range others {
+				if rapid.IntRange(0, 4).Draw(rt, "unknown") == 0 {
+					others[j].Cores = 0
+				}
+			}
+			sum += Part(rate, "e", fleet[i], others)
+		}
+		if sum > rate {
+			rt.Fatalf("shares of %d hosts add up to %d, want at most %d", n, sum, rate)
+		}
+	})
+}
