Packets name dead hosts, so that a host which starts counts those that may only be cut off

Cause: hostInfos passed no dead hosts on, as a host that learns of one would hold it for alive and keep it forever. Pings and acks now carry up to four dead hosts with the time since their deaths, in the places of other hosts, so that packets do not grow; the entry ends at the receiver when it ends at the sender. Older builds ignore the field.

--- a/internal/fleet/member/discover.go
+++ b/internal/fleet/member/discover.go
@@ -11,6 +11,9 @@
 	// maxPacketHosts is the maximum number of peer hosts whose addresses are in one
 	// packet.
 	maxPacketHosts = 10
+	// maxPacketDead is the maximum number of dead hosts in one packet. They take the places of
+	// others.
+	maxPacketDead = 4
 	// maxDiscoveryProbes is the maximum number of discovery probes per tick.
 	maxDiscoveryProbes = 8
 	// discoveryProbeInterval is the time between discovery probes of one host.
@@ -60,6 +63,37 @@
 	t.probeOrder = slices.Insert(t.probeOrder, t.rand.IntN(len(t.probeOrder)+1), p.Host)
 }
 
+// discoverDead adds a host that a peer holds for dead, unless the table has it with its location.
+// The host may only be cut off from this one, and still use what all hosts share.
+func (t *Table) discoverDead(now time.Time, d wire.DeadHost) {
+	age := time.Duration(d.DeadMS) * time.Millisecond
+	if known, ok := t.peers[d.Info.Host]; (ok && known.Region != "") || d.Info.Region == "" || age >= deadRetention {
+		return
+	}
+	t.discover(now, d.Info, float64(d.Millicores)/millicoresPerCore)
+	p, ok := t.peers[d.Info.Host]
+	if !ok || p.Incarnation != 0 {
+		return
+	}
+	p.State, p.stateSince = wire.Dead, now.Add(-age)
+}
+
+// addDeadHosts adds a few random peers that are dead to a packet, unless discovery is off.
+func (t *Table) addDeadHosts(now time.Time, pk *wire.Packet) {
+	if t.selfInfo == nil {
+		return
+	}
+	for _, p := range t.randomPeers(maxPacketDead, func(p *peer) bool { return p.Region != "" && p.State == wire.Dead }) {
+		pk.DeadHosts = append(pk.DeadHosts, wire.DeadHost{
+			Info:       wire.HostInfo{Host: p.Name, Callers: p.Callers, Region: p.Region, Centre: p.Centre},
+			Millicores: toMillicores(p.Cores), DeadMS: uint32(max(0, now.Sub(p.stateSince).Milliseconds())),
+		})
+	}
+	// The first of the others is this host.
+	keep := min(len(pk.Hosts), 1+maxPacketHosts-len(pk.DeadHosts))
+	pk.Hosts, pk.Millicores = pk.Hosts[:keep], pk.Millicores[:keep]
+}
+
 // hostInfos returns the addresses, locations and capacities of the local host and of a
 // few random peers, or nil unless discovery is on.
 func (t *Table) hostInfos() (list []wire.HostInfo, millicores []uint32) {
--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -93,6 +93,7 @@
 	t.seq++
 	t.probes[t.seq] = &probe{host: p.Name, sentAt: now}
 	pk := t.newPacket(wire.Ping, t.seq)
+	t.addDeadHosts(now, &pk)
 	if p.State != wire.Alive && p.Incarnation != 0 {
 		pk.Updates = append(pk.Updates, p.update())
 	}
@@ -182,6 +183,9 @@
 	for i, p := range pk.Hosts {
 		t.discover(now, p, coresOf(pk, i))
 	}
+	for _, d := range pk.DeadHosts {
+		t.discoverDead(now, d)
+	}
 	sender, ok := t.peers[pk.From]
 	if !ok || pk.Incarnation < sender.Incarnation {
 		return nil
@@ -199,11 +203,11 @@
 	}
 	switch pk.Kind {
 	case wire.Ping:
-		return []Outgoing{t.ack(sender, pk.Seq, "")}
+		return []Outgoing{t.ack(now, sender, pk.Seq, "")}
 	case wire.PingReq:
 		return t.forwardProbe(now, pk)
 	case wire.Ack:
-		return t.receiveAck(pk)
+		return t.receiveAck(now, pk)
 	case wire.Announce:
 	}
 	return nil
@@ -212,9 +216,10 @@
 // ack returns the answer to a ping. It carries the last known state of the
 // requester unless that is alive, so that a live host that is declared dead can
 // refute it.
-func (t *Table) ack(to *peer, seq uint64, target string) Outgoing {
+func (t *Table) ack(now time.Time, to *peer, seq uint64, target string) Outgoing {
 	pk := t.newPacket(wire.Ack, seq)
 	pk.Target = target
+	t.addDeadHosts(now, &pk)
 	if to.State != wire.Alive {
 		pk.Updates = append(pk.Updates, to.update())
 	}
@@ -234,14 +239,14 @@
 
 // receiveAck returns the answer to the requester for a relayed probe. For this
 // host's own probe it ends the probe and lowers the local health score.
-func (t *Table) receiveAck(pk wire.Packet) []Outgoing {
+func (t *Table) receiveAck(now time.Time, pk wire.Packet) []Outgoing {
 	if r, ok := t.relayedProbes[pk.Seq]; ok {
 		delete(t.relayedProbes, pk.Seq)
 		requester, known := t.peers[r.requester]
 		if !known {
 			return nil
 		}
-		return []Outgoing{t.ack(requester, r.requestSeq, pk.From)}
+		return []Outgoing{t.ack(now, requester, r.requestSeq, pk.From)}
 	}
 	pr, ok := t.probes[pk.Seq]
 	if !ok || (pr.host != pk.From && pr.host != pk.Target) {
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -76,6 +76,9 @@
 	// Millicores lists the processor capacity of each of Hosts, in thousandths of a core.
 	// Hosts of builds that do not know the field send none.
 	Millicores []uint32 `cbor:"17,keyasint,omitempty"`
+	// DeadHosts lists hosts that the sender holds for dead, which may only be cut off. Hosts of older
+	// builds ignore the field.
+	DeadHosts []DeadHost `cbor:"33,keyasint,omitempty"`
 	// Store is set by a host that reads the platform's store.
 	Store *StoreState `cbor:"18,keyasint,omitempty"`
 	// StoreEra is the era of the revisions in Store. Hosts of builds that do not know the
@@ -183,6 +186,16 @@
 	Centre  string
 }
 
+// DeadHost is a host that is held for dead.
+type DeadHost struct {
+	_    struct{} `cbor:",toarray"`
+	Info HostInfo
+	// Millicores is the host's processor capacity, in thousandths of a core.
+	Millicores uint32
+	// DeadMS is the time since the host was declared dead, in milliseconds.
+	DeadMS uint32
+}
+
 // StoreState is what the sender has read of the platform's store.
 type StoreState struct {
 	_ struct{} `cbor:",toarray"`
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -111,3 +111,24 @@
 		t.Errorf("packet reads back as %+v, error %v", same, err)
 	}
 }
+
+// TestOlderBuildsReadDeadHosts guards against packets that a build which does not know their dead hosts
+// can't decode.
+func TestOlderBuildsReadDeadHosts(t *testing.T) {
+	p := Packet{Kind: Ack, From: "h", Incarnation: 1, DeadHosts: []DeadHost{{Info: HostInfo{Host: "x", Region: "r"}, Millicores: 400, DeadMS: 7}}}
+	data, err := enc.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var older struct {
+		Kind Kind   `cbor:"1,keyasint"`
+		From string `cbor:"3,keyasint"`
+	}
+	if err := dec.Unmarshal(data, &older); err != nil || older.Kind != Ack || older.From != "h" {
+		t.Errorf("an older build reads %+v, error %v", older, err)
+	}
+	var same Packet
+	if err := dec.Unmarshal(data, &same); err != nil || !reflect.DeepEqual(same, p) {
+		t.Errorf("packet reads back as %+v, error %v", same, err)
+	}
+}
