A host with unknown cores may be before this one in the order that decides who gets a remainder

Two hosts that had not learned each other's cores yet (0) both took it. A host whose cores are unknown now counts as having more than this one, unless this one states none either.

--- a/internal/route/quota/quota.go
+++ b/internal/route/quota/quota.go
@@ -122,13 +122,15 @@
 
 // Part returns the part that a host gets of a number that it divides with others. The remainder
 // of an equal split goes to the hosts with the most cores, among equal ones to those with the
-// highest rendezvous weights for the endpoint.
+// highest rendezvous weights for the endpoint. A host whose cores are not known yet may have more, so
+// that no two hosts take the same part.
 func Part(number int, endpoint string, self Host, others []Host) int {
 	key := xxhash.Sum64String(endpoint)
 	own := place.Weight(key, self.Name)
 	hosts, before := 1+len(others), 0
 	for _, h := range others {
-		if h.Cores > self.Cores || (h.Cores == self.Cores && place.Weight(key, h.Name) > own) {
+		unknown := h.Cores == 0 && self.Cores > 0
+		if unknown || h.Cores > self.Cores || (h.Cores == self.Cores && place.Weight(key, h.Name) > own) {
 			before++
 		}
 	}
