A host that may be cut off sends an endpoint no more than its share after each answer that it is warm

Cause: a permission that is used for longer than its freshness is known. A host without the store and without peers took an endpoint for warm, as it last read, until a health check said otherwise, up to 0.45 s and 28 requests later.

A host now has the age of its view: when the store, a reading host or the answer of any peer last confirmed it. An endpoint that is cold gets nothing from a host that is alone: others may not count it any more, and it has no share for a second after it is back. A pause of the process counts as an old view. While the store is down for all and most hosts of the region are in contact, nothing changes: nobody can have a newer view.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -81,8 +81,10 @@
 	// recentRequests holds the times of this host's requests within coldWindow, if the rate
 	// of the endpoint is limited while it is cold.
 	recentRequests []time.Time
-	rateLimit      rateLimit
-	pause          pause
+	// warmAt is when this host sent the last health check whose answer states no warm-up.
+	warmAt    time.Time
+	rateLimit rateLimit
+	pause     pause
 	// limitedSends holds the times of this host's requests while the endpoint names a
 	// rate limit, oldest first.
 	limitedSends []time.Time
--- a/internal/board/endpt/peers.go
+++ b/internal/board/endpt/peers.go
@@ -146,6 +146,39 @@
 	s.recentRequests = append(s.recentRequests, now)
 }
 
+// ConfirmWarm records that the endpoint answered a health check, which was sent at a time, without a
+// warm-up.
+func (t *Table) ConfirmWarm(sent time.Time, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.state(name); sent.After(s.warmAt) {
+		s.warmAt = sent
+	}
+}
+
+// AdmitUnconfirmed counts a request to an endpoint that may become cold without this host's notice,
+// and returns true if no more than most were sent since the last answer that it is warm, and within
+// the window of the cold-endpoint rate limit.
+func (t *Table) AdmitUnconfirmed(now time.Time, name string, most int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(name)
+	s.trimRequests(now)
+	// Requests that were sent just before the check may arrive after it.
+	from := s.warmAt.Add(-maxArrivalDelay)
+	n := 0
+	for _, at := range s.recentRequests {
+		if at.After(from) {
+			n++
+		}
+	}
+	if n >= most {
+		return false
+	}
+	s.recentRequests = append(s.recentRequests, now)
+	return true
+}
+
 // RecentRequests returns the number of this host's requests to an endpoint within the window of the
 // cold-endpoint rate limit.
 func (t *Table) RecentRequests(now time.Time, name string) int {
@@ -166,6 +199,9 @@
 	}
 }
 
-// coldWindow is the window of the cold-endpoint rate limit. The part beyond a second
-// allows for requests that are delayed on the way to the endpoint.
-const coldWindow = 1100 * time.Millisecond
+const (
+	// maxArrivalDelay allows for requests that are delayed on the way to the endpoint.
+	maxArrivalDelay = 100 * time.Millisecond
+	// coldWindow is the window of the cold-endpoint rate limit.
+	coldWindow = time.Second + maxArrivalDelay
+)
--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -179,7 +179,7 @@
 	// Snapshot reports whether List is a full snapshot of the store.
 	Snapshot bool   `cbor:"2,keyasint,omitempty"`
 	List     []Item `cbor:"3,keyasint,omitempty"`
-	// AgeMS is the time since the store last answered the sender, and StableMS the time
+	// AgeMS is the time since the sender's view of the store was the newest one, and StableMS the time
 	// since a call last failed or was slow, both in milliseconds.
 	AgeMS    uint64 `cbor:"4,keyasint,omitempty"`
 	StableMS uint64 `cbor:"5,keyasint,omitempty"`
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -133,7 +133,7 @@
 		EndedRequests:        counter("ended_requests_total", "Requests that were not placed, as the connections of their callers had ended."),
 		resumed:              counters("resumed_streams_total", "Streams that callers resumed, by how the release that began them is known: known, asked, only, history or refused.", "outcome"),
 		streamParts:          counters("stream_parts_total", "Attempts at streams that broke off or were to continue one, by whether the stream had begun and how they ended: whole, broke, rejected or left.", "begun", "outcome"),
-		coldRequests:         counters("cold_requests_total", "Requests to endpoints that may be cold, by why: lapsed, registered or announced.", "endpoint", "reason"),
+		coldRequests:         counters("cold_requests_total", "Requests to endpoints that may be cold, by why: lapsed, registered, announced or unconfirmed.", "endpoint", "reason"),
 		customerRefusals:     counters("customer_refusals_total", "Refused requests to routes that need a key, by reason and customer; without customer if the key is not known.", "reason", "customer"),
 		customerRequests:     counters("customer_requests_total", "Requests of customers with a limit by whether they were admitted.", "customer", "outcome"),
 		customerLevels: prometheus.NewGaugeVec(prometheus.GaugeOpts{
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -139,6 +139,9 @@
 	// confirmed is the time of the store's last answer to a reading host that had no change
 	// that this host lacked.
 	confirmed time.Time
+	// viewedAt is when this host's view of the store was last the newest one, as its own reads, the
+	// reading hosts or the answers of peer hosts show; zero if that is not known.
+	viewedAt time.Time
 	// following reports whether the host relies on reading hosts.
 	following bool
 	proofs    proofState
@@ -181,6 +184,11 @@
 			continue
 		}
 		f.recordSuccess(now, b, needList, needList && now.Sub(began) > slowListing)
+		if needList {
+			f.markViewed(began)
+		} else {
+			f.markViewed(now)
+		}
 		if needList || b.Events > 0 {
 			f.confirmRules(sent)
 		}
--- a/internal/plat/feed/follow.go
+++ b/internal/plat/feed/follow.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"math"
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/eras"
@@ -52,9 +53,11 @@
 		// The reading host has not seen the restore of the store yet.
 		return false
 	}
-	if at := now.Add(-s.Age); at.After(f.confirmed) {
+	at := now.Add(-s.Age)
+	if at.After(f.confirmed) {
 		f.confirmed = at
 	}
+	f.viewedAt = latest(f.viewedAt, at)
 	if s.Revision > f.revision {
 		f.revision = s.Revision
 		f.items.Apply(nil, s.Revision)
@@ -62,12 +65,48 @@
 	return false
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// markViewed records that this host's view was the newest one at a time.
+func (f *Feed) markViewed(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.viewedAt = latest(f.viewedAt, at)
+}
+
+// ConfirmView records that a peer host's view up to a revision was the newest one an age ago. It holds
+// for this host too if that has all of these changes.
+func (f *Feed) ConfirmView(now time.Time, revision uint64, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listed && revision <= f.revision && eras.Of(revision) == eras.Of(f.revision) {
+		f.viewedAt = latest(f.viewedAt, now.Add(-age))
+	}
+}
+
+// ViewAge returns the time since this host's view was last the newest one, math.MaxInt64 if that is
+// not known.
+func (f *Feed) ViewAge(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.viewedAt.IsZero() {
+		return math.MaxInt64
+	}
+	return now.Sub(f.viewedAt)
+}
+
 // Distrust makes this host read the store itself until the next confirmation. It is called
 // after a pause of the process, whose length the clock may not show.
 func (f *Feed) Distrust() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.confirmed = time.Time{}
+	f.confirmed, f.viewedAt = time.Time{}, time.Time{}
 }
 
 // follows reports whether the host relies on reading hosts now.
--- a/internal/route/quota/quota.go
+++ b/internal/route/quota/quota.go
@@ -42,6 +42,8 @@
 	hosts map[string]seenHost
 	// grown is when a new host was last listed.
 	grown time.Time
+	// rejoined is when this host was last out of contact with all others.
+	rejoined time.Time
 }
 
 // Host is a host that may send to the same endpoints.
@@ -117,9 +119,20 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Sub(t.rejoined) < settleTime {
+		return false
+	}
 	return now.Sub(t.started) >= maxSettleTime || now.Sub(t.grown) >= settleTime
 }
 
+// Rejoin records that this host is in contact with others again. It has no share until they have had
+// the time to count it.
+func (t *Table) Rejoin(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rejoined = now
+}
+
 // Part returns the part that a host gets of a number that it divides with others. The remainder
 // of an equal split goes to the hosts with the most cores, among equal ones to those with the
 // highest rendezvous weights for the endpoint. A host whose cores are not known yet may have more, so
--- a/internal/serve/node/cold.go
+++ b/internal/serve/node/cold.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/split"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
@@ -80,6 +81,8 @@
 // say so: it can't be read, or their registrations lapsed.
 func (n *Node) checkCold(now time.Time) {
 	_, unreachable := n.feed.Unreachable(now)
+	view := n.splitView(now)
+	unreachable = unreachable || view.Side() != split.Whole
 	var unsure []string
 	for _, id := range n.board.Registry.IDs(n.board.Region) {
 		if e, ok := n.board.Registry.Get(id); ok && (unreachable || e.Lapsed) {
@@ -90,7 +93,12 @@
 		return
 	}
 	var wait sync.WaitGroup
-	for _, id := range n.coldChecks.due(now, unsure, n.regionHosts(), rand.Float64) {
+	hosts := n.regionHosts()
+	if view.Side() != split.Whole {
+		// Other hosts do not check, or this host does not learn of it.
+		hosts = 1
+	}
+	for _, id := range n.coldChecks.due(now, unsure, hosts, rand.Float64) {
 		e, ok := n.board.Registry.Get(id)
 		if path := n.healthPath(e); ok && path != "" {
 			wait.Go(func() { n.askCold(e, path) })
@@ -150,6 +158,10 @@
 		Address: e.Address, Method: http.MethodGet, Target: path, Host: e.Address, Deadline: now.Add(checkTimeout),
 		LastEventID: stream.NoID, MaxAnswerBytes: maxHealthBytes,
 	}, sink)
+	if id == e.ID && cold == "" && out.Status == http.StatusOK {
+		n.board.Endpoints.ConfirmWarm(now, e.ID)
+		return
+	}
 	if id != e.ID || cold == "" {
 		n.log.Debug().Str("endpoint", e.ID).Str("answered", id).Int("status", out.Status).AnErr("cause", out.Err).Msg("endpoint checked")
 		return
@@ -159,6 +171,10 @@
 		n.log.Warn().Str("endpoint", e.ID).Str("value", cold).Msg("ignoring a malformed warm-up time")
 		return
 	}
+	if ms == 0 && out.Status == http.StatusOK {
+		n.board.Endpoints.ConfirmWarm(now, e.ID)
+		return
+	}
 	n.markCold(now, regis.Cold{ID: e.ID, Incarnation: e.Incarnation, Until: now.Add(min(maxWarmUp, time.Duration(min(ms, 1e9)*float64(time.Millisecond))))}, "")
 }
 
--- a/internal/serve/node/flooded_test.go
+++ b/internal/serve/node/flooded_test.go
@@ -38,7 +38,10 @@
 	share := quota.Part(limit, endpoint, quota.Host{Name: cut.settings.Peers}, others)
 
 	f.store.refuseRegions("n0")
-	_ = cut.link.Close()
+	// A closed link still sends, but receives nothing.
+	for _, n := range f.nodes {
+		_ = n.link.Close()
+	}
 	var stop atomic.Bool
 	var wg sync.WaitGroup
 	wg.Go(func() {
--- a/internal/serve/node/items.go
+++ b/internal/serve/node/items.go
@@ -87,7 +87,7 @@
 	state, _ := n.feed.State(now)
 	out := &wire.Items{
 		Revision: eras.Revision(at), Era: eras.Of(at), Snapshot: whole,
-		AgeMS: uint64(max(0, state.Age.Milliseconds())), StableMS: uint64(max(0, state.Stable.Milliseconds())),
+		AgeMS: uint64(max(0, n.feed.ViewAge(now).Milliseconds())), StableMS: uint64(max(0, state.Stable.Milliseconds())),
 	}
 	if since.Memory {
 		out.Memory = n.memory()
@@ -161,4 +161,5 @@
 		n.log.Info().Str("peer", m.Name).Uint64("from", eras.Revision(from)).Uint64("at", answer.Revision).Uint64("era", answer.Era).Bool("whole", answer.Snapshot).
 			Int("items", len(list)).Msg("applied store items of peer host")
 	}
+	n.feed.ConfirmView(now, eras.Join(answer.Era, answer.Revision), time.Duration(min(answer.AgeMS, maxStableMS))*time.Millisecond)
 }
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -119,6 +119,7 @@
 	learned atomic.Bool
 	// coldChecks is only used by its controller.
 	coldChecks coldChecks
+	contact    contact
 	// loggedShares is the last logged share of each endpoint that may be cold. Only the controller
 	// of logShares uses it.
 	loggedShares map[string]loggedShare
@@ -210,7 +211,7 @@
 	n.proxy.Board, n.proxy.Meter, n.proxy.Link, n.proxy.Terms = n.board, n.meter, n.link, t
 	n.proxy.Log, n.proxy.Now, n.proxy.Budget = n.log, n.now, n.retryBudget()
 	n.proxy.Client = &pool.Client{Pool: n.pool, Terms: t, Now: n.now}
-	n.proxy.ColdShare = n.coldRateShare
+	n.proxy.ColdShare, n.proxy.Split = n.coldRateShare, n.splitView
 	n.proxy.LimitShare = func(endpoint string, perSecond float64) (int, time.Duration) {
 		return n.shares.Pace(n.now(), endpoint, perSecond)
 	}
--- a/internal/serve/node/shares.go
+++ b/internal/serve/node/shares.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/split"
 )
 
 const (
@@ -18,6 +19,7 @@
 // derived from.
 type coldShare struct {
 	reason regis.ColdReason
+	side   split.Side
 	// perSecond is the share, hosts the number of hosts among which the limit is divided.
 	perSecond, hosts int
 	settled          bool
@@ -37,6 +39,7 @@
 	if inForce == nil {
 		return
 	}
+	side := n.splitView(now).Side()
 	current := make(map[string]loggedShare, len(n.loggedShares))
 	for _, id := range n.board.Registry.IDs(n.board.Region) {
 		e, ok := n.board.Registry.Get(id)
@@ -44,9 +47,10 @@
 		if !ok || !known || s.ColdRate == 0 {
 			continue
 		}
-		share := coldShare{reason: e.ColdReason(now)}
+		share := coldShare{reason: e.ColdReason(now), side: side}
+		possiblyCold := share.reason != regis.NotCold || side != split.Whole
 		last, logged := n.loggedShares[id]
-		if share.reason == regis.NotCold && !logged {
+		if !possiblyCold && !logged {
 			continue
 		}
 		share.perSecond, share.hosts, share.settled = n.coldRateShare(s, id), n.shares.Hosts(now), n.shares.Settled(now)
@@ -55,11 +59,11 @@
 			current[id] = last
 			continue
 		}
-		if share.reason != regis.NotCold {
+		if possiblyCold {
 			current[id] = loggedShare{coldShare: share, at: now}
 		}
-		n.log.Warn().Str("endpoint", id).Str("cold", string(share.reason)).Int("share", share.perSecond).Int("hosts", share.hosts).
-			Bool("settled", share.settled).Int("sent", sent).Dur("view_age", n.storeAge(now)).Msg("share of a cold endpoint")
+		n.log.Warn().Str("endpoint", id).Str("cold", string(share.reason)).Str("split", string(side)).Int("share", share.perSecond).Int("hosts", share.hosts).
+			Bool("settled", share.settled).Int("sent", sent).Dur("view_age", n.feed.ViewAge(now)).Msg("share of a cold endpoint")
 	}
 	n.loggedShares = current
 }
--- a/internal/serve/node/tasks.go
+++ b/internal/serve/node/tasks.go
@@ -132,6 +132,7 @@
 		return
 	}
 	n.board.Remotes.MarkSeen(now, m.Region)
+	n.contact.received(now)
 	if p.Revision > 0 {
 		n.contactAt.CompareAndSwap(0, int64(n.boot()))
 	}
@@ -408,10 +409,14 @@
 func (n *Node) updateMembers(now time.Time, list []member.Member) {
 	current := make(map[string]memberStatus, len(n.loggedMembers))
 	var sharing []quota.Host
+	alive := 0
 	for _, m := range list {
 		// Dead members share too: they may only be partitioned from this host.
 		if m.Region == n.board.Region && m.State != wire.Left {
 			sharing = append(sharing, quota.Host{Name: m.Name, Cores: m.Cores})
+			if m.State == wire.Alive {
+				alive++
+			}
 		}
 		st := memberStatus{state: m.State, leaving: m.Leaving, incarnation: m.Incarnation}
 		current[m.Name] = st
@@ -426,6 +431,7 @@
 		ev.Msg("peer host status changed")
 	}
 	n.loggedMembers = current
+	n.contact.setHosts(len(sharing), alive)
 	n.shares.UpdateHosts(now, sharing)
 	n.updateUsagePeers(now, list)
 }
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -19,6 +19,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/place"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/room"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/split"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -278,19 +279,31 @@
 	return decision{refusal: noEndpoint()}
 }
 
+// unconfirmed is the reason for which an endpoint may be cold at a host whose view of the store is
+// older than that of other hosts.
+const unconfirmed = "unconfirmed"
+
 // admitByRate counts a request to an endpoint of a service with a cold-endpoint rate limit, and
-// returns false if this host's share of the limit is used up.
+// returns false if this host's share of the limit is used up. A host that may be cut off sends an
+// endpoint no more than its share after each answer that the endpoint is warm, and nothing to a cold
+// one if other hosts may not count it any more.
 func (p *Proxy) admitByRate(now time.Time, s *rules.Service, e regis.Endpoint) bool {
-	reason := e.ColdReason(now)
-	if reason == regis.NotCold {
+	reason, view := e.ColdReason(now), p.Split(now)
+	admitted := false
+	switch {
+	case reason != regis.NotCold:
+		admitted = !view.SharesLapse() && p.Board.Endpoints.AdmitCold(now, e.ID, p.ColdShare(s, e.ID))
+	case view.Side() != split.Whole:
+		reason = unconfirmed
+		admitted = p.Board.Endpoints.AdmitUnconfirmed(now, e.ID, p.ColdShare(s, e.ID))
+	default:
 		p.Board.Endpoints.RecordWarm(now, e.ID)
 		return true
 	}
-	if !p.Board.Endpoints.AdmitCold(now, e.ID, p.ColdShare(s, e.ID)) {
-		return false
+	if admitted {
+		p.Meter.CountColdRequest(e.ID, string(reason))
 	}
-	p.Meter.CountColdRequest(e.ID, string(reason))
-	return true
+	return admitted
 }
 
 // firstTokenTarget returns the latency target that a request is admitted by, 0 for none: the
--- a/internal/serve/proxy/plain.go
+++ b/internal/serve/proxy/plain.go
@@ -8,6 +8,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/board/remote"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/spill"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/split"
 )
 
 // freshReport is the age up to which an endpoint's report counts in the decision where to send a
@@ -80,9 +81,10 @@
 	for i := range reachable {
 		names[i] = reachable[i].ID
 	}
+	cutOff := p.Split(now).Side() != split.Whole
 	p.Board.Endpoints.Each(names, func(i int, st *endpt.State) {
 		held := heldState(st, now) != heldEndpoint{}
-		if held || st.Ejected(now) || st.EjectedByRate(now) || (service.ColdRate > 0 && reachable[i].Cold(now)) {
+		if held || st.Ejected(now) || st.EjectedByRate(now) || (service.ColdRate > 0 && (cutOff || reachable[i].Cold(now))) {
 			return
 		}
 		slots := reachable[i].Slots
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/spill"
+	"github.com/hyssopspindle/hyssopspindle/internal/route/split"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/usage"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
@@ -125,6 +126,8 @@
 	// ColdShare returns this host's share of a cold endpoint's rate limit, in requests
 	// per second.
 	ColdShare func(s *rules.Service, endpoint string) int
+	// Split returns what this host knows of a network split.
+	Split func(now time.Time) split.View
 	// LimitShare returns how many requests this host may send to an endpoint in any window,
 	// of a limit of perSecond that the endpoint names for all hosts together.
 	LimitShare func(endpoint string, perSecond float64) (most int, window time.Duration)
@@ -173,6 +176,7 @@
 	return &Proxy{
 		rand: rnd, spills: spill.New(rnd), Prefixes: NewPrefixTable(), queues: map[string]*waitQueue{},
 		RoomShare: func(_ string, number int) int { return number },
+		Split:     func(time.Time) split.View { return split.View{} },
 	}
 }
 
