End the requests in flight with an answer when the grace period of a planned stop ends

Cause: Drain returned at the end of the period and Close ended the process with whatever was open. Now requests that arrive during a drain have until its end at the most, so that what can't be served by then is refused as not run and endpoints stop in time; and at the end the contexts of all requests end with the cause that the host closes, which is not taken for a caller that left: each is answered 503 if it has not run, 502 or 504 if it may have, and begun streams break. They have 0.4 s for that, out of the margin before Close. The same holds for requests of other hosts at a relay.

--- a/internal/serve/node/drain.go
+++ b/internal/serve/node/drain.go
@@ -17,8 +17,11 @@
 	// idleTime is how long a draining host must have no in-flight requests before
 	// Drain returns.
 	idleTime = 700 * time.Millisecond
-	// closeMargin is the part of the grace period that is reserved for Close.
+	// closeMargin is the part of the grace period that is reserved for the end of the requests in
+	// flight and for Close.
 	closeMargin = 1200 * time.Millisecond
+	// endTime is how long the requests in flight have at most to be answered once they are ended.
+	endTime = 400 * time.Millisecond
 )
 
 // drain is a planned stop that has begun.
@@ -57,7 +60,7 @@
 
 // Drain prepares the host for Close: it reports not ready, accepts new requests for
 // acceptTime and then refuses them. It returns once the host is idle, or before the
-// grace period ends.
+// grace period ends, with the requests in flight ended.
 func (n *Node) Drain(ctx context.Context) {
 	n.board.Health.SetLeaving()
 	n.updateSelf()
@@ -68,7 +71,15 @@
 		// that it has not run, as a closed connection would not.
 		return n.board.Health.InFlight() + n.front.OpenRequests()
 	})
+	n.proxy.CloseAt(d.end)
 	for ctx.Err() == nil && !d.done(n.now()) {
 		ctrl.Sleep(ctx, drainPollPeriod)
 	}
+	if open := d.open(); open > 0 {
+		n.log.Info().Int("open", open).Msg("ending the requests in flight")
+	}
+	n.proxy.EndRequests()
+	for end := n.now().Add(endTime); ctx.Err() == nil && d.open() > 0 && n.now().Before(end); {
+		ctrl.Sleep(ctx, drainPollPeriod)
+	}
 }
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -221,7 +221,7 @@
 	e := &exchange{client: c, attempt: attempt, sink: sink, start: c.Now(), ctx: ctx, result: Result{LastEventID: attempt.LastEventID}}
 	if err := e.connect(); err != nil {
 		e.result.Reason, e.result.Ran, e.result.Err = retry.Dial, fault.RanNo, err
-		e.result.CallerLeft = errors.Is(ctx.Err(), context.Canceled)
+		e.result.CallerLeft = fault.CallerLeft(ctx)
 		e.result.Unreachable = ctx.Err() == nil && unreachable(err) && c.Now().Sub(e.start) < dialTimeout+maxDialDelay
 		return e.result
 	}
@@ -554,7 +554,7 @@
 	var netErr net.Error
 	switch {
 	case e.ctx.Err() != nil:
-		e.result.CallerLeft = errors.Is(e.ctx.Err(), context.Canceled)
+		e.result.CallerLeft = fault.CallerLeft(e.ctx)
 		e.result.Reason = retry.Silent
 	case errors.Is(err, head.ErrTooLong) || errors.Is(err, stream.ErrTooLong) || errors.Is(err, held.ErrFull):
 		e.result.Reason = retry.Oversize
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -151,6 +152,12 @@
 	// Prefixes records which endpoints have which prompt prefixes cached.
 	Prefixes *PrefixTable
 
+	// closesAt is when the host closes at the latest, nil unless it drains.
+	closesAt atomic.Pointer[time.Time]
+	// open ends when the requests in flight are ended, as the host closes.
+	open        context.Context
+	endRequests context.CancelFunc
+
 	ends endTable
 	// patience is that of the callers of resumable streams.
 	patience patience
@@ -173,7 +180,9 @@
 // New returns a Proxy. The caller sets the exported fields before use.
 func New() *Proxy {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	open, end := context.WithCancel(context.Background())
 	return &Proxy{
+		open: open, endRequests: end,
 		rand: rnd, spills: spill.New(rnd), Prefixes: NewPrefixTable(), queues: map[string]*waitQueue{},
 		RoomShare: func(_ string, number int) int { return number },
 		Split:     func(time.Time) split.View { return split.View{} },
@@ -191,6 +200,13 @@
 	return p.serve(ctx, r.Request, sink, false)
 }
 
+// CloseAt bounds the deadlines of the requests that arrive from now on, as the host closes at a time.
+func (p *Proxy) CloseAt(end time.Time) { p.closesAt.Store(&end) }
+
+// EndRequests ends the requests in flight: each gets an answer that states whether it may have run, and
+// streams that have begun break off.
+func (p *Proxy) EndRequests() { p.endRequests() }
+
 func (p *Proxy) tellPeers() {
 	if p.OnNews != nil {
 		p.OnNews()
@@ -258,8 +274,14 @@
 }
 
 func (p *Proxy) serve(ctx context.Context, r Request, sink client.Sink, mayCross bool) Report {
+	if end := p.closesAt.Load(); end != nil && end.Before(r.Deadline) {
+		r.Deadline = *end
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
+	defer context.AfterFunc(p.open, func() { abort(fault.ErrClosing) })()
 	t := newTask(&r, mayCross)
 	t.report.Region = p.Board.Region
 	sink = p.observedSink(t, sink)
@@ -480,11 +502,14 @@
 	return p.quarantineRefusal(t)
 }
 
-// contextRefusal returns the refusal of a request whose caller disconnected or whose
-// deadline has passed.
+// contextRefusal returns the refusal of a request whose caller disconnected, whose host closes, or
+// whose deadline has passed.
 func (p *Proxy) contextRefusal(ctx context.Context) *fault.Refusal {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case fault.CallerLeft(ctx):
 		return fault.New(fault.Cancelled, fault.RanNo, "caller disconnected")
+	case errors.Is(context.Cause(ctx), fault.ErrClosing):
+		return fault.New(fault.Leaving, fault.RanNo, "host is shutting down").WithRetryAfter(time.Millisecond)
 	}
 	return fault.New(fault.Deadline, fault.RanNo, "deadline passed")
 }
@@ -492,7 +517,7 @@
 // afterFailure decides whether a failed attempt is retried. It returns nil for a
 // retry, else the refusal to return to the caller.
 func (p *Proxy) afterFailure(ctx context.Context, t *task, res result) *fault.Refusal {
-	if res.callerLeft || errors.Is(ctx.Err(), context.Canceled) {
+	if res.callerLeft || fault.CallerLeft(ctx) {
 		return fault.New(fault.Cancelled, res.ran, "caller disconnected")
 	}
 	why := p.noRetryReason(t)
