--- a/internal/serve/node/restart_test.go
+++ b/internal/serve/node/restart_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
 	"github.com/hyssopspindle/hyssopspindle/platform"
 	"github.com/hyssopspindle/hyssopspindle/platform/stand"
@@ -33,6 +34,8 @@
 	platform *stand.Store
 	releases map[string]string
 	stop     map[string]context.CancelFunc
+	// wrap changes the feed of a host before its start; it may be nil.
+	wrap func(name string, store *feed.Feed)
 }
 
 func startRestartFleet(t *testing.T) *restartFleet {
@@ -94,10 +97,14 @@
 		if i > 0 {
 			peers = freeAddress(f.t)
 		}
+		store := (&platform.Store{Address: f.platform.Address(), Now: time.Now}).Feed()
+		if f.wrap != nil {
+			f.wrap(name, store)
+		}
 		n, err := New(setup.Hosted{
 			Name: name, Region: "a", Centre: "a1", Callers: freeAddress(f.t), Ready: freeAddress(f.t), Directory: freeAddress(f.t),
 			Peers: peers, Seeds: []string{seed}, Regions: map[string]string{"a1": "a"}, Bounds: bounds,
-		}, platTerms, (&platform.Store{Address: f.platform.Address(), Now: time.Now}).Feed(), zerolog.New(f.log).With().Str("host", name).Logger())
+		}, platTerms, store, zerolog.New(f.log).With().Str("host", name).Logger())
 		if err != nil {
 			f.t.Fatal(err)
 		}
