--- a/internal/board/endpt/peers.go
+++ b/internal/board/endpt/peers.go
@@ -163,6 +163,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(name)
+	if s.usedSinceWarm(now) >= most {
+		return false
+	}
+	s.recentRequests = append(s.recentRequests, now)
+	return true
+}
+
+// UsedSinceWarm returns the number of requests that AdmitUnconfirmed counts.
+func (t *Table) UsedSinceWarm(now time.Time, name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state(name).usedSinceWarm(now)
+}
+
+func (s *State) usedSinceWarm(now time.Time) int {
 	s.trimRequests(now)
 	// Requests that were sent just before the check may arrive after it.
 	from := s.warmAt.Add(-maxArrivalDelay)
@@ -172,11 +187,7 @@
 			n++
 		}
 	}
-	if n >= most {
-		return false
-	}
-	s.recentRequests = append(s.recentRequests, now)
-	return true
+	return n
 }
 
 // RecentRequests returns the number of this host's requests to an endpoint within the window of the
--- a/internal/serve/node/cold.go
+++ b/internal/serve/node/cold.go
@@ -22,6 +22,9 @@
 	// With several hosts in a region it is at least hostCheckInterval for each of them.
 	minCheckInterval  = 300 * time.Millisecond
 	hostCheckInterval = 150 * time.Millisecond
+	// usedCheckInterval is the least time between two checks of an endpoint by a host that may be cut
+	// off and has sent it requests since the last one.
+	usedCheckInterval = 100 * time.Millisecond
 	// checkTail is how long endpoints are still checked once the store answers again: they
 	// may not have been able to write before.
 	checkTail = 2500 * time.Millisecond
@@ -45,6 +48,16 @@
 	// check.
 	unsureUntil time.Time
 	next        time.Time
+	last        time.Time
+}
+
+// hasten makes the check of an endpoint due as soon as an interval has passed since the last one.
+func (c *coldChecks) hasten(id string, interval time.Duration) {
+	check, ok := c.endpoints[id]
+	if at := check.last.Add(interval); ok && at.Before(check.next) {
+		check.next = at
+		c.endpoints[id] = check
+	}
 }
 
 // due returns the endpoints to check now, given those whose state the store does not say
@@ -69,7 +82,7 @@
 		case !now.Before(check.unsureUntil):
 			delete(c.endpoints, id)
 		case !now.Before(check.next):
-			check.next = now.Add(interval)
+			check.next, check.last = now.Add(interval), now
 			c.endpoints[id] = check
 			out = append(out, id)
 		}
@@ -97,6 +110,11 @@
 	if view.Side() != split.Whole {
 		// Other hosts do not check, or this host does not learn of it.
 		hosts = 1
+		for _, id := range unsure {
+			if n.board.Endpoints.UsedSinceWarm(now, id) > 0 {
+				n.coldChecks.hasten(id, usedCheckInterval)
+			}
+		}
 	}
 	for _, id := range n.coldChecks.due(now, unsure, hosts, rand.Float64) {
 		e, ok := n.board.Registry.Get(id)
--- a/internal/serve/node/cold_test.go
+++ b/internal/serve/node/cold_test.go
@@ -125,3 +125,27 @@
 		t.Errorf("the path of checks in a pause is %q, want none", got)
 	}
 }
+
+// TestUsedEndpointIsCheckedLate: the check of an endpoint that got requests is due sooner, and no sooner
+// than an interval after the last one.
+func TestUsedEndpointIsCheckedLate(t *testing.T) {
+	var c coldChecks
+	random := func() float64 { return 0 }
+	now := time.Unix(1000, 0)
+	c.hasten("e", usedCheckInterval)
+	if got := c.due(now, []string{"e"}, 1, random); len(got) != 1 {
+		t.Errorf("first checks are %v, want one of e", got)
+	}
+	for _, tt := range []struct {
+		after time.Duration
+		used  bool
+		want  int
+	}{{usedCheckInterval - 1, true, 0}, {usedCheckInterval, false, 1}, {2 * usedCheckInterval, false, 0}, {2*usedCheckInterval + 1, true, 1}} {
+		if tt.used {
+			c.hasten("e", usedCheckInterval)
+		}
+		if got := c.due(now.Add(tt.after), []string{"e"}, 1, random); len(got) != tt.want {
+			t.Errorf("%v after the first check: checks %v, want %d", tt.after, got, tt.want)
+		}
+	}
+}
