Read the store before a begun stream continues at an endpoint

With the connection open, the host now reads the store's changes, applies the registrations that they show, and sends the request only if the endpoint's process and release are those that it chose. Endpoints that were removed since are not put back. If the store can't be read within 0.3 s, an endpoint is left out if an attempt of this host failed there since the last view.

Left open: a process that accepts connections before its registration is in the store.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -63,8 +63,10 @@
 	firstSlowdown    slowdown
 	workSlowdown     slowdown
 	failures         eject.Record
-	failureRate      failureRate
-	joinedAt         time.Time
+	// failedAt is when an attempt of this host last failed.
+	failedAt    time.Time
+	failureRate failureRate
+	joinedAt    time.Time
 	// start is the number of the endpoint's process, 0 if unknown, and startedAt when this host
 	// learned of it.
 	start     uint64
@@ -348,10 +350,18 @@
 			s.workSlowdown = s.workSlowdown.withSample(now, r.AnswerTime, r.ExpectedAnswerTime)
 		}
 	case r.Failed:
-		s.failures = s.failures.WithFailure(now)
+		s.failures, s.failedAt = s.failures.WithFailure(now), now
 	}
 }
 
+// FailedWithin reports whether an attempt of this host at an endpoint failed within a time.
+func (t *Table) FailedWithin(now time.Time, name string, d time.Duration) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	s, ok := t.states[name]
+	return ok && !s.failedAt.IsZero() && now.Sub(s.failedAt) <= d
+}
+
 // Get returns a copy of the state of an endpoint, the zero State if it is unknown.
 func (t *Table) Get(name string) State {
 	t.mu.RLock()
--- a/internal/serve/node/step_test.go
+++ b/internal/serve/node/step_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/feed"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+	"github.com/hyssopspindle/hyssopspindle/platform/stand"
 )
 
 // TestHostOutOfStepJoinsReleases: a stream that an endpoint of a new release began through another host
@@ -92,3 +93,39 @@
 		})
 	}
 }
+
+// TestStreamContinuesAtRestartedEndpoint: a stream that breaks does not continue at an endpoint that has
+// started again under its id with another release, before the host's watch shows the new registration.
+func TestStreamContinuesAtRestartedEndpoint(t *testing.T) {
+	f := startRestartFleet(t)
+	var stale atomic.Bool
+	f.wrap = func(_ string, store *feed.Feed) {
+		watch := store.Watch
+		store.Watch = func(ctx context.Context, after uint64) (feed.Batch, error) {
+			b, err := watch(ctx, after)
+			if stale.Load() {
+				<-ctx.Done()
+				return feed.Batch{}, ctx.Err()
+			}
+			return b, err
+		}
+	}
+	f.addEndpoint("e", "v1")
+	f.startHosts("x")
+	f.eventually("the endpoint is registered", func() bool { return f.nodes["x"].board.Registry.Len() == 1 })
+	e := f.endpoints["e"]
+	e.EventGap = 200 * time.Millisecond
+	e.SetFault(routed.Fault{Times: 1, CutAfter: 3})
+	stale.Store(true)
+	broken := make(chan error, 1)
+	go func() {
+		_, _, err := f.callHost("x", "POST", "/stream/x", "s", nil)
+		broken <- err
+	}()
+	f.eventually("the stream has begun", func() bool { return len(e.Runs()) == 1 })
+	f.stop["e"]()
+	f.platform.Register("e", stand.Registration{Service: "model", Address: e.Address(), Centre: "a1", Release: "v2", Slots: 8, Born: time.Now()})
+	if err := <-broken; err == nil || f.resumed("e") > 0 {
+		t.Errorf("%d streams of v1 continued at v2, error %v, want a broken stream", f.resumed("e"), err)
+	}
+}
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -97,6 +97,9 @@
 	// RetryServerErrors makes a status of 500 or above, 408 or 429 fail the attempt. Otherwise
 	// such an answer is passed on.
 	RetryServerErrors bool
+	// Verify returns an error if the endpoint behind the connection, which is open, is not the one
+	// that the request is for. The request is not sent then. It may be nil.
+	Verify func(ctx context.Context) error
 	// Accept returns an error if the endpoint's answer can't be passed on by its head, as the caller
 	// has the beginning of another one. Nil accepts any.
 	Accept func(wire.Head) error
@@ -136,7 +139,7 @@
 	// Unreachable reports whether no connection could be opened because the endpoint, or the
 	// network, refused it or did not answer.
 	Unreachable bool
-	// Misdirected reports whether another endpoint now has the address (status 421).
+	// Misdirected reports whether another endpoint now has the address (status 421, or Verify).
 	Misdirected bool
 	// Pause is that of Notice.
 	Pause time.Duration
@@ -225,6 +228,14 @@
 		e.result.Unreachable = ctx.Err() == nil && unreachable(err) && c.Now().Sub(e.start) < dialTimeout+maxDialDelay
 		return e.result
 	}
+	if attempt.Verify != nil {
+		if err := attempt.Verify(ctx); err != nil {
+			_ = e.conn.Close()
+			e.result.Reason, e.result.Ran, e.result.Err, e.result.Misdirected = retry.Refused, fault.RanNo, err, true
+			e.result.CallerLeft = fault.CallerLeft(ctx)
+			return e.result
+		}
+	}
 	c.Pool.enter(e.conn)
 	// Closing the connection tells the endpoint that the request was cancelled.
 	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() })
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
 const (
@@ -146,6 +147,9 @@
 		attempt.HeadTimeout = t.Route.Target + d.expectedLatency
 	}
 	attempt.IdleTimeout = idleTimeout(t.Route)
+	if t.release != nil && t.lastEventID != stream.NoID {
+		attempt.Verify = func(ctx context.Context) error { return p.verifyRelease(ctx, t, d.endpoint) }
+	}
 	attempt.RetryServerErrors, attempt.Accept = retryable, t.received.Accept
 	if t.report.Started && attempt.HeadTimeout > 0 {
 		// The target of the first token is met or missed already.
--- a/internal/serve/proxy/release.go
+++ b/internal/serve/proxy/release.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	// between regions. They are asked askRounds times, as datagrams get lost.
 	askTimeout = 150 * time.Millisecond
 	askRounds  = 2
+	// verifyTimeout bounds the read of the store before a begun stream continues.
+	verifyTimeout = 300 * time.Millisecond
 )
 
 // errOtherRelease is the error of an answer that continues a stream at another release
@@ -212,6 +215,25 @@
 	return nil
 }
 
+// verifyRelease returns an error if the process that an endpoint's connection leads to may have another
+// release than the one that began the stream, as it has started again under the endpoint's id. The
+// connection is open, so a read of the store shows the registration of that process.
+func (p *Proxy) verifyRelease(ctx context.Context, t *task, e regis.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	if p.StoreAge(p.Now()) > maxStoreAge || !p.ReadReleases(ctx, p.Now()) {
+		if p.Board.Endpoints.FailedWithin(p.Now(), e.ID, p.StoreAge(p.Now())) {
+			return fmt.Errorf("%w: it failed since the last view of the store", errOtherRelease)
+		}
+		return nil
+	}
+	now, ok := p.Board.Registry.Get(e.ID)
+	if !ok || now.Start != e.Start || now.Release != *t.release {
+		return fmt.Errorf("%w: it is registered with %q", errOtherRelease, now.Release)
+	}
+	return nil
+}
+
 // mayServe reports whether an endpoint may get the request: it accepts requests and has
 // the release that began the stream.
 func (p *Proxy) mayServe(t *task, e regis.Endpoint) bool {
