Answer the requests that wait behind another one at the end of a grace period

A request that waits behind one that runs is open a moment after that is answered; the drain looks twice before it takes the host for idle.

--- a/internal/serve/node/drain.go
+++ b/internal/serve/node/drain.go
@@ -75,11 +75,21 @@
 	for ctx.Err() == nil && !d.done(n.now()) {
 		ctrl.Sleep(ctx, drainPollPeriod)
 	}
-	if open := d.open(); open > 0 {
-		n.log.Info().Int("open", open).Msg("ending the requests in flight")
+	n.endRequests(ctx, d.open)
+}
+
+// endRequests ends the requests in flight and waits until they are answered, for at most endTime. open
+// returns their number.
+func (n *Node) endRequests(ctx context.Context, open func() int) {
+	if count := open(); count > 0 {
+		n.log.Info().Int("open", count).Msg("ending the requests in flight")
 	}
 	n.proxy.EndRequests()
-	for end := n.now().Add(endTime); ctx.Err() == nil && d.open() > 0 && n.now().Before(end); {
+	// A request that waits behind another one on a connection is open a moment after that is answered.
+	for idle, end := 0, n.now().Add(endTime); ctx.Err() == nil && idle < 2 && n.now().Before(end); {
+		if idle++; open() > 0 {
+			idle = 0
+		}
 		ctrl.Sleep(ctx, drainPollPeriod)
 	}
 }
--- a/internal/serve/node/grace_test.go
+++ b/internal/serve/node/grace_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"testing"
@@ -73,3 +75,41 @@
 		})
 	}
 }
+
+// TestEndOfGraceLeavesPipelinedRequests guards against a planned stop that answers the request that runs
+// at the end of the grace period, and not the one that waits behind it on the connection.
+func TestEndOfGraceLeavesPipelinedRequests(t *testing.T) {
+	bounds := setup.DefaultBounds()
+	bounds.GraceS = 5
+	f := startFleetWithBounds(t, bounds)
+	for _, e := range f.endpoints {
+		e.AnswerTime = waitTimeout
+	}
+	n := f.nodes["a"]
+	c, err := net.Dial("tcp", n.settings.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(waitTimeout))
+	for i := range 2 {
+		_, _ = fmt.Fprintf(c, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\n%s: r%d\r\nContent-Length: 4\r\n\r\nbody", platTerms.RequestID, i)
+	}
+	f.eventually("the first request runs", func() bool { return len(f.runs("plain-a1", "plain-b1")) == 1 })
+	n.Drain(t.Context())
+	f.closeHost("a")
+	r := bufio.NewReader(c)
+	for i, want := range []int{http.StatusGatewayTimeout, http.StatusServiceUnavailable} {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("request %d: status %d, want %d", i, resp.StatusCode, want)
+		}
+	}
+	if runs := len(f.runs("plain-a1", "plain-b1")); runs != 1 {
+		t.Errorf("%d runs, want 1", runs)
+	}
+}
