--- a/internal/plat/feed/follow_test.go
+++ b/internal/plat/feed/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -165,3 +166,34 @@
 	}
 	f.Run(ctx)
 }
+
+// TestOldViewCountsAsCurrent: the age of a view is the time since the store, a reading host or the
+// answer of any peer host confirmed it, however many calls of this host's own fail; a host that was
+// paused, or lacks changes that a peer has, has no current view.
+func TestOldViewCountsAsCurrent(t *testing.T) {
+	now := noon
+	f := newFollower(&now)
+	if got := f.ViewAge(now); got != math.MaxInt64 {
+		t.Errorf("age %v before any confirmation, want none", got)
+	}
+	f.markViewed(now)
+	later := now.Add(10 * time.Second)
+	for _, tt := range []struct {
+		name string
+		step func()
+		want time.Duration
+	}{
+		{"nothing confirms it", func() { f.recordFailure(later, errOlderEra) }, 10 * time.Second},
+		{"reading host lacks nothing", func() { f.Confirm(later, State{Revision: 9, Changed: 5, Age: 4 * time.Second}) }, 4 * time.Second},
+		{"reading host has a change", func() { f.Confirm(later, State{Revision: 12, Changed: 12, Age: time.Second}) }, 4 * time.Second},
+		{"peer has a change", func() { f.ConfirmView(later, 12, time.Second) }, 4 * time.Second},
+		{"peer has as much", func() { f.ConfirmView(later, 9, 3*time.Second) }, 3 * time.Second},
+		{"peer's view is older", func() { f.ConfirmView(later, 9, 7*time.Second) }, 3 * time.Second},
+		{"process was paused", f.Distrust, math.MaxInt64},
+	} {
+		tt.step()
+		if got := f.ViewAge(later); got != tt.want {
+			t.Errorf("%s: age %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
