--- a/internal/board/endpt/cold_test.go
+++ b/internal/board/endpt/cold_test.go
@@ -33,7 +33,7 @@
 			}
 		}
 		for range wanted {
-			admitted := false
+			var admitted bool
 			if p.cold[i] {
 				admitted = table.AdmitCold(now, "e", p.shares[i])
 			} else {
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -289,7 +289,7 @@
 // one if other hosts may not count it any more.
 func (p *Proxy) admitByRate(now time.Time, s *rules.Service, e regis.Endpoint) bool {
 	reason, view := e.ColdReason(now), p.Split(now)
-	admitted := false
+	var admitted bool
 	switch {
 	case reason != regis.NotCold:
 		admitted = !view.SharesLapse() && p.Board.Endpoints.AdmitCold(now, e.ID, p.ColdShare(s, e.ID))
