--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -100,6 +100,8 @@
 	Watch func(ctx context.Context, after uint64) (Batch, error)
 	// History is like Watch but does not wait for a change. It may be nil.
 	History func(ctx context.Context, after uint64) (Batch, error)
+	// ReadEndpoint reads the present registration of one endpoint. It may be nil.
+	ReadEndpoint func(ctx context.Context, id string) (regis.Endpoint, error)
 	// OnList and OnChange are called with the result of a listing and of a watch.
 	// If the store was unstable, until is the time until which removed
 	// registrations are kept, else it is zero.
--- a/internal/plat/past/past.go
+++ b/internal/plat/past/past.go
@@ -51,8 +51,6 @@
 	Length time.Duration
 	// Endpoints holds the registrations that were written in it.
 	Endpoints []regis.Endpoint
-	// Removed holds the ids of the endpoints whose last change in it is a removal.
-	Removed map[string]bool
 	// Revision is the ordered revision at its end.
 	Revision uint64
 }
@@ -128,14 +126,9 @@
 
 // view returns the view of a list of changes, in their order.
 func view(changes []feed.Change, beat time.Duration) View {
-	v := View{Removed: map[string]bool{}}
+	var v View
 	writes, known := map[string]int{}, map[string]bool{}
 	for _, c := range changes {
-		if c.Endpoint != nil {
-			delete(v.Removed, c.Endpoint.ID)
-		} else if c.RemovedEndpoint != "" {
-			v.Removed[c.RemovedEndpoint] = true
-		}
 		switch {
 		case c.Endpoint != nil:
 			v.Endpoints = append(v.Endpoints, *c.Endpoint)
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -220,7 +220,7 @@
 	n.usage = n.newUsage()
 	n.proxy.Usage = n.usage
 	n.proxy.AskOrigin, n.proxy.StoreAge = n.askOrigin, n.storeAge
-	n.proxy.ReadReleases = n.readReleases
+	n.proxy.ReadReleases, n.proxy.VerifyEndpoint = n.readReleases, n.verifyEndpoint
 	n.proxy.KeysValid = n.keysValid
 	n.proxy.OnNews = func() { n.runner.Trigger(inFlightName) }
 	handler := &relay.Handler{
--- a/internal/serve/node/past.go
+++ b/internal/serve/node/past.go
@@ -108,7 +108,6 @@
 		n.log.Warn().Err(err).Uint64("at", eras.Revision(reached)).Dur("missing", missing).Msg("releases of endpoints not read from the store")
 		return false
 	}
-	n.applyRead(now, reached, view)
 	list := make([]regis.Registered, 0, len(view.Endpoints))
 	for _, e := range view.Endpoints {
 		list = append(list, regis.Registered{Service: e.Service, Release: e.Release, Last: now})
@@ -122,21 +121,21 @@
 	return view.Revision >= reached && n.board.Registry.AddReleases(from, known, list)
 }
 
-// applyRead applies the registrations that a read of the store shows to be newer than the view that the
-// feed had reached: the feed applies them only with its next watch.
-func (n *Node) applyRead(now time.Time, reached uint64, view past.View) {
-	hosts := n.hostAddresses()
-	changed := false
-	for _, e := range view.Endpoints {
-		if e.Revision <= reached || view.Removed[e.ID] {
-			continue
-		}
-		if e = n.registered(e, hosts); n.board.Registry.Put(e) {
-			n.endpointChanged(e)
-			changed = true
-		}
+// verifyEndpoint reads an endpoint's registration and applies it: the feed does so only with its next
+// watch. It reports whether the endpoint's process is still the one that a registration names.
+func (n *Node) verifyEndpoint(ctx context.Context, e regis.Endpoint) (same bool, err error) {
+	if n.feed.ReadEndpoint == nil {
+		return true, nil
+	}
+	read, err := n.feed.ReadEndpoint(ctx, e.ID)
+	if err != nil {
+		return false, err
 	}
-	if changed {
+	now := n.now()
+	if read = n.registered(read, n.hostAddresses()); n.board.Registry.Put(read) {
+		n.endpointChanged(read)
 		n.board.Endpoints.Sync(now, n.board.Registry.IDs(n.board.Region))
 	}
+	current, ok := n.board.Registry.Get(e.ID)
+	return ok && current.Start == e.Start && current.Release == e.Release, nil
 }
--- a/internal/serve/node/split.go
+++ b/internal/serve/node/split.go
@@ -50,7 +50,7 @@
 	if rejoined {
 		n.shares.Rejoin(now)
 	}
-	if changed {
+	if changed && n.storeListed.Load() {
 		n.log.Warn().Str("split", string(v.Side())).Dur("view_age", v.Age).Dur("silence", v.Silence).Int("hosts", v.Hosts).Int("alive", v.Alive).
 			Msg("side of a network split")
 	}
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -148,7 +148,7 @@
 	}
 	attempt.IdleTimeout = idleTimeout(t.Route)
 	if t.release != nil && t.lastEventID != stream.NoID {
-		attempt.Verify = func(ctx context.Context) error { return p.verifyRelease(ctx, t, d.endpoint) }
+		attempt.Verify = func(ctx context.Context) error { return p.verifyRelease(ctx, d.endpoint) }
 	}
 	attempt.RetryServerErrors, attempt.Accept = retryable, t.received.Accept
 	if t.report.Started && attempt.HeadTimeout > 0 {
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/origin"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
@@ -140,6 +141,9 @@
 	// ReadReleases reads from the store which releases were registered since a time, up to now at
 	// least, and records them in the board. It reports whether it could.
 	ReadReleases func(ctx context.Context, since time.Time) bool
+	// VerifyEndpoint reads an endpoint's registration from the store and reports whether its process and
+	// release are still those of e.
+	VerifyEndpoint func(ctx context.Context, e regis.Endpoint) (same bool, err error)
 	// StoreAge returns the time since the store last confirmed this host's view.
 	StoreAge func(now time.Time) time.Duration
 	// KeysValid reports whether a version of the rules was confirmed recently enough to accept the
@@ -184,8 +188,9 @@
 	return &Proxy{
 		open: open, endRequests: end,
 		rand: rnd, spills: spill.New(rnd), Prefixes: NewPrefixTable(), queues: map[string]*waitQueue{},
-		RoomShare: func(_ string, number int) int { return number },
-		Split:     func(time.Time) split.View { return split.View{} },
+		RoomShare:      func(_ string, number int) int { return number },
+		Split:          func(time.Time) split.View { return split.View{} },
+		VerifyEndpoint: func(context.Context, regis.Endpoint) (bool, error) { return true, nil },
 	}
 }
 
--- a/internal/serve/proxy/release.go
+++ b/internal/serve/proxy/release.go
@@ -217,19 +217,21 @@
 
 // verifyRelease returns an error if the process that an endpoint's connection leads to may have another
 // release than the one that began the stream, as it has started again under the endpoint's id. The
-// connection is open, so a read of the store shows the registration of that process.
-func (p *Proxy) verifyRelease(ctx context.Context, t *task, e regis.Endpoint) error {
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
-	defer cancel()
-	if p.StoreAge(p.Now()) > maxStoreAge || !p.ReadReleases(ctx, p.Now()) {
-		if p.Board.Endpoints.FailedWithin(p.Now(), e.ID, p.StoreAge(p.Now())) {
-			return fmt.Errorf("%w: it failed since the last view of the store", errOtherRelease)
+// connection is open, so a read of the registration shows that of this process. If there is no answer,
+// an endpoint counts as the same if no attempt of this host failed there since its last view.
+func (p *Proxy) verifyRelease(ctx context.Context, e regis.Endpoint) error {
+	age := p.StoreAge(p.Now())
+	if age <= maxStoreAge {
+		ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+		defer cancel()
+		if same, err := p.VerifyEndpoint(ctx, e); err == nil && !same {
+			return fmt.Errorf("%w: it has started again", errOtherRelease)
+		} else if err == nil {
+			return nil
 		}
-		return nil
 	}
-	now, ok := p.Board.Registry.Get(e.ID)
-	if !ok || now.Start != e.Start || now.Release != *t.release {
-		return fmt.Errorf("%w: it is registered with %q", errOtherRelease, now.Release)
+	if p.Board.Endpoints.FailedWithin(p.Now(), e.ID, age) {
+		return fmt.Errorf("%w: it failed since the last view of the store", errOtherRelease)
 	}
 	return nil
 }
