Store a read registration only while its endpoint is registered, and keep endpoints that fail a check of their release

Found by reading the diff: a read that was sent before an endpoint's removal could register it again, and an endpoint whose release could not be verified was marked as draining, for a host that follows others until its registration changes. Renew stores a registration only over another one (TestLateReadBringsEndpointBack), and the attempt counts as refused.

--- a/internal/board/regis/regis.go
+++ b/internal/board/regis/regis.go
@@ -152,6 +152,17 @@
 	return t.put(e)
 }
 
+// Renew stores a registration as Put does if the endpoint is registered: a read that was sent before the
+// removal of the endpoint does not bring it back.
+func (t *Table) Renew(e Endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.endpoints[e.ID]; !ok {
+		return false
+	}
+	return t.put(e)
+}
+
 func (t *Table) put(e Endpoint) bool {
 	old, ok := t.endpoints[e.ID]
 	if ok && e.Revision < old.Revision {
--- a/internal/board/regis/start_test.go
+++ b/internal/board/regis/start_test.go
@@ -66,3 +66,24 @@
 		}
 	}
 }
+
+// TestLateReadBringsEndpointBack: a registration that was read before the removal of its endpoint is not
+// stored after it, while one that the watch does not show yet is.
+func TestLateReadBringsEndpointBack(t *testing.T) {
+	table := NewTable()
+	table.Put(Endpoint{ID: "a", Service: "s", Release: "v1", Incarnation: 1, Revision: 5})
+	if !table.Renew(Endpoint{ID: "a", Service: "s", Release: "v2", Incarnation: 2, Revision: 7}) {
+		t.Error("Renew of a newer registration = false, want true")
+	}
+	if table.Renew(Endpoint{ID: "a", Service: "s", Release: "v1", Incarnation: 1, Revision: 6}) {
+		t.Error("Renew of an older registration = true, want false")
+	}
+	if e, _ := table.Get("a"); e.Release != "v2" {
+		t.Errorf("release %q, want v2", e.Release)
+	}
+	table.Remove("a", 9, time.Time{})
+	table.Renew(Endpoint{ID: "a", Service: "s", Release: "v2", Incarnation: 2, Revision: 8})
+	if _, ok := table.Get("a"); ok {
+		t.Error("an endpoint is registered again by a read from before its removal")
+	}
+}
--- a/internal/fleet/member/discover.go
+++ b/internal/fleet/member/discover.go
@@ -63,7 +63,7 @@
 	t.probeOrder = slices.Insert(t.probeOrder, t.rand.IntN(len(t.probeOrder)+1), p.Host)
 }
 
-// discoverDead adds a host that a peer holds for dead, unless the table has it with its location.
+// discoverDead adds a host that a peer lists as dead, unless the table has it with its location.
 // The host may only be cut off from this one, and still use what all hosts share.
 func (t *Table) discoverDead(now time.Time, d wire.DeadHost) {
 	age := time.Duration(d.DeadMS) * time.Millisecond
--- a/internal/fleet/member/discover_test.go
+++ b/internal/fleet/member/discover_test.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// TestStartedHostMissesHostThatIsCutOff: a host that starts while another one is held for dead, as it
+// TestStartedHostMissesHostThatIsCutOff: a host that starts while another one is listed as dead, as it
 // is cut off, lists it: it may still send to the endpoints that they share.
 func TestStartedHostMissesHostThatIsCutOff(t *testing.T) {
 	const cut, started = 2, 5
--- a/internal/fleet/wire/packet.go
+++ b/internal/fleet/wire/packet.go
@@ -76,7 +76,7 @@
 	// Millicores lists the processor capacity of each of Hosts, in thousandths of a core.
 	// Hosts of builds that do not know the field send none.
 	Millicores []uint32 `cbor:"17,keyasint,omitempty"`
-	// DeadHosts lists hosts that the sender holds for dead, which may only be cut off. Hosts of older
+	// DeadHosts lists hosts that the sender lists as dead, which may only be cut off. Hosts of older
 	// builds ignore the field.
 	DeadHosts []DeadHost `cbor:"33,keyasint,omitempty"`
 	// Store is set by a host that reads the platform's store.
@@ -186,7 +186,7 @@
 	Centre  string
 }
 
-// DeadHost is a host that is held for dead.
+// DeadHost is a host that is listed as dead.
 type DeadHost struct {
 	_    struct{} `cbor:",toarray"`
 	Info HostInfo
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// TestOlderBuildsReadDeadHosts guards against packets that a build which does not know their dead hosts
+// TestOlderBuildsReadDeadHosts guards against packets with dead hosts that a build without the field
 // can't decode.
 func TestOlderBuildsReadDeadHosts(t *testing.T) {
 	p := Packet{Kind: Ack, From: "h", Incarnation: 1, DeadHosts: []DeadHost{{Info: HostInfo{Host: "x", Region: "r"}, Millicores: 400, DeadMS: 7}}}
--- a/internal/route/split/split.go
+++ b/internal/route/split/split.go
@@ -26,7 +26,7 @@
 	Alone Side = "alone"
 )
 
-// View is what a host knows of the fleet.
+// View is a host's view of the store and its contact with the fleet.
 type View struct {
 	// Age is the time since the store confirmed the host's view, to itself or to a peer host.
 	Age time.Duration
--- a/internal/serve/node/cold.go
+++ b/internal/serve/node/cold.go
@@ -176,7 +176,7 @@
 		Address: e.Address, Method: http.MethodGet, Target: path, Host: e.Address, Deadline: now.Add(checkTimeout),
 		LastEventID: stream.NoID, MaxAnswerBytes: maxHealthBytes,
 	}, sink)
-	if id == e.ID && cold == "" && out.Status == http.StatusOK {
+	if id == e.ID && out.Status == http.StatusOK && (cold == "" || cold == "0") {
 		n.board.Endpoints.ConfirmWarm(now, e.ID)
 		return
 	}
@@ -189,10 +189,6 @@
 		n.log.Warn().Str("endpoint", e.ID).Str("value", cold).Msg("ignoring a malformed warm-up time")
 		return
 	}
-	if ms == 0 && out.Status == http.StatusOK {
-		n.board.Endpoints.ConfirmWarm(now, e.ID)
-		return
-	}
 	n.markCold(now, regis.Cold{ID: e.ID, Incarnation: e.Incarnation, Until: now.Add(min(maxWarmUp, time.Duration(min(ms, 1e9)*float64(time.Millisecond))))}, "")
 }
 
--- a/internal/serve/node/past.go
+++ b/internal/serve/node/past.go
@@ -132,9 +132,10 @@
 		return false, err
 	}
 	now := n.now()
-	if read = n.registered(read, n.hostAddresses()); n.board.Registry.Put(read) {
+	n.board.Registry.RecordReleases(now)
+	if read = n.registered(read, n.hostAddresses()); n.board.Registry.Renew(read) {
 		n.endpointChanged(read)
-		n.board.Endpoints.Sync(now, n.board.Registry.IDs(n.board.Region))
+		n.board.Registry.RecordReleases(now)
 	}
 	current, ok := n.board.Registry.Get(e.ID)
 	return ok && current.Start == e.Start && current.Release == e.Release, nil
--- a/internal/serve/node/split.go
+++ b/internal/serve/node/split.go
@@ -32,7 +32,7 @@
 	c.hosts, c.alive = hosts, alive
 }
 
-// view returns what this host knows of a split, whether its side has changed since the last call, and
+// view returns the host's contact with the fleet, whether its side has changed since the last call, and
 // whether its shares no longer lapse since then.
 func (c *contact) view(now time.Time, age time.Duration) (v split.View, changed, rejoined bool) {
 	c.mu.Lock()
@@ -44,7 +44,7 @@
 	return v, changed, rejoined
 }
 
-// splitView returns what this host knows of a network split.
+// splitView returns this host's view and contact, from which the side of a network split follows.
 func (n *Node) splitView(now time.Time) split.View {
 	v, changed, rejoined := n.contact.view(now, n.feed.ViewAge(now))
 	if rejoined {
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -139,7 +139,7 @@
 	// Unreachable reports whether no connection could be opened because the endpoint, or the
 	// network, refused it or did not answer.
 	Unreachable bool
-	// Misdirected reports whether another endpoint now has the address (status 421, or Verify).
+	// Misdirected reports whether another endpoint now has the address (status 421).
 	Misdirected bool
 	// Pause is that of Notice.
 	Pause time.Duration
@@ -231,7 +231,7 @@
 	if attempt.Verify != nil {
 		if err := attempt.Verify(ctx); err != nil {
 			_ = e.conn.Close()
-			e.result.Reason, e.result.Ran, e.result.Err, e.result.Misdirected = retry.Refused, fault.RanNo, err, true
+			e.result.Reason, e.result.Ran, e.result.Err = retry.Refused, fault.RanNo, err
 			e.result.CallerLeft = fault.CallerLeft(ctx)
 			return e.result
 		}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -128,7 +128,7 @@
 	// ColdShare returns this host's share of a cold endpoint's rate limit, in requests
 	// per second.
 	ColdShare func(s *rules.Service, endpoint string) int
-	// Split returns what this host knows of a network split.
+	// Split returns this host's view and contact, from which the side of a network split follows.
 	Split func(now time.Time) split.View
 	// LimitShare returns how many requests this host may send to an endpoint in any window,
 	// of a limit of perSecond that the endpoint names for all hosts together.
