Log each restart of an endpoint with the requests that were sent to it before its registration was read

The logs of the incident could not tell whether a host sends too much before it reads the registration of a new process, or loses its count when it does.

--- a/internal/board/endpt/start.go
+++ b/internal/board/endpt/start.go
@@ -4,8 +4,9 @@
 
 // SetStart sets the number of an endpoint's process. If it is another one than before, nothing that
 // is known of the earlier process holds for it: loads, requests in flight, speed, failures,
-// ejections, rate limits and pauses.
-func (t *Table) SetStart(now time.Time, name string, start uint64) {
+// ejections, rate limits and pauses. SetStart reports whether it replaced the number of an earlier
+// process.
+func (t *Table) SetStart(now time.Time, name string, start uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.states[name]
@@ -21,7 +22,9 @@
 		s.start = start
 	default:
 		t.states[name] = &State{start: start, startedAt: now, joinedAt: now}
+		return true
 	}
+	return false
 }
 
 // isEarlier reports whether a number is that of an earlier process than the present one.
--- a/internal/serve/node/store.go
+++ b/internal/serve/node/store.go
@@ -191,7 +191,13 @@
 
 func (n *Node) endpointChanged(e regis.Endpoint) {
 	if stored, ok := n.board.Registry.Get(e.ID); ok {
-		n.board.Endpoints.SetStart(n.now(), e.ID, stored.Start)
+		now := n.now()
+		sent := n.board.Endpoints.RecentRequests(now, e.ID)
+		if n.board.Endpoints.SetStart(now, e.ID, stored.Start) {
+			// A warning, as the requests may have exceeded the rate limit of a cold endpoint.
+			n.log.Warn().Str("endpoint", e.ID).Str("service", e.Service).Int64("born", e.Incarnation).Int("sent", sent).
+				Time("cold_until", e.ColdUntil).Msg("endpoint has started again")
+		}
 		n.proxy.Prefixes.SetStart(n.now(), e.ID, stored.Start)
 	}
 	if !e.ColdUntil.IsZero() {
