--- a/internal/board/endpt/start_test.go
+++ b/internal/board/endpt/start_test.go
@@ -45,3 +45,32 @@
 		t.Errorf("%d requests in flight after the answer, want 0", st.InFlight)
 	}
 }
+
+// TestRestartErasesTheCount: requests that were sent to an endpoint's new process before its registration
+// was read count towards the rate limit of the cold endpoint.
+func TestRestartErasesTheCount(t *testing.T) {
+	const share = 3
+	for _, tt := range []struct {
+		name   string
+		forget func(t *Table, now time.Time)
+	}{
+		{"a new process is registered", func(t *Table, now time.Time) { t.SetStart(now, "e", 2) }},
+		{"the registration is removed and comes back", func(t *Table, now time.Time) {
+			t.Sync(now, nil)
+			t.Sync(now, []string{"e"})
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			table := NewTable()
+			table.Sync(at(0), []string{"e"})
+			table.SetStart(at(0), "e", 1)
+			for i := range share {
+				table.RecordWarm(at(1000+i), "e")
+			}
+			tt.forget(table, at(1100))
+			if table.AdmitCold(at(1200), "e", share) {
+				t.Error("one more than the share was admitted in a second")
+			}
+		})
+	}
+}
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -139,9 +139,13 @@
 }
 
 // New starts an endpoint on a loopback address. The caller closes it.
-func New(id string, t *terms.Terms) (*Endpoint, error) {
+func New(id string, t *terms.Terms) (*Endpoint, error) { return NewAt("127.0.0.1:0", id, t) }
+
+// NewAt is like New with the address to listen on: that of an endpoint that has ended, for one that
+// starts again.
+func NewAt(address, id string, t *terms.Terms) (*Endpoint, error) {
 	e := &Endpoint{ID: id, Terms: t, EventCount: 5, paced: map[net.Conn]bool{}}
-	s, err := httpd.Serve("127.0.0.1:0", http.HandlerFunc(e.serve))
+	s, err := httpd.Serve(address, http.HandlerFunc(e.serve))
 	if err != nil {
 		return nil, fmt.Errorf("endpoint %s: %w", id, err)
 	}
