Keep the count of recent requests to an endpoint when a new process of it is registered

Callers' requests flooded endpoints that had just started again (FAILBACK): the registration of a new process replaced the whole state of the endpoint, with it the requests that had just been sent to that process, so each host sent its share of the cold endpoint's limit once more in the same second. A registration that was removed and came back lost the count too.

The count is now carried over. It may hold requests to the earlier process, which costs the new one part of its first second. This alone is not enough: what is sent before the registration is read has no bound yet (TestRestartedEndpointIsFlooded).

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -239,8 +239,8 @@
 }
 
 // Sync adds the named endpoints and removes all others that have none of this host's
-// requests in flight, name no rate limit and are not paused: a registration that lapses
-// comes back, and these hold on. Endpoints added after the first call get a slow start.
+// requests in flight and got none lately, name no rate limit and are not paused: a registration
+// that lapses comes back, and these hold on. Endpoints added after the first call get a slow start.
 func (t *Table) Sync(now time.Time, names []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -256,12 +256,18 @@
 	}
 	t.synced = true
 	for n, s := range t.states {
-		if !keep[n] && s.InFlight == 0 && !s.rateLimit.active(now) && !now.Before(s.pause.until) {
+		if !keep[n] && s.expired(now) {
 			delete(t.states, n)
 		}
 	}
 }
 
+// expired reports whether nothing of the state holds for an endpoint that registers again.
+func (s *State) expired(now time.Time) bool {
+	s.trimRequests(now)
+	return s.InFlight == 0 && len(s.recentRequests) == 0 && !s.rateLimit.active(now) && !now.Before(s.pause.until)
+}
+
 // PutReport stores a report. It ignores the report and returns false if a newer one is
 // stored.
 func (t *Table) PutReport(name string, r Report) bool {
