Limit what an endpoint gets whose process may be new, by the connections to it

Warm is a property of a process, but a host used it for whatever listens at the address, at its full rate, until it read the new registration 20 ms to 0.65 s after the start.

A connection leads to one process for as long as it lives. So a host now suspects a restart when connections to an endpoint end or are refused, when it finds pooled ones ended, and when it opens one without having received anything there for 0.5 s. Until an answer on an earlier connection, a health check or a current view of the store shows the contrary, a request on a later connection counts towards the host's share of the cold endpoint's limit, and a health check is sent within 0.1 s of the first one. This is decided once more when the connection is open, as a request is placed before that.

Ruled out: passing the suspicion on to peer hosts. A host with a connection notices the end itself, one without is covered by the third sign, and a host whose own connections are reset would make all others doubt all endpoints.

--- a/internal/board/endpt/endpt.go
+++ b/internal/board/endpt/endpt.go
@@ -83,8 +83,11 @@
 	// recentRequests holds the times of this host's requests within coldWindow, if the rate
 	// of the endpoint is limited while it is cold.
 	recentRequests []time.Time
-	// warmAt is when this host sent the last health check whose answer states no warm-up.
-	warmAt    time.Time
+	// warmAt is when this host sent the last health check whose answer states no warm-up, wantedAt
+	// when a request last depended on such an answer.
+	warmAt, wantedAt time.Time
+	// restart is the suspicion that the endpoint has started again.
+	restart   restart
 	rateLimit rateLimit
 	pause     pause
 	// limitedSends holds the times of this host's requests while the endpoint names a
--- a/internal/board/endpt/peers.go
+++ b/internal/board/endpt/peers.go
@@ -147,13 +147,17 @@
 }
 
 // ConfirmWarm records that the endpoint answered a health check, which was sent at a time, without a
-// warm-up.
+// warm-up. It ends the suspicion of a restart if no sign of one was seen since the check was sent.
 func (t *Table) ConfirmWarm(sent time.Time, name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.state(name); sent.After(s.warmAt) {
+	s := t.state(name)
+	if sent.After(s.warmAt) {
 		s.warmAt = sent
 	}
+	if sent.After(s.restart.last) {
+		s.restart = restart{}
+	}
 }
 
 // AdmitUnconfirmed counts a request to an endpoint that may become cold without this host's notice,
@@ -163,6 +167,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(name)
+	s.wantedAt = now
 	if s.usedSinceWarm(now) >= most {
 		return false
 	}
--- a/internal/board/endpt/start.go
+++ b/internal/board/endpt/start.go
@@ -5,8 +5,9 @@
 // SetStart sets the number of an endpoint's process. If it is another one than before, nothing that
 // is known of the earlier process holds for it: loads, requests in flight, speed, failures,
 // ejections, rate limits and pauses. The count of recent requests is kept, as the new process got
-// those that were sent before its registration was read. SetStart reports whether it replaced the
-// number of an earlier process.
+// those that were sent before its registration was read, and so is the suspicion of a restart, as the
+// new process may have ended meanwhile. SetStart reports whether it replaced the number of an earlier
+// process.
 func (t *Table) SetStart(now time.Time, name string, start uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -22,7 +23,7 @@
 	case 0:
 		s.start = start
 	default:
-		t.states[name] = &State{start: start, startedAt: now, joinedAt: now, recentRequests: s.recentRequests}
+		t.states[name] = &State{start: start, startedAt: now, joinedAt: now, recentRequests: s.recentRequests, restart: s.restart}
 		return true
 	}
 	return false
--- a/internal/board/paths/paths.go
+++ b/internal/board/paths/paths.go
@@ -118,6 +118,14 @@
 	t.path(id).receivedAt = now
 }
 
+// ReceivedWithin reports whether an endpoint has sent something within a time.
+func (t *Table) ReceivedWithin(now time.Time, id string, d time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.paths[id]
+	return p != nil && !p.receivedAt.IsZero() && now.Sub(p.receivedAt) <= d
+}
+
 // Suspect requests a check of an endpoint that has not answered an attempt, unless it sent
 // something else lately.
 func (t *Table) Suspect(now time.Time, id string) {
--- a/internal/serve/node/cold.go
+++ b/internal/serve/node/cold.go
@@ -4,10 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/split"
@@ -28,6 +30,9 @@
 	// checkTail is how long endpoints are still checked once the store answers again: they
 	// may not have been able to write before.
 	checkTail = 2500 * time.Millisecond
+	// maxRestartChecks bounds the checks of an endpoint that may have started again, per second by all
+	// hosts of its region together.
+	maxRestartChecks = 30
 	// checkTimeout bounds a check; endpoints answer in a few milliseconds.
 	checkTimeout = 300 * time.Millisecond
 	// maxHealthBytes bounds the body of an answer to a check, maxWarmUp the time for which
@@ -36,6 +41,28 @@
 	maxWarmUp      = time.Minute
 )
 
+// restartChecks holds when the endpoints that may have started again were last checked, by id.
+type restartChecks map[string]time.Time
+
+// due returns the endpoints to check now, of those that may have started again and whose requests depend
+// on it. hosts is the number of hosts of the region, which notice a restart each by itself.
+func (c restartChecks) due(now time.Time, wanted []string, hosts int) []string {
+	interval := max(usedCheckInterval, time.Duration(hosts)*time.Second/maxRestartChecks)
+	var out []string
+	for _, id := range wanted {
+		if last, ok := c[id]; !ok || now.Sub(last) >= interval {
+			c[id] = now
+			out = append(out, id)
+		}
+	}
+	for id, last := range c {
+		if now.Sub(last) >= interval {
+			delete(c, id)
+		}
+	}
+	return out
+}
+
 // coldChecks decides when to ask endpoints whether they are cold. The store says so as long
 // as it can be read; an endpoint that becomes cold meanwhile fails under the usual load.
 type coldChecks struct {
@@ -91,22 +118,25 @@
 }
 
 // checkCold asks endpoints of the region whether they are cold while the store does not
-// say so: it can't be read, or their registrations lapsed.
+// say so: it can't be read, their registrations lapsed, or they may have started again.
 func (n *Node) checkCold(now time.Time) {
 	_, unreachable := n.feed.Unreachable(now)
 	view := n.splitView(now)
 	unreachable = unreachable || view.Side() != split.Whole
-	var unsure []string
+	var unsure, restarted []string
 	for _, id := range n.board.Registry.IDs(n.board.Region) {
 		if e, ok := n.board.Registry.Get(id); ok && (unreachable || e.Lapsed) {
 			unsure = append(unsure, id)
 		}
+		if why, _ := n.board.Endpoints.RestartSuspected(now, id, view.Age); why != endpt.NotSuspected && n.board.Endpoints.CheckWanted(now, id) {
+			restarted = append(restarted, id)
+		}
 	}
-	if len(unsure) == 0 && len(n.coldChecks.endpoints) == 0 {
+	if len(unsure) == 0 && len(n.coldChecks.endpoints) == 0 && len(restarted) == 0 {
 		return
 	}
-	var wait sync.WaitGroup
 	hosts := n.regionHosts()
+	due := n.restartChecks.due(now, restarted, hosts)
 	if view.Side() != split.Whole {
 		// Other hosts do not check, or this host does not learn of it.
 		hosts = 1
@@ -116,7 +146,10 @@
 			}
 		}
 	}
-	for _, id := range n.coldChecks.due(now, unsure, hosts, rand.Float64) {
+	due = append(due, n.coldChecks.due(now, unsure, hosts, rand.Float64)...)
+	slices.Sort(due)
+	var wait sync.WaitGroup
+	for _, id := range slices.Compact(due) {
 		e, ok := n.board.Registry.Get(id)
 		if path := n.healthPath(e); ok && path != "" {
 			wait.Go(func() { n.askCold(e, path) })
@@ -176,6 +209,7 @@
 		Address: e.Address, Method: http.MethodGet, Target: path, Host: e.Address, Deadline: now.Add(checkTimeout),
 		LastEventID: stream.NoID, MaxAnswerBytes: maxHealthBytes,
 	}, sink)
+	n.proxy.RecordEnd(e, out)
 	if id == e.ID && out.Status == http.StatusOK && (cold == "" || cold == "0") {
 		n.board.Endpoints.ConfirmWarm(now, e.ID)
 		return
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -117,9 +117,10 @@
 	// learned reports whether a peer host has reported what the store may have lost, or none is
 	// asked any more.
 	learned atomic.Bool
-	// coldChecks is only used by its controller.
-	coldChecks coldChecks
-	contact    contact
+	// coldChecks and restartChecks are only used by their controller.
+	coldChecks    coldChecks
+	restartChecks restartChecks
+	contact       contact
 	// loggedShares is the last logged share of each endpoint that may be cold. Only the controller
 	// of logShares uses it.
 	loggedShares map[string]loggedShare
@@ -174,7 +175,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
 	}
-	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, boot: o.boot, bootedAt: o.boot(), started: now(), releaseReads: releaseReads{wake: make(chan struct{}, 1)}}
+	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, boot: o.boot, bootedAt: o.boot(), started: now(), releaseReads: releaseReads{wake: make(chan struct{}, 1)}, restartChecks: restartChecks{}}
 	account := held.New(proxy.MaxHeld, proxy.MaxAnswer, func(bytes int) { n.meter.HeldBytes.Set(float64(bytes)) })
 	n.pool = pool.New(append(o.pool, pool.WithNow(now), pool.WithHeld(account))...)
 	n.board = board.New(now(), s.Peers, s.Region, s.Centre, 1)
--- a/internal/serve/node/reborn_test.go
+++ b/internal/serve/node/reborn_test.go
@@ -35,14 +35,18 @@
 	f := &rebornFleet{fleet: startCentre(t, rebornHosts), sent: map[string]time.Time{}}
 	f.endpoints = map[string]*routed.Endpoint{}
 	f.startEndpoint(rebornID, "plain", "a")
+	f.registerProcess(f.endpoints[rebornID], 1, time.Time{})
 	inForce := testRules(8)
 	s, _ := inForce.Service("plain")
 	s.ColdRate, s.HealthPath = 1, routed.HealthPath
-	f.store.put(feed.Change{Rules: inForce})
 	for _, n := range f.nodes {
 		n.proxy.ColdShare = func(*rules.Service, string) int { return rebornShare }
+	}
+	f.store.put(feed.Change{Rules: inForce})
+	for _, n := range f.nodes {
 		f.eventually("the rules and the endpoint are in force", func() bool {
-			return n.board.Routes.Version() == 8 && n.board.Registry.Len() == 1
+			e, _ := n.board.Registry.Get(rebornID)
+			return n.board.Routes.Version() == 8 && e.Incarnation == 1
 		})
 	}
 	return f
@@ -80,10 +84,10 @@
 	return e
 }
 
-// registerAgain registers the new process.
-func (f *rebornFleet) registerAgain(e *routed.Endpoint) {
+// registerProcess registers a process of the endpoint.
+func (f *rebornFleet) registerProcess(e *routed.Endpoint, incarnation int64, coldUntil time.Time) {
 	f.store.put(feed.Change{Key: rebornID, Endpoint: &regis.Endpoint{
-		ID: rebornID, Service: "plain", Address: e.Address(), Centre: "a1", Slots: 8, Incarnation: 1, ColdUntil: time.Now().Add(time.Minute),
+		ID: rebornID, Service: "plain", Address: e.Address(), Centre: "a1", Slots: 8, Incarnation: incarnation, ColdUntil: coldUntil,
 	}})
 }
 
@@ -146,7 +150,7 @@
 			}
 			e := f.restart()
 			if tt.registered {
-				time.AfterFunc(400*time.Millisecond, func() { f.registerAgain(e) })
+				time.AfterFunc(400*time.Millisecond, func() { f.registerProcess(e, 2, time.Now().Add(time.Minute)) })
 			}
 			f.send("after", 1500*time.Millisecond)
 			if got, limit := f.mostInSecond(e), rebornHosts*rebornShare; got > limit {
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -97,14 +97,25 @@
 	// RetryServerErrors makes a status of 500 or above, 408 or 429 fail the attempt. Otherwise
 	// such an answer is passed on.
 	RetryServerErrors bool
-	// Verify returns an error if the endpoint behind the connection, which is open, is not the one
-	// that the request is for. The request is not sent then. It may be nil.
-	Verify func(ctx context.Context) error
+	// Verify returns an error if the request may not be sent on a connection, as the endpoint behind it
+	// may not be the one that the request was placed at. It may be nil.
+	Verify func(ctx context.Context, c Contact) error
 	// Accept returns an error if the endpoint's answer can't be passed on by its head, as the caller
 	// has the beginning of another one. Nil accepts any.
 	Accept func(wire.Head) error
 }
 
+// Contact is the open connection of an attempt.
+type Contact struct {
+	// Reused reports whether it was taken from the pool.
+	Reused bool
+	// Wanted is when the attempt asked for it, Opened when it was open.
+	Wanted, Opened time.Time
+	// OthersEnded reports whether the endpoint had ended pooled connections that could still have been
+	// reused.
+	OthersEnded bool
+}
+
 // Notice is what the head of an answer says of its endpoint.
 type Notice struct {
 	// RateLimit is the rate limit that the endpoint names, in requests per second; nil if it
@@ -139,6 +150,8 @@
 	// Unreachable reports whether no connection could be opened because the endpoint, or the
 	// network, refused it or did not answer.
 	Unreachable bool
+	// Withheld reports whether Verify returned an error, so that nothing was sent.
+	Withheld bool
 	// Misdirected reports whether another endpoint now has the address (status 421).
 	Misdirected bool
 	// Pause is that of Notice.
@@ -202,6 +215,8 @@
 	attempt Attempt
 	sink    client.Sink
 	conn    *conn
+	// othersEnded is Contact.OthersEnded.
+	othersEnded bool
 	// head is that of the endpoint's answer.
 	head   wire.Head
 	start  time.Time
@@ -229,10 +244,11 @@
 		return e.result
 	}
 	if attempt.Verify != nil {
-		if err := attempt.Verify(ctx); err != nil {
+		contact := Contact{Reused: e.result.Reused, Wanted: e.start, Opened: e.conn.opened, OthersEnded: e.othersEnded}
+		if err := attempt.Verify(ctx, contact); err != nil {
 			_ = e.conn.Close()
-			e.result.Reason, e.result.Ran, e.result.Err = retry.Refused, fault.RanNo, err
-			e.result.CallerLeft = fault.CallerLeft(ctx)
+			e.result.Reason, e.result.Ran, e.result.Err = retry.Dial, fault.RanNo, err
+			e.result.Withheld, e.result.CallerLeft = true, fault.CallerLeft(ctx)
 			return e.result
 		}
 	}
@@ -252,7 +268,7 @@
 // connect takes a connection from the pool or opens one.
 func (e *exchange) connect() error {
 	if !e.attempt.NewConn {
-		if e.conn = e.client.Pool.get(e.attempt.Address, e.attempt.ID); e.conn != nil {
+		if e.conn, e.othersEnded = e.client.Pool.get(e.attempt.Address, e.attempt.ID); e.conn != nil {
 			e.result.Reused = true
 			return nil
 		}
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -51,6 +51,8 @@
 type conn struct {
 	net.Conn
 	address string
+	// opened is when the connection was open.
+	opened  time.Time
 	reader  *head.Reader
 	rawConn syscall.RawConn
 	// ids holds the hashes of the ids of its requests. Health checks have none.
@@ -172,20 +174,35 @@
 
 // get removes a usable idle connection to the address from the pool and returns it. It
 // returns nil if there is none. A connection that carried a request with the same id is left
-// out, as a repeated answer to that one would be taken for the answer to this one.
-func (p *Pool) get(address, id string) *conn {
+// out, as a repeated answer to that one would be taken for the answer to this one. ended reports
+// whether the endpoint ended a connection that could still have been reused.
+func (p *Pool) get(address, id string) (c *conn, ended bool) {
 	for {
-		c := p.pop(address, xxhash.Sum64String(id))
+		c = p.pop(address, xxhash.Sum64String(id))
 		if c == nil {
-			return nil
+			return nil, ended
 		}
-		if p.now().Before(c.reuseBefore) && c.usable() {
-			return c
+		if p.now().Before(c.reuseBefore) {
+			if c.usable() {
+				return c, ended
+			}
+			ended = true
 		}
 		_ = c.Close()
 	}
 }
 
+// HasOpenedBefore reports whether there is an idle connection to the address that was opened before a
+// time and can still be reused.
+func (p *Pool) HasOpenedBefore(address string, at time.Time) bool {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[address], func(c *conn) bool {
+		return c.opened.Before(at) && now.Before(c.reuseBefore) && c.usable()
+	})
+}
+
 // pop removes and returns the connection that became idle last, of those that have not carried
 // a request with an id of this hash.
 func (p *Pool) pop(address string, id uint64) *conn {
@@ -228,7 +245,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	c := &conn{Conn: nc, address: address, now: p.now}
+	c := &conn{Conn: nc, address: address, opened: p.now(), now: p.now}
 	c.reader = head.NewReader(c, connReadBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		if rawConn, err := sc.SyscallConn(); err == nil {
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -19,7 +19,6 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/pick"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/place"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/room"
-	"github.com/hyssopspindle/hyssopspindle/internal/route/split"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -52,7 +51,10 @@
 	// unreachable reports whether all local endpoints that may serve the request are out of
 	// this host's reach.
 	unreachable bool
-	refusal     *fault.Refusal
+	// limited reports whether the request was counted towards the rate limit of an endpoint that may be
+	// cold.
+	limited bool
+	refusal *fault.Refusal
 }
 
 // minReportedPrefill is the prefill time from which a prompt or a prompt prefix is
@@ -263,7 +265,7 @@
 		if d.refusal != nil || d.wait {
 			return d
 		}
-		if service.ColdRate > 0 && !p.admitByRate(now, service, e) {
+		if service.ColdRate > 0 && !p.admitByRate(now, service, &d) {
 			list = append(list[:choice.Index:choice.Index], list[choice.Index+1:]...)
 			endpoints = append(endpoints[:choice.Index:choice.Index], endpoints[choice.Index+1:]...)
 			continue
@@ -279,33 +281,6 @@
 	return decision{refusal: noEndpoint()}
 }
 
-// unconfirmed is the reason for which an endpoint may be cold at a host whose view of the store is
-// older than that of other hosts.
-const unconfirmed = "unconfirmed"
-
-// admitByRate counts a request to an endpoint of a service with a cold-endpoint rate limit, and
-// returns false if this host's share of the limit is used up. A host that may be cut off sends an
-// endpoint no more than its share after each answer that the endpoint is warm, and nothing to a cold
-// one if other hosts may not count it any more.
-func (p *Proxy) admitByRate(now time.Time, s *rules.Service, e regis.Endpoint) bool {
-	reason, view := e.ColdReason(now), p.Split(now)
-	var admitted bool
-	switch {
-	case reason != regis.NotCold:
-		admitted = !view.SharesLapse() && p.Board.Endpoints.AdmitCold(now, e.ID, p.ColdShare(s, e.ID))
-	case view.Side() != split.Whole:
-		reason = unconfirmed
-		admitted = p.Board.Endpoints.AdmitUnconfirmed(now, e.ID, p.ColdShare(s, e.ID))
-	default:
-		p.Board.Endpoints.RecordWarm(now, e.ID)
-		return true
-	}
-	if admitted {
-		p.Meter.CountColdRequest(e.ID, string(reason))
-	}
-	return admitted
-}
-
 // firstTokenTarget returns the latency target that a request is admitted by, 0 for none: the
 // caller already has the first token of a stream that goes on.
 func (t *task) firstTokenTarget() time.Duration {
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -66,10 +66,25 @@
 	}}
 	attempt := p.endpointAttempt(t, d)
 	attempt.OnOpened = func() { p.recordOpened(e) }
+	var opened, sent time.Time
+	verify := attempt.Verify
+	attempt.Verify = func(ctx context.Context, c pool.Contact) error {
+		if err := p.admitConnection(t, d, c); err != nil {
+			return err
+		}
+		if verify != nil {
+			if err := verify(ctx, c); err != nil {
+				return err
+			}
+		}
+		opened, sent = c.Opened, p.Now()
+		return nil
+	}
 	suspicion := time.AfterFunc(suspectAfter, func() { p.Board.Paths.Suspect(p.Now(), e.ID) })
 	attempt.OnNotice = func(n pool.Notice) {
 		suspicion.Stop()
 		p.Board.Paths.RecordReceived(p.Now(), e.ID)
+		p.Board.Endpoints.ConfirmProcess(e.ID, opened, sent)
 		p.recordNotice(t, e, n, start)
 	}
 	attempt.Abandon = func() bool {
@@ -111,6 +126,7 @@
 // recordFindings records whether the endpoint could be reached, and whether the request and the
 // parts of its prompt may be the cause of its end. writes counts the writes of events.
 func (p *Proxy) recordFindings(t *task, e regis.Endpoint, out pool.Result, start time.Time, writes int) {
+	p.RecordEnd(e, out)
 	if out.Unreachable && p.Board.Registry.Current(e) {
 		p.recordUnreachable(e, out.Err)
 	}
@@ -148,7 +164,7 @@
 	}
 	attempt.IdleTimeout = idleTimeout(t.Route)
 	if t.release != nil && t.lastEventID != stream.NoID {
-		attempt.Verify = func(ctx context.Context) error { return p.verifyRelease(ctx, d.endpoint) }
+		attempt.Verify = func(ctx context.Context, c pool.Contact) error { return p.verifyRelease(ctx, d.endpoint, c) }
 	}
 	attempt.RetryServerErrors, attempt.Accept = retryable, t.received.Accept
 	if t.report.Started && attempt.HeadTimeout > 0 {
@@ -299,7 +315,7 @@
 	refused := out.Reason == retry.Refused && !out.Whole
 	res := endpt.Result{
 		Start: e.Start, Whole: out.Whole, Full: refused && !out.Misdirected,
-		Failed: !out.Whole && !out.CallerLeft && !refused, ServerError: out.Status >= http.StatusInternalServerError,
+		Failed: !out.Whole && !out.CallerLeft && !refused && !out.Withheld, ServerError: out.Status >= http.StatusInternalServerError,
 	}
 	if t.Route.Prompts && out.Started {
 		res.TimeToFirstToken, res.ExpectedTimeToFirstToken = out.TimeToFirstByte, max(time.Millisecond, time.Duration(float64(d.expectedLatency)/d.slowdown))
--- a/internal/serve/proxy/paths.go
+++ b/internal/serve/proxy/paths.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 )
 
@@ -44,6 +45,7 @@
 			case reachable:
 				p.recordOpened(e)
 			case known:
+				p.suspectRestart(e, endpt.Ended, p.Now())
 				p.recordUnreachable(e, nil)
 			}
 		})
--- a/internal/serve/proxy/release.go
+++ b/internal/serve/proxy/release.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/origin"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -217,10 +219,15 @@
 
 // verifyRelease returns an error if the process that an endpoint's connection leads to may have another
 // release than the one that began the stream, as it has started again under the endpoint's id. The
-// connection is open, so a read of the registration shows that of this process. If there is no answer,
-// an endpoint counts as the same if no attempt of this host failed there since its last view.
-func (p *Proxy) verifyRelease(ctx context.Context, e regis.Endpoint) error {
-	age := p.StoreAge(p.Now())
+// connection is open, so a read of the registration shows that of this process, unless the process has
+// started too recently. If there is no answer, an endpoint counts as the same if no attempt of this
+// host failed there since its last view.
+func (p *Proxy) verifyRelease(ctx context.Context, e regis.Endpoint, c pool.Contact) error {
+	now := p.Now()
+	age := p.StoreAge(now)
+	if why, first := p.Board.Endpoints.RestartSuspected(now, e.ID, age); why == endpt.Ended && !c.Opened.Before(first) {
+		return fmt.Errorf("%w: it may have started again", errOtherRelease)
+	}
 	if age <= maxStoreAge {
 		ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 		defer cancel()
