Keep a rate limit and a pause that an endpoint's new process named before its registration was read

What was named since the restart was first suspected is kept. TestRestartErasesWhatTheNewProcessNamed failed before.

--- a/internal/board/endpt/pause.go
+++ b/internal/board/endpt/pause.go
@@ -14,6 +14,8 @@
 // pause is the time for which an endpoint wants no requests of this host.
 type pause struct {
 	until time.Time
+	// namedAt is when the endpoint named it.
+	namedAt time.Time
 	// trial reports whether no answer has shown yet that the endpoint serves again. Until
 	// then it gets one request at a time, so that not all hosts return at once in full.
 	trial   bool
@@ -30,7 +32,7 @@
 	if !until.After(s.pause.until) {
 		return false
 	}
-	s.pause = pause{until: until, trial: true}
+	s.pause = pause{until: until, namedAt: now, trial: true}
 	return true
 }
 
--- a/internal/board/endpt/start.go
+++ b/internal/board/endpt/start.go
@@ -4,10 +4,10 @@
 
 // SetStart sets the number of an endpoint's process. If it is another one than before, nothing that
 // is known of the earlier process holds for it: loads, requests in flight, speed, failures,
-// ejections, rate limits and pauses. The count of recent requests is kept, as the new process got
-// those that were sent before its registration was read, and so is the suspicion of a restart, as the
-// new process may have ended meanwhile. SetStart reports whether it replaced the number of an earlier
-// process.
+// ejections, rate limits and pauses. What the new process did before its registration was read is kept:
+// the count of recent requests, a rate limit and a pause that were named since the restart was first
+// suspected. So is that suspicion, as the new process may have ended meanwhile. SetStart reports whether
+// it replaced the number of an earlier process.
 func (t *Table) SetStart(now time.Time, name string, start uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -23,7 +23,14 @@
 	case 0:
 		s.start = start
 	default:
-		t.states[name] = &State{start: start, startedAt: now, joinedAt: now, recentRequests: s.recentRequests, restart: s.restart}
+		next := &State{start: start, startedAt: now, joinedAt: now, recentRequests: s.recentRequests, restart: s.restart}
+		if s.restart.why == Ended && s.rateLimit.heardAt.After(s.restart.first) {
+			next.rateLimit, next.limitedSends = s.rateLimit, s.limitedSends
+		}
+		if s.restart.why == Ended && s.pause.namedAt.After(s.restart.first) {
+			next.pause = s.pause
+		}
+		t.states[name] = next
 		return true
 	}
 	return false
--- a/internal/board/endpt/start_test.go
+++ b/internal/board/endpt/start_test.go
@@ -74,3 +74,43 @@
 		})
 	}
 }
+
+// TestRestartErasesWhatTheNewProcessNamed: a rate limit and a pause that the new process named before its
+// registration was read hold on, those of the earlier process do not.
+func TestRestartErasesWhatTheNewProcessNamed(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		namedAt  int
+		outlives bool
+	}{{"named by the earlier process", 900, false}, {"named by the new process", 1100, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			rate := 1.0
+			table := NewTable()
+			table.Sync(at(0), []string{"e"})
+			table.SetStart(at(0), "e", 1)
+			name := func() {
+				table.SetRateLimit(at(tt.namedAt), "e", &rate, at(tt.namedAt))
+				table.SetPause(at(tt.namedAt), "e", time.Minute)
+				table.StartRequest(at(tt.namedAt), "e")
+			}
+			if !tt.outlives {
+				name()
+			}
+			table.SuspectRestart("e", Ended, at(1000))
+			if tt.outlives {
+				name()
+			}
+			table.SetStart(at(1200), "e", 2)
+			st := table.Get("e")
+			if got := table.Limited(at(1300), "e"); got != tt.outlives {
+				t.Errorf("rate limited %v, want %v", got, tt.outlives)
+			}
+			if got := table.LimitDelay(at(1300), "e", 1, time.Second) > 0; got != tt.outlives {
+				t.Errorf("the limit's window is used up: %v, want %v", got, tt.outlives)
+			}
+			if got := st.PauseDelay(at(1300)) > 0; got != tt.outlives {
+				t.Errorf("paused %v, want %v", got, tt.outlives)
+			}
+		})
+	}
+}
