--- a/internal/conf/setup/hosted.go
+++ b/internal/conf/setup/hosted.go
@@ -46,6 +46,10 @@
 	// LinkMbps is the bandwidth of the machine's link, in Mbit/s; 0 means that it does
 	// not limit the host.
 	LinkMbps float64 `toml:"link_mbps" validate:"gte=0"`
+	// MemoryMB is the memory that the process may use, in MiB, and Descriptors the number of files
+	// and sockets that it may have open; 0 means that the machine sets no limit.
+	MemoryMB    float64 `toml:"memory_mb" validate:"eq=0|gte=64"`
+	Descriptors int     `toml:"descriptors" validate:"eq=0|gte=128"`
 }
 
 // mbpsPerCore is the traffic that one core forwards, in Mbit/s. Below it, the link limits
--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -43,6 +43,7 @@
 	// unreachable.
 	Neighbours []Neighbour `toml:"neighbours" validate:"dive"`
 	Limits     Limits      `toml:"limits"`
+	Machine    Machine     `toml:"machine"`
 }
 
 // Neighbour is a peer host from which a starting host can get its configuration.
--- a/internal/load/soak/fleet.go
+++ b/internal/load/soak/fleet.go
@@ -52,6 +52,8 @@
 	folder  string
 	regions map[string]string
 	client  *http.Client
+	// Machine is the machine that the settings of the hosts state.
+	Machine setup.Machine
 	// retrySlack is the number of retries that need no budget, 0 for the default.
 	retrySlack float64
 }
@@ -91,7 +93,7 @@
 func (f *Fleet) AddHost(name, region string) (*Host, error) {
 	h := &Host{Name: name, Region: region, file: filepath.Join(f.folder, name+".toml")}
 	s := &h.settings
-	*s = setup.Hosted{Name: name, Region: region, Centre: region, Store: f.Store.Address(), LogLevel: "debug", Bounds: setup.DefaultBounds()}
+	*s = setup.Hosted{Name: name, Region: region, Centre: region, Store: f.Store.Address(), LogLevel: "debug", Bounds: setup.DefaultBounds(), Machine: f.Machine}
 	if f.retrySlack > 0 {
 		s.Bounds.RetrySlack = f.retrySlack
 	}
@@ -144,6 +146,21 @@
 	return nil
 }
 
+// PID returns the id of the host's process.
+func (h *Host) PID() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cmd.Process.Pid
+}
+
+// HasEnded reports whether the process of a host has ended.
+func (h *Host) HasEnded() bool { return h.hasEnded() }
+
+// OtherAddresses returns the addresses of the host's other HTTP listeners, by their use.
+func (h *Host) OtherAddresses() map[string]string {
+	return map[string]string{"ready": h.settings.Ready, "directory": h.settings.Directory, "metrics": h.settings.Metrics}
+}
+
 // Signal sends a signal to the process of a host.
 func (h *Host) Signal(s syscall.Signal) error {
 	h.mu.Lock()
--- a/internal/serve/host/fleet_test.go
+++ b/internal/serve/host/fleet_test.go
@@ -48,6 +48,8 @@
 	leavingEndpoints []string
 	// processes runs each host in a separate process.
 	processes bool
+	// change changes the settings of each host; it may be nil.
+	change func(s *setup.Settings)
 }
 
 // fleet is a deployment of a few hosts on loopback, each behind a UDP relay that
@@ -179,6 +181,9 @@
 	s.Callers, s.Admin, s.Peers = f.newAddress(), f.newAddress(), ip+":7301"
 	s.Platform, s.AdminKey, s.Keys = f.platform.Address(), adminKey, folder
 	s.LogLevel, s.Limits.DrainSeconds = "debug", 60
+	if f.plan.change != nil {
+		f.plan.change(&s)
+	}
 	f.settings[name] = s
 	f.order = append(f.order, name)
 	f.mu.Lock()
