Let a health check decide where a restart is suspected and the share is used up

The limit for endpoints that may have started again refused what callers should get: the first burst at an endpoint that a host had not used for 0.5 s, and the rest of a stream at an endpoint that had broken off one answer and lives.

Beyond the share, and before a begun stream continues, the request now waits for one health check on the way to the endpoint, at most 0.3 s and shared with the requests beside it. An endpoint that answers warm has not just started. Services without a health path are treated as before for a first contact and for begun streams. Connections that ended in the pool are recorded for all services.

--- a/internal/board/endpt/restart.go
+++ b/internal/board/endpt/restart.go
@@ -71,10 +71,9 @@
 	}
 }
 
-// KeepAdmitted reports whether a request that RecordWarm counted may still be sent to an endpoint that is
+// Admitted reports whether a request that RecordWarm counted may still be sent to an endpoint that is
 // cold, or may be unless a health check since then showed that it is warm, as no more than most were.
-// Otherwise it is not counted any more.
-func (t *Table) KeepAdmitted(now time.Time, name string, most int, cold bool) bool {
+func (t *Table) Admitted(now time.Time, name string, most int, cold bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(name)
@@ -83,11 +82,16 @@
 	if cold {
 		used = len(s.recentRequests)
 	}
-	if used <= most {
-		return true
+	return used <= most
+}
+
+// Withdraw takes the last request off the count, as it is not sent.
+func (t *Table) Withdraw(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.states[name]; ok && len(s.recentRequests) > 0 {
+		s.recentRequests = s.recentRequests[:len(s.recentRequests)-1]
 	}
-	s.recentRequests = s.recentRequests[:len(s.recentRequests)-1]
-	return false
 }
 
 // CheckWanted reports whether a request has lately depended on whether the endpoint is warm, which a
--- a/internal/serve/node/cold.go
+++ b/internal/serve/node/cold.go
@@ -123,15 +123,7 @@
 	_, unreachable := n.feed.Unreachable(now)
 	view := n.splitView(now)
 	unreachable = unreachable || view.Side() != split.Whole
-	var unsure, restarted []string
-	for _, id := range n.board.Registry.IDs(n.board.Region) {
-		if e, ok := n.board.Registry.Get(id); ok && (unreachable || e.Lapsed) {
-			unsure = append(unsure, id)
-		}
-		if why, _ := n.board.Endpoints.RestartSuspected(now, id, view.Age); why != endpt.NotSuspected && n.board.Endpoints.CheckWanted(now, id) {
-			restarted = append(restarted, id)
-		}
-	}
+	unsure, restarted := n.doubtfulEndpoints(now, unreachable, view.Age)
 	if len(unsure) == 0 && len(n.coldChecks.endpoints) == 0 && len(restarted) == 0 {
 		return
 	}
@@ -158,6 +150,20 @@
 	wait.Wait()
 }
 
+// doubtfulEndpoints returns the endpoints of the region whose state the store does not show, and those that
+// may have started again and have requests that depend on it.
+func (n *Node) doubtfulEndpoints(now time.Time, unreachable bool, viewAge time.Duration) (unsure, restarted []string) {
+	for _, id := range n.board.Registry.IDs(n.board.Region) {
+		if e, ok := n.board.Registry.Get(id); ok && (unreachable || e.Lapsed) {
+			unsure = append(unsure, id)
+		}
+		if why, _ := n.board.Endpoints.RestartSuspected(now, id, viewAge); why != endpt.NotSuspected && n.board.Endpoints.CheckWanted(now, id) {
+			restarted = append(restarted, id)
+		}
+	}
+	return unsure, restarted
+}
+
 // regionHosts returns the number of hosts of the region, this one included.
 func (n *Node) regionHosts() int {
 	hosts := 1
@@ -184,6 +190,23 @@
 	return s.HealthPath
 }
 
+// checkWarm asks an endpoint whether it is cold, for a request that waits for the answer. Requests that wait
+// at the same time share a check.
+func (n *Node) checkWarm(ctx context.Context, e regis.Endpoint) {
+	path := n.healthPath(e)
+	if path == "" {
+		return
+	}
+	done := n.warmChecks.DoChan(e.ID, func() (any, error) {
+		n.askCold(e, path)
+		return nil, nil
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // askCold asks an endpoint whether it is cold.
 func (n *Node) askCold(e regis.Endpoint, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/clock"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
@@ -117,6 +118,8 @@
 	// learned reports whether a peer host has reported what the store may have lost, or none is
 	// asked any more.
 	learned atomic.Bool
+	// warmChecks shares the health checks that requests wait for.
+	warmChecks singleflight.Group
 	// coldChecks and restartChecks are only used by their controller.
 	coldChecks    coldChecks
 	restartChecks restartChecks
@@ -212,6 +215,7 @@
 	n.proxy.Board, n.proxy.Meter, n.proxy.Link, n.proxy.Terms = n.board, n.meter, n.link, t
 	n.proxy.Log, n.proxy.Now, n.proxy.Budget = n.log, n.now, n.retryBudget()
 	n.proxy.Client = &pool.Client{Pool: n.pool, Terms: t, Now: n.now}
+	n.proxy.CheckWarm = n.checkWarm
 	n.proxy.ColdShare, n.proxy.Split = n.coldRateShare, n.splitView
 	n.proxy.LimitShare = func(endpoint string, perSecond float64) (int, time.Duration) {
 		return n.shares.Pace(n.now(), endpoint, perSecond)
--- a/internal/serve/node/reborn_test.go
+++ b/internal/serve/node/reborn_test.go
@@ -162,3 +162,39 @@
 		})
 	}
 }
+
+// TestStreamContinuesAtUnregisteredProcess: a stream whose endpoint ends does not continue at the process that
+// starts under the endpoint's id and address, while the store still shows the registration of the first.
+func TestStreamContinuesAtUnregisteredProcess(t *testing.T) {
+	f := &rebornFleet{fleet: startCentre(t, 1)}
+	f.endpoints = map[string]*routed.Endpoint{}
+	f.startEndpoint(rebornID, "model", "a")
+	inForce := testRules(8)
+	s, _ := inForce.Service("model")
+	s.ColdRate, s.HealthPath = 100, routed.HealthPath
+	f.store.put(feed.Change{Rules: inForce})
+	f.eventually("the rules and the endpoint are in force", func() bool {
+		return f.nodes["n0"].board.Routes.Version() == 8 && f.nodes["n0"].board.Registry.Len() == 1
+	})
+	e := f.endpoints[rebornID]
+	e.EventGap = 100 * time.Millisecond
+	broken := make(chan error, 1)
+	go func() {
+		_, _, err := f.callHost("n0", http.MethodPost, "/stream/x", "s", nil)
+		broken <- err
+	}()
+	f.eventually("the stream has begun", func() bool { return len(e.Runs()) == 1 })
+	_ = e.Close()
+	next := f.restart()
+	select {
+	case err := <-broken:
+		if err == nil {
+			t.Error("the stream is complete, want a broken one")
+		}
+	case <-time.After(5 * time.Second):
+		// It waits for an endpoint that may continue it.
+	}
+	if n := len(next.Runs()); n > 0 {
+		t.Errorf("%d runs at the new process, want none", n)
+	}
+}
--- a/internal/serve/proxy/cold.go
+++ b/internal/serve/proxy/cold.go
@@ -1,9 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/hyssopspindle/hyssopspindle/internal/board/endpt"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
@@ -37,12 +40,11 @@
 // isCold reports whether the endpoint has said that it is cold, or counts as cold until it registers.
 func (c coldState) isCold() bool { return c.reason != unconfirmed && c.reason != restarted }
 
-// coldState returns the state of an endpoint of a service with a cold-endpoint rate limit. opened reports
-// whether a connection that was open before a time leads to it; it decides whether the request reaches
-// the registered process. A host that may be cut off sends an endpoint no more than its share after
-// each answer that the endpoint is warm, and nothing to one that is or may be new if other hosts
-// may not count this host any more.
-func (p *Proxy) coldState(now time.Time, s *rules.Service, e regis.Endpoint, opened func(before time.Time) bool) coldState {
+// coldState returns the state of an endpoint of a service with a cold-endpoint rate limit. suspected reports
+// whether a request may reach a new process, given why a restart is suspected and when the first sign of it was
+// seen. A host that may be cut off sends an endpoint no more than its share after each answer that the
+// endpoint is warm, and nothing to one that is or may be new if other hosts may not count this host any more.
+func (p *Proxy) coldState(now time.Time, s *rules.Service, e regis.Endpoint, suspected func(why endpt.Suspicion, first time.Time) bool) coldState {
 	view := p.Split(now)
 	share := func() int {
 		if view.SharesLapse() {
@@ -55,13 +57,8 @@
 	}
 	why, first := p.Board.Endpoints.RestartSuspected(now, e.ID, view.Age)
 	switch {
-	case why != endpt.NotSuspected && !opened(first):
-		most := share()
-		if why == endpt.NoContact && !view.SharesLapse() {
-			// Most hosts of a large region have no share.
-			most = max(1, most)
-		}
-		return coldState{reason: restarted, most: most}
+	case why != endpt.NotSuspected && suspected(why, first):
+		return coldState{reason: restarted, most: share()}
 	case view.Side() != split.Whole:
 		return coldState{reason: unconfirmed, most: p.ColdShare(s, e.ID)}
 	}
@@ -72,7 +69,10 @@
 // returns false if this host's share of the limit is used up.
 func (p *Proxy) admitByRate(now time.Time, s *rules.Service, d *decision) bool {
 	e := d.endpoint
-	state := p.coldState(now, s, e, func(before time.Time) bool { return p.Client.Pool.HasOpenedBefore(e.Address, before) })
+	state := p.coldState(now, s, e, func(why endpt.Suspicion, first time.Time) bool {
+		// Without contact, a health check on the way to the endpoint decides.
+		return why == endpt.Ended && !p.Client.Pool.HasOpenedBefore(e.Address, first)
+	})
 	switch state.reason {
 	case regis.NotCold:
 		p.Board.Endpoints.RecordWarm(now, e.ID)
@@ -90,34 +90,39 @@
 
 // admitConnection decides anew on a request that was placed at an endpoint which was warm, now that its
 // connection is open: only an earlier connection is certain to lead to the registered process, and
-// the endpoint may have become cold meanwhile. It returns errMayBeCold if the request is not to be sent.
-func (p *Proxy) admitConnection(t *task, d decision, c pool.Contact) error {
-	s := p.service(t.Service)
-	if s.ColdRate == 0 {
-		return nil
-	}
-	now, e := p.Now(), d.endpoint
+// the endpoint may have become cold meanwhile. Beyond the share of an endpoint that may have started
+// again, a health check decides. It returns errMayBeCold if the request is not to be sent.
+func (p *Proxy) admitConnection(ctx context.Context, t *task, d decision, c pool.Contact) error {
+	s, now, e := p.service(t.Service), p.Now(), d.endpoint
 	switch {
 	case c.OthersEnded:
 		p.suspectRestart(e, endpt.Ended, c.Wanted)
-	case !c.Reused && !p.Board.Paths.ReceivedWithin(now, e.ID, contactTime):
+	case s.ColdRate > 0 && s.HealthPath != "" && !c.Reused && !p.Board.Paths.ReceivedWithin(now, e.ID, contactTime):
 		p.suspectRestart(e, endpt.NoContact, c.Wanted)
 	}
-	if d.limited {
+	if s.ColdRate == 0 || d.limited {
 		return nil
 	}
-	if current, ok := p.Board.Registry.Get(e.ID); ok {
-		e = current
-	}
-	state := p.coldState(now, s, e, c.Opened.Before)
-	if state.reason == regis.NotCold {
-		return nil
-	}
-	if !p.Board.Endpoints.KeepAdmitted(now, e.ID, state.most, state.isCold()) {
-		return errMayBeCold
+	suspected := func(_ endpt.Suspicion, first time.Time) bool { return !c.Opened.Before(first) }
+	for checked := false; ; checked = true {
+		if current, ok := p.Board.Registry.Get(e.ID); ok {
+			e = current
+		}
+		state := p.coldState(now, s, e, suspected)
+		if state.reason == regis.NotCold {
+			return nil
+		}
+		if p.Board.Endpoints.Admitted(now, e.ID, state.most, state.isCold()) {
+			p.Meter.CountColdRequest(e.ID, string(state.reason))
+			return nil
+		}
+		if checked || state.reason != restarted || s.HealthPath == "" {
+			p.Board.Endpoints.Withdraw(e.ID)
+			return errMayBeCold
+		}
+		p.CheckWarm(ctx, e)
+		now = p.Now()
 	}
-	p.Meter.CountColdRequest(e.ID, string(state.reason))
-	return nil
 }
 
 // RecordEnd records what the result of an attempt or a health check suggests of the end of an endpoint.
@@ -130,7 +135,12 @@
 // suspectRestart records that an endpoint may have started again.
 func (p *Proxy) suspectRestart(e regis.Endpoint, why endpt.Suspicion, seen time.Time) {
 	if p.Board.Endpoints.SuspectRestart(e.ID, why, seen) {
-		p.Log.Info().Str("endpoint", e.ID).Str("service", e.Service).Int64("born", e.Incarnation).Str("why", string(why)).
+		level := zerolog.InfoLevel
+		if why == endpt.NoContact {
+			// Each endpoint that a host has not used for a while gets one.
+			level = zerolog.DebugLevel
+		}
+		p.Log.WithLevel(level).Str("endpoint", e.ID).Str("service", e.Service).Int64("born", e.Incarnation).Str("why", string(why)).
 			Msg("endpoint may have started again")
 	}
 }
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -67,18 +67,9 @@
 	attempt := p.endpointAttempt(t, d)
 	attempt.OnOpened = func() { p.recordOpened(e) }
 	var opened, sent time.Time
-	verify := attempt.Verify
 	attempt.Verify = func(ctx context.Context, c pool.Contact) error {
-		if err := p.admitConnection(t, d, c); err != nil {
-			return err
-		}
-		if verify != nil {
-			if err := verify(ctx, c); err != nil {
-				return err
-			}
-		}
 		opened, sent = c.Opened, p.Now()
-		return nil
+		return p.verify(ctx, t, d, c)
 	}
 	suspicion := time.AfterFunc(suspectAfter, func() { p.Board.Paths.Suspect(p.Now(), e.ID) })
 	attempt.OnNotice = func(n pool.Notice) {
@@ -163,9 +154,6 @@
 		attempt.HeadTimeout = t.Route.Target + d.expectedLatency
 	}
 	attempt.IdleTimeout = idleTimeout(t.Route)
-	if t.release != nil && t.lastEventID != stream.NoID {
-		attempt.Verify = func(ctx context.Context, c pool.Contact) error { return p.verifyRelease(ctx, d.endpoint, c) }
-	}
 	attempt.RetryServerErrors, attempt.Accept = retryable, t.received.Accept
 	if t.report.Started && attempt.HeadTimeout > 0 {
 		// The target of the first token is met or missed already.
@@ -174,6 +162,18 @@
 	return attempt
 }
 
+// verify returns an error if a request may not be sent on a connection, which is open, as the endpoint may
+// be another one, or in another state, than when the request was placed.
+func (p *Proxy) verify(ctx context.Context, t *task, d decision, c pool.Contact) error {
+	if err := p.admitConnection(ctx, t, d, c); err != nil {
+		return err
+	}
+	if t.release == nil || t.lastEventID == stream.NoID {
+		return nil
+	}
+	return p.verifyRelease(ctx, d.endpoint, c)
+}
+
 // idleTimeout returns how long a stream of a route may be silent between two events, 0 if it may
 // be until its deadline.
 func idleTimeout(r *rules.Route) time.Duration {
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -144,6 +144,8 @@
 	// VerifyEndpoint reads an endpoint's registration from the store and reports whether its process and
 	// release are still those of e.
 	VerifyEndpoint func(ctx context.Context, e regis.Endpoint) (same bool, err error)
+	// CheckWarm sends a health check to an endpoint and records whether it is warm.
+	CheckWarm func(ctx context.Context, e regis.Endpoint)
 	// StoreAge returns the time since the store last confirmed this host's view.
 	StoreAge func(now time.Time) time.Duration
 	// KeysValid reports whether a version of the rules was confirmed recently enough to accept the
@@ -190,6 +192,7 @@
 		rand: rnd, spills: spill.New(rnd), Prefixes: NewPrefixTable(), queues: map[string]*waitQueue{},
 		RoomShare:      func(_ string, number int) int { return number },
 		Split:          func(time.Time) split.View { return split.View{} },
+		CheckWarm:      func(context.Context, regis.Endpoint) {},
 		VerifyEndpoint: func(context.Context, regis.Endpoint) (bool, error) { return true, nil },
 	}
 }
--- a/internal/serve/proxy/release.go
+++ b/internal/serve/proxy/release.go
@@ -225,8 +225,16 @@
 func (p *Proxy) verifyRelease(ctx context.Context, e regis.Endpoint, c pool.Contact) error {
 	now := p.Now()
 	age := p.StoreAge(now)
-	if why, first := p.Board.Endpoints.RestartSuspected(now, e.ID, age); why == endpt.Ended && !c.Opened.Before(first) {
-		return fmt.Errorf("%w: it may have started again", errOtherRelease)
+	// A process that has just started is cold, and announces it before its registration shows it.
+	suspected := func() bool {
+		why, first := p.Board.Endpoints.RestartSuspected(p.Now(), e.ID, age)
+		current, _ := p.Board.Registry.Get(e.ID)
+		return (why == endpt.Ended || current.ColdReason(p.Now()) == regis.ColdAnnounced) && !c.Opened.Before(first)
+	}
+	if s := p.service(e.Service); s.ColdRate > 0 && s.HealthPath != "" && suspected() {
+		if p.CheckWarm(ctx, e); suspected() {
+			return fmt.Errorf("%w: it may have started again", errOtherRelease)
+		}
 	}
 	if age <= maxStoreAge {
 		ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
