--- a/internal/base/socket/body.go
+++ b/internal/base/socket/body.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"syscall"
+	"net"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -34,19 +34,29 @@
 // CloseAfter closes the connection of a request after its answer, unless a further request has
 // begun to arrive on it, which gets an answer too.
 func CloseAfter(c *app.RequestContext) {
-	if c.GetConn().Len() == 0 {
-		c.SetConnectionClose()
+	if c.GetConn().Len() > 0 {
+		return
+	}
+	if accepted := connOf(c.GetConn()); accepted != nil {
+		if waiting, _ := accepted.peek(); waiting {
+			return
+		}
 	}
+	c.SetConnectionClose()
 }
 
 // resetOnClose makes the closing of a connection reset it, or end it after all that was written.
 func resetOnClose(c network.Conn, reset bool) {
-	linger := &syscall.Linger{}
-	if reset {
-		linger.Onoff = 1
+	accepted := connOf(c)
+	if accepted == nil {
+		return
 	}
-	if fd, ok := descriptor(c); ok {
-		_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, linger)
+	if tcp, ok := accepted.Conn.(*net.TCPConn); ok {
+		seconds := -1
+		if reset {
+			seconds = 0
+		}
+		_ = tcp.SetLinger(seconds)
 	}
 }
 
--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/netpoll"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 )
 
 // ErrTooLong is the error of a request whose trailer or chunk size exceeds the limit.
@@ -17,72 +19,154 @@
 // ErrTooSlow is the error of a request that did not arrive within the read timeout.
 var ErrTooSlow = errors.New("request took too long to arrive")
 
+// errRefused is the error of reads after a request that was refused before it had arrived.
+var errRefused = errors.New("request was refused before it had arrived")
+
+const (
+	// readAhead is what the library reads of a body before the handler of the request runs.
+	readAhead = 8 << 10
+	// lingerTime and lingerBytes bound what is read and dropped of a request that was refused before it had
+	// arrived: if its connection is closed at once, the reset may overtake the refusal.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
 // Requests counts the requests of callers that are in progress, from their first byte until the
 // last byte of their answers is written. The zero value is ready for use.
-type Requests struct{ open atomic.Int64 }
+type Requests struct {
+	open  atomic.Int64
+	conns atomic.Pointer[Conns]
+}
 
-// Open returns the number of requests in progress.
-func (r *Requests) Open() int { return int(r.open.Load()) }
+// Open returns the number of requests in progress, with those whose first bytes still wait in the kernel.
+func (r *Requests) Open() int {
+	n := int(r.open.Load())
+	if t := r.conns.Load(); t != nil {
+		n += t.waiting()
+	}
+	return n
+}
 
-// transporter is the library's network layer with bounds on what its parser reads.
+// transporter is the library's network layer over the standard library's, which reads what arrives only
+// as it is asked for, with bounds on what the parser reads.
 type transporter struct {
 	network.Transporter
-	limit       int
-	readTimeout time.Duration
-	backlog     *backlog
-	requests    *Requests
+	limit                     int
+	readTimeout, writeTimeout time.Duration
+	idleTimeout               time.Duration
+	// sense reports whether the context of a request ends with its connection.
+	sense    bool
+	requests *Requests
+	conns    *Conns
 }
 
 // NewTransporter returns a network layer whose connections bound the trailer of a request
-// and the line of a chunk's size by the limit of the header, what arrives while a request
-// runs by the limits of header and body, and the time in which a request arrives by the read
-// timeout, as the library does not.
-func NewTransporter(o *config.Options) network.Transporter { return CountRequests(&Requests{})(o) }
+// and the line of a chunk's size by the limit of the header, and the time in which a request arrives by
+// the read timeout, as the library does not.
+func NewTransporter(o *config.Options) network.Transporter {
+	return Transport(&Requests{}, NewConns(0, nil))(o)
+}
 
-// CountRequests is like NewTransporter, and counts the requests in progress.
-func CountRequests(r *Requests) func(o *config.Options) network.Transporter {
+// Transport is like NewTransporter, counts the requests in progress, and bounds the connections.
+func Transport(r *Requests, t *Conns) func(o *config.Options) network.Transporter {
 	return func(o *config.Options) network.Transporter {
+		r.conns.Store(t)
+		inner := *o
+		inner.SenseClientDisconnection = false
+		inner.Listener = &boundedListener{Listener: o.Listener, conns: t}
+		inner.OnAccept = func(nc net.Conn) context.Context { return context.WithValue(context.Background(), acceptedKey{}, nc) }
 		return &transporter{
-			Transporter: netpoll.NewTransporter(o), limit: o.MaxHeaderBytes, readTimeout: o.ReadTimeout,
-			backlog: newBacklog(o.MaxHeaderBytes + o.MaxRequestBodySize), requests: r,
+			Transporter: standard.NewTransporter(&inner), limit: max(o.MaxHeaderBytes, readAhead), readTimeout: o.ReadTimeout,
+			writeTimeout: o.WriteTimeout, idleTimeout: o.IdleTimeout, sense: o.SenseClientDisconnection, requests: r, conns: t,
 		}
 	}
 }
 
+// acceptedKey is the key of the accepted connection in the context of a connection.
+type acceptedKey struct{}
+
+// boundedListener accepts connections within the limit of a table.
+type boundedListener struct {
+	net.Listener
+	conns *Conns
+}
+
+// Accept implements net.Listener.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c, ok := l.conns.add(time.Now(), nc); ok {
+			return c, nil
+		}
+		_ = nc.Close()
+	}
+}
+
 // ListenAndServe implements network.Transporter.
 func (t *transporter) ListenAndServe(onData network.OnData) error {
-	defer t.backlog.close()
-	return t.Transporter.ListenAndServe(func(ctx context.Context, conn any) error {
-		if c, ok := conn.(*netpoll.Conn); ok {
-			t.backlog.enter(c)
-			defer t.backlog.leave(c)
-			bounded := &boundedConn{Conn: c, limit: t.limit, readTimeout: t.readTimeout, requests: t.requests}
-			bounded.bound(t.readTimeout)
-			defer bounded.setOpen(false)
-			conn = bounded
+	return t.Transporter.ListenAndServe(func(ctx context.Context, inner any) error {
+		nc, _ := inner.(network.Conn)
+		accepted, _ := ctx.Value(acceptedKey{}).(*conn)
+		c := &boundedConn{
+			Conn: nc, accepted: accepted, limit: t.limit, readTimeout: t.readTimeout, writeTimeout: t.writeTimeout, requests: t.requests,
+		}
+		defer c.end()
+		// A connection without a request is idle, as after one.
+		c.bound(t.idleTimeout)
+		if _, err := c.Peek(1); err != nil {
+			return err
 		}
-		return onData(ctx, conn)
+		c.bound(t.readTimeout)
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		if t.sense {
+			c.ended = cancel
+		}
+		return onData(ctx, c)
 	})
 }
 
+// Shutdown implements network.Transporter. It closes the connections that are left.
+func (t *transporter) Shutdown(ctx context.Context) error {
+	err := t.Transporter.Shutdown(ctx)
+	t.conns.closeAll()
+	return err
+}
+
+// Close implements network.Transporter.
+func (t *transporter) Close() error {
+	err := t.Transporter.Close()
+	t.conns.closeAll()
+	return err
+}
+
 // boundedConn is a connection that ends a request whose parser looks at more and more bytes
-// and takes none. The parser of trailers looks at all that have arrived again and again;
-// that of bodies looks once at all of a length that is bounded already, and takes it. The
+// and takes none. The parser of trailers looks at all that have arrived again and again. The
 // library's read timeout bounds each wait for bytes; here it bounds all waits of a request
 // together, so that one that arrives byte by byte ends too.
 type boundedConn struct {
-	*netpoll.Conn
-	limit int
+	network.Conn
+	accepted *conn
+	limit    int
 	// looks counts the calls of Peek beyond the limit since bytes were taken last.
 	looks int
 	// single counts the bytes that were taken one by one.
 	single int
 	// readBy is when the request must have arrived, zero if there is no bound.
-	readBy      time.Time
-	readTimeout time.Duration
-	requests    *Requests
+	readBy                    time.Time
+	readTimeout, writeTimeout time.Duration
+	requests                  *Requests
 	// open reports whether a request is in progress.
 	open bool
+	// refused reports whether a request was refused before it had arrived.
+	refused bool
+	// ended is called when the client ends the connection while a request is served, nil if the server
+	// does not ask for it. stopWatch ends the watch for that.
+	ended     func()
+	stopWatch func()
 }
 
 // bound begins the wait for a request's bytes, or for the first of them if the timeout is not
@@ -103,6 +187,32 @@
 		c.requests.open.Add(-1)
 	}
 	c.open = open
+	if c.accepted != nil {
+		s := idle
+		if open {
+			s = arriving
+		}
+		c.accepted.set(time.Now(), s)
+	}
+}
+
+// end closes the connection. After a request that was refused before it had arrived, it first gives the
+// client the time to read the refusal.
+func (c *boundedConn) end() {
+	if c.accepted == nil {
+		_ = c.Close()
+		c.setOpen(false)
+		return
+	}
+	if c.refused {
+		if tcp, ok := c.accepted.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+			_ = tcp.SetReadDeadline(time.Now().Add(lingerTime))
+			_, _ = io.CopyN(io.Discard, tcp, lingerBytes)
+		}
+	}
+	_ = c.Close()
+	_ = c.accepted.Close()
+	c.setOpen(false)
 }
 
 // SetReadTimeout implements network.Conn. The library sets it before it reads each request.
@@ -113,6 +223,9 @@
 
 // awaitBytes sets the timeout of a read that waits for n bytes.
 func (c *boundedConn) awaitBytes(n int) error {
+	if c.refused {
+		return errRefused
+	}
 	if c.readBy.IsZero() || c.Len() >= n {
 		return nil
 	}
@@ -154,3 +267,28 @@
 	}
 	return c.Conn.ReadByte()
 }
+
+// Read implements net.Conn.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	if err := c.awaitBytes(1); err != nil {
+		return 0, err
+	}
+	c.looks, c.single = 0, 0
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn. The write timeout bounds each write.
+func (c *boundedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteTimeout(c.writeTimeout); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Flush implements network.Writer.
+func (c *boundedConn) Flush() error {
+	if err := c.SetWriteTimeout(c.writeTimeout); err != nil {
+		return err
+	}
+	return c.Conn.Flush()
+}
--- /dev/null
+++ b/internal/base/socket/conns_test.go
@@ -0,0 +1,180 @@
+package socket
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
+)
+
+// startReader starts a server that reads bodies of at most limit bytes within an account, on a number of
+// connections. It sends each body, or the error of its read, and waits for next before it answers.
+func startReader(t *testing.T, limit, conns int, account *memory.Account) (address string, read chan any, next chan bool) {
+	t.Helper()
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := server.New(server.WithListener(l), server.WithTransport(Transport(&Requests{}, NewConns(conns, nil))), server.WithStreamBody(true),
+		server.WithReadTimeout(bodyTimeout), server.WithIdleTimeout(bodyTimeout), server.WithWriteTimeout(bodyTimeout), server.WithMaxRequestBodySize(1<<20),
+		server.WithDisablePrintRoute(true), server.WithExitWaitTime(10*time.Millisecond))
+	read, next = make(chan any, 100), make(chan bool, 100)
+	s.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		conn := c.GetConn()
+		hold := account.Open(c.RemoteAddr().String(), func() { _ = conn.Close() })
+		defer hold.Close()
+		body, err := ReadBody(c, limit, hold)
+		if err != nil {
+			read <- err
+			c.SetStatusCode(http.StatusRequestEntityTooLarge)
+			return
+		}
+		c.SetStatusCode(http.StatusOK)
+		read <- string(body)
+		<-next
+	})
+	Run(s, func(err error) { t.Error(err) })
+	t.Cleanup(func() { _ = Shutdown(s, 10*time.Millisecond) })
+	return l.Addr().String(), read, next
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(bodyTimeout))
+	return nc
+}
+
+// readStatus reads an answer and returns its status and whether it announces the close of the connection.
+func readStatus(t *testing.T, nc net.Conn) (status int, closes bool) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode, resp.Close
+}
+
+// TestBodyOverItsLimitIsRead: a body that exceeds its limit, by its length or its chunks, is refused, and the client
+// reads the refusal though it has sent more; one of the limit's size is read whole.
+func TestBodyOverItsLimitIsRead(t *testing.T) {
+	const limit = 100_000
+	const head = "POST / HTTP/1.1\r\nHost: h\r\n"
+	fill := func(n int) string { return strings.Repeat("x", n) }
+	for _, tt := range []struct {
+		name, request string
+		whole         bool
+	}{
+		{"length", head + "Content-Length: 100000\r\n\r\n" + fill(limit), true},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n186a0\r\n" + fill(limit) + "\r\n0\r\n\r\n", true},
+		{"small chunks", head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", limit) + "0\r\n\r\n", true},
+		{"no body", head + "Content-Length: 0\r\n\r\n", true},
+		{"length over the limit", head + "Content-Length: 100001\r\n\r\n" + fill(limit+1), false},
+		{"chunks over the limit", head + "Transfer-Encoding: chunked\r\n\r\n186a1\r\n" + fill(limit+1) + "\r\n0\r\n\r\n", false},
+		{"length far over the limit", head + "Content-Length: 400000000\r\n\r\n" + fill(2*limit), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			address, read, next := startReader(t, limit, 0, memory.NewAccount(1<<20))
+			nc := dial(t, address)
+			go func() { _, _ = io.WriteString(nc, tt.request) }()
+			got := <-read
+			next <- true
+			if err, failed := got.(error); failed == tt.whole || failed && !errors.Is(err, ErrTooLarge) {
+				t.Errorf("got %.40q, want the whole body: %v", got, tt.whole)
+			}
+			if _, closes := readStatus(t, nc); closes == tt.whole {
+				t.Errorf("the answer announces the close of the connection: %v, want %v", closes, !tt.whole)
+			}
+		})
+	}
+}
+
+// TestIdleConnectionsKeepOthersOut: beyond the limit of connections, a new one takes the place of one without a
+// whole request, and never that of one whose request is served.
+func TestIdleConnectionsKeepOthersOut(t *testing.T) {
+	const conns = 4
+	const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+	address, read, next := startReader(t, 100, conns, memory.NewAccount(1<<20))
+	served := dial(t, address)
+	if _, err := io.WriteString(served, request); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-read; got != "body" {
+		t.Fatalf("got %v, want the body", got)
+	}
+	for range 5 * conns {
+		// Some send nothing, the others a part of a request.
+		_, _ = io.WriteString(dial(t, address), "")
+		_, _ = io.WriteString(dial(t, address), request[:len(request)-1])
+	}
+	late := dial(t, address)
+	if _, err := io.WriteString(late, request); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-read; got != "body" {
+		t.Fatalf("got %v, want the body", got)
+	}
+	next <- true
+	next <- true
+	for name, nc := range map[string]net.Conn{"first": served, "last": late} {
+		if status, _ := readStatus(t, nc); status != http.StatusOK {
+			t.Errorf("%s request: status %d, want 200", name, status)
+		}
+	}
+}
+
+// TestStalledBodyLosesItsRoom: a body that stops short of its end is dropped for one that arrives, and its
+// connection is closed.
+func TestStalledBodyLosesItsRoom(t *testing.T) {
+	const size = 200_000
+	reached := make(chan struct{})
+	var once sync.Once
+	account := memory.NewAccount(3*size, memory.WithLevel(func(bytes int) {
+		if bytes >= size {
+			once.Do(func() { close(reached) })
+		}
+	}))
+	address, read, next := startReader(t, size, 0, account)
+	head := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"
+	stalled := dial(t, address)
+	if _, err := io.WriteString(stalled, head+strings.Repeat("x", size-1)); err != nil {
+		t.Fatal(err)
+	}
+	<-reached
+	sound := dial(t, address)
+	if _, err := io.WriteString(sound, head+strings.Repeat("x", size)); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		switch got := (<-read).(type) {
+		case error:
+			if !errors.Is(got, memory.ErrFull) && !strings.Contains(got.Error(), "closed") {
+				t.Errorf("the stalled body ended with %v", got)
+			}
+		case string:
+			if len(got) != size {
+				t.Errorf("got %d bytes, want %d", len(got), size)
+			}
+		}
+	}
+	next <- true
+	if status, _ := readStatus(t, sound); status != http.StatusOK {
+		t.Errorf("status %d, want an answer to the body that arrived", status)
+	}
+}
--- /dev/null
+++ b/internal/base/socket/read.go
@@ -0,0 +1,106 @@
+package socket
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
+)
+
+// ErrTooLarge is the error of a body that exceeds its limit.
+var ErrTooLarge = errors.New("body is too large")
+
+const (
+	// firstBytes is the size of the first buffer of a body, readBytes the most that is read at a time of a
+	// chunked one: the library buffers as much for it.
+	firstBytes = 4 << 10
+	readBytes  = 4 << 10
+)
+
+// ReadBody reads the body of a request, which is at most limit bytes long, and takes room for it before it
+// reads on. The server must be one that streams the bodies of requests. After an error, the
+// connection is closed behind the answer.
+func ReadBody(c *app.RequestContext, limit int, hold *memory.Hold) ([]byte, error) {
+	body, err := readBody(c, limit, hold)
+	if err == nil {
+		err = hold.Accept()
+	}
+	if err != nil {
+		stopReading(c)
+		return nil, err
+	}
+	if accepted := connOf(c.GetConn()); accepted != nil {
+		accepted.set(time.Now(), serving)
+	}
+	return body, nil
+}
+
+// Refuse prepares the refusal of a request whose body was not read. Unless the body is small, its
+// connection is closed behind the answer.
+func Refuse(c *app.RequestContext) {
+	if n := c.Request.Header.ContentLength(); c.Request.IsBodyStream() && (n < 0 || n > memory.SmallBytes) {
+		stopReading(c)
+	}
+}
+
+// stopReading closes the connection of a request behind its answer, and reads no more of the request.
+func stopReading(c *app.RequestContext) {
+	c.SetConnectionClose()
+	if b, ok := c.GetConn().(*boundedConn); ok {
+		b.refused = true
+	}
+}
+
+func readBody(c *app.RequestContext, limit int, hold *memory.Hold) ([]byte, error) {
+	if !c.Request.IsBodyStream() {
+		return c.Request.Body(), nil
+	}
+	length := c.Request.Header.ContentLength()
+	if length > limit {
+		return nil, fmt.Errorf("%w: %d bytes are announced, %d are allowed", ErrTooLarge, length, limit)
+	}
+	// One more byte leaves room for the read that finds the end, or that the body is too large.
+	most := limit + 1
+	if length >= 0 {
+		most = length + 1
+	}
+	var body []byte
+	for r := c.Request.BodyStream(); ; {
+		if len(body) == cap(body) {
+			var err error
+			if body, err = grow(body, most, hold); err != nil {
+				return nil, err
+			}
+		}
+		free := body[len(body):cap(body)]
+		if length < 0 {
+			free = free[:min(len(free), readBytes)]
+		}
+		n, err := r.Read(free)
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > limit:
+			return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, fmt.Errorf("read body: %w", err)
+		}
+	}
+}
+
+// grow returns a copy of a body with twice the room, at most that for a number of bytes.
+func grow(body []byte, most int, hold *memory.Hold) ([]byte, error) {
+	size := min(most, max(firstBytes, 2*cap(body)))
+	if err := hold.Replace(size, cap(body)); err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	next := make([]byte, len(body), size)
+	copy(next, body)
+	hold.Shrink(cap(body))
+	return next, nil
+}
--- a/internal/base/socket/socket.go
+++ b/internal/base/socket/socket.go
@@ -13,39 +13,44 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/netpoll"
 )
 
-// Listener is a TCP listener that closes each of its file descriptors once. The
-// library's own listener closes one of them twice, and by the second time the
-// number can belong to another open file of the process.
+// receiveBytes is the receive buffer of a connection, which the kernel doubles: what has arrived and is not
+// read yet counts towards the memory of the process.
+const receiveBytes = 32 << 10
+
+// Listener is a TCP listener whose connections have a small receive buffer.
 type Listener struct {
-	netpoll.Listener
-	tcp  net.Listener
+	net.Listener
 	once sync.Once
 	err  error
 }
 
 // Listen opens a listener, which accepts connections once Listen has returned.
 func Listen(address string) (*Listener, error) {
-	tcp, err := net.Listen("tcp", address)
+	config := net.ListenConfig{KeepAlive: -1, Control: setReceiveBuffer}
+	inner, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	inner, err := netpoll.ConvertListener(tcp)
-	if err != nil {
-		_ = tcp.Close()
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	return &Listener{Listener: inner}, nil
+}
+
+// setReceiveBuffer sets the receive buffer of a listener, which its connections inherit.
+func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+	})
+	if err = errors.Join(err, optErr); err != nil {
+		return fmt.Errorf("set receive buffer: %w", err)
 	}
-	return &Listener{Listener: inner, tcp: tcp}, nil
+	return nil
 }
 
-// Close closes the listener. The library's copy of the descriptor is only shut down
-// here; its finalizer closes it.
+// Close closes the listener, once.
 func (l *Listener) Close() error {
-	l.once.Do(func() {
-		l.err = errors.Join(syscall.Shutdown(l.Fd(), syscall.SHUT_RDWR), l.tcp.Close())
-	})
+	l.once.Do(func() { l.err = l.Listener.Close() })
 	return l.err
 }
 
--- a/internal/cmd/attach/attach.go
+++ b/internal/cmd/attach/attach.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/procs"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
@@ -70,6 +71,7 @@
 	// action of each of them would end the process with requests in flight.
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	memory.LimitRuntime(s.Machine)
 	log.Info().Int("threads", procs.Raise(s.Machine.Capacity())).Int("cores", runtime.NumCPU()).Msg("processors")
 	store := &platform.Store{Address: s.Store, Now: time.Now}
 	n, err := node.New(s, platform.Terms(), store.Feed(), log)
--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/procs"
 	"github.com/hyssopspindle/hyssopspindle/internal/cmd/common"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
@@ -60,6 +61,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	memory.LimitRuntime(s.Machine)
 	log.Info().Int("threads", procs.Raise(0)).Int("cores", runtime.NumCPU()).Msg("processors")
 	h, err := host.New(s, log)
 	if err != nil {
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
@@ -30,6 +31,9 @@
 const (
 	shutdownTimeout = 100 * time.Millisecond
 	maxBodyBytes    = 8 << 20
+	readTimeout     = 30 * time.Second
+	idleTimeout     = 3 * time.Minute
+	writeTimeout    = 30 * time.Second
 )
 
 // Admin is the HTTP server for operators.
@@ -42,6 +46,9 @@
 	Address string
 	Key     string
 	Started time.Time
+	// Machine is the machine of the host, and Bodies the account of the bodies of requests.
+	Machine memory.Machine
+	Bodies  *memory.Account
 	Now     func() time.Time
 
 	server *server.Hertz
@@ -121,9 +128,11 @@
 	if err != nil {
 		return fmt.Errorf("start admin listener: %w", err)
 	}
+	conns := socket.NewConns(a.Machine.OtherConns(), func(string) { a.Meter.CountClosedConn("admin") })
 	a.server = server.New(
-		server.WithListener(l), server.WithDisablePrintRoute(true),
-		server.WithMaxRequestBodySize(maxBodyBytes), server.WithExitWaitTime(shutdownTimeout),
+		server.WithListener(l), server.WithTransport(socket.Transport(&socket.Requests{}, conns)), server.WithStreamBody(true),
+		server.WithDisablePrintRoute(true), server.WithReadTimeout(readTimeout), server.WithIdleTimeout(idleTimeout),
+		server.WithWriteTimeout(writeTimeout), server.WithMaxRequestBodySize(maxBodyBytes), server.WithExitWaitTime(shutdownTimeout),
 	)
 	h := a.server
 	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
@@ -158,6 +167,7 @@
 		key := strings.TrimPrefix(string(c.GetHeader("Authorization")), "Bearer ")
 		got := sha256.Sum256([]byte(key))
 		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			socket.Refuse(c)
 			c.JSON(http.StatusUnauthorized, errorBody{"admin key is not known"})
 			return
 		}
@@ -258,7 +268,22 @@
 }
 
 func (a *Admin) check(_ context.Context, c *app.RequestContext) {
-	inv, err := invent.Accept(1, []invent.Source{{Name: "inventory", Data: c.Request.Body()}})
+	conn := c.GetConn()
+	hold := a.Bodies.Open("admin", func() { _ = conn.Close() })
+	defer hold.Close()
+	body, err := socket.ReadBody(c, maxBodyBytes, hold)
+	switch {
+	case errors.Is(err, socket.ErrTooLarge):
+		c.JSON(http.StatusRequestEntityTooLarge, errorBody{err.Error()})
+		return
+	case errors.Is(err, memory.ErrFull):
+		c.JSON(http.StatusServiceUnavailable, errorBody{err.Error()})
+		return
+	case err != nil:
+		c.JSON(http.StatusBadRequest, errorBody{err.Error()})
+		return
+	}
+	inv, err := invent.Accept(1, []invent.Source{{Name: "inventory", Data: body}})
 	var rejected *invent.Rejected
 	if errors.As(err, &rejected) {
 		c.JSON(http.StatusOK, Check{Faults: rejected.Faults})
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -50,6 +50,11 @@
 	InFlight        prometheus.Gauge
 	// HeldBytes are the bytes of answers that were read and not passed on yet.
 	HeldBytes prometheus.Gauge
+	// BodyBytes is the bytes of request bodies that the host holds, RefusedBodies the number of those that
+	// found no room.
+	BodyBytes     prometheus.Gauge
+	RefusedBodies prometheus.Counter
+	closedConns   *prometheus.CounterVec
 	// LimitedEndpoints and LimitedAttempts are the endpoints of the region that name a rate
 	// limit and this host's attempts at them.
 	LimitedEndpoints prometheus.Gauge
@@ -133,7 +138,10 @@
 		EndedRequests:        counter("ended_requests_total", "Requests that were not placed, as the connections of their callers had ended."),
 		resumed:              counters("resumed_streams_total", "Streams that callers resumed, by how the release that began them is known: known, asked, only, history or refused.", "outcome"),
 		streamParts:          counters("stream_parts_total", "Attempts at streams that broke off or were to continue one, by whether the stream had begun and how they ended: whole, broke, rejected or left.", "begun", "outcome"),
-		coldRequests:         counters("cold_requests_total", "Requests to endpoints that may be cold, by why: lapsed, registered, announced or unconfirmed.", "endpoint", "reason"),
+		coldRequests:         counters("cold_requests_total", "Requests to endpoints that may be cold, by why: lapsed, registered, announced, unconfirmed or restarted.", "endpoint", "reason"),
+		BodyBytes:            gauge("request_body_bytes", "Bytes of request bodies that the host holds."),
+		RefusedBodies:        counter("refused_bodies_total", "Request bodies that were refused or dropped for want of room."),
+		closedConns:          counters("closed_connections_total", "Connections that were closed because a listener had too many, by listener.", "listener"),
 		customerRefusals:     counters("customer_refusals_total", "Refused requests to routes that need a key, by reason and customer; without customer if the key is not known.", "reason", "customer"),
 		customerRequests:     counters("customer_requests_total", "Requests of customers with a limit by whether they were admitted.", "customer", "outcome"),
 		customerLevels: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -143,6 +151,7 @@
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.promptCrossings, m.placements, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
 		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.EndedRequests, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals, m.ConfirmationAge, m.customerRefusals, m.resumed, m.streamParts, m.coldRequests,
+		m.BodyBytes, m.RefusedBodies, m.closedConns,
 		m.customerRequests, m.customerLevels,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
@@ -207,6 +216,9 @@
 	}
 }
 
+// CountClosedConn counts a connection that was closed because a listener had too many.
+func (m *Meter) CountClosedConn(listener string) { m.closedConns.WithLabelValues(listener).Inc() }
+
 // CountColdRequest counts a request to an endpoint that may be cold.
 func (m *Meter) CountColdRequest(endpoint, reason string) {
 	m.mu.Lock()
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
@@ -36,10 +37,12 @@
 	idleTimeout  = 90 * time.Second
 	writeTimeout = 10 * time.Second
 	closeTimeout = 100 * time.Millisecond
-	// maxBody and maxHeader are the largest body and header that are read, in bytes. The
-	// published limits apply after that.
-	maxBody   = 16 << 20
-	maxHeader = 64 << 10
+	// maxBody and maxHeader are the largest body and header that are read, in bytes; the published
+	// limits may be lower. maxOtherBody is the largest body that the listeners read which are not for
+	// callers' requests.
+	maxBody      = 16 << 20
+	maxHeader    = 64 << 10
+	maxOtherBody = 4 << 10
 )
 
 // Server is the HTTP server of a host.
@@ -55,6 +58,9 @@
 	Refusing func() bool
 	// Keys decides whether customers' keys are accepted.
 	Keys Keys
+	// Machine is the machine of the host, and Bodies the account of the bodies of callers' requests.
+	Machine memory.Machine
+	Bodies  *memory.Account
 
 	servers  []*server.Hertz
 	requests socket.Requests
@@ -69,21 +75,27 @@
 	hlog.SetOutput(io.Discard)
 	metrics := adaptor.HertzHandler(promhttp.HandlerFor(s.Meter.Registry, promhttp.HandlerOpts{}))
 	for _, l := range []struct {
+		use     string
 		address string
 		routes  func(*server.Hertz)
-		extra   []config.Option
+		options []config.Option
 	}{
-		{s.Settings.Callers, func(hz *server.Hertz) { hz.NoRoute(s.serveRequest) }, []config.Option{
-			server.WithSenseClientDisconnection(true), server.WithTransport(socket.CountRequests(&s.requests)),
+		{"callers", s.Settings.Callers, func(hz *server.Hertz) { hz.NoRoute(s.serveRequest) }, []config.Option{
+			server.WithTransport(socket.Transport(&s.requests, s.conns("callers", s.Machine.CallerConns()))), server.WithStreamBody(true), server.WithMaxRequestBodySize(maxBody),
 		}},
-		{s.Settings.Ready, func(hz *server.Hertz) { hz.GET(s.Terms.ReadyPath, s.ready) }, nil},
-		{s.Settings.Directory, func(hz *server.Hertz) { hz.GET(s.Terms.ResolvePath, s.resolve) }, nil},
-		{s.Settings.Metrics, func(hz *server.Hertz) { hz.GET("/metrics", metrics) }, nil},
+		{"ready", s.Settings.Ready, func(hz *server.Hertz) { hz.GET(s.Terms.ReadyPath, s.ready) }, nil},
+		{"directory", s.Settings.Directory, func(hz *server.Hertz) { hz.GET(s.Terms.ResolvePath, s.resolve) }, nil},
+		{"metrics", s.Settings.Metrics, func(hz *server.Hertz) { hz.GET("/metrics", metrics) }, nil},
 	} {
 		if l.address == "" {
 			continue
 		}
-		hz, err := s.listen(l.address, l.extra)
+		if l.options == nil {
+			l.options = []config.Option{
+				server.WithTransport(socket.Transport(&socket.Requests{}, s.conns(l.use, s.Machine.OtherConns()))), server.WithMaxRequestBodySize(maxOtherBody),
+			}
+		}
+		hz, err := s.listen(l.address, l.options)
 		if err != nil {
 			return fmt.Errorf("start listeners: %w", err)
 		}
@@ -95,6 +107,11 @@
 	return nil
 }
 
+// conns returns the table of the connections of a listener.
+func (s *Server) conns(use string, limit int) *socket.Conns {
+	return socket.NewConns(limit, func(string) { s.Meter.CountClosedConn(use) })
+}
+
 func (s *Server) listen(address string, extra []config.Option) (*server.Hertz, error) {
 	l, err := socket.Listen(address)
 	if err != nil {
@@ -102,8 +119,6 @@
 	}
 	opts := append([]config.Option{
 		server.WithListener(l),
-		server.WithTransport(socket.NewTransporter),
-		server.WithMaxRequestBodySize(maxBody),
 		server.WithMaxHeaderBytes(maxHeader),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -16,6 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
@@ -50,11 +51,22 @@
 		// The rules may now have the key, or be known not to be the newest.
 		r, refusal = s.routedRequest(c, start)
 	}
+	if refusal != nil {
+		socket.Refuse(c)
+	}
+	conn := c.GetConn()
+	hold := s.Bodies.Open(r.Caller, func() { _ = conn.Close() })
+	defer hold.Close()
+	if refusal == nil {
+		r.Body, refusal = s.readBody(c, hold)
+	}
 	if refusal != nil {
 		s.sendRefusal(c, refusal)
 		s.recordRequest(r, proxy.Report{Refusal: refusal, Region: s.Board.Region}, start)
 		return
 	}
+	ctx, stop := socket.Watch(ctx, c)
+	defer stop()
 	a.stream = r.Route.Kind == rules.Stream
 	r.Ended = func() bool { return socket.Ended(c.GetConn()) }
 	report := s.Proxy.Serve(ctx, r, a.sink())
@@ -85,7 +97,7 @@
 		return r, fault.New(fault.NotReady, fault.RanNo, "host is starting").WithRetryAfter(notReadyRetryAfter)
 	}
 	if s.Refusing() {
-		return r, fault.New(fault.Leaving, fault.RanNo, "host is shutting down").WithRetryAfter(time.Millisecond)
+		return r, shuttingDown()
 	}
 	if s.takenForEndpoint(c) {
 		return r, fault.New(fault.Misdirected, fault.RanNo, "a host is no endpoint")
@@ -107,12 +119,33 @@
 	if r.ID == "" {
 		return r, fault.New(fault.BadRequest, fault.RanNo, "%s is missing", s.Terms.RequestID)
 	}
-	if published.Limits.MaxBodyBytes > 0 && len(c.Request.Body()) > published.Limits.MaxBodyBytes {
-		return r, fault.New(fault.TooLarge, fault.RanNo, "body of %d bytes is too large", len(c.Request.Body()))
-	}
 	return s.parseRequest(c, published, r, now)
 }
 
+func shuttingDown() *fault.Refusal {
+	return fault.New(fault.Leaving, fault.RanNo, "host is shutting down").WithRetryAfter(time.Millisecond)
+}
+
+// readBody reads the body of a request that is otherwise accepted.
+func (s *Server) readBody(c *app.RequestContext, hold *memory.Hold) ([]byte, *fault.Refusal) {
+	limit := maxBody
+	if published := s.Board.Routes.Rules(); published != nil && published.Limits.MaxBodyBytes > 0 {
+		limit = min(limit, published.Limits.MaxBodyBytes)
+	}
+	body, err := socket.ReadBody(c, limit, hold)
+	switch {
+	case err == nil && s.Refusing():
+		return nil, shuttingDown()
+	case err == nil:
+		return body, nil
+	case errors.Is(err, socket.ErrTooLarge):
+		return nil, fault.New(fault.TooLarge, fault.RanNo, "body is too large").WithCause(err)
+	case errors.Is(err, memory.ErrFull):
+		return nil, fault.New(fault.Busy, fault.RanNo, "host has no room for the body").WithCause(err).WithRetryAfter(memory.RetryAfter)
+	}
+	return nil, fault.New(fault.BadRequest, fault.RanNo, "body of the request can't be read").WithCause(err)
+}
+
 // takenForEndpoint reports whether a request is for a registered endpoint that has this host's own
 // address. Hosts would send such a request to each other until its deadline.
 func (s *Server) takenForEndpoint(c *app.RequestContext) bool {
@@ -147,7 +180,6 @@
 	h := &c.Request.Header
 	r.Service = r.Route.PickService(rand.Float64())
 	r.AttemptsLeft = max(1, r.Route.Attempts)
-	r.Body = c.Request.Body()
 	r.Deadline = now.Add(r.Route.Timeout)
 	if text := string(h.Peek(s.Terms.Deadline)); text != "" {
 		ms, ok := s.Terms.ParseDecimal(text)
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -19,11 +20,11 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
@@ -64,19 +65,28 @@
 	Log      zerolog.Logger
 	Settings setup.Settings
 	Now      func() time.Time
+	// Machine is the machine of the host, and Bodies the account of the bodies of callers' requests.
+	Machine memory.Machine
+	Bodies  *memory.Account
 
 	server   *server.Hertz
 	requests socket.Requests
 }
 
 // OpenRequests returns the number of requests that are arriving, are served, or whose answers
-// are being written. Those on TLS connections are not counted.
+// are being written.
 func (f *Front) OpenRequests() int { return f.requests.Open() }
 
 // Start opens the listener and begins to serve.
 func (f *Front) Start() error {
 	hlog.SetOutput(io.Discard)
+	l, err := socket.Listen(f.Settings.Callers)
+	if err != nil {
+		return fmt.Errorf("start listener for callers: %w", err)
+	}
+	conns := socket.NewConns(f.Machine.CallerConns(), func(string) { f.Meter.CountClosedConn("callers") })
 	opts := []config.Option{
+		server.WithListener(l), server.WithTransport(socket.Transport(&f.requests, conns)), server.WithStreamBody(true),
 		server.WithMaxRequestBodySize(f.Settings.Limits.Body),
 		server.WithMaxHeaderBytes(f.Settings.Limits.Header),
 		server.WithReadTimeout(readTimeout),
@@ -84,23 +94,13 @@
 		server.WithWriteTimeout(writeTimeout),
 		server.WithExitWaitTime(shutdownWait),
 		server.WithDisablePrintRoute(true),
-		server.WithSenseClientDisconnection(true),
 	}
-	if f.Settings.CallerCert == "" {
-		l, err := socket.Listen(f.Settings.Callers)
-		if err != nil {
-			return fmt.Errorf("start listener for callers: %w", err)
-		}
-		opts = append(opts, server.WithListener(l), server.WithTransport(socket.CountRequests(&f.requests)))
-	} else {
+	if f.Settings.CallerCert != "" {
 		cert, err := tls.LoadX509KeyPair(f.Settings.CallerCert, f.Settings.CallerKey)
 		if err != nil {
-			return fmt.Errorf("load certificate for callers: %w", err)
+			return errors.Join(fmt.Errorf("load certificate for callers: %w", err), l.Close())
 		}
-		opts = append(opts,
-			server.WithHostPorts(f.Settings.Callers),
-			server.WithTransport(standard.NewTransporter),
-			server.WithTLS(&tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}))
+		opts = append(opts, server.WithTLS(&tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}))
 	}
 	f.server = server.New(opts...)
 	f.registerRoutes()
--- a/internal/serve/front/request.go
+++ b/internal/serve/front/request.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
@@ -34,9 +37,9 @@
 
 // serveInference serves requests of the inference API.
 func (f *Front) serveInference(ctx context.Context, c *app.RequestContext) {
-	f.handle(ctx, c, func(inv *invent.Inventory, caller *invent.Caller) (flow.Request, *fault.Refusal) {
+	f.handle(ctx, c, func(inv *invent.Inventory, caller *invent.Caller, content []byte) (flow.Request, *fault.Refusal) {
 		var body inferenceRequest
-		if err := json.Unmarshal(c.Request.Body(), &body); err != nil {
+		if err := json.Unmarshal(content, &body); err != nil {
 			return flow.Request{}, fault.New(fault.BadRequest, fault.RanNo, "body is not valid JSON: %v", err)
 		}
 		if body.Model == "" {
@@ -52,7 +55,7 @@
 
 // serveCall serves calls of plain services.
 func (f *Front) serveCall(ctx context.Context, c *app.RequestContext) {
-	f.handle(ctx, c, func(inv *invent.Inventory, caller *invent.Caller) (flow.Request, *fault.Refusal) {
+	f.handle(ctx, c, func(inv *invent.Inventory, caller *invent.Caller, _ []byte) (flow.Request, *fault.Refusal) {
 		s, refusal := f.findService(inv, caller, c.Param("service"), invent.Plain)
 		if refusal != nil {
 			return flow.Request{}, refusal
@@ -92,20 +95,26 @@
 
 // handle checks a request, runs it and answers. build returns the part of the request
 // that depends on the API: inference or plain calls.
-func (f *Front) handle(ctx context.Context, c *app.RequestContext, build func(*invent.Inventory, *invent.Caller) (flow.Request, *fault.Refusal)) {
+func (f *Front) handle(ctx context.Context, c *app.RequestContext, build func(*invent.Inventory, *invent.Caller, []byte) (flow.Request, *fault.Refusal)) {
 	inFlight := f.Board.Health.Enter()
 	defer f.Board.Health.Exit()
 	start := f.Now()
 	id := requestID(c)
 	c.Header(RequestIDField, id)
-	r, refusal := f.prepare(c, inFlight, build)
+	conn := c.GetConn()
+	hold := f.Bodies.Open(clientAddress(c), func() { _ = conn.Close() })
+	defer hold.Close()
+	r, refusal := f.prepare(c, inFlight, hold, build)
 	if refusal != nil {
+		socket.Refuse(c)
 		f.refuse(c, refusal)
 		f.recordRequest(id, r, flow.Report{Refusal: refusal}, start)
 		return
 	}
 	defer f.Board.Limits.Done(r.Caller.Name, r.Service.Name)
 	r.ID = id
+	ctx, stop := socket.Watch(ctx, c)
+	defer stop()
 	a := &answerWriter{c: c}
 	report := f.dispatch(ctx, c, r, a)
 	f.finishAnswer(c, a, report)
@@ -114,7 +123,7 @@
 
 // prepare returns a request that is ready to run, or a refusal. An admitted request
 // counts against its caller's limits until Limits.Done.
-func (f *Front) prepare(c *app.RequestContext, inFlight int, build func(*invent.Inventory, *invent.Caller) (flow.Request, *fault.Refusal)) (flow.Request, *fault.Refusal) {
+func (f *Front) prepare(c *app.RequestContext, inFlight int, hold *memory.Hold, build func(*invent.Inventory, *invent.Caller, []byte) (flow.Request, *fault.Refusal)) (flow.Request, *fault.Refusal) {
 	var none flow.Request
 	inv, caller, refusal := f.authenticate(c)
 	if refusal != nil {
@@ -127,7 +136,11 @@
 		return none, fault.New(fault.Busy, fault.RanNo, "host has %d requests in flight", inFlight).
 			WithRetryAfter(time.Second)
 	}
-	r, refusal := build(inv, caller)
+	body, refusal := f.readBody(c, hold)
+	if refusal != nil {
+		return none, refusal
+	}
+	r, refusal := build(inv, caller, body)
 	if refusal != nil {
 		return none, refusal
 	}
@@ -138,7 +151,7 @@
 	now := f.Now()
 	r.Caller = caller
 	r.Method = string(c.Method())
-	r.Body = c.Request.Body()
+	r.Body = body
 	r.Fields = forwardedFields(c)
 	r.Deadline = now.Add(timeout)
 	r.Retryable = r.Service.MayRetry(r.Method, r.Path)
@@ -147,6 +160,29 @@
 	return r, f.Board.Limits.Admit(now, caller, r.Service.Name, hosts)
 }
 
+// readBody reads the body of a request whose caller is known.
+func (f *Front) readBody(c *app.RequestContext, hold *memory.Hold) ([]byte, *fault.Refusal) {
+	body, err := socket.ReadBody(c, f.Settings.Limits.Body, hold)
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, socket.ErrTooLarge):
+		return nil, fault.New(fault.TooLarge, fault.RanNo, "body is too large").WithCause(err)
+	case errors.Is(err, memory.ErrFull):
+		return nil, fault.New(fault.Busy, fault.RanNo, "host has no room for the body").WithCause(err).WithRetryAfter(memory.RetryAfter)
+	}
+	return nil, fault.New(fault.BadRequest, fault.RanNo, "body of the request can't be read").WithCause(err)
+}
+
+// clientAddress returns the address of the client without its port.
+func clientAddress(c *app.RequestContext) string {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 // requestTimeout returns the timeout that the caller asks for, at most that of the
 // service.
 func requestTimeout(c *app.RequestContext, s *invent.Service) (time.Duration, *fault.Refusal) {
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
@@ -66,6 +67,9 @@
 	pollFailures pollFailures
 	sentBytes    atomic.Int64
 	started      time.Time
+	// machine is the machine of the host, bodies the account of the bodies of requests.
+	machine memory.Machine
+	bodies  *memory.Account
 }
 
 // New returns a host, which serves once Start has run.
@@ -82,6 +86,11 @@
 		settings: s, log: log, link: l, meter: meter.New(), now: time.Now, started: time.Now(),
 		platform: watch.Platform{Address: s.Platform},
 	}
+	if h.machine, err = memory.NewMachine(s.Machine); err != nil {
+		return nil, errors.Join(fmt.Errorf("host %s: %w", s.Name, err), l.Close())
+	}
+	h.bodies = memory.NewAccount(h.machine.BodyBytes(),
+		memory.WithLevel(func(bytes int) { h.meter.BodyBytes.Set(float64(bytes)) }), memory.WithRefused(h.bodyRefused))
 	h.board = board.New(h.started, s.Name, s.Region, s.Centre, s.Limits.OpenCaller)
 	h.flow = flow.New(h.board, h.meter, l, flow.WithMaxAnswer(s.Limits.Answer), flow.WithNow(h.now))
 	h.home = dedup.NewHome(s.Limits.Operations)
@@ -92,6 +101,12 @@
 	return h, nil
 }
 
+// bodyRefused counts and logs a body for which there was no room.
+func (h *Host) bodyRefused(client string, bytes int) {
+	h.meter.RefusedBodies.Inc()
+	h.log.Info().Str("client", client).Int("bytes", bytes).Int("limit", h.machine.BodyBytes()).Msg("no room for the body of a request")
+}
+
 func (h *Host) assemble(creds *certs.Credentials) error {
 	var err error
 	if h.runner, err = ctrl.New(controllerWorkers, h.log); err != nil {
@@ -111,16 +126,17 @@
 		Guard: &dedup.Guard{
 			Home: h.home, Now: h.now, Enter: h.board.Health.Enter, Exit: h.board.Health.Exit, Retried: h.meter.DedupHits.Inc,
 		},
-		Meter: h.meter, Log: h.log, Pool: h.relays, MaxBody: h.settings.Limits.Body, Now: h.now,
+		Meter: h.meter, Log: h.log, Pool: h.relays, MaxBody: h.settings.Limits.Body, Bodies: h.bodies, Now: h.now,
 		OnNewerRevision: func(string) { h.runner.Trigger(syncName) },
 	}
 	h.front = &front.Front{
 		Board: h.board, Flow: h.flow, Relay: handler, Signer: signer, Meter: h.meter, Log: h.log,
-		Settings: h.settings, Now: h.now,
+		Settings: h.settings, Now: h.now, Machine: h.machine, Bodies: h.bodies,
 	}
 	h.admin = &admin.Admin{
 		Board: h.board, Flow: h.flow, Home: h.home, Meter: h.meter, Log: h.log,
 		Address: h.settings.Admin, Key: h.settings.AdminKey, Started: h.started, Now: h.now,
+		Machine: h.machine, Bodies: h.bodies,
 	}
 	h.handlers = link.Handlers{
 		Stream: handler.Stream,
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/clock"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/poison"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/proof"
@@ -118,6 +119,9 @@
 	// learned reports whether a peer host has reported what the store may have lost, or none is
 	// asked any more.
 	learned atomic.Bool
+	// machine is the machine of the host, bodies the account of the bodies of requests.
+	machine memory.Machine
+	bodies  *memory.Account
 	// warmChecks shares the health checks that requests wait for.
 	warmChecks singleflight.Group
 	// coldChecks and restartChecks are only used by their controller.
@@ -179,7 +183,13 @@
 		return nil, fmt.Errorf("host %s: %w", s.Name, err)
 	}
 	n := &Node{settings: s, log: log, link: l, meter: meter.New(), now: now, boot: o.boot, bootedAt: o.boot(), started: now(), releaseReads: releaseReads{wake: make(chan struct{}, 1)}, restartChecks: restartChecks{}}
-	account := held.New(proxy.MaxHeld, proxy.MaxAnswer, func(bytes int) { n.meter.HeldBytes.Set(float64(bytes)) })
+	if n.machine, err = memory.NewMachine(s.Machine); err != nil {
+		return nil, errors.Join(fmt.Errorf("host %s: %w", s.Name, err), l.Close())
+	}
+	n.bodies = memory.NewAccount(n.machine.BodyBytes(),
+		memory.WithLevel(func(bytes int) { n.meter.BodyBytes.Set(float64(bytes)) }), memory.WithRefused(n.bodyRefused))
+	maxHeld := n.machine.AnswerBytes(proxy.MaxHeld)
+	account := held.New(maxHeld, min(maxHeld, proxy.MaxAnswer), func(bytes int) { n.meter.HeldBytes.Set(float64(bytes)) })
 	n.pool = pool.New(append(o.pool, pool.WithNow(now), pool.WithHeld(account))...)
 	n.board = board.New(now(), s.Peers, s.Region, s.Centre, 1)
 	n.board.Proof = proof.NewTable(proof.Life(s.Bounds.RevokePeriod()))
@@ -230,11 +240,11 @@
 	n.proxy.OnNews = func() { n.runner.Trigger(inFlightName) }
 	handler := &relay.Handler{
 		Board: n.board, Meter: n.meter, Log: n.log, Pool: n.relays, MaxBody: maxBodyBytes, Now: n.now, ServeRouted: n.serveRelayed,
-		StoreChanges: n.itemsSince,
+		StoreChanges: n.itemsSince, Bodies: n.bodies,
 	}
 	n.front = &edge.Server{
 		Board: n.board, Proxy: n.proxy, Terms: t, Meter: n.meter, Log: n.log, Settings: n.settings, Now: n.now,
-		Refusing: n.refusing.Load, Keys: edge.Keys{Valid: n.keysValid, Age: n.rulesAge, Refresh: n.refreshRules, Confirm: n.confirmNow},
+		Machine: n.machine, Bodies: n.bodies, Refusing: n.refusing.Load, Keys: edge.Keys{Valid: n.keysValid, Age: n.rulesAge, Refresh: n.refreshRules, Confirm: n.confirmNow},
 	}
 	n.handlers = link.Handlers{
 		Stream: handler.Stream,
@@ -309,6 +319,14 @@
 	return n.shares.Share(n.now(), endpoint, int(s.ColdRate*b.ColdOver+b.ColdSlack))
 }
 
+// bodyRefused counts a body for which there was no room, and logs some of them.
+func (n *Node) bodyRefused(client string, bytes int) {
+	n.meter.RefusedBodies.Inc()
+	if n.warnedItems.due(n.now(), "bodies") {
+		n.log.Warn().Str("client", client).Int("bytes", bytes).Int("limit", n.machine.BodyBytes()).Msg("no room for the body of a request")
+	}
+}
+
 // Close stops the host and waits until all its goroutines have ended.
 func (n *Node) Close() error {
 	err := n.front.Close()
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -377,7 +377,7 @@
 // send writes the request, in the background if its body is long.
 func (e *exchange) send() error {
 	var b bytes.Buffer
-	b.Grow(1024 + len(e.attempt.Body))
+	b.Grow(1024 + min(len(e.attempt.Body), asyncWriteBytes))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", e.attempt.Method, e.attempt.Target, e.attempt.Host)
 	for _, f := range e.attempt.Fields {
 		b.WriteString(f.Name)
@@ -389,15 +389,19 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(e.attempt.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(e.attempt.Body)
 	if len(e.attempt.Body) < asyncWriteBytes {
+		b.Write(e.attempt.Body)
 		_, err := e.conn.Write(b.Bytes())
 		return err
 	}
 	e.writeDone = make(chan struct{})
 	go func() {
 		defer close(e.writeDone)
-		if _, err := e.conn.Write(b.Bytes()); err != nil {
+		_, err := e.conn.Write(b.Bytes())
+		if err == nil {
+			_, err = e.conn.Write(e.attempt.Body)
+		}
+		if err != nil {
 			e.writeFailed.Store(true)
 			// Unblocks the reader, which waits for an answer that can't arrive.
 			_ = e.conn.Close()
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/revis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
@@ -54,7 +55,9 @@
 	OnNewerRevision func(host string)
 	// MaxBody is the largest request body, in bytes.
 	MaxBody int
-	Now     func() time.Time
+	// Bodies is the account of the bodies of requests; nil means no limit.
+	Bodies *memory.Account
+	Now    func() time.Time
 }
 
 // Result is the outcome of a request of a published route.
@@ -69,6 +72,23 @@
 	ErrorAnswer *wire.Answer
 }
 
+// hold takes room for the body of a request of a peer host, which has arrived, until release is called.
+func (h *Handler) hold(peer string, body []byte) (release func(), refusal *fault.Refusal) {
+	if h.Bodies == nil {
+		return func() {}, nil
+	}
+	hold := h.Bodies.Open(peer, func() {})
+	err := hold.Grow(len(body))
+	if err == nil {
+		err = hold.Accept()
+	}
+	if err != nil {
+		hold.Close()
+		return nil, fault.New(fault.Busy, fault.RanNo, "host has no room for the body").WithCause(err).WithRetryAfter(memory.RetryAfter)
+	}
+	return hold.Close, nil
+}
+
 // Stream serves one stream of a peer host, for use in link.Handlers.
 func (h *Handler) Stream(ctx context.Context, peer string, s *link.Stream) {
 	fr, err := s.Read(h.MaxBody+maxRequestOverhead, time.Now().Add(frameIOTimeout))
@@ -148,6 +168,11 @@
 
 // dispatch serves a request by its published route or by the inventory.
 func (h *Handler) dispatch(ctx context.Context, peer string, msg *wire.Request, sink client.Sink) Result {
+	release, refusal := h.hold(peer, msg.Body)
+	if refusal != nil {
+		return Result{Refusal: refusal}
+	}
+	defer release()
 	switch {
 	case msg.Routing == nil || h.ServeRouted == nil:
 		return Result{Refusal: h.serveByInventory(ctx, peer, msg, sink)}
