Keep a listener open when connections can't be accepted for a while

Found by reading the change: the library ends a listener at the first error of Accept, and with the new network layer that includes a process without a free descriptor, so a crowd could have closed a host's listener for good. Such errors are waited for. TestListenerEndsForWantOfDescriptors fails without it.

--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/config"
@@ -29,6 +30,8 @@
 	// arrived: if its connection is closed at once, the reset may overtake the refusal.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
+	// acceptPause is the time between two attempts to accept a connection after an error.
+	acceptPause = 10 * time.Millisecond
 )
 
 // Requests counts the requests of callers that are in progress, from their first byte until the
@@ -91,10 +94,15 @@
 	conns *Conns
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. The library ends a listener at the first error, so errors that pass, as for
+// want of descriptors, are waited for.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
+		if err != nil && passes(err) {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -105,6 +113,16 @@
 	}
 }
 
+// passes reports whether a listener may accept connections again after an error.
+func passes(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // ListenAndServe implements network.Transporter.
 func (t *transporter) ListenAndServe(onData network.OnData) error {
 	return t.Transporter.ListenAndServe(func(ctx context.Context, inner any) error {
--- a/internal/base/socket/conns_test.go
+++ b/internal/base/socket/conns_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -178,3 +180,34 @@
 		t.Errorf("status %d, want an answer to the body that arrived", status)
 	}
 }
+
+// fullListener fails to accept the first connections for want of descriptors.
+type fullListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestListenerEndsForWantOfDescriptors: a listener that could not accept connections for a while accepts them
+// later.
+func TestListenerEndsForWantOfDescriptors(t *testing.T) {
+	inner, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = inner.Close() }()
+	l := &boundedListener{Listener: &fullListener{Listener: inner, failures: 3}, conns: NewConns(0, nil)}
+	dial(t, inner.Addr().String())
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = nc.Close()
+}
