--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -179,8 +179,8 @@
 	requests                  *Requests
 	// open reports whether a request is in progress.
 	open bool
-	// refused reports whether a request was refused before it had arrived.
-	refused bool
+	// whole reports whether the present request has arrived, refused whether one was refused before it had.
+	whole, refused bool
 	// ended is called when the client ends the connection while a request is served, nil if the server
 	// does not ask for it. stopWatch ends the watch for that.
 	ended     func()
@@ -190,6 +190,7 @@
 // bound begins the wait for a request's bytes, or for the first of them if the timeout is not
 // the read timeout: the library sets that one once the first have arrived.
 func (c *boundedConn) bound(timeout time.Duration) {
+	c.whole = false
 	c.setOpen(timeout == c.readTimeout)
 	c.readBy = time.Time{}
 	if timeout > 0 {
--- a/internal/base/socket/ended.go
+++ b/internal/base/socket/ended.go
@@ -16,8 +16,9 @@
 	return nil
 }
 
-// Ended reports whether the peer has closed or reset a connection. It asks the kernel: a process that is short of processor time reads a request, and
-// only later the end of its connection, long after both have arrived.
+// Ended reports whether the peer has closed or reset a connection. It asks the kernel: a process that is
+// short of processor time reads a request, and only later the end of its connection, long after both have
+// arrived.
 func Ended(c network.Conn) bool {
 	accepted := connOf(c)
 	if accepted == nil {
--- a/internal/base/socket/read.go
+++ b/internal/base/socket/read.go
@@ -33,15 +33,21 @@
 		stopReading(c)
 		return nil, err
 	}
-	if accepted := connOf(c.GetConn()); accepted != nil {
-		accepted.set(time.Now(), serving)
+	if b, ok := c.GetConn().(*boundedConn); ok {
+		b.whole = true
+		if b.accepted != nil {
+			b.accepted.set(time.Now(), serving)
+		}
 	}
 	return body, nil
 }
 
-// Refuse prepares the refusal of a request whose body was not read. Unless the body is small, its
-// connection is closed behind the answer.
+// Refuse prepares the refusal of a request. Unless its body was read or is small, its connection is closed
+// behind the answer.
 func Refuse(c *app.RequestContext) {
+	if b, ok := c.GetConn().(*boundedConn); ok && b.whole {
+		return
+	}
 	if n := c.Request.Header.ContentLength(); c.Request.IsBodyStream() && (n < 0 || n > memory.SmallBytes) {
 		stopReading(c)
 	}
