Read on after a refusal before the connection is closed

Closing now waits itself, for at most 0.5 s and 16 MiB, which are dropped; a body that is dropped for another one still closes its connection at once.

--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -29,7 +29,7 @@
 	// lingerTime and lingerBytes bound what is read and dropped of a request that was refused before it had
 	// arrived: if its connection is closed at once, the reset may overtake the refusal.
 	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 256 << 10
+	lingerBytes = 16 << 20
 	// acceptPause is the time between two attempts to accept a connection after an error.
 	acceptPause = 10 * time.Millisecond
 )
@@ -215,23 +215,35 @@
 	}
 }
 
-// end closes the connection. After a request that was refused before it had arrived, it first gives the
-// client the time to read the refusal.
+// end closes the connection.
 func (c *boundedConn) end() {
-	if c.accepted == nil {
-		_ = c.Close()
-		c.setOpen(false)
-		return
+	_ = c.Close()
+	if c.accepted != nil {
+		_ = c.accepted.Close()
 	}
-	if c.refused {
+	c.setOpen(false)
+}
+
+// Close implements net.Conn. After a request that was refused before it had arrived, it first gives the client the
+// time to read the refusal: a reset would overtake it. It is called by the handler of the connection only.
+func (c *boundedConn) Close() error {
+	if c.refused && c.accepted != nil {
+		c.refused = false
 		if tcp, ok := c.accepted.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
 			_ = tcp.SetReadDeadline(time.Now().Add(lingerTime))
 			_, _ = io.CopyN(io.Discard, tcp, lingerBytes)
 		}
 	}
+	return c.Conn.Close()
+}
+
+// Abort closes a connection at once. It may be called while its handler runs.
+func Abort(c network.Conn) {
+	if accepted := connOf(c); accepted != nil {
+		_ = accepted.Close()
+		return
+	}
 	_ = c.Close()
-	_ = c.accepted.Close()
-	c.setOpen(false)
 }
 
 // SetReadTimeout implements network.Conn. The library sets it before it reads each request.
--- a/internal/base/socket/conns_test.go
+++ b/internal/base/socket/conns_test.go
@@ -34,7 +34,7 @@
 	read, next = make(chan any, 100), make(chan bool, 100)
 	s.NoRoute(func(_ context.Context, c *app.RequestContext) {
 		conn := c.GetConn()
-		hold := account.Open(c.RemoteAddr().String(), func() { _ = conn.Close() })
+		hold := account.Open(c.RemoteAddr().String(), func() { Abort(conn) })
 		defer hold.Close()
 		body, err := ReadBody(c, limit, hold)
 		if err != nil {
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -269,7 +269,7 @@
 
 func (a *Admin) check(_ context.Context, c *app.RequestContext) {
 	conn := c.GetConn()
-	hold := a.Bodies.Open("admin", func() { _ = conn.Close() })
+	hold := a.Bodies.Open("admin", func() { socket.Abort(conn) })
 	defer hold.Close()
 	body, err := socket.ReadBody(c, maxBodyBytes, hold)
 	switch {
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -55,7 +55,7 @@
 		socket.Refuse(c)
 	}
 	conn := c.GetConn()
-	hold := s.Bodies.Open(r.Caller, func() { _ = conn.Close() })
+	hold := s.Bodies.Open(r.Caller, func() { socket.Abort(conn) })
 	defer hold.Close()
 	if refusal == nil {
 		r.Body, refusal = s.readBody(c, hold)
--- a/internal/serve/front/request.go
+++ b/internal/serve/front/request.go
@@ -102,7 +102,7 @@
 	id := requestID(c)
 	c.Header(RequestIDField, id)
 	conn := c.GetConn()
-	hold := f.Bodies.Open(clientAddress(c), func() { _ = conn.Close() })
+	hold := f.Bodies.Open(clientAddress(c), func() { socket.Abort(conn) })
 	defer hold.Close()
 	r, refusal := f.prepare(c, inFlight, hold, build)
 	if refusal != nil {
