--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -185,7 +185,7 @@
 		for z, r := range regions {
 			fmt.Fprintf(&b, "%s = %q\n", z, r)
 		}
-		b.WriteString("[machine]\nshare = 0.4\ncores = 1\nlink_mbps = 1000.0\n[bounds]\ngrace_s = 8\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 54\ncold_over = 1.5\ncold_slack = 3\ndirectory_ttl_s = 5\nbeat_ms = 1200\nhistory_s = 20\n")
+		b.WriteString("[machine]\nshare = 0.4\ncores = 1\nlink_mbps = 1000.0\nmemory_mb = 284\ndescriptors = 4100\n[bounds]\ngrace_s = 8\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 54\ncold_over = 1.5\ncold_slack = 3\ndirectory_ttl_s = 5\nbeat_ms = 1200\nhistory_s = 20\n")
 		file := filepath.Join(f.folder, h.name+".toml")
 		if err := os.WriteFile(file, []byte(b.String()), 0o600); err != nil {
 			return err
