Read the change again: one refusal for bodies, a line when connections are closed, a loopback address a process

A newcomer's reading of the whole change.

Four processes of TestBrokenUnframedAnswerIsNotShownAsWhole beside each other failed to listen on each other's ports in 2 of 4.

--- a/internal/base/socket/conns.go
+++ b/internal/base/socket/conns.go
@@ -30,6 +30,23 @@
 	clients map[string]int
 }
 
+// noticePeriod is the least time between two calls of the function that Notice returns.
+const noticePeriod = time.Minute
+
+// Notice returns a function that calls f at most once in noticePeriod, for a log line.
+func Notice(now func() time.Time, f func(client string)) func(client string) {
+	var mu sync.Mutex
+	var last time.Time
+	return func(client string) {
+		mu.Lock()
+		defer mu.Unlock()
+		if t := now(); last.IsZero() || t.Sub(last) >= noticePeriod {
+			last = t
+			f(client)
+		}
+	}
+}
+
 // NewConns returns a table of at most limit connections; 0 means no limit. onRefused is called with the client
 // address of each connection that is closed for that; it may be nil.
 func NewConns(limit int, onRefused func(client string)) *Conns {
--- a/internal/base/socket/read.go
+++ b/internal/base/socket/read.go
@@ -8,6 +8,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 )
 
@@ -21,6 +22,17 @@
 	readBytes  = 4 << 10
 )
 
+// RefusalOf returns the refusal of a request whose body could not be read by ReadBody.
+func RefusalOf(err error) *fault.Refusal {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		return fault.New(fault.TooLarge, fault.RanNo, "body is too large").WithCause(err)
+	case errors.Is(err, memory.ErrFull):
+		return fault.New(fault.Busy, fault.RanNo, "host has no room for the body").WithCause(err).WithRetryAfter(memory.RetryAfter)
+	}
+	return fault.New(fault.BadRequest, fault.RanNo, "body of the request can't be read").WithCause(err)
+}
+
 // ReadBody reads the body of a request, which is at most limit bytes long, and takes room for it before it
 // reads on. The server must be one that streams the bodies of requests. After an error, the
 // connection is closed behind the answer.
--- a/internal/load/soak/fleet.go
+++ b/internal/load/soak/fleet.go
@@ -340,9 +340,11 @@
 
 // freeAddress returns a loopback address whose port is free for TCP and for UDP.
 func freeAddress() (string, error) {
-	offset := int64(os.Getpid()) * 97
+	// Each process has a loopback address of its own, as hosts still probe those that have ended.
+	pid := os.Getpid()
+	loopback, offset := fmt.Sprintf("127.%d.%d.1", 1+pid/250%250, 1+pid%250), int64(pid)*97
 	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(offset+triedPorts.Add(1))%portCount)
+		address := fmt.Sprintf("%s:%d", loopback, firstPort+(offset+triedPorts.Add(1))%portCount)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -272,15 +272,8 @@
 	hold := a.Bodies.Open("admin", func() { socket.Abort(conn) })
 	defer hold.Close()
 	body, err := socket.ReadBody(c, maxBodyBytes, hold)
-	switch {
-	case errors.Is(err, socket.ErrTooLarge):
-		c.JSON(http.StatusRequestEntityTooLarge, errorBody{err.Error()})
-		return
-	case errors.Is(err, memory.ErrFull):
-		c.JSON(http.StatusServiceUnavailable, errorBody{err.Error()})
-		return
-	case err != nil:
-		c.JSON(http.StatusBadRequest, errorBody{err.Error()})
+	if err != nil {
+		c.JSON(socket.RefusalOf(err).Code.Status(), errorBody{err.Error()})
 		return
 	}
 	inv, err := invent.Accept(1, []invent.Source{{Name: "inventory", Data: body}})
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -109,7 +109,13 @@
 
 // conns returns the table of the connections of a listener.
 func (s *Server) conns(use string, limit int) *socket.Conns {
-	return socket.NewConns(limit, func(string) { s.Meter.CountClosedConn(use) })
+	notice := socket.Notice(s.Now, func(client string) {
+		s.Log.Warn().Str("listener", use).Str("client", client).Int("limit", limit).Msg("connection closed, as the listener has too many")
+	})
+	return socket.NewConns(limit, func(client string) {
+		s.Meter.CountClosedConn(use)
+		notice(client)
+	})
 }
 
 func (s *Server) listen(address string, extra []config.Option) (*server.Hertz, error) {
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -134,16 +134,12 @@
 	}
 	body, err := socket.ReadBody(c, limit, hold)
 	switch {
-	case err == nil && s.Refusing():
+	case err != nil:
+		return nil, socket.RefusalOf(err)
+	case s.Refusing():
 		return nil, shuttingDown()
-	case err == nil:
-		return body, nil
-	case errors.Is(err, socket.ErrTooLarge):
-		return nil, fault.New(fault.TooLarge, fault.RanNo, "body is too large").WithCause(err)
-	case errors.Is(err, memory.ErrFull):
-		return nil, fault.New(fault.Busy, fault.RanNo, "host has no room for the body").WithCause(err).WithRetryAfter(memory.RetryAfter)
-	}
-	return nil, fault.New(fault.BadRequest, fault.RanNo, "body of the request can't be read").WithCause(err)
+	}
+	return body, nil
 }
 
 // takenForEndpoint reports whether a request is for a registered endpoint that has this host's own
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -84,7 +84,14 @@
 	if err != nil {
 		return fmt.Errorf("start listener for callers: %w", err)
 	}
-	conns := socket.NewConns(f.Machine.CallerConns(), func(string) { f.Meter.CountClosedConn("callers") })
+	limit := f.Machine.CallerConns()
+	notice := socket.Notice(f.Now, func(client string) {
+		f.Log.Warn().Str("listener", "callers").Str("client", client).Int("limit", limit).Msg("connection closed, as the listener has too many")
+	})
+	conns := socket.NewConns(limit, func(client string) {
+		f.Meter.CountClosedConn("callers")
+		notice(client)
+	})
 	opts := []config.Option{
 		server.WithListener(l), server.WithTransport(socket.Transport(&f.requests, conns)), server.WithStreamBody(true),
 		server.WithMaxRequestBodySize(f.Settings.Limits.Body),
--- a/internal/serve/front/request.go
+++ b/internal/serve/front/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"strconv"
 	"strings"
@@ -163,15 +162,10 @@
 // readBody reads the body of a request whose caller is known.
 func (f *Front) readBody(c *app.RequestContext, hold *memory.Hold) ([]byte, *fault.Refusal) {
 	body, err := socket.ReadBody(c, f.Settings.Limits.Body, hold)
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.Is(err, socket.ErrTooLarge):
-		return nil, fault.New(fault.TooLarge, fault.RanNo, "body is too large").WithCause(err)
-	case errors.Is(err, memory.ErrFull):
-		return nil, fault.New(fault.Busy, fault.RanNo, "host has no room for the body").WithCause(err).WithRetryAfter(memory.RetryAfter)
+	if err != nil {
+		return nil, socket.RefusalOf(err)
 	}
-	return nil, fault.New(fault.BadRequest, fault.RanNo, "body of the request can't be read").WithCause(err)
+	return body, nil
 }
 
 // clientAddress returns the address of the client without its port.
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -178,12 +178,16 @@
 	return &n
 }()
 
+// loopback is the loopback address of this process: hosts that still probe one which has ended could find
+// another process's host at its port.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()/250%250, 1+os.Getpid()%250)
+
 // freeAddress returns a loopback address whose port is free for TCP and for UDP. It
 // returns no address twice.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		address := fmt.Sprintf("%s:%d", loopback, firstPort+nextPort.Add(1)%portCount)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/internal/serve/proxy/cold.go
+++ b/internal/serve/proxy/cold.go
@@ -20,8 +20,8 @@
 	// older than that of other hosts, restarted that for which one may be whose process may be new.
 	unconfirmed regis.ColdReason = "unconfirmed"
 	restarted   regis.ColdReason = "restarted"
-	// contactTime is how long after an endpoint sent something this host can rely on its process. No
-	// endpoint ends and listens again within that time.
+	// contactTime is how long after an endpoint sent something this host relies on its process: an endpoint
+	// takes longer to end and listen again.
 	contactTime = 500 * time.Millisecond
 )
 
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/ctrl"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/revis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
@@ -84,7 +85,7 @@
 	}
 	if err != nil {
 		hold.Close()
-		return nil, fault.New(fault.Busy, fault.RanNo, "host has no room for the body").WithCause(err).WithRetryAfter(memory.RetryAfter)
+		return nil, socket.RefusalOf(err)
 	}
 	return hold.Close, nil
 }
