Tests of the directory and of misdirected requests follow the loopback address of their process

The checks are the same, with the address that the hosts have. go test -race -run 'TestDirectory|TestHostRefusesRequestsForEndpoints' ./internal/serve/node: ok.

--- a/internal/serve/node/entries_test.go
+++ b/internal/serve/node/entries_test.go
@@ -327,7 +327,7 @@
 	f := startOddFleet(t, oddHosts, func(*oddFleet) {})
 	n := f.hosts[0]
 	_, port, _ := strings.Cut(n.settings.Callers, ":")
-	f.store.Register("host", stand.Registration{Service: "s", Address: "[::ffff:127.0.0.1]:" + port, Centre: "z1", Slots: 8})
+	f.store.Register("host", stand.Registration{Service: "s", Address: "[::ffff:" + loopback + "]:" + port, Centre: "z1", Slots: 8})
 	f.eventually("the host has the entry", func() bool { _, ok := n.board.Registry.Get("host"); return ok })
 	for expected, want := range map[string]int{"host": http.StatusMisdirectedRequest, "sound": http.StatusOK, "forged": http.StatusOK, "": http.StatusOK} {
 		if status, body, err := f.callAt(n, "r"+expected, expected); err != nil || status != want {
--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -880,10 +880,10 @@
 		m, ok := f.nodes["a"].board.Members.Member(n.settings.Peers)
 		return ok && m.Leaving && len(f.nodes["a"].board.Duties.Plan().Entries["b"]) == 0
 	})
-	if got := f.resolve("h", "b"); !strings.Contains(got, n.settings.Callers) || strings.Count(got, "127.0.0.1") != 1 {
+	if got := f.resolve("h", "b"); !strings.Contains(got, n.settings.Callers) || strings.Count(got, loopback) != 1 {
 		t.Errorf("callers of the home got %s, want its leaving host only", got)
 	}
-	if got := f.resolve("free", "b"); !strings.Contains(got, f.nodes["a"].settings.Callers) || strings.Count(got, "127.0.0.1") != 1 {
+	if got := f.resolve("free", "b"); !strings.Contains(got, f.nodes["a"].settings.Callers) || strings.Count(got, loopback) != 1 {
 		t.Errorf("callers without homes got %s, want the ready host only", got)
 	}
 	cancel()
@@ -897,14 +897,14 @@
 func TestDirectory(t *testing.T) {
 	f := startFleet(t)
 	for _, region := range []string{"a", "b"} {
-		if got := f.resolve("h", region); !strings.Contains(got, f.nodes[region].settings.Callers) || strings.Count(got, "127.0.0.1") != 1 {
+		if got := f.resolve("h", region); !strings.Contains(got, f.nodes[region].settings.Callers) || strings.Count(got, loopback) != 1 {
 			t.Errorf("region %s: got %s, want its own host only", region, got)
 		}
 	}
-	if got := f.resolve("free", "elsewhere"); strings.Count(got, "127.0.0.1") != 2 {
+	if got := f.resolve("free", "elsewhere"); strings.Count(got, loopback) != 2 {
 		t.Errorf("region without hosts: got %s, want both hosts", got)
 	}
-	if got := f.resolve("h", "elsewhere"); !strings.Contains(got, f.nodes["b"].settings.Callers) || strings.Count(got, "127.0.0.1") != 1 {
+	if got := f.resolve("h", "elsewhere"); !strings.Contains(got, f.nodes["b"].settings.Callers) || strings.Count(got, loopback) != 1 {
 		t.Errorf("region without hosts, name with a home region: got %s, want the host of b only", got)
 	}
 }
