Take room for a relayed request before its frame is read

Cause: the frame was read as a whole, and the account was asked by the handler of the decoded request. Now the size that precedes each frame is reserved first. Without room the request is refused as not run, and the rest of it is read and dropped: an aborted stream makes the sender give up the whole link, with the streams of other requests on it.

TestFrameIsReadWithoutRoom and TestRelayedBodiesExceedTheAccount are new.

--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -44,10 +45,20 @@
 // Read receives a frame of at most limit bytes. It fails if no complete frame
 // arrives before the deadline.
 func (s *Stream) Read(limit int, deadline time.Time) (wire.Frame, error) {
+	return s.ReadReserved(limit, deadline, func(int) error { return nil })
+}
+
+// ReadReserved is like Read, and calls reserve with the size of the frame before it receives the frame
+// itself. It fails with the error of reserve if there is one.
+func (s *Stream) ReadReserved(limit int, deadline time.Time, reserve func(bytes int) error) (wire.Frame, error) {
 	if err := s.s.SetReadDeadline(deadline); err != nil {
 		return wire.Frame{}, fmt.Errorf("set read deadline: %w", err)
 	}
-	return s.Next(limit)
+	f, err := wire.ReadReserved(s.s, limit, reserve)
+	if err != nil {
+		return f, fmt.Errorf("read from stream: %w", err)
+	}
+	return f, nil
 }
 
 // Next receives a frame of at most limit bytes. It waits until one arrives or Expire or
@@ -60,6 +71,13 @@
 	return f, nil
 }
 
+// Discard receives and drops what the peer still sends, until its end or the deadline.
+func (s *Stream) Discard(deadline time.Time) {
+	if s.s.SetReadDeadline(deadline) == nil {
+		_, _ = io.Copy(io.Discard, s.s)
+	}
+}
+
 // Expire fails the present read and all later ones.
 func (s *Stream) Expire() { _ = s.s.SetReadDeadline(time.Now()) }
 
--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -267,6 +267,12 @@
 // Read reads a frame of at most limit bytes. It returns io.EOF if the stream
 // ends before the frame starts.
 func Read(r io.Reader, limit int) (Frame, error) {
+	return ReadReserved(r, limit, func(int) error { return nil })
+}
+
+// ReadReserved is like Read, and calls reserve with the size of the frame before it reads the frame itself. It
+// returns the error of reserve if there is one, and reads no more then.
+func ReadReserved(r io.Reader, limit int, reserve func(bytes int) error) (Frame, error) {
 	var f Frame
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
@@ -279,6 +285,9 @@
 	if int64(n) > int64(limit) {
 		return f, fmt.Errorf("frame of %d bytes exceeds %d", n, limit)
 	}
+	if err := reserve(int(n)); err != nil {
+		return f, fmt.Errorf("reserve %d bytes for frame: %w", n, err)
+	}
 	data, err := io.ReadAll(io.LimitReader(r, int64(n)))
 	if err != nil {
 		return f, fmt.Errorf("read frame: %w", err)
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -132,3 +132,23 @@
 		t.Errorf("packet reads back as %+v, error %v", same, err)
 	}
 }
+
+// TestFrameIsReadWithoutRoom: nothing of a frame is read before there is room for it.
+func TestFrameIsReadWithoutRoom(t *testing.T) {
+	var b bytes.Buffer
+	if err := Write(&b, Frame{Data: make([]byte, 1000)}); err != nil {
+		t.Fatal(err)
+	}
+	size, full := b.Len()-lengthBytes, errors.New("no room")
+	if _, err := ReadReserved(&b, MaxFrame, func(n int) error {
+		if n != size || b.Len() != size {
+			t.Errorf("room for %d bytes is asked for, %d are left, want %d", n, b.Len(), size)
+		}
+		return full
+	}); !errors.Is(err, full) {
+		t.Errorf("got error %v, want %v", err, full)
+	}
+	if b.Len() != size {
+		t.Errorf("%d bytes are left, want %d", b.Len(), size)
+	}
+}
--- a/internal/load/soak/crowd_test.go
+++ b/internal/load/soak/crowd_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	// crowdClients is the number of clients that send, crowdIdle that of those that only connect.
 	crowdClients = 150
 	crowdIdle    = 400
+	// crowdEntries is the number of hosts that relay what their crowds send.
+	crowdEntries = 4
 	crowdWait    = 30 * time.Second
 )
 
@@ -142,24 +145,25 @@
 	}
 }
 
-// TestCrowdEndsRelay: hosts that serve what a crowd sends to a host of another region stay within their machines' memory
-// too.
+// TestCrowdEndsRelay: a host that serves what crowds send to several hosts of another region stays within its
+// machine's memory, as they do.
 func TestCrowdEndsRelay(t *testing.T) {
 	for _, shape := range []crowd.Shape{crowd.Whole, crowd.Short, crowd.Chunks} {
 		t.Run(string(shape), func(t *testing.T) {
 			f := newFleet(t)
 			f.Machine = setup.Machine{MemoryMB: crowdMemoryMB, Descriptors: crowdDescriptors}
-			var hosts []*Host
-			for _, region := range []string{"a", "b"} {
+			for n := range crowdEntries + 1 {
+				region := "a"
+				if n == crowdEntries {
+					region = "b"
+				}
 				f.AddRegion(region)
-				h, err := f.AddHost(region+"1", region)
-				if err != nil {
+				if _, err := f.AddHost(fmt.Sprint(region, n), region); err != nil {
 					t.Fatal(err)
 				}
-				hosts = append(hosts, h)
 			}
 			f.publishCrowdRoutes(t, "b")
-			for _, h := range hosts {
+			for _, h := range f.Hosts {
 				if err := f.Start(h); err != nil {
 					t.Fatal(err)
 				}
@@ -167,30 +171,38 @@
 			if err := f.WaitReady(); err != nil {
 				t.Fatal(err)
 			}
-			entry := hosts[0]
-			if err := f.awaitAnswer(entry, "before"); err != nil {
+			entries := f.Hosts[:crowdEntries]
+			if err := f.awaitAnswer(entries[0], "before"); err != nil {
 				t.Fatal(err)
 			}
 			stop := make(chan struct{})
 			var usage []<-chan crowd.Usage
-			for _, h := range hosts {
+			for _, h := range f.Hosts {
 				_, port, _ := net.SplitHostPort(h.Address())
 				usage = append(usage, crowd.Watch(h.PID(), stop, port))
 			}
-			c := &crowd.Crowd{Address: entry.Address(), Head: f.crowdHead("/slow/x", "crowd%d"), Limit: crowdBody}
-			c.Open(shape, crowdClients)
-			beside := f.awaitAnswer(entry, "beside")
-			c.Close()
-			afterwards := f.awaitAnswer(entry, "after")
+			var crowds []*crowd.Crowd
+			var open sync.WaitGroup
+			for _, h := range entries {
+				c := &crowd.Crowd{Address: h.Address(), Head: f.crowdHead("/slow/x", h.Name+"crowd%d"), Limit: crowdBody}
+				crowds = append(crowds, c)
+				open.Go(func() { c.Open(shape, crowdClients) })
+			}
+			open.Wait()
+			beside := f.awaitAnswer(entries[0], "beside")
+			for _, c := range crowds {
+				c.Close()
+			}
+			afterwards := f.awaitAnswer(entries[0], "after")
 			close(stop)
-			for i, h := range hosts {
+			for i, h := range f.Hosts {
 				f.checkUsage(t, h, <-usage[i])
 			}
 			if beside != nil {
-				t.Errorf("request beside the crowd: %v", beside)
+				t.Errorf("request beside the crowds: %v", beside)
 			}
 			if afterwards != nil {
-				t.Errorf("request after the crowd: %v", afterwards)
+				t.Errorf("request after the crowds: %v", afterwards)
 			}
 		})
 	}
--- a/internal/load/soak/fleet.go
+++ b/internal/load/soak/fleet.go
@@ -218,7 +218,7 @@
 		return false, nil
 	}
 	status, ok := exit.Sys().(syscall.WaitStatus)
-	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM, nil
+	return ok && status.Signal() == syscall.SIGTERM, nil
 }
 
 // WaitReady waits until all hosts report that they are ready.
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -56,7 +56,7 @@
 	OnNewerRevision func(host string)
 	// MaxBody is the largest request body, in bytes.
 	MaxBody int
-	// Bodies is the account of the bodies of requests; nil means no limit.
+	// Bodies is the account of the bodies of requests.
 	Bodies *memory.Account
 	Now    func() time.Time
 }
@@ -73,26 +73,23 @@
 	ErrorAnswer *wire.Answer
 }
 
-// hold takes room for the body of a request of a peer host, which has arrived, until release is called.
-func (h *Handler) hold(peer string, body []byte) (release func(), refusal *fault.Refusal) {
-	if h.Bodies == nil {
-		return func() {}, nil
-	}
-	hold := h.Bodies.Open(peer, func() {})
-	err := hold.Grow(len(body))
-	if err == nil {
-		err = hold.Accept()
-	}
-	if err != nil {
-		hold.Close()
-		return nil, socket.RefusalOf(err)
-	}
-	return hold.Close, nil
-}
-
 // Stream serves one stream of a peer host, for use in link.Handlers.
 func (h *Handler) Stream(ctx context.Context, peer string, s *link.Stream) {
-	fr, err := s.Read(h.MaxBody+maxRequestOverhead, time.Now().Add(frameIOTimeout))
+	hold := h.Bodies.Open(peer, func() {})
+	defer hold.Close()
+	fr, err := s.ReadReserved(h.MaxBody+maxRequestOverhead, time.Now().Add(frameIOTimeout), func(n int) error {
+		if err := hold.Grow(n); err != nil {
+			return err
+		}
+		// Peer hosts send a frame at once, so it is not dropped for another one.
+		return hold.Accept()
+	})
+	if errors.Is(err, memory.ErrFull) {
+		h.refuse(s, socket.RefusalOf(err))
+		// The peer host receives nothing before it has sent all of its request.
+		s.Discard(time.Now().Add(frameIOTimeout))
+		return
+	}
 	if err != nil {
 		if !errors.Is(err, io.EOF) {
 			h.Log.Debug().Err(err).Str("peer", peer).Msg("failed to read the first frame")
@@ -123,13 +120,18 @@
 		h.serve(ctx, peer, msg, s)
 	})
 	if err != nil {
-		end := flow.NewWireEnd(fault.New(fault.Busy, fault.RanNo, "host serves too many requests of other hosts").WithRetryAfter(time.Second))
-		_ = s.Write(wire.Frame{End: end}, time.Now().Add(frameIOTimeout))
+		h.refuse(s, fault.New(fault.Busy, fault.RanNo, "host serves too many requests of other hosts").WithRetryAfter(time.Second))
 		return
 	}
 	<-done
 }
 
+// refuse answers a request that is not served.
+func (h *Handler) refuse(s *link.Stream, refusal *fault.Refusal) {
+	h.Meter.CountRefusal(refusal)
+	_ = s.Write(wire.Frame{End: flow.NewWireEnd(refusal)}, time.Now().Add(frameIOTimeout))
+}
+
 // frameWriter writes frames to one stream. It is safe for concurrent use.
 type frameWriter struct {
 	mu sync.Mutex
@@ -169,11 +171,6 @@
 
 // dispatch serves a request by its published route or by the inventory.
 func (h *Handler) dispatch(ctx context.Context, peer string, msg *wire.Request, sink client.Sink) Result {
-	release, refusal := h.hold(peer, msg.Body)
-	if refusal != nil {
-		return Result{Refusal: refusal}
-	}
-	defer release()
 	switch {
 	case msg.Routing == nil || h.ServeRouted == nil:
 		return Result{Refusal: h.serveByInventory(ctx, peer, msg, sink)}
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"io"
 	"log"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/certs"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/link"
@@ -20,14 +22,14 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
 )
 
-// TestBrokenRelayEndsAnswerAsWhole guards against an answer that a host takes for whole although its
-// relay failed, or a part of it could not be written.
-func TestBrokenRelayEndsAnswerAsWhole(t *testing.T) {
+// newLinks returns a function that opens the link of a host.
+func newLinks(t *testing.T) func(name string, h link.Handlers) *link.Link {
+	t.Helper()
 	ca, err := certs.NewAuthority(time.Now(), time.Hour)
 	if err != nil {
 		t.Fatal(err)
 	}
-	open := func(name string, h link.Handlers) *link.Link {
+	return func(name string, h link.Handlers) *link.Link {
 		creds, err := ca.Issue(name, time.Now(), time.Hour)
 		if err != nil {
 			t.Fatal(err)
@@ -40,6 +42,12 @@
 		t.Cleanup(func() { _ = l.Close() })
 		return l
 	}
+}
+
+// TestBrokenRelayEndsAnswerAsWhole guards against an answer that a host takes for whole although its
+// relay failed, or a part of it could not be written.
+func TestBrokenRelayEndsAnswerAsWhole(t *testing.T) {
+	open := newLinks(t)
 	pool, err := ants.NewPool(4, ants.WithNonblocking(true), ants.WithLogger(log.New(io.Discard, "", 0)))
 	if err != nil {
 		t.Fatal(err)
@@ -67,7 +75,9 @@
 			return Result{}
 		}, false},
 	} {
-		h := &Handler{Board: board.New(time.Now(), "relay", "b", "b-1", 1), Meter: meter.New(), Pool: pool, MaxBody: 1 << 20, Now: time.Now}
+		h := &Handler{
+			Board: board.New(time.Now(), "relay", "b", "b-1", 1), Meter: meter.New(), Pool: pool, MaxBody: 1 << 20, Bodies: memory.NewAccount(2 << 20), Now: time.Now,
+		}
 		h.Board.Health.MarkFresh()
 		h.ServeRouted = func(_ context.Context, _ *wire.Request, sink client.Sink) Result {
 			if err := begin(sink); err != nil {
@@ -84,3 +94,67 @@
 		}
 	}
 }
+
+// TestRelayedBodiesExceedTheAccount: a relay without room for a body refuses the request as not run, holds no more than its
+// account, and serves what else its peer host sends on the same connection.
+func TestRelayedBodiesExceedTheAccount(t *testing.T) {
+	const size, limit, count = 1 << 20, 5 << 20, 8
+	open := newLinks(t)
+	pool, err := ants.NewPool(2*count, ants.WithNonblocking(true), ants.WithLogger(log.New(io.Discard, "", 0)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pool.Release()
+	var most atomic.Int64
+	bodies := memory.NewAccount(limit, memory.WithLevel(func(bytes int) { most.Store(max(most.Load(), int64(bytes))) }))
+	h := &Handler{Board: board.New(time.Now(), "relay", "b", "b-1", 1), Meter: meter.New(), Pool: pool, MaxBody: size, Bodies: bodies, Now: time.Now}
+	h.Board.Health.MarkFresh()
+	served, release := make(chan struct{}, count), make(chan struct{})
+	h.ServeRouted = func(_ context.Context, msg *wire.Request, sink client.Sink) Result {
+		if len(msg.Body) == size {
+			served <- struct{}{}
+			<-release
+		}
+		_ = sink.Head(wire.Head{Status: 200})
+		return Result{}
+	}
+	relay, entry := open("relay", link.Handlers{Stream: h.Stream}), open("entry", link.Handlers{})
+	sink := client.Sink{Head: func(wire.Head) error { return nil }, Data: func([]byte) error { return nil }}
+	send := func(bytes int) (*wire.End, error) {
+		msg := wire.Request{ID: "r", Routing: &wire.Routing{}, Body: make([]byte, bytes)}
+		return flow.Exchange(t.Context(), entry, "relay", relay.Address(), msg, sink, 10*time.Second)
+	}
+	type outcome struct {
+		end *wire.End
+		err error
+	}
+	outcomes := make(chan outcome, count)
+	for range count {
+		go func() {
+			end, err := send(size)
+			outcomes <- outcome{end, err}
+		}()
+	}
+	// Three bodies of 1 MiB with their overhead leave no room for a fourth in three quarters of 5 MiB.
+	for range 3 {
+		<-served
+	}
+	for range count - 3 {
+		o := <-outcomes
+		if o.err != nil || o.end.Code != fault.Busy || o.end.Ran != fault.RanNo {
+			t.Errorf("got end %+v, error %v, want %s, not run", o.end, o.err, fault.Busy)
+		}
+	}
+	if end, err := send(10); err != nil || end.Code != "" {
+		t.Errorf("small body beside them: got end %+v, error %v, want it served", end, err)
+	}
+	close(release)
+	for range 3 {
+		if o := <-outcomes; o.err != nil || o.end.Code != "" {
+			t.Errorf("got end %+v, error %v, want it served", o.end, o.err)
+		}
+	}
+	if most.Load() > limit {
+		t.Errorf("%d bytes were held, limit %d", most.Load(), limit)
+	}
+}
