--- a/internal/load/crowd/crowd.go
+++ b/internal/load/crowd/crowd.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -21,22 +22,26 @@
 
 // The shapes. Those of a legal size send Limit bytes; Whole sends all of them, the others stop short of
 // the end and stay open. Announced and Endless exceed the limit, by the length that they announce and by
-// what they send. Heads stop within the header, Idle sends nothing.
+// what they send. Heads and LargeHeads stop within the header, DripHeads and DripTrailers send a header and a
+// trailer byte by byte, Idle sends nothing.
 const (
-	Whole     Shape = "whole bodies"
-	Short     Shape = "bodies short of their end"
-	Pieces    Shape = "bodies in pieces"
-	Chunks    Shape = "large chunks"
-	Tiny      Shape = "chunks of a byte"
-	Announced Shape = "announced over the limit"
-	Endless   Shape = "sent over the limit"
-	Heads     Shape = "unfinished headers"
-	Idle      Shape = "idle connections"
+	Whole        Shape = "whole bodies"
+	Short        Shape = "bodies short of their end"
+	Pieces       Shape = "bodies in pieces"
+	Chunks       Shape = "large chunks"
+	Tiny         Shape = "chunks of a byte"
+	Announced    Shape = "announced over the limit"
+	Endless      Shape = "sent over the limit"
+	Heads        Shape = "unfinished headers"
+	LargeHeads   Shape = "large unfinished headers"
+	DripHeads    Shape = "headers byte by byte"
+	DripTrailers Shape = "trailers byte by byte"
+	Idle         Shape = "idle connections"
 )
 
 // Shapes returns all shapes.
 func Shapes() []Shape {
-	return []Shape{Whole, Short, Pieces, Chunks, Tiny, Announced, Endless, Heads, Idle}
+	return []Shape{Whole, Short, Pieces, Chunks, Tiny, Announced, Endless, Heads, LargeHeads, DripHeads, DripTrailers, Idle}
 }
 
 const (
@@ -46,6 +51,9 @@
 	over        = 6
 	pieceBytes  = 16 << 10
 	headerBytes = 24 << 10
+	// largeHeaderBytes is more than a host with an inventory reads by default, and less than one with routes does.
+	largeHeaderBytes = 60 << 10
+	dripBytes        = 12 << 10
 	// settleTime is how long a crowd sends nothing more when it counts as settled: its hosts have
 	// closed the connections or do not read on.
 	settleTime = 500 * time.Millisecond
@@ -61,6 +69,8 @@
 	Head string
 	// Limit is the largest legal body, in bytes.
 	Limit int
+	// TLS is the configuration of the connections, nil for connections without TLS.
+	TLS *tls.Config
 
 	mu      sync.Mutex
 	clients []net.Conn
@@ -116,6 +126,9 @@
 	}
 	c.clients = append(c.clients, nc)
 	c.mu.Unlock()
+	if c.TLS != nil && s != Idle {
+		nc = tls.Client(nc, c.TLS)
+	}
 	w := &countingWriter{w: nc, n: &c.sent}
 	head := fmt.Sprintf(c.Head, number)
 	switch s {
@@ -136,10 +149,26 @@
 		c.sendChunks(w, head, c.Limit, over)
 	case Heads:
 		_, _ = io.WriteString(w, head+"X-Filler: "+strings.Repeat("x", headerBytes))
+	case LargeHeads:
+		_, _ = io.WriteString(w, head+"X-Filler: "+strings.Repeat("x", largeHeaderBytes))
+	case DripHeads:
+		drip(w, head+"X-Filler: "+strings.Repeat("x", dripBytes))
+	case DripTrailers:
+		_, _ = io.WriteString(w, head+"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n")
+		drip(w, "X-Filler: "+strings.Repeat("x", dripBytes))
 	case Idle:
 	}
 }
 
+// drip writes a text byte by byte.
+func drip(w io.Writer, text string) {
+	for i := range len(text) {
+		if _, err := io.WriteString(w, text[i:i+1]); err != nil {
+			return
+		}
+	}
+}
+
 // sendSized announces a body and sends part of it, in pieces.
 func (c *Crowd) sendSized(w io.Writer, head string, announced, send, piece int) {
 	if _, err := io.WriteString(w, head+"Content-Length: "+strconv.Itoa(announced)+"\r\n\r\n"); err != nil {
@@ -288,10 +317,18 @@
 
 // Call sends one request on a new connection and returns the status of its answer.
 func Call(address, request string, timeout time.Duration) (int, error) {
+	return CallTLS(nil, address, request, timeout)
+}
+
+// CallTLS is like Call, over TLS with a configuration unless that is nil.
+func CallTLS(config *tls.Config, address, request string, timeout time.Duration) (int, error) {
 	nc, err := net.DialTimeout("tcp", address, timeout)
 	if err != nil {
 		return 0, fmt.Errorf("connect: %w", err)
 	}
+	if config != nil {
+		nc = tls.Client(nc, config)
+	}
 	defer func() { _ = nc.Close() }()
 	if err := nc.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return 0, fmt.Errorf("set deadline: %w", err)
--- a/internal/serve/host/crowd_test.go
+++ b/internal/serve/host/crowd_test.go
@@ -1,9 +1,11 @@
 package host
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -36,11 +38,11 @@
 }
 
 // awaitAnswer sends small requests until one is answered with success.
-func (f *fleet) awaitAnswer(host string) error {
+func (f *fleet) awaitAnswer(host string, config *tls.Config) error {
 	var status int
 	var err error
 	for end := time.Now().Add(crowdWait); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if status, err = crowd.Call(f.settings[host].Callers, crowdRequest(0), crowdWait); status == http.StatusOK {
+		if status, err = crowd.CallTLS(config, f.settings[host].Callers, crowdRequest(0), crowdWait); status == http.StatusOK {
 			return nil
 		}
 	}
@@ -52,38 +54,50 @@
 // requests are answered.
 func TestCrowdEndsInventoryHost(t *testing.T) {
 	for _, shape := range crowd.Shapes() {
-		t.Run(string(shape), func(t *testing.T) { playCrowd(t, shape, false) })
+		t.Run(string(shape), func(t *testing.T) { playCrowd(t, shape, "callers", nil) })
 	}
-	t.Run("admin", func(t *testing.T) { playCrowd(t, crowd.Short, true) })
+	t.Run("admin", func(t *testing.T) { playCrowd(t, crowd.Short, "admin", nil) })
 }
 
-// playCrowd plays a crowd at a host's address for callers, or at its admin address.
-func playCrowd(t *testing.T, shape crowd.Shape, admin bool) {
+// TestCrowdEndsHostWithTLS is TestCrowdEndsInventoryHost over TLS, whose records are buffered too.
+func TestCrowdEndsHostWithTLS(t *testing.T) {
+	for _, shape := range crowd.Shapes() {
+		t.Run(string(shape), func(t *testing.T) {
+			playCrowd(t, shape, "callers", &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS12})
+		})
+	}
+}
+
+// playCrowd plays a crowd at one of a host's listeners. config is the configuration of the callers' connections, nil without TLS.
+func playCrowd(t *testing.T, shape crowd.Shape, listener string, config *tls.Config) {
 	f := newFleet(t, plan{
 		hosts: map[string]string{"a1": "a"}, engines: map[string]string{"e1": "a"}, processes: true,
 		change: func(s *setup.Settings) {
 			s.Limits.Body, s.Machine = crowdBody, setup.Machine{MemoryMB: crowdMemoryMB, Descriptors: crowdDescriptors}
+			if config != nil {
+				s.CallerCert, s.CallerKey = filepath.Join(s.Keys, "cert.pem"), filepath.Join(s.Keys, "key.pem")
+			}
 		},
 	})
-	if err := f.awaitAnswer("a1"); err != nil {
+	if err := f.awaitAnswer("a1", config); err != nil {
 		t.Fatal(err)
 	}
 	address := f.settings["a1"].Callers
-	if admin {
+	if listener == "admin" {
 		address = f.settings["a1"].Admin
 	}
 	_, port, _ := net.SplitHostPort(address)
 	stop := make(chan struct{})
 	usage := crowd.Watch(f.procs["a1"].cmd.Process.Pid, stop, port)
-	c := &crowd.Crowd{Address: address, Head: crowdHead() + "X-Client: %d\r\n", Limit: crowdBody}
+	c := &crowd.Crowd{Address: address, Head: crowdHead() + "X-Client: %d\r\n", Limit: crowdBody, TLS: config}
 	clients := crowdClients
 	if shape == crowd.Idle {
 		clients = crowdIdle
 	}
 	c.Open(shape, clients)
-	beside := f.awaitAnswer("a1")
+	beside := f.awaitAnswer("a1", config)
 	c.Close()
-	afterwards := f.awaitAnswer("a1")
+	afterwards := f.awaitAnswer("a1", config)
 	close(stop)
 	most := <-usage
 	t.Logf("%d bytes sent; at most %d MiB resident, %d KiB unread, %d descriptors", c.Sent(), most.Resident>>20, most.Unread>>10, most.Descriptors)
@@ -105,7 +119,7 @@
 	if most.Descriptors > crowdDescriptors {
 		t.Errorf("the host used %d descriptors, its machine has %d", most.Descriptors, crowdDescriptors)
 	}
-	if status, err := crowd.Call(f.settings["a1"].Callers, crowdRequest(crowdBody), crowdWait); status != http.StatusOK {
+	if status, err := crowd.CallTLS(config, f.settings["a1"].Callers, crowdRequest(crowdBody), crowdWait); status != http.StatusOK {
 		t.Errorf("a single request of the largest legal size: status %d, error %v, want 200", status, err)
 	}
 }
