End a body of a request at its length when a further request follows on the connection

What callers saw: on a connection with pipelined requests, a body of more than 8 KiB took the first byte of the next request, the handler never returned and kept a core busy, and neither request was answered.

Cause: the buffer of a body had room for one byte more than its length, to find the end. The library's stream of a body fills the buffer that it is given from the connection, without a look at the length. Now the buffer of a body with a length has exactly its size, and no read follows the last byte. Ruled out: chunked bodies, whose chunks the library counts, and bodies of up to 8 KiB, which it has read before.

TestBodyTakesBytesOfTheNextRequest plays three pipelined requests at eight sizes: before, it was ended by its timeout of 60 s in the case of 8,193 bytes; now it passes.

--- a/internal/base/socket/conns_test.go
+++ b/internal/base/socket/conns_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -211,3 +213,28 @@
 	}
 	_ = nc.Close()
 }
+
+// TestBodyTakesBytesOfTheNextRequest: bodies of pipelined requests end where their lengths say, of whatever size they are.
+func TestBodyTakesBytesOfTheNextRequest(t *testing.T) {
+	const limit = 1 << 20
+	for _, size := range []int{0, 1, readAhead - 1, readAhead, readAhead + 1, 20_000, 100_000, limit} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			address, read, next := startReader(t, limit, 0, memory.NewAccount(8<<20))
+			nc := dial(t, address)
+			bodies := []string{strings.Repeat("x", size), "second", strings.Repeat("y", size)}
+			go func() {
+				var b strings.Builder
+				for _, body := range bodies {
+					fmt.Fprintf(&b, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				}
+				_, _ = io.WriteString(nc, b.String())
+			}()
+			for i, want := range bodies {
+				next <- true
+				if got := <-read; got != want {
+					t.Fatalf("body %d of %d bytes: got %.40q, want %.40q", i, len(want), got, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/base/socket/read.go
+++ b/internal/base/socket/read.go
@@ -81,13 +81,14 @@
 	if length > limit {
 		return nil, fmt.Errorf("%w: %d bytes are announced, %d are allowed", ErrTooLarge, length, limit)
 	}
-	// One more byte leaves room for the read that finds the end, or that the body is too large.
+	// One more byte leaves room for the read that finds the end of a chunked body, or that it is too large. That
+	// of a body with a length has none: the library fills it, also with bytes of the next request.
 	most := limit + 1
 	if length >= 0 {
-		most = length + 1
+		most = length
 	}
 	var body []byte
-	for r := c.Request.BodyStream(); ; {
+	for r := c.Request.BodyStream(); len(body) != length; {
 		if len(body) == cap(body) {
 			var err error
 			if body, err = grow(body, most, hold); err != nil {
@@ -109,6 +110,7 @@
 			return nil, fmt.Errorf("read body: %w", err)
 		}
 	}
+	return body, nil
 }
 
 // grow returns a copy of a body with twice the room, at most that for a number of bytes.
