Buffer headers in one piece, with room from the account, and look at them when they are whole

What callers saw: clients that send large headers, or headers and trailers byte by byte, took a host any amount of memory; a few would have ended it, with the requests of all other callers.

Cause: the HTTP library's buffer is a list of nodes. Each look of its parser beyond the first node copies all that has arrived, and the copies are kept until the end of the request; its parser looks again with each byte. Ruled out: the receive buffers (under 48 MiB of the 1,045) and the account of bodies, which does not see headers.

Now a connection has a buffer of its own in one piece. Beyond 4 KiB it takes room in the account of bodies, by the same order of who is refused. The parser looks at the first line, which may be wrong, and at the whole header. A trailer's parser, which can't be waited for in this way, may look at 64 times the limit of a header in all.

--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -1,6 +1,7 @@
 package socket
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -12,6 +13,8 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 )
 
 // ErrTooLong is the error of a request whose trailer or chunk size exceeds the limit.
@@ -26,6 +29,8 @@
 const (
 	// readAhead is what the library reads of a body before the handler of the request runs.
 	readAhead = 8 << 10
+	// maxLooks bounds what the parser looks at without taking anything, as a multiple of the limit of a header.
+	maxLooks = 64
 	// lingerTime and lingerBytes bound what is read and dropped of a request that was refused before it had
 	// arrived: if its connection is closed at once, the reset may overtake the refusal.
 	lingerTime  = 500 * time.Millisecond
@@ -61,17 +66,19 @@
 	sense    bool
 	requests *Requests
 	conns    *Conns
+	account  *memory.Account
 }
 
 // NewTransporter returns a network layer whose connections bound the trailer of a request
 // and the line of a chunk's size by the limit of the header, and the time in which a request arrives by
 // the read timeout, as the library does not.
 func NewTransporter(o *config.Options) network.Transporter {
-	return Transport(&Requests{}, NewConns(0, nil))(o)
+	return Transport(&Requests{}, NewConns(0, nil), nil)(o)
 }
 
-// Transport is like NewTransporter, counts the requests in progress, and bounds the connections.
-func Transport(r *Requests, t *Conns) func(o *config.Options) network.Transporter {
+// Transport is like NewTransporter, counts the requests in progress, bounds the connections, and takes room in an
+// account for headers beyond firstInput; nil means no limit.
+func Transport(r *Requests, t *Conns, account *memory.Account) func(o *config.Options) network.Transporter {
 	return func(o *config.Options) network.Transporter {
 		r.conns.Store(t)
 		inner := *o
@@ -80,7 +87,7 @@
 		inner.OnAccept = func(nc net.Conn) context.Context { return context.WithValue(context.Background(), acceptedKey{}, nc) }
 		return &transporter{
 			Transporter: standard.NewTransporter(&inner), limit: max(o.MaxHeaderBytes, readAhead), readTimeout: o.ReadTimeout,
-			writeTimeout: o.WriteTimeout, idleTimeout: o.IdleTimeout, sense: o.SenseClientDisconnection, requests: r, conns: t,
+			writeTimeout: o.WriteTimeout, idleTimeout: o.IdleTimeout, sense: o.SenseClientDisconnection, requests: r, conns: t, account: account,
 		}
 	}
 }
@@ -130,6 +137,10 @@
 		accepted, _ := ctx.Value(acceptedKey{}).(*conn)
 		c := &boundedConn{
 			Conn: nc, accepted: accepted, limit: t.limit, readTimeout: t.readTimeout, writeTimeout: t.writeTimeout, requests: t.requests,
+			in: input{source: nc},
+		}
+		if t.account != nil && accepted != nil {
+			c.in.reserve = func() *memory.Hold { return t.account.Open(accepted.client, func() { Abort(c) }) }
 		}
 		defer c.end()
 		// A connection without a request is idle, as after one.
@@ -168,9 +179,12 @@
 type boundedConn struct {
 	network.Conn
 	accepted *conn
+	in       input
+	header   header
 	limit    int
-	// looks counts the calls of Peek beyond the limit since bytes were taken last.
-	looks int
+	// looks counts the calls of Peek beyond the limit since bytes were taken last, looked the bytes that all
+	// calls since then returned.
+	looks, looked int
 	// single counts the bytes that were taken one by one.
 	single int
 	// readBy is when the request must have arrived, zero if there is no bound.
@@ -191,6 +205,7 @@
 // the read timeout: the library sets that one once the first have arrived.
 func (c *boundedConn) bound(timeout time.Duration) {
 	c.whole = false
+	c.header, c.looked = header{arriving: timeout == c.readTimeout}, 0
 	c.setOpen(timeout == c.readTimeout)
 	c.readBy = time.Time{}
 	if timeout > 0 {
@@ -221,6 +236,7 @@
 	if c.accepted != nil {
 		_ = c.accepted.Close()
 	}
+	c.in.close()
 	c.setOpen(false)
 }
 
@@ -252,12 +268,12 @@
 	return c.Conn.SetReadTimeout(timeout)
 }
 
-// awaitBytes sets the timeout of a read that waits for n bytes.
-func (c *boundedConn) awaitBytes(n int) error {
+// setReadDeadline bounds a read by the time that is left for the request.
+func (c *boundedConn) setReadDeadline() error {
 	if c.refused {
 		return errRefused
 	}
-	if c.readBy.IsZero() || c.Len() >= n {
+	if c.readBy.IsZero() {
 		return nil
 	}
 	left := time.Until(c.readBy)
@@ -267,10 +283,26 @@
 	return c.Conn.SetReadTimeout(left)
 }
 
+// await waits for n bytes, and for the rest of a header that arrives unless they have arrived before.
+func (c *boundedConn) await(n int) error {
+	for waited := false; c.in.len() < n || waited && c.header.arriving && !c.header.parseable(c.in.bytes(), c.limit); waited = true {
+		if err := c.setReadDeadline(); err != nil {
+			return err
+		}
+		if err := c.in.fill(n); err != nil {
+			if errors.Is(err, memory.ErrFull) {
+				Abort(c)
+			}
+			return err
+		}
+	}
+	return nil
+}
+
 // Peek implements network.Reader.
 func (c *boundedConn) Peek(n int) ([]byte, error) {
-	if err := c.awaitBytes(n); err != nil {
-		return nil, err
+	if c.refused && c.in.len() < n {
+		return nil, errRefused
 	}
 	c.single = 0
 	if n > c.limit {
@@ -278,33 +310,69 @@
 			return nil, ErrTooLong
 		}
 	}
-	return c.Conn.Peek(n)
+	if err := c.await(n); err != nil {
+		return nil, err
+	}
+	if c.looked += n; c.looked > max(n, maxLooks*c.limit) {
+		return nil, ErrTooLong
+	}
+	return c.in.bytes()[:n], nil
 }
 
+// Len implements network.Reader.
+func (c *boundedConn) Len() int { return c.in.len() }
+
 // Skip implements network.Reader.
 func (c *boundedConn) Skip(n int) error {
-	c.looks, c.single = 0, 0
-	return c.Conn.Skip(n)
+	c.looks, c.looked, c.single = 0, 0, 0
+	if err := c.in.skip(n); err != nil {
+		return err
+	}
+	if c.header.arriving {
+		c.header.arriving = false
+		return c.in.accept()
+	}
+	return nil
+}
+
+// Release implements network.Reader.
+func (c *boundedConn) Release() error {
+	c.in.release()
+	return nil
 }
 
 // ReadByte implements network.Reader.
 func (c *boundedConn) ReadByte() (byte, error) {
-	c.looks = 0
+	c.looks, c.looked = 0, 0
 	if c.single++; c.single > c.limit {
 		return 0, ErrTooLong
 	}
-	if err := c.awaitBytes(1); err != nil {
+	if err := c.await(1); err != nil {
 		return 0, err
 	}
-	return c.Conn.ReadByte()
+	b := c.in.bytes()[0]
+	return b, c.in.skip(1)
+}
+
+// ReadBinary implements network.Reader.
+func (c *boundedConn) ReadBinary(n int) ([]byte, error) {
+	b, err := c.Peek(n)
+	if err != nil {
+		return nil, err
+	}
+	return bytes.Clone(b), c.Skip(n)
 }
 
 // Read implements net.Conn.
 func (c *boundedConn) Read(p []byte) (int, error) {
-	if err := c.awaitBytes(1); err != nil {
+	c.looks, c.looked, c.single = 0, 0, 0
+	if c.in.len() > 0 {
+		n := copy(p, c.in.bytes())
+		return n, c.in.skip(n)
+	}
+	if err := c.setReadDeadline(); err != nil {
 		return 0, err
 	}
-	c.looks, c.single = 0, 0
 	return c.Conn.Read(p)
 }
 
--- a/internal/base/socket/conns_test.go
+++ b/internal/base/socket/conns_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := server.New(server.WithListener(l), server.WithTransport(Transport(&Requests{}, NewConns(conns, nil))), server.WithStreamBody(true),
+	s := server.New(server.WithListener(l), server.WithTransport(Transport(&Requests{}, NewConns(conns, nil), account)), server.WithStreamBody(true),
 		server.WithReadTimeout(bodyTimeout), server.WithIdleTimeout(bodyTimeout), server.WithWriteTimeout(bodyTimeout), server.WithMaxRequestBodySize(1<<20),
 		server.WithDisablePrintRoute(true), server.WithExitWaitTime(10*time.Millisecond))
 	read, next = make(chan any, 100), make(chan bool, 100)
@@ -238,3 +238,24 @@
 		})
 	}
 }
+
+// TestRequestsByteByByteAreCut: pipelined requests, one with chunks and a trailer, are served however their bytes are spread.
+func TestRequestsByteByByteAreCut(t *testing.T) {
+	const requests = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" +
+		"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n2\r\nde\r\n1\r\nf\r\n0\r\nX: y\r\n\r\n" +
+		"POST /c HTTP/1.1\nHost: h\nContent-Length: 1\n\ng"
+	address, read, next := startReader(t, 100, 0, memory.NewAccount(1<<20))
+	nc := dial(t, address)
+	go func() {
+		for i := range len(requests) {
+			_, _ = io.WriteString(nc, requests[i:i+1])
+			time.Sleep(100 * time.Microsecond)
+		}
+	}()
+	for _, want := range []string{"abc", "def", "g"} {
+		next <- true
+		if got := <-read; got != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+	}
+}
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -130,7 +130,7 @@
 	}
 	conns := socket.NewConns(a.Machine.OtherConns(), func(string) { a.Meter.CountClosedConn("admin") })
 	a.server = server.New(
-		server.WithListener(l), server.WithTransport(socket.Transport(&socket.Requests{}, conns)), server.WithStreamBody(true),
+		server.WithListener(l), server.WithTransport(socket.Transport(&socket.Requests{}, conns, a.Bodies)), server.WithStreamBody(true),
 		server.WithDisablePrintRoute(true), server.WithReadTimeout(readTimeout), server.WithIdleTimeout(idleTimeout),
 		server.WithWriteTimeout(writeTimeout), server.WithMaxRequestBodySize(maxBodyBytes), server.WithExitWaitTime(shutdownTimeout),
 	)
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -81,7 +81,7 @@
 		options []config.Option
 	}{
 		{"callers", s.Settings.Callers, func(hz *server.Hertz) { hz.NoRoute(s.serveRequest) }, []config.Option{
-			server.WithTransport(socket.Transport(&s.requests, s.conns("callers", s.Machine.CallerConns()))), server.WithStreamBody(true), server.WithMaxRequestBodySize(maxBody),
+			server.WithTransport(socket.Transport(&s.requests, s.conns("callers", s.Machine.CallerConns()), s.Bodies)), server.WithStreamBody(true), server.WithMaxRequestBodySize(maxBody),
 		}},
 		{"ready", s.Settings.Ready, func(hz *server.Hertz) { hz.GET(s.Terms.ReadyPath, s.ready) }, nil},
 		{"directory", s.Settings.Directory, func(hz *server.Hertz) { hz.GET(s.Terms.ResolvePath, s.resolve) }, nil},
@@ -92,7 +92,7 @@
 		}
 		if l.options == nil {
 			l.options = []config.Option{
-				server.WithTransport(socket.Transport(&socket.Requests{}, s.conns(l.use, s.Machine.OtherConns()))), server.WithMaxRequestBodySize(maxOtherBody),
+				server.WithTransport(socket.Transport(&socket.Requests{}, s.conns(l.use, s.Machine.OtherConns()), s.Bodies)), server.WithMaxRequestBodySize(maxOtherBody),
 			}
 		}
 		hz, err := s.listen(l.address, l.options)
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -93,7 +93,7 @@
 		notice(client)
 	})
 	opts := []config.Option{
-		server.WithListener(l), server.WithTransport(socket.Transport(&f.requests, conns)), server.WithStreamBody(true),
+		server.WithListener(l), server.WithTransport(socket.Transport(&f.requests, conns, f.Bodies)), server.WithStreamBody(true),
 		server.WithMaxRequestBodySize(f.Settings.Limits.Body),
 		server.WithMaxHeaderBytes(f.Settings.Limits.Header),
 		server.WithReadTimeout(readTimeout),
