--- a/internal/load/crowd/crowd.go
+++ b/internal/load/crowd/crowd.go
@@ -20,12 +20,13 @@
 // Shape is what each client of a crowd sends.
 type Shape string
 
-// The shapes. Those of a legal size send Limit bytes; Whole sends all of them, the others stop short of
+// The shapes. Those of a legal size send Limit bytes; Whole sends all of them, Small a few bytes, the others stop short of
 // the end and stay open. Announced and Endless exceed the limit, by the length that they announce and by
 // what they send. Heads and LargeHeads stop within the header, DripHeads and DripTrailers send a header and a
 // trailer byte by byte, Idle sends nothing.
 const (
 	Whole        Shape = "whole bodies"
+	Small        Shape = "small bodies"
 	Short        Shape = "bodies short of their end"
 	Pieces       Shape = "bodies in pieces"
 	Chunks       Shape = "large chunks"
@@ -41,7 +42,7 @@
 
 // Shapes returns all shapes.
 func Shapes() []Shape {
-	return []Shape{Whole, Short, Pieces, Chunks, Tiny, Announced, Endless, Heads, LargeHeads, DripHeads, DripTrailers, Idle}
+	return []Shape{Whole, Small, Short, Pieces, Chunks, Tiny, Announced, Endless, Heads, LargeHeads, DripHeads, DripTrailers, Idle}
 }
 
 const (
@@ -49,6 +50,7 @@
 	missing = 16
 	// over is the size of bodies over the limit, as a multiple of it.
 	over        = 6
+	smallBytes  = 64
 	pieceBytes  = 16 << 10
 	headerBytes = 24 << 10
 	// largeHeaderBytes is more than a host with an inventory reads by default, and less than one with routes does.
@@ -134,6 +136,8 @@
 	switch s {
 	case Whole:
 		c.sendSized(w, head, c.Limit, c.Limit, c.Limit)
+	case Small:
+		c.sendSized(w, head, smallBytes, smallBytes, smallBytes)
 	case Short:
 		c.sendSized(w, head, c.Limit, c.Limit-missing, c.Limit)
 	case Pieces:
