Limit the connections to endpoints, as part of the account of descriptors

What callers saw: whole requests that wait at slow endpoints took a host as many connections to endpoints as it has connections of callers, beyond the descriptors of its machine; then nothing can be opened any more, to the store neither.

Cause: the shares of the descriptors (five eighths for callers, a quarter for four other listeners) left an eighth for connections to endpoints, and nothing bounded these. Now callers have 0.4, endpoints 0.3125 and the other listeners 0.0625 each of what the process itself does not need. At the users' machines the memory bounds callers' connections, as before (1,136 at 284 MB). An attempt without room counts as not accepted by the endpoint, and not as a failure of it. With an inventory, requests of other hosts have what is left.

--- a/internal/base/memory/memory.go
+++ b/internal/base/memory/memory.go
@@ -73,12 +73,20 @@
 	// connBytes is what a connection takes: its buffers, in the kernel too, and its goroutine.
 	connBytes = 64 << 10
 	// connShare is the share of the memory that connections of callers may take, callerShare their share of the
-	// descriptors, and otherShare that of each other listener.
-	connShare   = 0.25
-	callerShare = 0.625
-	otherShare  = 0.0625
+	// descriptors, otherShare that of each of the four other listeners, and endpointShare that of connections
+	// to endpoints. The process itself has baseDescriptors and what is left.
+	connShare       = 0.25
+	callerShare     = 0.4
+	otherShare      = 0.0625
+	endpointShare   = 0.3125
+	baseDescriptors = 24
 )
 
+// descriptors returns a share of the descriptors.
+func (m Machine) descriptors(share float64) int {
+	return int(share * float64(m.Descriptors-baseDescriptors))
+}
+
 // BodyBytes returns the bytes that bodies of requests may have at a time.
 func (m Machine) BodyBytes() int {
 	return max(m.Bytes/minBodyPart, m.Bytes-max(minBase, int(baseShare*float64(m.Bytes)))) / bodyCopies
@@ -89,12 +97,21 @@
 
 // CallerConns returns the number of connections that callers may have open at a time.
 func (m Machine) CallerConns() int {
-	return min(int(callerShare*float64(m.Descriptors)), int(connShare*float64(m.Bytes))/connBytes)
+	return min(m.descriptors(callerShare), int(connShare*float64(m.Bytes))/connBytes)
 }
 
 // OtherConns returns the number of connections that the clients of another listener may have open.
 func (m Machine) OtherConns() int {
-	return min(int(otherShare*float64(m.Descriptors)), int(connShare*float64(m.Bytes))/connBytes)
+	return min(m.descriptors(otherShare), int(connShare*float64(m.Bytes))/connBytes)
+}
+
+// EndpointConns returns the number of connections to endpoints that may be open.
+func (m Machine) EndpointConns() int { return m.descriptors(endpointShare) }
+
+// RelayedRequests returns the number of requests of other hosts that may be served at a time, at most limit, by a host
+// with one other listener, at which each request has a connection to an endpoint of its own.
+func (m Machine) RelayedRequests(limit int) int {
+	return min(limit, m.descriptors(1)-2*m.CallerConns()-m.OtherConns())
 }
 
 // ErrFull is the error of a body for which the host has no room.
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -54,7 +54,9 @@
 	// found no room.
 	BodyBytes     prometheus.Gauge
 	RefusedBodies prometheus.Counter
-	closedConns   *prometheus.CounterVec
+	// RefusedAttempts counts the attempts that found no room for a connection to an endpoint.
+	RefusedAttempts prometheus.Counter
+	closedConns     *prometheus.CounterVec
 	// LimitedEndpoints and LimitedAttempts are the endpoints of the region that name a rate
 	// limit and this host's attempts at them.
 	LimitedEndpoints prometheus.Gauge
@@ -141,6 +143,7 @@
 		coldRequests:         counters("cold_requests_total", "Requests to endpoints that may be cold, by why: lapsed, registered, announced, unconfirmed or restarted.", "endpoint", "reason"),
 		BodyBytes:            gauge("request_body_bytes", "Bytes of request bodies that the host holds."),
 		RefusedBodies:        counter("refused_bodies_total", "Request bodies that were refused or dropped for want of room."),
+		RefusedAttempts:      counter("refused_attempts_total", "Attempts that found no room for a connection to an endpoint."),
 		closedConns:          counters("closed_connections_total", "Connections that were closed because a listener had too many, by listener.", "listener"),
 		customerRefusals:     counters("customer_refusals_total", "Refused requests to routes that need a key, by reason and customer; without customer if the key is not known.", "reason", "customer"),
 		customerRequests:     counters("customer_requests_total", "Requests of customers with a limit by whether they were admitted.", "customer", "outcome"),
@@ -151,7 +154,7 @@
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.promptCrossings, m.placements, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
 		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.EndedRequests, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals, m.ConfirmationAge, m.customerRefusals, m.resumed, m.streamParts, m.coldRequests,
-		m.BodyBytes, m.RefusedBodies, m.closedConns,
+		m.BodyBytes, m.RefusedBodies, m.RefusedAttempts, m.closedConns,
 		m.customerRequests, m.customerLevels,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -112,7 +112,7 @@
 	if h.runner, err = ctrl.New(controllerWorkers, h.log); err != nil {
 		return err
 	}
-	h.relays, err = ants.NewPool(h.settings.Limits.Open, ants.WithNonblocking(true), ants.WithExpiryDuration(relayWorkerIdle))
+	h.relays, err = ants.NewPool(h.machine.RelayedRequests(h.settings.Limits.Open), ants.WithNonblocking(true), ants.WithExpiryDuration(relayWorkerIdle))
 	if err != nil {
 		return fmt.Errorf("relay pool: %w", err)
 	}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -190,7 +190,7 @@
 		memory.WithLevel(func(bytes int) { n.meter.BodyBytes.Set(float64(bytes)) }), memory.WithRefused(n.bodyRefused))
 	maxHeld := n.machine.AnswerBytes(proxy.MaxHeld)
 	account := held.New(maxHeld, min(maxHeld, proxy.MaxAnswer), func(bytes int) { n.meter.HeldBytes.Set(float64(bytes)) })
-	n.pool = pool.New(append(o.pool, pool.WithNow(now), pool.WithHeld(account))...)
+	n.pool = pool.New(append(o.pool, pool.WithNow(now), pool.WithHeld(account), pool.WithLimit(n.machine.EndpointConns(), n.connRefused))...)
 	n.board = board.New(now(), s.Peers, s.Region, s.Centre, 1)
 	n.board.Proof = proof.NewTable(proof.Life(s.Bounds.RevokePeriod()))
 	n.board.Members.EnableDiscovery(now(), member.Candidate{
@@ -327,6 +327,14 @@
 	}
 }
 
+// connRefused counts an attempt for whose connection there was no room, and logs some of them.
+func (n *Node) connRefused(service string) {
+	n.meter.RefusedAttempts.Inc()
+	if n.warnedItems.due(n.now(), "connections") {
+		n.log.Warn().Str("service", service).Int("limit", n.machine.EndpointConns()).Msg("no room for a connection to an endpoint")
+	}
+}
+
 // Close stops the host and waits until all its goroutines have ended.
 func (n *Node) Close() error {
 	err := n.front.Close()
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -64,6 +64,8 @@
 // Attempt is one attempt of a request at one endpoint.
 type Attempt struct {
 	Address string
+	// Service is the service of the endpoint, empty for a health check.
+	Service string
 	Method  string
 	// Target is the path and query of the request line, as the caller sent them.
 	Target string
@@ -150,7 +152,8 @@
 	// Unreachable reports whether no connection could be opened because the endpoint, or the
 	// network, refused it or did not answer.
 	Unreachable bool
-	// Withheld reports whether Verify returned an error, so that nothing was sent.
+	// Withheld reports whether nothing was sent for a reason of this host: Verify returned an error, or there was no
+	// room for a connection.
 	Withheld bool
 	// Misdirected reports whether another endpoint now has the address (status 421).
 	Misdirected bool
@@ -237,6 +240,11 @@
 // Do makes one attempt and passes the answer on to sink as it arrives.
 func (c *Client) Do(ctx context.Context, attempt Attempt, sink client.Sink) Result {
 	e := &exchange{client: c, attempt: attempt, sink: sink, start: c.Now(), ctx: ctx, result: Result{LastEventID: attempt.LastEventID}}
+	if err := c.Pool.reserve(attempt.Service); err != nil {
+		e.result.Reason, e.result.Ran, e.result.Err, e.result.Withheld = retry.Dial, fault.RanNo, err, true
+		return e.result
+	}
+	defer c.Pool.unreserve(attempt.Service)
 	if err := e.connect(); err != nil {
 		e.result.Reason, e.result.Ran, e.result.Err = retry.Dial, fault.RanNo, err
 		e.result.CallerLeft = fault.CallerLeft(ctx)
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -120,6 +120,10 @@
 	unnamed map[string]time.Time
 	closed  bool
 	opened  uint64
+	// limit bounds the idle connections and those of attempts, which byService counts by service.
+	limit, attempts int
+	byService       map[string]int
+	onRefused       func(service string)
 }
 
 // Option configures a pool.
@@ -142,7 +146,7 @@
 	d := &net.Dialer{KeepAlive: -1, Control: setUserTimeout}
 	p := &Pool{
 		dial: func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
-		now:  time.Now, idle: map[string][]*conn{}, busy: map[string]map[*conn]bool{}, unnamed: map[string]time.Time{}, held: held.New(math.MaxInt, math.MaxInt, func(int) {}),
+		now:  time.Now, idle: map[string][]*conn{}, busy: map[string]map[*conn]bool{}, unnamed: map[string]time.Time{}, byService: map[string]int{}, held: held.New(math.MaxInt, math.MaxInt, func(int) {}),
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -142,7 +142,7 @@
 // endpointAttempt returns the attempt at the chosen endpoint.
 func (p *Proxy) endpointAttempt(t *task, d decision) pool.Attempt {
 	attempt := pool.Attempt{
-		Address: d.endpoint.Address, Method: t.Method, Target: t.Target, Host: t.Host,
+		Address: d.endpoint.Address, Service: t.Service, Method: t.Method, Target: t.Target, Host: t.Host,
 		Fields: p.endpointFields(t, d), Body: t.Body, ID: t.ID, Deadline: t.Deadline,
 		LastEventID: t.lastEventID, MaxAnswerBytes: MaxAnswer,
 	}
