Ask no more whether to give up a relayed stream that was given up

Cause: a frame that had been read before the reader was expired is passed on after it, and starts the watchdog's timer again, whose time is over: it asks again, and may record another reason for the end. No caller could see that, as the stream ends in any case.

Now a watchdog that gave up is done. TestGivenUpStreamIsAskedAbout plays that order: asked 2 times before, once now.

--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -359,7 +359,8 @@
 	silent bool
 	// stalled reports whether the answer was given up though frames arrived.
 	stalled bool
-	done    bool
+	// done reports whether the watchdog asks no more.
+	done bool
 }
 
 // newWatchdog returns a running watchdog that first asks after waits.Ack and calls expire if
@@ -394,7 +395,7 @@
 	silent := !now.Before(w.due)
 	w.silent = w.silent || silent
 	if w.waits.GiveUp(w.acked) {
-		w.stalled = !silent
+		w.stalled, w.done = !silent, true
 		w.expire()
 		return
 	}
--- a/internal/serve/flow/remote_test.go
+++ b/internal/serve/flow/remote_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -199,6 +201,34 @@
 	}
 }
 
+// TestGivenUpStreamIsAskedAbout guards against another question once a stream was given up, as a frame that had arrived
+// before is passed on.
+func TestGivenUpStreamIsAskedAbout(t *testing.T) {
+	const wait = 10 * time.Millisecond
+	var asked atomic.Int32
+	expired := make(chan struct{}, 10)
+	w := newWatchdog(Waits{Ack: time.Hour, Event: wait, GiveUp: func(bool) bool {
+		asked.Add(1)
+		return true
+	}}, func() { expired <- struct{}{} })
+	pass := func(event bool) {
+		if err := w.pass(event, func() error { return nil }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pass(true)
+	<-expired
+	pass(false)
+	time.Sleep(10 * wait)
+	w.stop()
+	if n := asked.Load(); n != 1 {
+		t.Errorf("asked %d times, want 1", n)
+	}
+	if err := w.explain(t.Context(), io.ErrUnexpectedEOF, true); !errors.Is(err, ErrStalled) {
+		t.Errorf("got error %v, want %v", err, ErrStalled)
+	}
+}
+
 // TestRelayEndsEarly guards against an answer that counts as whole though its relay ended before
 // its end, and against one that counts as not sent though the relay received the request.
 func TestRelayEndsEarly(t *testing.T) {
