--- a/internal/load/crowd/crowd.go
+++ b/internal/load/crowd/crowd.go
@@ -133,6 +133,21 @@
 	}
 	w := &countingWriter{w: nc, n: &c.sent}
 	head := fmt.Sprintf(c.Head, number)
+	switch s {
+	case Heads:
+		_, _ = io.WriteString(w, head+filler(headerBytes))
+	case LargeHeads:
+		_, _ = io.WriteString(w, head+filler(largeHeaderBytes))
+	case DripHeads:
+		drip(w, head+filler(dripBytes))
+	case Idle:
+	default:
+		c.sendBody(s, w, head)
+	}
+}
+
+// sendBody sends a request with the body, or a part of it, of a shape.
+func (c *Crowd) sendBody(s Shape, w io.Writer, head string) {
 	switch s {
 	case Whole:
 		c.sendSized(w, head, c.Limit, c.Limit, c.Limit)
@@ -151,19 +166,17 @@
 		c.sendChunks(w, head, 1, c.Limit*9/16)
 	case Endless:
 		c.sendChunks(w, head, c.Limit, over)
-	case Heads:
-		_, _ = io.WriteString(w, head+"X-Filler: "+strings.Repeat("x", headerBytes))
-	case LargeHeads:
-		_, _ = io.WriteString(w, head+"X-Filler: "+strings.Repeat("x", largeHeaderBytes))
-	case DripHeads:
-		drip(w, head+"X-Filler: "+strings.Repeat("x", dripBytes))
 	case DripTrailers:
 		_, _ = io.WriteString(w, head+"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n")
-		drip(w, "X-Filler: "+strings.Repeat("x", dripBytes))
-	case Idle:
+		drip(w, filler(dripBytes))
+	default:
+		// The other shapes have no body.
 	}
 }
 
+// filler returns the beginning of a header field, without its end.
+func filler(size int) string { return "X-Filler: " + strings.Repeat("x", size) }
+
 // drip writes a text byte by byte.
 func drip(w io.Writer, text string) {
 	for i := range len(text) {
