Serve no request whose connection was closed for another one

What callers saw: with as many connections open as a host may have, a request on one that had been idle could be sent to an endpoint after its connection had been closed for a new one: it ran, and its caller got no answer.

Cause: a connection is chosen for want of room by its state, idle or arriving, and closed; its handler may have the whole request already, and recorded that it is served without a look at whether it is still open. Now that record fails, and the request ends before it is placed.

A body that was dropped for another one now counts as refused for want of room, and not as a bad request, in logs and metrics.

--- a/internal/base/memory/account.go
+++ b/internal/base/memory/account.go
@@ -124,6 +124,13 @@
 	return nil
 }
 
+// Dropped reports whether the body was dropped.
+func (h *Hold) Dropped() bool {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	return h.dropped
+}
+
 // Close gives the room of a body back.
 func (h *Hold) Close() {
 	a := h.account
--- a/internal/base/socket/conns.go
+++ b/internal/base/socket/conns.go
@@ -137,13 +137,15 @@
 	return c.Conn.Close()
 }
 
-// set records what a connection does.
-func (c *conn) set(now time.Time, s state) {
+// set records what a connection does. It returns false if the connection was closed: its request, which may
+// have arrived before, must not be served then.
+func (c *conn) set(now time.Time, s state) bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	if c.state != s {
 		c.state, c.since = s, now
 	}
+	return c.conns.open[c]
 }
 
 // waiting returns the number of connections without a request whose next one waits in the kernel.
--- a/internal/base/socket/conns_test.go
+++ b/internal/base/socket/conns_test.go
@@ -168,7 +168,7 @@
 	for range 2 {
 		switch got := (<-read).(type) {
 		case error:
-			if !errors.Is(got, memory.ErrFull) && !strings.Contains(got.Error(), "closed") {
+			if !errors.Is(got, memory.ErrFull) {
 				t.Errorf("the stalled body ended with %v", got)
 			}
 		case string:
@@ -259,3 +259,27 @@
 		}
 	}
 }
+
+// TestClosedConnectionIsServed: a request that had arrived when its connection was closed for another one is not served, as its
+// client gets no answer.
+func TestClosedConnectionIsServed(t *testing.T) {
+	now, conns := time.Now(), NewConns(1, nil)
+	add := func() *conn {
+		nc, peer := net.Pipe()
+		t.Cleanup(func() { _ = errors.Join(nc.Close(), peer.Close()) })
+		c, ok := conns.add(now, nc)
+		if !ok {
+			t.Fatal("no room for a connection beside one without a request")
+		}
+		return c
+	}
+	first := add()
+	first.set(now, arriving)
+	second := add()
+	if first.set(now, serving) {
+		t.Error("the closed connection is served")
+	}
+	if !second.set(now, serving) {
+		t.Error("the new connection is not served")
+	}
+}
--- a/internal/base/socket/read.go
+++ b/internal/base/socket/read.go
@@ -15,6 +15,9 @@
 // ErrTooLarge is the error of a body that exceeds its limit.
 var ErrTooLarge = errors.New("body is too large")
 
+// errClosed is the error of a request whose connection was closed for another one.
+var errClosed = fmt.Errorf("connection was closed for another one: %w", memory.ErrFull)
+
 const (
 	// firstBytes is the size of the first buffer of a body, readBytes the most that is read at a time of a
 	// chunked one: the library buffers as much for it.
@@ -38,8 +41,11 @@
 // connection is closed behind the answer.
 func ReadBody(c *app.RequestContext, limit int, hold *memory.Hold) ([]byte, error) {
 	body, err := readBody(c, limit, hold)
-	if err == nil {
+	switch {
+	case err == nil:
 		err = hold.Accept()
+	case hold.Dropped():
+		err = fmt.Errorf("%w: %w", memory.ErrFull, err)
 	}
 	if err != nil {
 		stopReading(c)
@@ -47,8 +53,8 @@
 	}
 	if b, ok := c.GetConn().(*boundedConn); ok {
 		b.whole = true
-		if b.accepted != nil {
-			b.accepted.set(time.Now(), serving)
+		if b.accepted != nil && !b.accepted.set(time.Now(), serving) {
+			return nil, errClosed
 		}
 	}
 	return body, nil
