Return to the parser what is buffered, without an error

What callers saw: nothing yet; a client that sends a trailer byte by byte could end a host.

Cause: the HTTP library panics if a look at what is buffered, or the taking of what it has looked at, fails. The bound of what its parser may look at, and the loss of a header's room to another one, failed there, and the rest of a request that was refused is read outside of handlers, which recover.

Now a look fails only if it has to wait for more, and a header that was dropped has its connection closed. TestTrailerByteByByteEndsHost: before, the test process ended with a panic; now the request ends with an error in both cases.

--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -182,8 +182,8 @@
 	in       input
 	header   header
 	limit    int
-	// looks counts the calls of Peek beyond the limit since bytes were taken last, looked the bytes that all
-	// calls since then returned.
+	// looks counts the waits of Peek beyond the limit since bytes were taken last, looked the bytes that all
+	// its calls since then returned.
 	looks, looked int
 	// single counts the bytes that were taken one by one.
 	single int
@@ -299,23 +299,24 @@
 	return nil
 }
 
-// Peek implements network.Reader.
+// Peek implements network.Reader. It fails only if it has to wait: the library panics if it does not get what is
+// buffered.
 func (c *boundedConn) Peek(n int) ([]byte, error) {
-	if c.refused && c.in.len() < n {
-		return nil, errRefused
-	}
 	c.single = 0
-	if n > c.limit {
-		if c.looks++; c.looks > 1 {
+	if c.in.len() < n {
+		if c.looked > maxLooks*c.limit {
 			return nil, ErrTooLong
 		}
+		if n > c.limit {
+			if c.looks++; c.looks > 1 {
+				return nil, ErrTooLong
+			}
+		}
+		if err := c.await(n); err != nil {
+			return nil, err
+		}
 	}
-	if err := c.await(n); err != nil {
-		return nil, err
-	}
-	if c.looked += n; c.looked > max(n, maxLooks*c.limit) {
-		return nil, ErrTooLong
-	}
+	c.looked += n
 	return c.in.bytes()[:n], nil
 }
 
@@ -330,7 +331,10 @@
 	}
 	if c.header.arriving {
 		c.header.arriving = false
-		return c.in.accept()
+		if c.in.accept() != nil {
+			// It was dropped for another one. The library panics if the bytes that it has looked at can't be taken.
+			Abort(c)
+		}
 	}
 	return nil
 }
--- a/internal/base/socket/conns_test.go
+++ b/internal/base/socket/conns_test.go
@@ -32,7 +32,7 @@
 	}
 	s := server.New(server.WithListener(l), server.WithTransport(Transport(&Requests{}, NewConns(conns, nil), account)), server.WithStreamBody(true),
 		server.WithReadTimeout(bodyTimeout), server.WithIdleTimeout(bodyTimeout), server.WithWriteTimeout(bodyTimeout), server.WithMaxRequestBodySize(1<<20),
-		server.WithDisablePrintRoute(true), server.WithExitWaitTime(10*time.Millisecond))
+		server.WithMaxHeaderBytes(readAhead), server.WithDisablePrintRoute(true), server.WithExitWaitTime(10*time.Millisecond))
 	read, next = make(chan any, 100), make(chan bool, 100)
 	s.NoRoute(func(_ context.Context, c *app.RequestContext) {
 		conn := c.GetConn()
@@ -283,3 +283,37 @@
 		t.Error("the new connection is not served")
 	}
 }
+
+// TestTrailerByteByByteEndsHost: a trailer that arrives byte by byte ends its request with an error once its parser has looked
+// at too much, where a panic would end the host.
+func TestTrailerByteByByteEndsHost(t *testing.T) {
+	for _, after := range []bool{false, true} {
+		t.Run(fmt.Sprintf("after the answer %v", after), func(t *testing.T) {
+			limit := 100
+			if after {
+				// The handler ends at the first chunk, and the library reads the rest.
+				limit = 1
+			}
+			address, read, next := startReader(t, limit, 0, memory.NewAccount(1<<20))
+			nc := dial(t, address)
+			go func() {
+				_, _ = io.WriteString(nc, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n")
+				for range 4 * maxLooks {
+					for _, b := range []byte("X: yyyy\r\n") {
+						if _, err := nc.Write([]byte{b}); err != nil {
+							return
+						}
+						time.Sleep(10 * time.Microsecond)
+					}
+				}
+			}()
+			next <- true
+			if err, _ := (<-read).(error); !errors.Is(err, ErrTooLong) && !errors.Is(err, ErrTooLarge) {
+				t.Errorf("got error %v, want %v or %v", err, ErrTooLong, ErrTooLarge)
+			}
+			if status, closes := readStatus(t, nc); status != http.StatusRequestEntityTooLarge || !closes {
+				t.Errorf("status %d, closes %v, want %d and a close", status, closes, http.StatusRequestEntityTooLarge)
+			}
+		})
+	}
+}
