A panic of the library at a connection ends that connection only

The HTTP library reads requests outside of their handlers, in goroutines of its own, and panics where its reader does not do as it expects. Now the panic is logged with its stack, and its client's connection is closed.

TestPanicOfAConnectionEndsHost: before, the test process ended; now another connection is served. The two functions of a table of connections are options.

--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -73,7 +74,7 @@
 // and the line of a chunk's size by the limit of the header, and the time in which a request arrives by
 // the read timeout, as the library does not.
 func NewTransporter(o *config.Options) network.Transporter {
-	return Transport(&Requests{}, NewConns(0, nil), nil)(o)
+	return Transport(&Requests{}, NewConns(0), nil)(o)
 }
 
 // Transport is like NewTransporter, counts the requests in progress, bounds the connections, and takes room in an
@@ -143,6 +144,7 @@
 			c.in.reserve = func() *memory.Hold { return t.account.Open(accepted.client, func() { Abort(c) }) }
 		}
 		defer c.end()
+		defer t.recover(nc)
 		// A connection without a request is idle, as after one.
 		c.bound(t.idleTimeout)
 		if _, err := c.Peek(1); err != nil {
@@ -158,6 +160,13 @@
 	})
 }
 
+// recover ends a panic of the library, which reads requests outside of their handlers.
+func (t *transporter) recover(c net.Conn) {
+	if v := recover(); v != nil {
+		t.conns.onPanic(c.RemoteAddr().String(), v, debug.Stack())
+	}
+}
+
 // Shutdown implements network.Transporter. It closes the connections that are left.
 func (t *transporter) Shutdown(ctx context.Context) error {
 	err := t.Transporter.Shutdown(ctx)
--- a/internal/base/socket/conns.go
+++ b/internal/base/socket/conns.go
@@ -5,6 +5,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // state is what a connection does.
@@ -24,6 +26,7 @@
 type Conns struct {
 	limit     int
 	onRefused func(client string)
+	onPanic   func(client string, v any, stack []byte)
 
 	mu      sync.Mutex
 	open    map[*conn]bool
@@ -47,13 +50,35 @@
 	}
 }
 
-// NewConns returns a table of at most limit connections; 0 means no limit. onRefused is called with the client
-// address of each connection that is closed for that; it may be nil.
-func NewConns(limit int, onRefused func(client string)) *Conns {
-	if onRefused == nil {
-		onRefused = func(string) {}
+// ConnsOption configures a table of connections.
+type ConnsOption func(*Conns)
+
+// WithRefused sets the function that is called with the client address of each connection that is closed for
+// the limit.
+func WithRefused(f func(client string)) ConnsOption { return func(t *Conns) { t.onRefused = f } }
+
+// WithPanic sets the function that is called after a panic outside of a handler of requests, which ends the
+// connection of the client only.
+func WithPanic(f func(client string, v any, stack []byte)) ConnsOption {
+	return func(t *Conns) { t.onPanic = f }
+}
+
+// LogPanic returns a function for WithPanic that logs the panic.
+func LogPanic(log zerolog.Logger) func(client string, v any, stack []byte) {
+	return func(client string, v any, stack []byte) {
+		log.Error().Str("client", client).Any("panic", v).Bytes("stack", stack).Msg("connection of a client panicked")
+	}
+}
+
+// NewConns returns a table of at most limit connections; 0 means no limit.
+func NewConns(limit int, opts ...ConnsOption) *Conns {
+	t := &Conns{
+		limit: limit, onRefused: func(string) {}, onPanic: func(string, any, []byte) {}, open: map[*conn]bool{}, clients: map[string]int{},
+	}
+	for _, o := range opts {
+		o(t)
 	}
-	return &Conns{limit: limit, onRefused: onRefused, open: map[*conn]bool{}, clients: map[string]int{}}
+	return t
 }
 
 // conn is an accepted connection.
--- a/internal/base/socket/conns_test.go
+++ b/internal/base/socket/conns_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := server.New(server.WithListener(l), server.WithTransport(Transport(&Requests{}, NewConns(conns, nil), account)), server.WithStreamBody(true),
+	s := server.New(server.WithListener(l), server.WithTransport(Transport(&Requests{}, NewConns(conns), account)), server.WithStreamBody(true),
 		server.WithReadTimeout(bodyTimeout), server.WithIdleTimeout(bodyTimeout), server.WithWriteTimeout(bodyTimeout), server.WithMaxRequestBodySize(1<<20),
 		server.WithMaxHeaderBytes(readAhead), server.WithDisablePrintRoute(true), server.WithExitWaitTime(10*time.Millisecond))
 	read, next = make(chan any, 100), make(chan bool, 100)
@@ -205,7 +205,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = inner.Close() }()
-	l := &boundedListener{Listener: &fullListener{Listener: inner, failures: 3}, conns: NewConns(0, nil)}
+	l := &boundedListener{Listener: &fullListener{Listener: inner, failures: 3}, conns: NewConns(0)}
 	dial(t, inner.Addr().String())
 	nc, err := l.Accept()
 	if err != nil {
@@ -263,7 +263,7 @@
 // TestClosedConnectionIsServed: a request that had arrived when its connection was closed for another one is not served, as its
 // client gets no answer.
 func TestClosedConnectionIsServed(t *testing.T) {
-	now, conns := time.Now(), NewConns(1, nil)
+	now, conns := time.Now(), NewConns(1)
 	add := func() *conn {
 		nc, peer := net.Pipe()
 		t.Cleanup(func() { _ = errors.Join(nc.Close(), peer.Close()) })
@@ -317,3 +317,40 @@
 		})
 	}
 }
+
+// TestPanicOfAConnectionEndsHost: a panic outside of handlers ends the connection of its client only.
+func TestPanicOfAConnectionEndsHost(t *testing.T) {
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	panics := make(chan any, 1)
+	conns := NewConns(0, WithPanic(func(_ string, v any, _ []byte) { panics <- v }))
+	// A server without a recovering handler panics as its library does.
+	s := server.New(server.WithListener(l), server.WithTransport(Transport(&Requests{}, conns, nil)), server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(10*time.Millisecond))
+	s.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		if string(c.Path()) == "/panic" {
+			panic("broken")
+		}
+		c.SetStatusCode(http.StatusOK)
+	})
+	Run(s, func(err error) { t.Error(err) })
+	t.Cleanup(func() { _ = Shutdown(s, 10*time.Millisecond) })
+	other, broken := dial(t, l.Addr().String()), dial(t, l.Addr().String())
+	if _, err := io.WriteString(broken, "GET /panic HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if v := <-panics; v != "broken" {
+		t.Errorf("got panic %v", v)
+	}
+	if _, err := broken.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection is open after the panic")
+	}
+	if _, err := io.WriteString(other, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := readStatus(t, other); status != http.StatusOK {
+		t.Errorf("status %d at another connection, want 200", status)
+	}
+}
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -128,7 +128,8 @@
 	if err != nil {
 		return fmt.Errorf("start admin listener: %w", err)
 	}
-	conns := socket.NewConns(a.Machine.OtherConns(), func(string) { a.Meter.CountClosedConn("admin") })
+	conns := socket.NewConns(a.Machine.OtherConns(), socket.WithRefused(func(string) { a.Meter.CountClosedConn("admin") }),
+		socket.WithPanic(socket.LogPanic(a.Log)))
 	a.server = server.New(
 		server.WithListener(l), server.WithTransport(socket.Transport(&socket.Requests{}, conns, a.Bodies)), server.WithStreamBody(true),
 		server.WithDisablePrintRoute(true), server.WithReadTimeout(readTimeout), server.WithIdleTimeout(idleTimeout),
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -112,10 +112,10 @@
 	notice := socket.Notice(s.Now, func(client string) {
 		s.Log.Warn().Str("listener", use).Str("client", client).Int("limit", limit).Msg("connection closed, as the listener has too many")
 	})
-	return socket.NewConns(limit, func(client string) {
+	return socket.NewConns(limit, socket.WithPanic(socket.LogPanic(s.Log)), socket.WithRefused(func(client string) {
 		s.Meter.CountClosedConn(use)
 		notice(client)
-	})
+	}))
 }
 
 func (s *Server) listen(address string, extra []config.Option) (*server.Hertz, error) {
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -88,10 +88,10 @@
 	notice := socket.Notice(f.Now, func(client string) {
 		f.Log.Warn().Str("listener", "callers").Str("client", client).Int("limit", limit).Msg("connection closed, as the listener has too many")
 	})
-	conns := socket.NewConns(limit, func(client string) {
+	conns := socket.NewConns(limit, socket.WithPanic(socket.LogPanic(f.Log)), socket.WithRefused(func(client string) {
 		f.Meter.CountClosedConn("callers")
 		notice(client)
-	})
+	}))
 	opts := []config.Option{
 		server.WithListener(l), server.WithTransport(socket.Transport(&f.requests, conns, f.Bodies)), server.WithStreamBody(true),
 		server.WithMaxRequestBodySize(f.Settings.Limits.Body),
