--- a/internal/load/crowd/crowd.go
+++ b/internal/load/crowd/crowd.go
@@ -23,7 +23,7 @@
 // The shapes. Those of a legal size send Limit bytes; Whole sends all of them, Small a few bytes, the others stop short of
 // the end and stay open. Announced and Endless exceed the limit, by the length that they announce and by
 // what they send. Heads and LargeHeads stop within the header, DripHeads and DripTrailers send a header and a
-// trailer byte by byte, Idle sends nothing.
+// trailer byte by byte, Idle sends nothing. In a Mixed crowd each client has another shape.
 const (
 	Whole        Shape = "whole bodies"
 	Small        Shape = "small bodies"
@@ -38,11 +38,12 @@
 	DripHeads    Shape = "headers byte by byte"
 	DripTrailers Shape = "trailers byte by byte"
 	Idle         Shape = "idle connections"
+	Mixed        Shape = "all of them together"
 )
 
 // Shapes returns all shapes.
 func Shapes() []Shape {
-	return []Shape{Whole, Small, Short, Pieces, Chunks, Tiny, Announced, Endless, Heads, LargeHeads, DripHeads, DripTrailers, Idle}
+	return []Shape{Whole, Small, Short, Pieces, Chunks, Tiny, Announced, Endless, Heads, LargeHeads, DripHeads, DripTrailers, Idle, Mixed}
 }
 
 const (
@@ -131,6 +132,9 @@
 	if c.TLS != nil && s != Idle {
 		nc = tls.Client(nc, c.TLS)
 	}
+	if s == Mixed {
+		s = Shapes()[number%(len(Shapes())-1)]
+	}
 	w := &countingWriter{w: nc, n: &c.sent}
 	head := fmt.Sprintf(c.Head, number)
 	switch s {
--- a/internal/serve/pool/limit_test.go
+++ b/internal/serve/pool/limit_test.go
@@ -3,32 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net"
 	"testing"
 	"time"
 )
 
-// startSink starts a listener that accepts connections and reads what arrives.
-func startSink(t *testing.T) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() { _, _ = io.Copy(io.Discard, nc) }()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // TestSlowServiceTakesAllConnections: attempts at a service find no room beyond its share, those at others do up to the
 // limit, and what is given back can be used again.
 func TestSlowServiceTakesAllConnections(t *testing.T) {
@@ -62,7 +40,7 @@
 // TestIdleConnectionsExceedTheLimit: idle connections make room for attempts.
 func TestIdleConnectionsExceedTheLimit(t *testing.T) {
 	p := New(WithLimit(4, func(string) {}))
-	addresses := []string{startSink(t), startSink(t)}
+	addresses := []string{listenWrites(t, nil), listenWrites(t, nil)}
 	for n := range 4 {
 		c, err := p.open(context.Background(), addresses[n%2])
 		if err != nil {
