--- a/internal/base/memory/memory.go
+++ b/internal/base/memory/memory.go
@@ -25,8 +25,8 @@
 	maxUnstatedBytes       = 2048 * mib
 	maxUnstatedDescriptors = 1 << 16
 	// runtimeShare is the share of the memory that the Go runtime may use before it collects garbage as
-	// often as it takes.
-	runtimeShare = 0.7
+	// often as it takes. Beside it, receive buffers take connShare, and the program itself the rest.
+	runtimeShare = 0.6
 )
 
 // NewMachine returns the machine that settings state, and what the kernel reports of limits that they leave
