Count hosts that share a rate until an update shows that they are gone, whatever this process has slept

Endpoints start again at 35 s, two of the region's three hosts freeze from 36.0 to 37.5 s.

Cause: a host counted those that it had listed within the last 1.5 s by its own clock. After a pause as long as that it counted none, until its next update, and its share was the whole rate. Ruled out: the suspicion of a restart (the registration was read at 35.77 s, reason 'registered') and the reset of the count ('sent' 0, 3, 3 before).

Now a host counts until an update misses it, and for 1.5 s after that.

--- a/internal/route/quota/quota.go
+++ b/internal/route/quota/quota.go
@@ -24,7 +24,7 @@
 	// it takes longer than discoveryTime to learn of all.
 	settleTime    = time.Second
 	maxSettleTime = 10 * time.Second
-	// departedTime is how long a host counts after it was last listed: its last requests
+	// departedTime is how long a host counts after it was first missing from the list: its last requests
 	// fall into the same second as those that the others send.
 	departedTime = 1500 * time.Millisecond
 	// pacedDepartedTime is the same for a named limit, whose span is longer.
@@ -53,10 +53,16 @@
 	Cores float64
 }
 
-// seenHost is a host with the time when it was last listed.
+// seenHost is a host with the time of the first update that did not list it any more, zero if the last one
+// did. The time since it was last listed would include a pause of this process, in which it did not leave.
 type seenHost struct {
 	Host
-	lastSeen time.Time
+	missing time.Time
+}
+
+// counts reports whether a host counts, which is missing for at most a time.
+func (h seenHost) counts(now time.Time, within time.Duration) bool {
+	return h.missing.IsZero() || now.Sub(h.missing) <= within
 }
 
 // New returns the table of the host self, whose process started at a time.
@@ -69,14 +75,20 @@
 func (t *Table) UpdateHosts(now time.Time, list []Host) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	listed := make(map[string]bool, len(list))
 	for _, h := range list {
 		if _, known := t.hosts[h.Name]; !known {
 			t.grown = now
 		}
-		t.hosts[h.Name] = seenHost{Host: h, lastSeen: now}
+		t.hosts[h.Name], listed[h.Name] = seenHost{Host: h}, true
 	}
 	for name, h := range t.hosts {
-		if now.Sub(h.lastSeen) > pacedDepartedTime {
+		switch {
+		case listed[name]:
+		case h.missing.IsZero():
+			h.missing = now
+			t.hosts[name] = h
+		case !h.counts(now, pacedDepartedTime):
 			delete(t.hosts, name)
 		}
 	}
@@ -88,7 +100,7 @@
 	return t.share(now, endpoint, rate, departedTime)
 }
 
-// share returns Share, with the hosts that were listed within a time.
+// share returns Share, with the hosts that are missing for at most a time.
 func (t *Table) share(now time.Time, endpoint string, rate int, within time.Duration) int {
 	if !t.Settled(now) {
 		return 0
@@ -96,13 +108,13 @@
 	return Part(rate, endpoint, t.self, t.others(now, within))
 }
 
-// others returns the other hosts that were listed within a time.
+// others returns the other hosts that are listed, or missing for at most a time.
 func (t *Table) others(now time.Time, within time.Duration) []Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := make([]Host, 0, len(t.hosts))
 	for _, h := range t.hosts {
-		if now.Sub(h.lastSeen) <= within {
+		if h.counts(now, within) {
 			list = append(list, h.Host)
 		}
 	}
