A test's stream lasts until its endpoint ends, however late that is

Trace: the stream lasted 0.5 s, and the test ends its endpoint once it sees the run; with a pause of 0.6 s there the same line fails each time, and nothing ran at the new process. The stream now lasts 10 s, so it can only break; the checks are the same.

--- a/internal/serve/node/reborn_test.go
+++ b/internal/serve/node/reborn_test.go
@@ -177,7 +177,7 @@
 		return f.nodes["n0"].board.Routes.Version() == 8 && f.nodes["n0"].board.Registry.Len() == 1
 	})
 	e := f.endpoints[rebornID]
-	e.EventGap = 100 * time.Millisecond
+	e.EventGap, e.EventCount = 100*time.Millisecond, 100
 	broken := make(chan error, 1)
 	go func() {
 		_, _, err := f.callHost("n0", http.MethodPost, "/stream/x", "s", nil)
