Refuse an answer whose status line is none of HTTP/1

What callers saw: an endpoint's answer with the status 000 reached them as "HTTP/1.1 200 OK" with the endpoint's body and signature, on routes and for services of the inventory, local and relayed alike. 001 and +20 reached them as lines that no client can parse, 600 and 999 as statuses that HTTP does not have; an answer behind a 101 that nobody had asked for, and answers of HTTP/2.0 and 0.9, as ordinary ones.

Cause: the head is parsed by the standard library, which takes any three characters for a status that are a number and leaves all further judgement to its own client; nothing here stood between that parser and the caller, and the callers' library writes 200 for 0.

Change: package head judges the status line where all answers of endpoints, of the store and of load reports are read: version 1, three digits from 100 to 599, and no 101, in interim answers too. Anything else is ErrBroken: a failed attempt that may have run. Its connection is closed, requests that may be repeated go elsewhere, others get 502.

Ruled out: that only some readers were affected. Attempts of both clients, skipped answers, health checks, the store and load reports all read through ReadAnswer. Still open: heads that another host relays, names of fields, trailers.

--- a/internal/serve/head/head.go
+++ b/internal/serve/head/head.go
@@ -22,8 +22,8 @@
 var ErrTooLong = errors.New("answer too long")
 
 // ErrFraming is the error of an answer of HTTP/1.0 with a transfer encoding. That version has none, so
-// where such an answer ends is not known (RFC 9112, 6.1), and its body may be encoded.
-var ErrFraming = errors.New("answer of HTTP/1.0 has a transfer encoding")
+// where such an answer ends is not known (RFC 9112, 6.1), and its body may be encoded. It is an ErrBroken.
+var ErrFraming = fmt.Errorf("%w: answer of HTTP/1.0 has a transfer encoding", ErrBroken)
 
 // Reader reads answers from a connection. The bodies of the answers read from it too.
 type Reader struct {
@@ -38,8 +38,8 @@
 }
 
 // ReadAnswer reads the head of the answer to a request of the given method and leaves out
-// interim answers. The error is ErrTooLong if a limit is exceeded; the connection can't be
-// used after an error.
+// interim answers. The error is ErrTooLong if a limit is exceeded, and ErrBroken if the head, or that of
+// an interim answer, is broken; the connection can't be used after an error.
 func (r *Reader) ReadAnswer(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
 	r.meter.bytes, r.meter.lines = 0, 0
@@ -55,13 +55,19 @@
 		if r.meter.err != nil {
 			return nil, r.meter.err
 		}
+		if err != nil && r.meter.open && r.meter.ended {
+			return nil, io.ErrUnexpectedEOF
+		}
 		if err != nil {
+			return nil, parserError(err)
+		}
+		if err := checkStatusLine(resp); err != nil {
 			return nil, err
 		}
 		if r.meter.encoded && !resp.ProtoAtLeast(1, 1) {
 			return nil, ErrFraming
 		}
-		if resp.StatusCode < 100 || resp.StatusCode >= 200 {
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
@@ -75,6 +81,8 @@
 	bytes, lines int
 	// open reports whether a head is being read and its end has not arrived yet.
 	open bool
+	// ended reports whether the connection has ended.
+	ended bool
 	// lineBytes is the length of the current line so far.
 	lineBytes int
 	// returned reports whether the current line starts with a carriage return.
@@ -98,7 +106,8 @@
 	if m.err != nil {
 		return 0, m.err
 	}
-	if err != nil && !errors.Is(err, io.EOF) {
+	m.ended = errors.Is(err, io.EOF)
+	if err != nil && !m.ended {
 		m.err = err
 	}
 	return n, err
--- /dev/null
+++ b/internal/serve/host/broken_test.go
@@ -0,0 +1,92 @@
+package host
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/front"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/engine"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/httpd"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/plain"
+)
+
+// post sends a request to a host with the client of the standard library.
+func (f *fleet) post(host, path, body, key string) (status int, text string, err error) {
+	f.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.settings[host].Callers+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set(front.TimeoutField, "5000")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+// TestBrokenHeadReachesCallerOfInventory guards against an answer whose head HTTP does not allow that reaches a
+// caller of a service of the inventory, in the region of its endpoint or in another one. A request that may be
+// repeated gets the answer of another endpoint, and the connection is closed.
+func TestBrokenHeadReachesCallerOfInventory(t *testing.T) {
+	const rest = "Content-Type: text/plain\r\nContent-Length: 6\r\n"
+	heads := map[string]string{
+		"status zero":    "HTTP/1.1 000 OK\r\n" + rest,
+		"status 099":     "HTTP/1.1 099 OK\r\n" + rest,
+		"other protocol": "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+		"version 2":      "HTTP/2.0 200 OK\r\n" + rest,
+	}
+	for region, where := range map[string]string{"a": "local", "b": "relayed"} {
+		t.Run(where, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, plan{
+				hosts:   map[string]string{"a1": "a", "b1": "b"},
+				engines: map[string]string{"e1": region, "e2": region}, plains: map[string]string{"p1": region},
+			})
+			left := func() int { return f.engines["e1"].Left() + f.engines["e2"].Left() + f.plains["p1"].Left() }
+			check := func(name, path, body, key string) {
+				t.Helper()
+				before := left()
+				status, text, err := f.post("a1", path, body, key)
+				// A request that may be repeated can end as no other endpoint is left.
+				refused := status == http.StatusBadGateway || key == "" && status == http.StatusServiceUnavailable
+				if !refused || strings.Contains(text, "broken") || !strings.Contains(text, `"ran":"unknown"`) || err != nil {
+					t.Errorf("%s: got status %d, body %.200q, error %v, want a refusal that says it may have run", name, status, text, err)
+					return
+				}
+				f.eventually("the connection of the broken answer is closed", func() bool { return left() > before })
+			}
+			// One of two engines is broken: each request gets an answer of the other.
+			raw := httpd.Raw{Text: heads["status zero"] + "\r\nbroken", Stay: true}
+			f.engines["e1"].SetFault(engine.Fault{Raw: raw})
+			for i := range 8 {
+				if status, text, err := f.post("a1", chatPath, chatBody(2, i%2 == 0), ""); status != http.StatusOK || strings.Contains(text, "broken") || err != nil {
+					t.Errorf("one broken engine of two: got status %d, body %.200q, error %v", status, text, err)
+				}
+			}
+			if f.engines["e1"].Left() == 0 {
+				t.Error("no request reached the broken engine")
+			}
+			prefix := f.operationPrefix("a1")
+			for name, head := range heads {
+				raw := httpd.Raw{Text: head + "\r\nbroken", Stay: true}
+				f.plains["p1"].SetFault(plain.Fault{Raw: raw})
+				check(name+", operation", orderPath, "x", fmt.Sprintf("%s.%s", prefix, strings.ReplaceAll(name, " ", "-")))
+				for _, e := range f.engines {
+					e.SetFault(engine.Fault{Raw: raw})
+				}
+				check(name+", completion", chatPath, chatBody(2, false), "")
+				check(name+", stream", chatPath, chatBody(2, true), "")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/serve/node/broken_test.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/httpd"
+	"github.com/hyssopspindle/hyssopspindle/internal/stand/routed"
+)
+
+// brokenHead is an answer that HTTP does not allow.
+type brokenHead struct {
+	name string
+	// text is the answer as its endpoint writes it.
+	text string
+	// cause is a part of the cause in the log.
+	cause string
+}
+
+// withStatus returns a whole answer with a status line.
+func withStatus(line string) string {
+	return line + "\r\n" + routed.FieldsMark + "Content-Length: 6\r\n\r\nbroken"
+}
+
+// answerOnce makes each endpoint answer the first run of a request with raw, and its other runs soundly.
+func (f *fleet) answerOnce(raw httpd.Raw) {
+	var mu sync.Mutex
+	seen := map[string]bool{}
+	plan := func(r routed.Run, _ int) routed.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if seen[r.ID] {
+			return routed.Fault{}
+		}
+		seen[r.ID] = true
+		return routed.Fault{Raw: raw}
+	}
+	for _, e := range f.endpoints {
+		e.SetPlan(plan)
+	}
+}
+
+// causes returns the causes of the failed attempts at a request in the logs.
+func (f *fleet) causes(id string) []string {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	var out []string
+	for _, line := range f.log.lines {
+		if line["request"] == id && line["message"] == "attempt failed" {
+			out = append(out, fmt.Sprint(line["cause"]))
+		}
+	}
+	return out
+}
+
+func (f *fleet) cancelled() int {
+	n := 0
+	for _, e := range f.endpoints {
+		n += e.Cancelled()
+	}
+	return n
+}
+
+// checkBrokenHeads sends requests of each kind to endpoints that answer first with a broken head, in the caller's
+// region and in the other one: none of it reaches a caller. Requests that may be repeated get another answer, the
+// others 502. The log shows what was broken, and the connection is closed.
+func checkBrokenHeads(t *testing.T, heads []brokenHead) {
+	const maxCause = 300
+	for region, where := range map[string]string{"a": "local", "b": "relayed"} {
+		t.Run(where, func(t *testing.T) {
+			t.Parallel()
+			// Half of the requests are sent again.
+			bounds := setup.DefaultBounds()
+			bounds.RetrySlack = 500
+			f := startFleetWithBounds(t, bounds)
+			f.onlyIn(region, "plain")
+			f.onlyIn(region, "model")
+			for _, h := range heads {
+				f.answerOnce(httpd.Raw{Text: h.text, Stay: true})
+				for _, path := range []string{"/unsafe/x", "/safe/x", "/stream-once/x", "/stream/x"} {
+					id, closed := h.name+" "+path, f.cancelled()
+					var header http.Header
+					status, body, err := f.callResponse("a", http.MethodPost, path, id, func(r *http.Response) { header = r.Header }, func(r *http.Request) {
+						r.Header.Set(platTerms.Deadline, "5000")
+					})
+					var sound bool
+					switch path {
+					case "/safe/x":
+						sound = status == http.StatusOK && body == routed.PlainAnswer(id)
+					case "/stream/x":
+						sound = status == http.StatusOK && body == wholeStream(id)
+					default:
+						sound = status == http.StatusBadGateway && header.Get(routed.SignedBy) == "" && !strings.Contains(body, "broken")
+					}
+					if !sound || err != nil {
+						t.Errorf("%s: got status %d, header %v, body %.200q, error %v", id, status, header, body, err)
+						break
+					}
+					causes := f.causes(id)
+					if len(causes) == 0 || !strings.Contains(causes[0], h.cause) || len(causes[0]) > maxCause {
+						t.Errorf("%s: the log has the causes %.400q, want %q", id, causes, h.cause)
+					}
+					f.eventually("the connection of the broken answer is closed", func() bool { return f.cancelled() > closed })
+				}
+			}
+		})
+	}
+}
+
+// TestAnswerWithBrokenStatusReachesCaller guards against an answer whose status line is none of HTTP/1: the library
+// parses a status of any three characters that are a number, and writes 200 for the status 000.
+func TestAnswerWithBrokenStatusReachesCaller(t *testing.T) {
+	checkBrokenHeads(t, []brokenHead{
+		{"zero", withStatus("HTTP/1.1 000 OK"), `status "000"`},
+		{"minus zero", withStatus("HTTP/1.1 -00 OK"), `status "-00"`},
+		{"one", withStatus("HTTP/1.1 001 OK"), `status "001"`},
+		{"below the lowest", withStatus("HTTP/1.1 099 OK"), `status "099"`},
+		{"plus sign", withStatus("HTTP/1.1 +20 OK"), `status "+20"`},
+		{"above the highest", withStatus("HTTP/1.1 600 OK"), `status "600"`},
+		{"highest number", withStatus("HTTP/1.1 999 OK"), `status "999"`},
+		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + withStatus("HTTP/1.1 200 OK"), `status "101"`},
+		{"version 2", withStatus("HTTP/2.0 200 OK"), `version "HTTP/2.0"`},
+		{"version 0.9", withStatus("HTTP/0.9 200 OK"), `version "HTTP/0.9"`},
+		{"four digits", withStatus("HTTP/1.1 0200 OK"), "0200"},
+		{"letters", withStatus("HTTP/1.1 2xx OK"), "2xx"},
+		{"long line", withStatus("HTTP/1.1 " + strings.Repeat("7", 5000)), "777"},
+		{"no HTTP", withStatus("SSH-2.0-x"), "SSH"},
+		{"long status line without HTTP", withStatus(strings.Repeat("x", 5000)), "xxx"},
+	})
+}
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -59,6 +59,8 @@
 	RefuseResume bool `json:"forget"`
 	// Down closes the connections of load polls.
 	Down bool `json:"down"`
+	// Raw is sent as the answer, without running the request.
+	Raw httpd.Raw `json:"raw"`
 }
 
 // Record describes one request that the engine admitted.
@@ -121,6 +123,8 @@
 	fault       Fault
 	cache       *prefixCache
 	loadHistory []loadSample
+	// left is the number of raw answers whose client closed the connection.
+	left int
 }
 
 type loadSample struct {
@@ -220,6 +224,9 @@
 	case f.Status != 0:
 		httpd.WriteJSON(w, f.Status, "fault")
 		return
+	case f.Raw != (httpd.Raw{}):
+		e.sendRaw(w, f.Raw)
+		return
 	}
 	j, ok := e.admit(r, q)
 	if !ok {
@@ -235,6 +242,21 @@
 	e.sendComplete(w, r, j, f)
 }
 
+func (e *Engine) sendRaw(w http.ResponseWriter, a httpd.Raw) {
+	if a.Send(w) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.left++
+	}
+}
+
+// Left returns the number of raw answers whose client closed the connection.
+func (e *Engine) Left() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.left
+}
+
 // admit queues a request. It returns false if the queue is full.
 func (e *Engine) admit(r *http.Request, q completionRequest) (*job, bool) {
 	e.mu.Lock()
--- a/internal/stand/plain/plain.go
+++ b/internal/stand/plain/plain.go
@@ -33,6 +33,10 @@
 	Leaving bool `json:"leaving"`
 	// DelayMS delays the response after the call ran, in milliseconds.
 	DelayMS int `json:"delay_ms"`
+	// Raw runs the call and sends this answer.
+	Raw httpd.Raw `json:"raw"`
+	// RawLoad is sent instead of load reports.
+	RawLoad httpd.Raw `json:"raw_load"`
 }
 
 // Effect is one run of a call that is not a read.
@@ -55,6 +59,8 @@
 	effects []Effect
 	reads   int
 	running int
+	// left is the number of raw answers whose client closed the connection.
+	left int
 }
 
 type answer struct {
@@ -131,6 +137,9 @@
 	f := s.nextFault()
 	s.addRunning(1)
 	defer s.addRunning(-1)
+	if f.Raw.Early {
+		r.Body = io.NopCloser(io.LimitReader(r.Body, int64(f.Raw.Read)))
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -159,11 +168,28 @@
 		httpd.CloseConn(w)
 	case f.SilentAfter:
 		<-r.Context().Done()
+	case f.Raw != (httpd.Raw{}):
+		s.sendRaw(w, f.Raw)
 	default:
 		httpd.WriteJSON(w, http.StatusOK, answer{Service: s.name, Path: r.URL.Path, Number: number, Body: string(body)})
 	}
 }
 
+func (s *Service) sendRaw(w http.ResponseWriter, a httpd.Raw) {
+	if a.Send(w) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.left++
+	}
+}
+
+// Left returns the number of raw answers whose client closed the connection.
+func (s *Service) Left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left
+}
+
 // run counts a read or records an effect, and returns its number. A GET with an
 // operation key is an effect.
 func (s *Service) run(r *http.Request, body []byte) int {
@@ -183,8 +209,12 @@
 
 func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	l := loadReport{Running: s.running, Leaving: s.fault.Leaving}
+	l, raw := loadReport{Running: s.running, Leaving: s.fault.Leaving}, s.fault.RawLoad
 	s.mu.Unlock()
+	if raw != (httpd.Raw{}) {
+		s.sendRaw(w, raw)
+		return
+	}
 	httpd.WriteJSON(w, http.StatusOK, l)
 }
 
--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -63,8 +64,13 @@
 	Only string
 	// Paced is how a stream is sent, nil for the other faults. It needs a plan.
 	Paced *Paced
+	// Raw runs the request and sends this answer, with FieldsMark replaced.
+	Raw httpd.Raw
 }
 
+// FieldsMark in a raw answer stands for the lines of the fields of an ordinary answer.
+const FieldsMark = "{fields}"
+
 // sendsNothing reports whether the endpoint neither answers nor sends a copy.
 func (f Fault) sendsNothing() bool { return f.Silent && f.Late == "" }
 
@@ -432,6 +438,9 @@
 		return
 	}
 	defer leave()
+	if f.Raw.Early {
+		r.Body = io.NopCloser(io.LimitReader(r.Body, int64(f.Raw.Read)))
+	}
 	run, from := e.recordRun(r, id)
 	f = e.planned(run, f)
 	e.delayHead()
@@ -440,6 +449,11 @@
 		httpd.Sleep(r.Context(), e.AnswerTime)
 		e.end(w, c, id)
 	}
+	e.answer(w, r, streamRun{id: id, run: run, from: from}, f)
+}
+
+// answer answers a request that runs.
+func (e *Endpoint) answer(w http.ResponseWriter, r *http.Request, s streamRun, f Fault) {
 	switch {
 	case f.sendsNothing():
 		<-r.Context().Done()
@@ -448,12 +462,24 @@
 		panic(http.ErrAbortHandler)
 	case f.Flood != "":
 		e.sendFlood(w, f.Flood)
+	case f.Raw != (httpd.Raw{}):
+		e.sendRaw(w, f.Raw)
 	case f.Status != 0:
 		e.sendStatus(w, f)
 	case strings.Contains(r.URL.Path, "stream"):
-		e.sendStream(w, r, streamRun{id: id, run: run, from: from}, f)
+		e.sendStream(w, r, s, f)
 	default:
-		e.sendBody(w, r, id, f)
+		e.sendBody(w, r, s.id, f)
+	}
+}
+
+// sendRaw sends a raw answer. A client that closes the connection counts as one that cancelled.
+func (e *Endpoint) sendRaw(w http.ResponseWriter, a httpd.Raw) {
+	var fields strings.Builder
+	_ = w.Header().Write(&fields)
+	a.Text = strings.ReplaceAll(a.Text, FieldsMark, fields.String())
+	if a.Send(w) {
+		e.countCancelled()
 	}
 }
 
