Refuse an answer with a blank in the name of a field

What callers saw: an answer with "X Odd: 1" or "X-Odd : 1" in its head, or in a trailer, reached them as a success. With "Content-Length : 6" or "Transfer-Encoding : chunked" the field did not count, so the answer lasted until its connection ended: the caller got nothing, and 504 at its deadline. "Request-Id : ID" made an answer without an id, which was passed on.

Cause: the standard library's parser keeps a name with a blank as it stands, where RFC 9112 (5.1) demands that a gateway discards it or refuses the answer, and looks for lengths and encodings under their exact names only.

Change: the judge of heads checks all names and values of a head, of interim answers, and of the trailer once the body ends, by httpguts of golang.org/x/net, which was among the modules already. A broken one makes the attempt fail as one that may have run.

Bare LF, folded lines, a length beside chunks, 204 and 205 with a body and a name with a blank in the value of Trailer are only unusual, and pass as before.

--- a/internal/serve/head/head.go
+++ b/internal/serve/head/head.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -61,15 +62,19 @@
 		if err != nil {
 			return nil, parserError(err)
 		}
-		if err := checkStatusLine(resp); err != nil {
+		if err := cmp.Or(checkStatusLine(resp), checkFields(resp.Header)); err != nil {
 			return nil, err
 		}
 		if r.meter.encoded && !resp.ProtoAtLeast(1, 1) {
 			return nil, ErrFraming
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		if resp.StatusCode < http.StatusOK {
+			continue
 		}
+		if len(resp.TransferEncoding) > 0 {
+			resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp}
+		}
+		return resp, nil
 	}
 	return nil, fmt.Errorf("%w: more than %d interim answers", ErrTooLong, MaxInterim)
 }
--- a/internal/serve/head/judge.go
+++ b/internal/serve/head/judge.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrBroken is the error of an answer whose head HTTP does not allow. The endpoint may have run the request.
@@ -43,3 +46,43 @@
 	}
 	return nil
 }
+
+// checkField returns ErrBroken unless a field has a name and a value of HTTP. The parser keeps a name with a blank
+// as it is, so such a length or encoding does not count as one.
+func checkField(name, value string) error {
+	if !httpguts.ValidHeaderFieldName(name) {
+		return fmt.Errorf("%w: field %.*q", ErrBroken, maxShown, name)
+	}
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return fmt.Errorf("%w: value %.*q of field %.*q", ErrBroken, maxShown, value, maxShown, name)
+	}
+	return nil
+}
+
+func checkFields(fields http.Header) error {
+	for name, values := range fields {
+		for _, v := range values {
+			if err := checkField(name, v); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// chunkedBody is the body of an answer in chunks. Its end is ErrBroken if a field of the trailer is broken.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if err := checkFields(b.resp.Trailer); err != nil {
+			return n, fmt.Errorf("read trailer: %w", err)
+		}
+	}
+	return n, err
+}
--- a/internal/serve/head/judge_test.go
+++ b/internal/serve/head/judge_test.go
@@ -58,3 +58,42 @@
 		}
 	}
 }
+
+// TestFieldsAreJudged: the fields of heads and trailers are those of HTTP, and what is only unusual passes.
+func TestFieldsAreJudged(t *testing.T) {
+	const ok, chunked = "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+	var broken, sound []string
+	for _, line := range []string{
+		"X Odd: 1", "X-Odd : 1", "Content-Length : 1", "Transfer-Encoding : chunked", "X-" + strings.Repeat("y ", 1000) + ": 1",
+		// The parser refuses these.
+		"X\tOdd: 1", "X-Odd\t: 1", "X\x00: 1", "X\x01: 1", "X\r: 1", "X\x7f: 1", "X\xe9: 1", "é: 1", ": 1", "X-Odd", "(X): 1", "X@: 1",
+		"X: a\x00", "X: \x01", "X: a\rb", "X: \x7f",
+	} {
+		broken = append(broken, ok+"A: b\r\n"+line+"\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 100 Continue\r\nA: b\r\n"+line+"\r\n\r\n"+ok+"Content-Length: 1\r\n\r\nx")
+	}
+	for _, line := range []string{"X Odd: 1", "X-Odd : 1"} {
+		broken = append(broken, ok+chunked+line+"\r\n\r\n")
+	}
+	for _, line := range []string{
+		"X: caf\xe9", "X: é", "X:", "X: ", "X:\ta\tb\t", "X: a\r\n b", "X: a\r\n\tb", "!#$%&'*+-.^_`|~09aZ: 1", "X: 1\r\nX: 2", "Trailer: X Odd",
+	} {
+		sound = append(sound, ok+line+"\r\nContent-Length: 1\r\n\r\nx", strings.ReplaceAll(ok+line+"\r\nContent-Length: 1\r\n\r\nx", "\r\n", "\n"))
+	}
+	sound = append(sound,
+		ok+chunked+"X-Odd: 1\r\n\r\n", ok+"Trailer: X Odd\r\n"+chunked+"A: b\r\n\r\n", ok+chunked+"Content-Length: 9\r\n\r\n",
+		ok+"Content-Length: 9\r\n"+chunked+"\r\n", "HTTP/1.1 204 No Content\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 205 Reset Content\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", ok+"Content-Length: 1\r\nContent-Length: 1\r\n\r\nx", ok+"\r\nx",
+	)
+	checkAnswers(t, true, broken)
+	checkAnswers(t, false, sound)
+}
+
+// TestContradictoryFramingIsRefused: the parser refuses answers that do not state where they end.
+func TestContradictoryFramingIsRefused(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	checkAnswers(t, true, []string{
+		ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx", ok + "Content-Length: 1, 1\r\n\r\nx", ok + "Content-Length: -1\r\n\r\n", ok + "Content-Length: +1\r\n\r\nx",
+		ok + "Content-Length: 1x\r\n\r\nx", ok + "Content-Length: 99999999999999999999\r\n\r\n", ok + "Transfer-Encoding: gzip\r\n\r\nx",
+		ok + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n", ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	})
+}
--- a/internal/serve/host/broken_test.go
+++ b/internal/serve/host/broken_test.go
@@ -44,6 +44,10 @@
 		"status 099":     "HTTP/1.1 099 OK\r\n" + rest,
 		"other protocol": "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
 		"version 2":      "HTTP/2.0 200 OK\r\n" + rest,
+		"blank in name":  "HTTP/1.1 200 OK\r\nX Odd: 1\r\n" + rest,
+		"blank behind":   "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n" + rest,
+		"length":         "HTTP/1.1 200 OK\r\nContent-Length : 6\r\n",
+		"control byte":   "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n" + rest,
 	}
 	for region, where := range map[string]string{"a": "local", "b": "relayed"} {
 		t.Run(where, func(t *testing.T) {
--- a/internal/serve/node/broken_test.go
+++ b/internal/serve/node/broken_test.go
@@ -132,3 +132,43 @@
 		{"long status line without HTTP", withStatus(strings.Repeat("x", 5000)), "xxx"},
 	})
 }
+
+// withField returns a whole answer with a line among the fields of its head.
+func withField(line string) string {
+	return "HTTP/1.1 200 OK\r\n" + routed.FieldsMark + line + "\r\nContent-Length: 6\r\n\r\nbroken"
+}
+
+// TestAnswerWithBrokenFieldReachesCaller guards against an answer with a blank or a control byte in the name of a
+// field, which the library keeps under that name: a length or an encoding of that name does not end the body.
+func TestAnswerWithBrokenFieldReachesCaller(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n" + routed.FieldsMark
+	checkBrokenHeads(t, []brokenHead{
+		{"blank within a name", withField("X Odd: 1"), `field "X Odd"`},
+		{"blank behind a name", withField("X-Odd : 1"), `field "X-Odd "`},
+		{"blank behind the name of a known field", withField("Retry-After : 1"), `field "Retry-After "`},
+		{"blank in an interim answer", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + withField("A: b"), `field "X Odd"`},
+		{"length", ok + "Content-Length : 6\r\n\r\nbroken", `field "Content-Length "`},
+		{"chunks", ok + "Transfer-Encoding : chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n", `field "Transfer-Encoding "`},
+		{"trailer", ok + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX Odd: 1\r\n\r\n", `field "X Odd"`},
+		{"tab within a name", withField("X\tOdd: 1"), "malformed"},
+		{"tab behind a name", withField("X-Odd\t: 1"), "malformed"},
+		{"NUL in a name", withField("X\x00Odd: 1"), "malformed"},
+		{"control byte in a name", withField("X\x01Odd: 1"), "malformed"},
+		{"DEL in a name", withField("X\x7fOdd: 1"), "malformed"},
+		{"carriage return in a name", withField("X\rOdd: 1"), "malformed"},
+		{"byte over 0x7f in a name", withField("X\xe9Odd: 1"), "malformed"},
+		{"empty name", withField(": 1"), "malformed"},
+		{"no colon", withField("X-Odd"), "malformed"},
+		{"NUL in a value", withField("X-Odd: a\x00b"), "malformed"},
+		{"control byte in a value", withField("X-Odd: a\x01b"), "malformed"},
+		{"carriage return in a value", withField("X-Odd: a\rb"), "malformed"},
+	})
+}
+
+// TestAnswerWithBrokenIDFieldIsSkipped guards against an answer whose field with the request's id has a blank behind
+// its name: it counted as an answer without an id.
+func TestAnswerWithBrokenIDFieldIsSkipped(t *testing.T) {
+	checkBrokenHeads(t, []brokenHead{
+		{"id", "HTTP/1.1 200 OK\r\n" + platTerms.RequestID + " : id\r\n" + routed.SignedBy + ": x\r\nContent-Length: 6\r\n\r\nbroken", platTerms.RequestID},
+	})
+}
