Refuse a broken head that another host relays

What callers saw: while two releases run, a host of an older one relays heads that it did not check: the status 000 reached the caller of a newer host as 200, and a value with a line break as a further field.

Cause: the judge of heads stood only where a host reads answers of endpoints. What arrives from other hosts, as a head or as the error answer that a refusal carries, was taken as it came.

Change: flow.readAnswer checks each head that arrives, for routes, for services of the inventory and for operations at their home host. The attempt fails as one that may have run, with 502 if it is not repeated; the link and the region do not count as failed, as the endpoint is to blame. A broken error answer is dropped, and the refusal that carried it names why in the log.

Ruled out: answers that a home host keeps for an operation, which it read itself; frames out of order, which were refused before.

Evidence: TestBrokenHeadOfRelayIsPassedOn failed for each of its 12 heads before (whole, passed on), and passes; so does TestBrokenErrorAnswerOfRelayIsPassedOn.

--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -12,6 +12,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -151,9 +152,9 @@
 var ErrStalled = errors.New("stream of the other host has no events")
 
 // HostFailed reports whether an error of Exchange is a failure of the other host or of the
-// link to it.
+// link to it, and not of the endpoint whose answer it relays.
 func HostFailed(err error) bool {
-	return err != nil && !errors.Is(err, ErrSink) && !errors.Is(err, ErrCancelled) && !errors.Is(err, ErrStalled)
+	return err != nil && !errors.Is(err, ErrSink) && !errors.Is(err, ErrCancelled) && !errors.Is(err, ErrStalled) && !errors.Is(err, head.ErrBroken)
 }
 
 // relayResult returns the result of a relayed attempt that ended with end or err.
@@ -165,6 +166,11 @@
 		return result{callerLeft: true, started: t.report.Started, ran: fault.RanUnknown, reason: retry.Broken}
 	case errors.Is(err, link.ErrNotSent):
 		return notSentResult(err)
+	case errors.Is(err, head.ErrBroken):
+		return result{
+			started: t.report.Started, reason: retry.Broken, ran: fault.RanUnknown,
+			refusal: newRefusal(fault.EndpointError, fault.RanUnknown, err, "endpoint failed"),
+		}
 	case err != nil:
 		return result{
 			started: t.report.Started, reason: retry.Relay, ran: fault.RanUnknown, uncharged: errors.Is(err, ErrUnacked),
@@ -290,7 +296,12 @@
 			}
 			return fr.End, nil
 		}
-		begun = begun || fr.Head != nil
+		if fr.Head != nil {
+			if err := head.Check(*fr.Head); err != nil {
+				return nil, err
+			}
+			begun = true
+		}
 		err = silence.pass(stream.HasData(fr.Data), func() error {
 			if !acked && sink.Acked != nil {
 				sink.Acked()
--- a/internal/serve/flow/remote_test.go
+++ b/internal/serve/flow/remote_test.go
@@ -20,6 +20,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 )
 
 // newLink returns a link on a loopback address with credentials of the authority.
@@ -424,3 +425,41 @@
 		}
 	}
 }
+
+// TestBrokenHeadOfRelayIsPassedOn guards against a head that HTTP does not allow, which a relay of an older release
+// passes on: the attempt has failed and may have run, and the relay itself has not failed.
+func TestBrokenHeadOfRelayIsPassedOn(t *testing.T) {
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	field := func(name, value string) wire.Head {
+		return wire.Head{Status: 200, Fields: []wire.Field{{Name: "A", Value: "b"}, {Name: name, Value: value}}}
+	}
+	for name, h := range map[string]wire.Head{
+		"no status": {}, "below the lowest": {Status: 99}, "interim": {Status: 103}, "other protocol": {Status: 101}, "above the highest": {Status: 600}, "negative": {Status: -1},
+		"blank in a name": field("X Odd", "1"), "blank behind a name": field("X-Odd ", "1"), "empty name": field("", "1"), "control byte in a name": field("X\x01", "1"),
+		"line break in a value": field("X", "a\r\nB: c"), "control byte in a value": field("X", "a\x00"),
+	} {
+		relay := newLink(t, ca, "relay", link.Handlers{Stream: func(_ context.Context, _ string, s *link.Stream) {
+			if _, err := s.Read(wire.MaxFrame, later()); err == nil {
+				for _, f := range []wire.Frame{{KeepAlive: true}, {Head: &h}, {Data: []byte("broken")}, {End: &wire.End{}}} {
+					_ = s.Write(f, later())
+				}
+			}
+			s.Finish()
+		}})
+		entry := newLink(t, ca, "entry", link.Handlers{})
+		passed := 0
+		sink := client.Sink{Head: func(wire.Head) error { passed++; return nil }, Data: func([]byte) error { passed++; return nil }}
+		end, err := Exchange(t.Context(), entry, "relay", relay.Address(), wire.Request{ID: "r"}, sink, time.Second)
+		if end != nil || !errors.Is(err, head.ErrBroken) || HostFailed(err) || passed != 0 || !entry.Connected("relay") {
+			t.Errorf("%s: got end %+v, error %v, passed on %d parts, want a broken head", name, end, err, passed)
+		}
+		res := remoteAttempt(t, ca, relay)(sink)
+		if res.whole || res.started || res.ran != fault.RanUnknown || res.refusal == nil || res.refusal.Code != fault.EndpointError || passed != 0 {
+			t.Errorf("%s: result %+v, want a failed attempt that may have run", name, res)
+		}
+	}
+}
--- a/internal/serve/front/operation.go
+++ b/internal/serve/front/operation.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/dedup"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 )
 
 // runOperation runs an operation, which must not run twice, through its home host. The
@@ -97,6 +98,8 @@
 	case errors.Is(err, link.ErrNotSent):
 		return fault.New(fault.HomeLost, ranEarlier(firstAttempt), "home host %s is unreachable", host.Name).
 			WithCause(err).WithRetryAfter(time.Second)
+	case errors.Is(err, head.ErrBroken):
+		return fault.New(fault.EndpointError, fault.RanUnknown, "endpoint failed").WithCause(err)
 	case err != nil:
 		return fault.New(fault.HomeLost, fault.RanUnknown, "home host %s did not answer", host.Name).
 			WithCause(err).WithRetryAfter(time.Second)
--- a/internal/serve/head/judge.go
+++ b/internal/serve/head/judge.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 )
 
 // ErrBroken is the error of an answer whose head HTTP does not allow. The endpoint may have run the request.
@@ -86,3 +88,20 @@
 	}
 	return n, err
 }
+
+// Check returns ErrBroken unless a head that another host relays is one that ReadAnswer would have
+// returned: a host of an older release relays what it did not check.
+func Check(h wire.Head) error {
+	if err := checkStatus(h.Status); err != nil {
+		return err
+	}
+	if h.Status < http.StatusOK {
+		return fmt.Errorf("%w: status \"%d\" of an interim answer", ErrBroken, h.Status)
+	}
+	for _, f := range h.Fields {
+		if err := checkField(f.Name, f.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/serve/proxy/continue_test.go
+++ b/internal/serve/proxy/continue_test.go
@@ -22,8 +22,8 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
-// head returns the head of an answer with a status and a media type.
-func head(status int, mediaType string, fields ...wire.Field) wire.Head {
+// answerHead returns the head of an answer with a status and a media type.
+func answerHead(status int, mediaType string, fields ...wire.Field) wire.Head {
 	if mediaType != "" {
 		fields = append(fields, wire.Field{Name: "Content-Type", Value: mediaType})
 	}
@@ -59,25 +59,25 @@
 		next  wire.Head
 		fails bool
 	}{
-		{"server error", head(http.StatusInternalServerError, "text/plain"), true},
-		{"server error as events", head(http.StatusInternalServerError, events), true},
-		{"bad gateway", head(http.StatusBadGateway, ""), true},
-		{"not found", head(http.StatusNotFound, "text/plain"), true},
-		{"text", head(http.StatusOK, "text/plain; charset=utf-8"), true},
-		{"JSON", head(http.StatusOK, "application/json"), true},
-		{"lines of JSON", head(http.StatusOK, "application/x-ndjson"), true},
-		{"no type", head(http.StatusOK, ""), true},
-		{"type with the same beginning", head(http.StatusOK, "text/event-streams"), true},
-		{"encoded events", head(http.StatusOK, events, gzip), true},
-		{"no content", head(http.StatusNoContent, ""), true},
-		{"a part", head(http.StatusPartialContent, events), true},
-		{"accepted", head(http.StatusAccepted, events), true},
-		{"events", head(http.StatusOK, events), false},
-		{"events with a parameter", head(http.StatusOK, "Text/Event-Stream;charset=utf-8"), false},
+		{"server error", answerHead(http.StatusInternalServerError, "text/plain"), true},
+		{"server error as events", answerHead(http.StatusInternalServerError, events), true},
+		{"bad gateway", answerHead(http.StatusBadGateway, ""), true},
+		{"not found", answerHead(http.StatusNotFound, "text/plain"), true},
+		{"text", answerHead(http.StatusOK, "text/plain; charset=utf-8"), true},
+		{"JSON", answerHead(http.StatusOK, "application/json"), true},
+		{"lines of JSON", answerHead(http.StatusOK, "application/x-ndjson"), true},
+		{"no type", answerHead(http.StatusOK, ""), true},
+		{"type with the same beginning", answerHead(http.StatusOK, "text/event-streams"), true},
+		{"encoded events", answerHead(http.StatusOK, events, gzip), true},
+		{"no content", answerHead(http.StatusNoContent, ""), true},
+		{"a part", answerHead(http.StatusPartialContent, events), true},
+		{"accepted", answerHead(http.StatusAccepted, events), true},
+		{"events", answerHead(http.StatusOK, events), false},
+		{"events with a parameter", answerHead(http.StatusOK, "Text/Event-Stream;charset=utf-8"), false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			p, task, sink, heads, bytes := streamProxy(time.Unix(1_000_000, 0))
-			if err := errors.Join(sink.Head(head(http.StatusOK, events)), sink.Data([]byte("id: 0\ndata: x\n\n"))); err != nil {
+			if err := errors.Join(sink.Head(answerHead(http.StatusOK, events)), sink.Data([]byte("id: 0\ndata: x\n\n"))); err != nil {
 				t.Fatal(err)
 			}
 			release := "v1"
@@ -108,7 +108,7 @@
 
 // TestFirstAnswerIsPassedOn: an answer that has not begun may be of any status and type.
 func TestFirstAnswerIsPassedOn(t *testing.T) {
-	for _, first := range []wire.Head{head(http.StatusInternalServerError, "text/plain"), head(http.StatusOK, "application/json"), head(http.StatusNotFound, "")} {
+	for _, first := range []wire.Head{answerHead(http.StatusInternalServerError, "text/plain"), answerHead(http.StatusOK, "application/json"), answerHead(http.StatusNotFound, "")} {
 		p, task, sink, heads, _ := streamProxy(time.Unix(1_000_000, 0))
 		if err := p.remoteSink(task, sink).Head(first); err != nil || *heads != 1 {
 			t.Errorf("status %d: error %v, %d heads passed on, want 1", first.Status, err, *heads)
@@ -122,7 +122,7 @@
 	for _, tt := range []struct {
 		first     wire.Head
 		continues bool
-	}{{head(http.StatusOK, "text/plain"), false}, {head(http.StatusOK, "text/event-stream"), true}} {
+	}{{answerHead(http.StatusOK, "text/plain"), false}, {answerHead(http.StatusOK, "text/event-stream"), true}} {
 		p, task, sink, _, _ := streamProxy(time.Unix(1_000_000, 0))
 		release := "v1"
 		tt.first.Release = &release
@@ -158,7 +158,7 @@
 	} {
 		p, task, sink, _, _ := streamProxy(now)
 		if tt.started {
-			if err := sink.Head(head(http.StatusOK, "text/event-stream")); err != nil {
+			if err := sink.Head(answerHead(http.StatusOK, "text/event-stream")); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -176,7 +176,7 @@
 		r := NewRelayed(&received, now).Request
 		relayed := newTask(&r, false)
 		attempt := p.endpointAttempt(relayed, decision{endpoint: regis.Endpoint{ID: "e"}})
-		if rejected := attempt.Accept(head(http.StatusInternalServerError, "")) != nil; rejected != tt.want {
+		if rejected := attempt.Accept(answerHead(http.StatusInternalServerError, "")) != nil; rejected != tt.want {
 			t.Errorf("%s: failure is rejected: %v, want %v", tt.name, rejected, tt.want)
 		}
 	}
--- a/internal/serve/proxy/relay_test.go
+++ b/internal/serve/proxy/relay_test.go
@@ -1,13 +1,16 @@
 package proxy
 
 import (
+	"errors"
 	"testing"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/acks"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 )
 
 // TestSilentRelayGetsRequests: a relay that acknowledges nothing gets no further request
@@ -56,3 +59,25 @@
 		t.Errorf("relayed to %v after r1 has started again, want r1", got)
 	}
 }
+
+// TestBrokenErrorAnswerOfRelayIsPassedOn guards against an error answer with a head that HTTP does not allow, which a
+// relay of an older release sends with its refusal.
+func TestBrokenErrorAnswerOfRelayIsPassedOn(t *testing.T) {
+	p := releaseProxy(time.Unix(1_000_000, 0))
+	for name, tt := range map[string]struct {
+		head  wire.Head
+		sound bool
+	}{
+		"sound":       {wire.Head{Status: 500, Fields: []wire.Field{{Name: "X-Odd", Value: "1"}}}, true},
+		"no status":   {wire.Head{}, false},
+		"above":       {wire.Head{Status: 600}, false},
+		"broken name": {wire.Head{Status: 500, Fields: []wire.Field{{Name: "X Odd", Value: "1"}}}, false},
+	} {
+		task := &task{Request: Request{Route: &rules.Route{}}, tried: map[string]bool{}}
+		end := &wire.End{Code: fault.EndpointError, Ran: fault.RanYes, Attempts: 1, Runs: 1, Answer: &wire.Answer{Head: tt.head}}
+		res := p.relayResult(task, end, nil)
+		if (res.errorAnswer != nil) != tt.sound || errors.Is(res.refusal.Cause, head.ErrBroken) == tt.sound || res.ran != fault.RanYes || res.relayRuns != 1 {
+			t.Errorf("%s: got answer %+v, cause %v, ran %s, want it passed on: %v", name, res.errorAnswer, res.refusal.Cause, res.ran, tt.sound)
+		}
+	}
+}
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -15,6 +15,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/splice"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
@@ -162,6 +163,11 @@
 		return result{callerLeft: true, started: started, ran: fault.RanUnknown, reason: retry.Broken, refusal: newRefusal(fault.Cancelled, fault.RanUnknown, err, "caller disconnected")}
 	case errors.Is(err, link.ErrNotSent):
 		return notSentResult(err)
+	case errors.Is(err, head.ErrBroken):
+		return result{
+			started: started, reason: retry.Broken, ran: fault.RanUnknown,
+			refusal: newRefusal(fault.EndpointError, fault.RanUnknown, err, "endpoint failed"),
+		}
 	case err != nil:
 		return result{
 			started: started, reason: retry.Relay, ran: fault.RanUnknown, uncharged: errors.Is(err, flow.ErrUnacked),
@@ -183,7 +189,14 @@
 		// A host of an older build reports only how many attempts reached an endpoint.
 		runs = end.Attempts
 	}
-	return result{
-		relayRuns: runs, started: started, reason: retry.Relay, ran: end.Ran, uncharged: end.Attempts == 0, refusal: flow.RefusalFromEnd(end), errorAnswer: end.Answer,
+	res := result{relayRuns: runs, started: started, reason: retry.Relay, ran: end.Ran, uncharged: end.Attempts == 0, refusal: flow.RefusalFromEnd(end)}
+	if end.Answer == nil {
+		return res
+	}
+	if err := head.Check(end.Answer.Head); err != nil {
+		res.refusal = res.refusal.WithCause(fmt.Errorf("check error answer: %w", err))
+		return res
 	}
+	res.errorAnswer = end.Answer
+	return res
 }
