Refuse an encoded answer to a caller that asked for none

What callers saw: an endpoint's answer with a Content-Encoding reached callers that had asked for no encoding, as a success whose bytes are not the body that they read. By the users' pages such an answer "is not the runner's body" (PROTOCOL, Answers), so it is broken and not only unusual. Streams were guarded since splice; whole answers and error answers were not.

Change: on published routes an attempt fails, as one that has run, if its answer has an encoding and the request has no Accept-Encoding other than identity: it is sent elsewhere if it may be repeated, others get 502. The same holds for heads and error answers that another host relays. An answer to a caller that asked is passed on as before, whichever encoding it has, and identity is none. The head is sound, so the connection is kept.

Evidence: TestEncodedAnswerReachesCallerThatDidNotAsk failed before, local and relayed (200 with the encoded body), and passes; TestEncodedAnswerReachesCallerThatAsked held before and holds.

--- a/internal/serve/head/judge.go
+++ b/internal/serve/head/judge.go
@@ -105,3 +105,34 @@
 	}
 	return nil
 }
+
+// ErrEncoded is the error of an encoded answer to a request that asks for no encoding: its bytes are not
+// the body that the caller reads.
+var ErrEncoded = errors.New("answer has an encoding that the request does not ask for")
+
+// Encoding returns the encoding of the body of an answer, empty for none.
+func Encoding(h wire.Head) string {
+	encoding := h.Field("Content-Encoding")
+	if strings.EqualFold(encoding, identity) {
+		return ""
+	}
+	return encoding
+}
+
+// identity is the name of no encoding.
+const identity = "identity"
+
+// CheckEncoding returns ErrEncoded if an answer is encoded and the fields of the request ask for no encoding. Which
+// of the encodings that it asks for a request gets is left to the endpoint.
+func CheckEncoding(h wire.Head, request []wire.Field) error {
+	encoding := Encoding(h)
+	if encoding == "" {
+		return nil
+	}
+	for _, f := range request {
+		if strings.EqualFold(f.Name, "Accept-Encoding") && f.Value != "" && !strings.EqualFold(f.Value, identity) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: encoding %.*q", ErrEncoded, maxShown, encoding)
+}
--- a/internal/serve/node/broken_test.go
+++ b/internal/serve/node/broken_test.go
@@ -68,7 +68,7 @@
 // checkBrokenHeads sends requests of each kind to endpoints that answer first with a broken head, in the caller's
 // region and in the other one: none of it reaches a caller. Requests that may be repeated get another answer, the
 // others 502. The log shows what was broken, and the connection is closed.
-func checkBrokenHeads(t *testing.T, heads []brokenHead) {
+func checkBrokenHeads(t *testing.T, reusable bool, heads []brokenHead) {
 	const maxCause = 300
 	for region, where := range map[string]string{"a": "local", "b": "relayed"} {
 		t.Run(where, func(t *testing.T) {
@@ -80,12 +80,14 @@
 			f.onlyIn(region, "plain")
 			f.onlyIn(region, "model")
 			for _, h := range heads {
-				f.answerOnce(httpd.Raw{Text: h.text, Stay: true})
+				f.answerOnce(httpd.Raw{Text: h.text, Stay: !reusable})
 				for _, path := range []string{"/unsafe/x", "/safe/x", "/stream-once/x", "/stream/x"} {
 					id, closed := h.name+" "+path, f.cancelled()
 					var header http.Header
 					status, body, err := f.callResponse("a", http.MethodPost, path, id, func(r *http.Response) { header = r.Header }, func(r *http.Request) {
 						r.Header.Set(platTerms.Deadline, "5000")
+						// Otherwise the client asks for an encoding.
+						r.Header.Set("Accept-Encoding", "identity")
 					})
 					var sound bool
 					switch path {
@@ -104,7 +106,7 @@
 					if len(causes) == 0 || !strings.Contains(causes[0], h.cause) || len(causes[0]) > maxCause {
 						t.Errorf("%s: the log has the causes %.400q, want %q", id, causes, h.cause)
 					}
-					f.eventually("the connection of the broken answer is closed", func() bool { return f.cancelled() > closed })
+					f.eventually("the connection of the broken answer is closed", func() bool { return reusable || f.cancelled() > closed })
 				}
 			}
 		})
@@ -114,7 +116,7 @@
 // TestAnswerWithBrokenStatusReachesCaller guards against an answer whose status line is none of HTTP/1: the library
 // parses a status of any three characters that are a number, and writes 200 for the status 000.
 func TestAnswerWithBrokenStatusReachesCaller(t *testing.T) {
-	checkBrokenHeads(t, []brokenHead{
+	checkBrokenHeads(t, false, []brokenHead{
 		{"zero", withStatus("HTTP/1.1 000 OK"), `status "000"`},
 		{"minus zero", withStatus("HTTP/1.1 -00 OK"), `status "-00"`},
 		{"one", withStatus("HTTP/1.1 001 OK"), `status "001"`},
@@ -142,7 +144,7 @@
 // field, which the library keeps under that name: a length or an encoding of that name does not end the body.
 func TestAnswerWithBrokenFieldReachesCaller(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n" + routed.FieldsMark
-	checkBrokenHeads(t, []brokenHead{
+	checkBrokenHeads(t, false, []brokenHead{
 		{"blank within a name", withField("X Odd: 1"), `field "X Odd"`},
 		{"blank behind a name", withField("X-Odd : 1"), `field "X-Odd "`},
 		{"blank behind the name of a known field", withField("Retry-After : 1"), `field "Retry-After "`},
@@ -168,7 +170,39 @@
 // TestAnswerWithBrokenIDFieldIsSkipped guards against an answer whose field with the request's id has a blank behind
 // its name: it counted as an answer without an id.
 func TestAnswerWithBrokenIDFieldIsSkipped(t *testing.T) {
-	checkBrokenHeads(t, []brokenHead{
+	checkBrokenHeads(t, false, []brokenHead{
 		{"id", "HTTP/1.1 200 OK\r\n" + platTerms.RequestID + " : id\r\n" + routed.SignedBy + ": x\r\nContent-Length: 6\r\n\r\nbroken", platTerms.RequestID},
 	})
 }
+
+// TestEncodedAnswerReachesCallerThatDidNotAsk guards against an encoded answer to a caller that asked for none, which
+// is not the body that the caller reads.
+func TestEncodedAnswerReachesCallerThatDidNotAsk(t *testing.T) {
+	checkBrokenHeads(t, true, []brokenHead{
+		{"text", withField("Content-Encoding: gzip"), `encoding "gzip"`},
+		{"events", withField("Content-Encoding: br\r\nContent-Type: text/event-stream"), `encoding "br"`},
+		{"long name of an encoding", withField("Content-Encoding: " + strings.Repeat("x", 5000)), `encoding "xxx`},
+	})
+}
+
+// TestEncodedAnswerReachesCallerThatAsked: an encoding that the caller accepts is the endpoint's affair, and identity
+// is none.
+func TestEncodedAnswerReachesCallerThatAsked(t *testing.T) {
+	for region, where := range map[string]string{"a": "local", "b": "relayed"} {
+		t.Run(where, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t)
+			f.onlyIn(region, "plain")
+			for accepted, encoding := range map[string]string{"gzip, br;q=0.5": "gzip", "identity": "identity", "*": "br"} {
+				f.answerOnce(httpd.Raw{Text: withField("Content-Encoding: " + encoding)})
+				var header http.Header
+				status, body, err := f.callResponse("a", http.MethodPost, "/unsafe/x", accepted, func(r *http.Response) { header = r.Header }, func(r *http.Request) {
+					r.Header.Set("Accept-Encoding", accepted)
+				})
+				if status != http.StatusOK || body != "broken" || err != nil || header.Get("Content-Encoding") != encoding {
+					t.Errorf("%s: got status %d, header %v, body %q, error %v, want the endpoint's answer", accepted, status, header, body, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/serve/proxy/local.go
+++ b/internal/serve/proxy/local.go
@@ -154,7 +154,7 @@
 		attempt.HeadTimeout = t.Route.Target + d.expectedLatency
 	}
 	attempt.IdleTimeout = idleTimeout(t.Route)
-	attempt.RetryServerErrors, attempt.Accept = retryable, t.received.Accept
+	attempt.RetryServerErrors, attempt.Accept = retryable, t.accept
 	if t.report.Started && attempt.HeadTimeout > 0 {
 		// The target of the first token is met or missed already.
 		attempt.HeadTimeout = max(attempt.HeadTimeout, minSilence)
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -28,6 +28,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/split"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/usage"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/splice"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
@@ -467,6 +468,15 @@
 	}
 }
 
+// accept returns an error if the caller can't get an answer with the head: it is not the rest of what the
+// caller has, or has an encoding that the caller did not ask for.
+func (t *task) accept(h wire.Head) error {
+	if err := t.received.Accept(h); err != nil {
+		return err
+	}
+	return head.CheckEncoding(h, t.Fields)
+}
+
 func (p *Proxy) attempt(ctx context.Context, t *task, d decision, sink client.Sink) result {
 	begun, after := t.received.Begun(), t.lastEventID
 	var part splice.Part
--- a/internal/serve/proxy/relay_test.go
+++ b/internal/serve/proxy/relay_test.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"errors"
 	"testing"
 	"time"
 
@@ -10,7 +9,6 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
-	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 )
 
 // TestSilentRelayGetsRequests: a relay that acknowledges nothing gets no further request
@@ -60,8 +58,8 @@
 	}
 }
 
-// TestBrokenErrorAnswerOfRelayIsPassedOn guards against an error answer with a head that HTTP does not allow, which a
-// relay of an older release sends with its refusal.
+// TestBrokenErrorAnswerOfRelayIsPassedOn guards against an error answer that a relay of an older release sends with its
+// refusal, with a head that HTTP does not allow or in an encoding that the caller did not ask for.
 func TestBrokenErrorAnswerOfRelayIsPassedOn(t *testing.T) {
 	p := releaseProxy(time.Unix(1_000_000, 0))
 	for name, tt := range map[string]struct {
@@ -72,11 +70,12 @@
 		"no status":   {wire.Head{}, false},
 		"above":       {wire.Head{Status: 600}, false},
 		"broken name": {wire.Head{Status: 500, Fields: []wire.Field{{Name: "X Odd", Value: "1"}}}, false},
+		"encoded":     {wire.Head{Status: 500, Fields: []wire.Field{{Name: "Content-Encoding", Value: "gzip"}}}, false},
 	} {
 		task := &task{Request: Request{Route: &rules.Route{}}, tried: map[string]bool{}}
 		end := &wire.End{Code: fault.EndpointError, Ran: fault.RanYes, Attempts: 1, Runs: 1, Answer: &wire.Answer{Head: tt.head}}
 		res := p.relayResult(task, end, nil)
-		if (res.errorAnswer != nil) != tt.sound || errors.Is(res.refusal.Cause, head.ErrBroken) == tt.sound || res.ran != fault.RanYes || res.relayRuns != 1 {
+		if (res.errorAnswer != nil) != tt.sound || (res.refusal.Cause == nil) != tt.sound || res.ran != fault.RanYes || res.relayRuns != 1 {
 			t.Errorf("%s: got answer %+v, cause %v, ran %s, want it passed on: %v", name, res.errorAnswer, res.refusal.Cause, res.ran, tt.sound)
 		}
 	}
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -77,13 +78,13 @@
 }
 
 // remoteSink returns a sink that records the endpoint of another region's answer and fails if the
-// answer does not continue the stream that has begun, or would at another release. A relay of an
+// caller can't get the answer, or it would continue a stream at another release. A relay of an
 // older build does not check either.
 func (p *Proxy) remoteSink(t *task, sink client.Sink) client.Sink {
 	return client.Sink{
 		Head: func(h wire.Head) error {
 			t.report.Endpoint = h.Endpoint
-			if err := t.received.Accept(h); err != nil {
+			if err := t.accept(h); err != nil {
 				return err
 			}
 			if err := p.checkRelease(t, h); err != nil {
@@ -143,36 +144,9 @@
 
 // relayResult returns the result of a relayed attempt that ended with end or err.
 func (p *Proxy) relayResult(t *task, end *wire.End, err error) result {
-	started := t.report.Started
 	switch {
-	case errors.Is(err, errOtherRelease):
-		if t.barred == nil {
-			t.barred = map[string]bool{}
-		}
-		t.barred[t.report.Region] = true
-		return result{
-			started: started, reason: retry.Relay, ran: fault.RanUnknown,
-			refusal: newRefusal(fault.RelayError, fault.RanUnknown, err, "other region would continue the stream at another release"),
-		}
-	case errors.Is(err, splice.ErrOther):
-		return result{
-			started: started, reason: retry.Relay, ran: fault.RanYes,
-			refusal: newRefusal(fault.RelayError, fault.RanYes, err, "endpoint of the other region did not continue the stream"),
-		}
-	case errors.Is(err, flow.ErrSink):
-		return result{callerLeft: true, started: started, ran: fault.RanUnknown, reason: retry.Broken, refusal: newRefusal(fault.Cancelled, fault.RanUnknown, err, "caller disconnected")}
-	case errors.Is(err, link.ErrNotSent):
-		return notSentResult(err)
-	case errors.Is(err, head.ErrBroken):
-		return result{
-			started: started, reason: retry.Broken, ran: fault.RanUnknown,
-			refusal: newRefusal(fault.EndpointError, fault.RanUnknown, err, "endpoint failed"),
-		}
 	case err != nil:
-		return result{
-			started: started, reason: retry.Relay, ran: fault.RanUnknown, uncharged: errors.Is(err, flow.ErrUnacked),
-			refusal: newRefusal(fault.RelayError, fault.RanUnknown, err, "other region did not answer"),
-		}
+		return p.relayFailure(t, err)
 	case end.Code == "":
 		return result{whole: true, ran: fault.RanYes, relayRuns: end.Runs}
 	case end.Code == fault.BadRequest && t.report.Region == p.Board.Region:
@@ -189,14 +163,45 @@
 		// A host of an older build reports only how many attempts reached an endpoint.
 		runs = end.Attempts
 	}
-	res := result{relayRuns: runs, started: started, reason: retry.Relay, ran: end.Ran, uncharged: end.Attempts == 0, refusal: flow.RefusalFromEnd(end)}
+	res := result{relayRuns: runs, started: t.report.Started, reason: retry.Relay, ran: end.Ran, uncharged: end.Attempts == 0, refusal: flow.RefusalFromEnd(end)}
 	if end.Answer == nil {
 		return res
 	}
-	if err := head.Check(end.Answer.Head); err != nil {
+	if err := cmp.Or(head.Check(end.Answer.Head), t.accept(end.Answer.Head)); err != nil {
 		res.refusal = res.refusal.WithCause(fmt.Errorf("check error answer: %w", err))
 		return res
 	}
 	res.errorAnswer = end.Answer
 	return res
 }
+
+// relayFailure returns the result of a relayed attempt that failed with err.
+func (p *Proxy) relayFailure(t *task, err error) result {
+	// failed returns the result of an attempt whose endpoint may have run the request.
+	failed := func(reason retry.Reason, ran fault.Ran, code fault.Code, text string) result {
+		return result{started: t.report.Started, reason: reason, ran: ran, refusal: newRefusal(code, ran, err, text)}
+	}
+	switch {
+	case errors.Is(err, errOtherRelease):
+		if t.barred == nil {
+			t.barred = map[string]bool{}
+		}
+		t.barred[t.report.Region] = true
+		return failed(retry.Relay, fault.RanUnknown, fault.RelayError, "other region would continue the stream at another release")
+	case errors.Is(err, splice.ErrOther):
+		return failed(retry.Relay, fault.RanYes, fault.RelayError, "endpoint of the other region did not continue the stream")
+	case errors.Is(err, head.ErrEncoded):
+		return failed(retry.Status, fault.RanYes, fault.EndpointError, "endpoint failed")
+	case errors.Is(err, head.ErrBroken):
+		return failed(retry.Broken, fault.RanUnknown, fault.EndpointError, "endpoint failed")
+	case errors.Is(err, flow.ErrSink):
+		res := failed(retry.Broken, fault.RanUnknown, fault.Cancelled, "caller disconnected")
+		res.callerLeft = true
+		return res
+	case errors.Is(err, link.ErrNotSent):
+		return notSentResult(err)
+	}
+	res := failed(retry.Relay, fault.RanUnknown, fault.RelayError, "other region did not answer")
+	res.uncharged = errors.Is(err, flow.ErrUnacked)
+	return res
+}
--- a/internal/serve/splice/splice.go
+++ b/internal/serve/splice/splice.go
@@ -4,9 +4,9 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -59,6 +59,5 @@
 // IsEvents reports whether an answer with the head is a stream of events. An encoded one is not, as
 // its bytes can't be split into events.
 func IsEvents(h wire.Head) bool {
-	encoding := h.Field("Content-Encoding")
-	return h.Status == http.StatusOK && stream.IsEvents(MediaType(h)) && (encoding == "" || strings.EqualFold(encoding, "identity"))
+	return h.Status == http.StatusOK && stream.IsEvents(MediaType(h)) && head.Encoding(h) == ""
 }
