Hold that an early answer without a length that is reset is not whole

Report: an endpoint answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written; on other systems the caller got that part as the whole.

Found: it holds here, and no code changes. On routes by confirmEnd of serve/pool: the end of an unframed answer counts only once the request is written. The client of the inventory writes the whole request before it reads, so a reset fails the write or the read.

--- a/internal/serve/host/broken_test.go
+++ b/internal/serve/host/broken_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/front"
 	"github.com/hyssopspindle/hyssopspindle/internal/stand/engine"
@@ -94,3 +95,33 @@
 		})
 	}
 }
+
+// TestEarlyAnswerWithoutLengthThatIsResetOfInventory guards against a part of an answer that reaches its caller as the
+// whole: the endpoint answers a long upload at once without a length, and resets the connection while it is written.
+func TestEarlyAnswerWithoutLengthThatIsResetOfInventory(t *testing.T) {
+	for region, where := range map[string]string{"a": "local", "b": "relayed"} {
+		t.Run(where, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, plan{hosts: map[string]string{"a1": "a", "b1": "b"}, plains: map[string]string{"p1": region}})
+			prefix := f.operationPrefix("a1")
+			n := 0
+			for _, read := range []int{0, 4 << 10, 256 << 10} {
+				for _, pause := range []time.Duration{0, 2 * time.Millisecond, 20 * time.Millisecond, 1200 * time.Millisecond} {
+					f.plains["p1"].SetFault(plain.Fault{Raw: httpd.Raw{
+						Text: "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart", Early: true, Read: read, Pause: pause, Reset: true,
+					}})
+					for _, size := range []int{1 << 10, 64 << 10, 300 << 10, 4 << 20} {
+						n++
+						status, text, err := f.post("a1", orderPath, strings.Repeat("u", size), fmt.Sprint(prefix, ".", n))
+						if status != http.StatusBadGateway || strings.Contains(text, "part") || !strings.Contains(text, `"ran":"unknown"`) || err != nil {
+							t.Errorf("upload of %d bytes, read %d, reset after %v: got status %d, body %.200q, error %v", size, read, pause, status, text, err)
+						}
+					}
+				}
+			}
+			if got := len(f.plains["p1"].Effects()); got < n {
+				t.Errorf("%d of %d requests reached the endpoint", got, n)
+			}
+		})
+	}
+}
