Account for the answers that a host with an inventory reads

Report: an endpoint sends bytes without end, in a head or in a body; the machine that called it keeps them all and runs out of memory.

What we saw: on a host of 284 MiB with an inventory, 24 operations whose endpoint sends a body without end took a heap of 416 to 547 MiB, with four of them running at a time (TestEndlessAnswersTakeHostsMemory, before); at the client alone 24 took 2.6 GiB.

Cause: held.Account bounds what a host reads at the same time for published routes only. The client of the inventory had no account: each answer was kept up to limits.answer, 64 MiB by default, in a slice that grows by doubling.

Bodies are collected in blocks, as on routes, by one type for both (held.Body). Beyond the limit answers without a length end first, the longest before others, as retry reason oversize. Heads without end were bounded before (10 to 91 MiB) and stay in the test.

Not in the account, as each is bounded by itself and few are read at a time: the store (8 MiB), the configuration (1 MiB a part), the list of hosts (4 MiB), load reports (64 KiB each).

Evidence: TestEndlessAnswersTakeHostsMemory failed in four of six cases (416 to 547 MiB), and passes with 118 to 128 MiB, local and relayed, without a length and in chunks; each connection is closed, and 24 sound answers beside them are served.

--- a/internal/serve/client/client.go
+++ b/internal/serve/client/client.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -64,11 +65,14 @@
 	RetryStatuses []int
 	// MaxAnswerBytes bounds the body of the answer.
 	MaxAnswerBytes int
+	// Held is the account of what is kept of the answer until the sink has it; nil means no limit.
+	Held *held.Account
 }
 
 // Sink receives an answer. An error from Head or Data means that the caller disconnected.
 type Sink struct {
 	Head func(wire.Head) error
+	// Data may keep the bytes, and does not change them.
 	Data func([]byte) error
 	// Acked is called when a peer host confirms that it received the request. It can
 	// be nil.
@@ -139,7 +143,7 @@
 		r.result.Reason = retry.Broken
 	case !e.connected():
 		r.result.Reason = retry.Dial
-	case errors.Is(err, head.ErrTooLong) || errors.Is(err, stream.ErrTooLong):
+	case errors.Is(err, head.ErrTooLong) || errors.Is(err, stream.ErrTooLong) || errors.Is(err, held.ErrFull):
 		r.result.Reason = retry.Oversize
 	case e.watchdog.fired.Load():
 		r.result.Reason = retry.Silent
@@ -252,11 +256,18 @@
 // passWhole reads the whole body of an answer that is not a stream before it passes
 // anything on: the body is small, and until then the request can be retried.
 func (r *attemptRun) passWhole(e *exchange, sendHead func() error) {
-	body, err := r.readAll(e)
+	hold := r.attempt.Held.Open(r.attempt.Address, e.resp.ContentLength >= 0, e.cancel)
+	defer hold.Close()
+	body, err := r.readAll(e, hold)
+	if hold.Dropped() {
+		err = held.ErrFull
+	}
 	if err != nil {
 		r.recordFailure(e, fmt.Errorf("read answer: %w", err))
 		return
 	}
+	// The sink accounts for what it keeps.
+	hold.Close()
 	if err := sendHead(); err != nil {
 		r.callerLeft(err)
 		return
@@ -268,22 +279,24 @@
 	r.result.Whole, r.result.Ran = true, fault.RanYes
 }
 
-func (r *attemptRun) readAll(e *exchange) ([]byte, error) {
-	var body []byte
-	src := e.resp.Body
-	buf := make([]byte, readChunkBytes)
+// readAll reads a body. The error is held.ErrFull if it was dropped for another answer.
+func (r *attemptRun) readAll(e *exchange, hold *held.Answer) ([]byte, error) {
+	body := held.NewBody(e.resp.ContentLength)
 	for {
-		n, err := src.Read(buf)
+		n, err := e.resp.Body.Read(body.Room())
 		if n > 0 {
 			r.recordFirstByte()
-			body = append(body, buf[:n]...)
-			e.watchdog.extend(transferTime(len(body)))
+			body.Extend(n)
+			e.watchdog.extend(transferTime(body.Len()))
 		}
-		if len(body) > r.attempt.MaxAnswerBytes {
+		if body.Len() > r.attempt.MaxAnswerBytes {
 			return nil, fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, r.attempt.MaxAnswerBytes)
 		}
+		if err := hold.Grow(n); err != nil {
+			return nil, err
+		}
 		if errors.Is(err, io.EOF) {
-			return body, nil
+			return body.Bytes(), nil
 		}
 		if err != nil {
 			return nil, fmt.Errorf("read body: %w", err)
@@ -309,12 +322,20 @@
 // on only if the stream is unbroken up to it.
 func (r *attemptRun) passEvents(e *exchange, sendHead func() error) {
 	src := e.resp.Body
+	hold := r.attempt.Held.Open(r.attempt.Address, false, e.cancel)
+	defer hold.Close()
 	buf := make([]byte, readChunkBytes)
+	partial := 0
 	for {
 		n, err := src.Read(buf)
 		if n > 0 && !r.passChunk(e, buf[:n], sendHead) {
 			return
 		}
+		if growErr := hold.Grow(r.splitter.Buffered() - partial); growErr != nil {
+			// A resumed stream would be read again as far.
+			err, r.result.Resumes = growErr, maxResumes
+		}
+		partial = r.splitter.Buffered()
 		if r.splitter.Done() {
 			r.result.Whole, r.result.Ran, r.result.Err = true, fault.RanYes, nil
 			return
--- a/internal/serve/client/get.go
+++ b/internal/serve/client/get.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 )
 
 // Get requests a document of at most limit bytes from an endpoint or the platform. It
@@ -25,8 +26,11 @@
 	if err := e.do(http.MethodGet, path, nil, nil); err != nil {
 		return 0, "", nil, fmt.Errorf("get %s: %w", path, err)
 	}
+	var account *held.Account
+	hold := account.Open(address, false, e.cancel)
+	defer hold.Close()
 	r := &attemptRun{ctx: ctx, attempt: Attempt{MaxAnswerBytes: limit}}
-	body, err = r.readAll(e)
+	body, err = r.readAll(e, hold)
 	if err != nil {
 		return 0, "", nil, fmt.Errorf("get %s: %w", path, err)
 	}
--- a/internal/serve/flow/flow.go
+++ b/internal/serve/flow/flow.go
@@ -22,6 +22,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/queue"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 )
 
 // Request is a caller's request after validation.
@@ -72,6 +73,7 @@
 	link      *link.Link
 	now       func() time.Time
 	maxAnswer int
+	held      *held.Account
 	// roundRobin counts the decisions, for the round-robin policy.
 	roundRobin atomic.Uint64
 
@@ -90,6 +92,9 @@
 // WithMaxAnswer sets the largest size of an answer, in bytes.
 func WithMaxAnswer(n int) Option { return func(f *Flow) { f.maxAnswer = n } }
 
+// WithHeld sets the account of the answers that are kept until they are passed on.
+func WithHeld(a *held.Account) Option { return func(f *Flow) { f.held = a } }
+
 // defaultMaxAnswer is the default of the largest answer, in bytes.
 const defaultMaxAnswer = 64 << 20
 
--- a/internal/serve/flow/local.go
+++ b/internal/serve/flow/local.go
@@ -29,7 +29,7 @@
 	a := client.Attempt{
 		Address: e.Address, Method: t.Method, Path: t.Path, Body: t.Body,
 		Fields: t.endpointFields(), Deadline: t.Deadline, IdleTimeout: t.Service.IdleTimeout(),
-		NotRunStatuses: t.Service.NotRun, MaxAnswerBytes: f.maxAnswer,
+		NotRunStatuses: t.Service.NotRun, MaxAnswerBytes: f.maxAnswer, Held: f.held,
 	}
 	if t.Retryable {
 		a.RetryStatuses = retryStatuses
--- a/internal/serve/held/held.go
+++ b/internal/serve/held/held.go
@@ -1,9 +1,10 @@
-// Package held accounts for the bytes of whole answers that a host has read from its
-// endpoints and not passed on yet.
+// Package held accounts for the bytes of answers that a host keeps, whoever reads them: what it has read from its
+// endpoints or received from other hosts, and what waits to be written.
 package held
 
 import (
 	"errors"
+	"math"
 	"sync"
 )
 
@@ -11,7 +12,7 @@
 // holds too many bytes.
 var ErrFull = errors.New("too many bytes of answers are held")
 
-// Account is the account of one host.
+// Account is the account of one host. A nil account has no limit.
 type Account struct {
 	limit, share int
 	onLevel      func(bytes int)
@@ -22,9 +23,10 @@
 	answers map[*Answer]bool
 }
 
-// Answer is an answer that is being read.
+// Answer is an answer that is being read, or that waits to be written.
 type Answer struct {
-	account  *Account
+	account *Account
+	// endpoint is empty for an answer that counts towards the limit only.
 	endpoint string
 	// sized reports whether the answer has announced its length.
 	sized   bool
@@ -39,9 +41,17 @@
 	return &Account{limit: limit, share: share, onLevel: onLevel, shares: map[string]int{}, answers: map[*Answer]bool{}}
 }
 
+// OpenWhole adds an answer that has arrived as a whole, or whose parts do, and that is kept until it is
+// written. It counts towards the limit, and not to the share of its endpoint. end is called if it is dropped for
+// another one. The caller closes the answer.
+func (a *Account) OpenWhole(end func()) *Answer { return a.Open("", true, end) }
+
 // Open adds an answer of an endpoint. end is called if the answer is dropped for another
 // one. The caller closes the answer.
 func (a *Account) Open(endpoint string, sized bool, end func()) *Answer {
+	if a == nil {
+		a = New(math.MaxInt, math.MaxInt, func(int) {})
+	}
 	r := &Answer{account: a, endpoint: endpoint, sized: sized, end: end}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -62,7 +72,7 @@
 	r.bytes += n
 	a.add(r.endpoint, n)
 	var others []*Answer
-	for !r.dropped && (a.total > a.limit || a.shares[r.endpoint] > a.share) {
+	for !r.dropped && (a.total > a.limit || a.exceedsShare(r.endpoint)) {
 		worst := a.worst(r)
 		a.remove(worst)
 		worst.dropped = true
@@ -102,7 +112,7 @@
 func (a *Account) worst(r *Answer) *Answer {
 	worst := r
 	for o := range a.answers {
-		if a.shares[r.endpoint] > a.share && o.endpoint != r.endpoint {
+		if a.exceedsShare(r.endpoint) && o.endpoint != r.endpoint {
 			continue
 		}
 		if o.sized != worst.sized {
@@ -118,6 +128,10 @@
 	return worst
 }
 
+func (a *Account) exceedsShare(endpoint string) bool {
+	return endpoint != "" && a.shares[endpoint] > a.share
+}
+
 func (a *Account) remove(r *Answer) {
 	delete(a.answers, r)
 	a.add(r.endpoint, -r.bytes)
@@ -125,9 +139,11 @@
 
 func (a *Account) add(endpoint string, n int) {
 	a.total += n
-	a.shares[endpoint] += n
-	if a.shares[endpoint] == 0 {
-		delete(a.shares, endpoint)
+	if endpoint != "" {
+		a.shares[endpoint] += n
+		if a.shares[endpoint] == 0 {
+			delete(a.shares, endpoint)
+		}
 	}
 	a.onLevel(a.total)
 }
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -28,6 +28,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/dedup"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/front"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/relay"
 )
 
@@ -42,6 +43,9 @@
 	// closeDelay lets the last answers reach their callers before the connections
 	// close.
 	closeDelay = 500 * time.Millisecond
+	// maxHeld bounds the bytes of answers that a host with enough memory keeps, unless a single answer
+	// may be larger.
+	maxHeld = 256 << 20
 )
 
 // Host is one host process.
@@ -70,6 +74,8 @@
 	// machine is the machine of the host, bodies the account of the bodies of requests.
 	machine memory.Machine
 	bodies  *memory.Account
+	// held is the account of the answers that the host keeps.
+	held *held.Account
 }
 
 // New returns a host, which serves once Start has run.
@@ -92,7 +98,10 @@
 	h.bodies = memory.NewAccount(h.machine.BodyBytes(),
 		memory.WithLevel(func(bytes int) { h.meter.BodyBytes.Set(float64(bytes)) }), memory.WithRefused(h.bodyRefused))
 	h.board = board.New(h.started, s.Name, s.Region, s.Centre, s.Limits.OpenCaller)
-	h.flow = flow.New(h.board, h.meter, l, flow.WithMaxAnswer(s.Limits.Answer), flow.WithNow(h.now))
+	limit := h.machine.AnswerBytes(max(maxHeld, s.Limits.Answer))
+	// One endpoint may send the largest answer, or many at a time.
+	h.held = held.New(limit, max(limit/2, min(limit, s.Limits.Answer)), func(bytes int) { h.meter.HeldBytes.Set(float64(bytes)) })
+	h.flow = flow.New(h.board, h.meter, l, flow.WithMaxAnswer(s.Limits.Answer), flow.WithNow(h.now), flow.WithHeld(h.held))
 	h.home = dedup.NewHome(s.Limits.Operations)
 	if err := h.assemble(creds); err != nil {
 		_ = l.Close()
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -643,6 +643,8 @@
 		e.fail(fmt.Errorf("read body: %w", err))
 		return 0
 	}
+	// The sink accounts for what it keeps.
+	hold.Close()
 	e.result.Started, e.result.Ran = true, fault.RanYes
 	if err := e.sink.Head(e.head); err != nil {
 		e.callerLeft(err)
@@ -656,29 +658,19 @@
 	return keepAliveTimeout(resp)
 }
 
-// readAll reads a body in blocks, as a buffer that grows would hold it several times over.
+// readAll reads a body.
 func (e *exchange) readAll(resp *http.Response, hold *held.Answer) ([]byte, error) {
-	blockBytes := readChunkBytes
-	if resp.ContentLength >= 0 {
-		// One more byte leaves room for the read that finds the end.
-		blockBytes = int(min(resp.ContentLength+1, readChunkBytes))
-	}
-	var blocks [][]byte
-	block, total := make([]byte, 0, blockBytes), 0
+	body := held.NewBody(resp.ContentLength)
 	for {
-		if len(block) == cap(block) {
-			blocks = append(blocks, block)
-			block = make([]byte, 0, readChunkBytes)
-		}
-		n, err := resp.Body.Read(block[len(block):cap(block)])
+		n, err := resp.Body.Read(body.Room())
 		if n > 0 && e.result.TimeToFirstByte == 0 {
 			e.result.TimeToFirstByte = e.client.Now().Sub(e.start)
 			if e.attempt.IdleTimeout > 0 {
 				e.setReadDeadline(e.attempt.IdleTimeout)
 			}
 		}
-		block = block[:len(block)+n]
-		if total += n; total > e.attempt.MaxAnswerBytes {
+		body.Extend(n)
+		if body.Len() > e.attempt.MaxAnswerBytes {
 			return nil, fmt.Errorf("%w: exceeds %d bytes", head.ErrTooLong, e.attempt.MaxAnswerBytes)
 		}
 		if err := hold.Grow(n); err != nil {
@@ -688,15 +680,12 @@
 			if err := e.confirmEnd(); err != nil {
 				return nil, err
 			}
-			if len(blocks) == 0 {
-				return block, nil
-			}
-			return bytes.Join(append(blocks, block), nil), nil
+			return body.Bytes(), nil
 		}
 		if err != nil {
 			return nil, err
 		}
-		e.extendReadDeadline(transferTime(total))
+		e.extendReadDeadline(transferTime(body.Len()))
 	}
 }
 
--- a/internal/serve/pool/conn.go
+++ b/internal/serve/pool/conn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -146,7 +145,7 @@
 	d := &net.Dialer{KeepAlive: -1, Control: setUserTimeout}
 	p := &Pool{
 		dial: func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
-		now:  time.Now, idle: map[string][]*conn{}, busy: map[string]map[*conn]bool{}, unnamed: map[string]time.Time{}, byService: map[string]int{}, held: held.New(math.MaxInt, math.MaxInt, func(int) {}),
+		now:  time.Now, idle: map[string][]*conn{}, busy: map[string]map[*conn]bool{}, unnamed: map[string]time.Time{}, byService: map[string]int{},
 	}
 	for _, o := range opts {
 		o(p)
