Account for frames of relayed answers, and for answers of operations

What was missing: what other hosts send of relayed answers, what a relay writes to them, and the answers that a home host collects were in no account; a host kept as many as arrived, up to 68 MiB a frame.

Change: a frame takes its room before it is received (link.Stream.Next, like the first frame of a request) and gives it back as its data is passed on; a relay has room for a part while it is written to the other host; a home host for an answer until its outcome is stored or sent. An answer without room is an attempt that failed as oversize and may have run; the other host and its link do not count as failed. An operation whose answer finds no room ends as one that ran.

--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -62,9 +62,9 @@
 }
 
 // Next receives a frame of at most limit bytes. It waits until one arrives or Expire or
-// Abort is called.
-func (s *Stream) Next(limit int) (wire.Frame, error) {
-	f, err := wire.Read(s.s, limit)
+// Abort is called. It calls reserve like ReadReserved.
+func (s *Stream) Next(limit int, reserve func(bytes int) error) (wire.Frame, error) {
+	f, err := wire.ReadReserved(s.s, limit, reserve)
 	if err != nil {
 		return f, fmt.Errorf("read from stream: %w", err)
 	}
--- a/internal/serve/dedup/guard.go
+++ b/internal/serve/dedup/guard.go
@@ -7,6 +7,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 )
 
 // Run executes an operation and writes its answer into a sink. It returns nil after a
@@ -23,6 +24,9 @@
 	Exit  func()
 	// Retried is called for each retry of an operation that was already started.
 	Retried func()
+	// Held is the account of the answers that the host keeps; nil means no limit. What Home stores is
+	// bounded by itself.
+	Held *held.Account
 }
 
 // Do runs an operation, or waits for its run if it was already started, and returns
@@ -45,8 +49,11 @@
 		defer g.Exit()
 		runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 		defer cancel()
-		out := collect(runCtx, run)
+		waiting := held.NewWaiting(g.Held, func() {})
+		out := collect(runCtx, run, waiting)
 		g.Home.Finish(op, out)
+		// Who sends the outcome accounts for it.
+		waiting.Close()
 		done <- out
 	}()
 	select {
@@ -58,19 +65,24 @@
 	}
 }
 
-// collect runs an operation and buffers its answer.
-func collect(ctx context.Context, run Run) Outcome {
+// collect runs an operation and collects its answer.
+func collect(ctx context.Context, run Run, waiting *held.Waiting) Outcome {
 	var out Outcome
+	var full error
 	out.Refusal = run(ctx, client.Sink{
 		Head: func(h wire.Head) error {
 			out.Head = h
 			return nil
 		},
 		Data: func(p []byte) error {
-			out.Body = append(out.Body, p...)
-			return nil
+			full = waiting.Add(p)
+			return full
 		},
 	})
+	if full != nil {
+		out.Refusal = fault.New(fault.EndpointError, fault.RanYes, "operation ran; there is no room for its answer").WithCause(full)
+	}
+	out.Body = waiting.Body()
 	return out
 }
 
--- a/internal/serve/flow/remote.go
+++ b/internal/serve/flow/remote.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
 
@@ -38,12 +39,12 @@
 	t.tried[m.Name] = true
 	t.report.Endpoint, t.report.Region = "", d.region
 	req := NewWireRequest(t.Request, wire.Relay, f.now(), f.board.Revisions.Revision())
-	held := &heldHead{sink: sink}
-	end, err := f.Exchange(ctx, m.Name, m.Address, req, f.observedSink(t, ObserveHead(held.holding(), func(h wire.Head) {
+	first := &heldHead{sink: sink}
+	end, err := f.Exchange(ctx, m.Name, m.Address, req, f.observedSink(t, ObserveHead(first.holding(), func(h wire.Head) {
 		t.report.Endpoint, t.report.Status = h.Endpoint, h.Status
 	})), f.ackTimeout(t, d.region))
 	if err == nil && end.Code == "" {
-		err = held.pass()
+		err = first.pass()
 	}
 	if HostFailed(err) {
 		f.board.Remotes.MarkFailed(f.now(), d.region)
@@ -152,9 +153,9 @@
 var ErrStalled = errors.New("stream of the other host has no events")
 
 // HostFailed reports whether an error of Exchange is a failure of the other host or of the
-// link to it, and not of the endpoint whose answer it relays.
+// link to it, and not of this host or of the endpoint whose answer is relayed.
 func HostFailed(err error) bool {
-	return err != nil && !errors.Is(err, ErrSink) && !errors.Is(err, ErrCancelled) && !errors.Is(err, ErrStalled) && !errors.Is(err, head.ErrBroken)
+	return err != nil && !errors.Is(err, ErrSink) && !errors.Is(err, ErrCancelled) && !errors.Is(err, ErrStalled) && !errors.Is(err, head.ErrBroken) && !errors.Is(err, held.ErrFull)
 }
 
 // relayResult returns the result of a relayed attempt that ended with end or err.
@@ -171,6 +172,11 @@
 			started: t.report.Started, reason: retry.Broken, ran: fault.RanUnknown,
 			refusal: newRefusal(fault.EndpointError, fault.RanUnknown, err, "endpoint failed"),
 		}
+	case errors.Is(err, held.ErrFull):
+		return result{
+			started: t.report.Started, reason: retry.Oversize, ran: fault.RanUnknown,
+			refusal: newRefusal(fault.RelayError, fault.RanUnknown, err, "no room for the answer"),
+		}
 	case err != nil:
 		return result{
 			started: t.report.Started, reason: retry.Relay, ran: fault.RanUnknown, uncharged: errors.Is(err, ErrUnacked),
@@ -208,11 +214,11 @@
 	return &wire.End{Code: r.Code, Message: r.Message, Ran: r.Ran, RetryAfterMS: r.RetryAfter.Milliseconds()}
 }
 
-// Exchange calls the function Exchange with the link of f.
+// Exchange calls the function Exchange with the link and the account of f.
 func (f *Flow) Exchange(
 	ctx context.Context, host, address string, req wire.Request, sink client.Sink, ackTimeout time.Duration,
 ) (*wire.End, error) {
-	return Exchange(ctx, f.link, host, address, req, sink, ackTimeout)
+	return ExchangeWithin(ctx, f.link, host, address, req, sink, Waits{Ack: ackTimeout, GiveUp: func(bool) bool { return true }, Held: f.held})
 }
 
 // Exchange sends one request to a host and passes its answer to sink. The host must
@@ -243,6 +249,8 @@
 	Event time.Duration
 	// GiveUp decides whether the exchange fails after a wait. Otherwise it waits again.
 	GiveUp func(acked bool) bool
+	// Held is the account of the frames that are being received; nil means no limit.
+	Held *held.Account
 }
 
 // ExchangeWithin is like ExchangeUntil, with all bounds.
@@ -277,9 +285,20 @@
 func readAnswer(ctx context.Context, s *link.Stream, sink client.Sink, waits Waits) (*wire.End, error) {
 	silence := newWatchdog(waits, s.Expire)
 	defer silence.stop()
+	hold := waits.Held.OpenWhole(s.Expire)
+	defer hold.Close()
 	acked, begun := false, false
 	for {
-		fr, err := s.Next(wire.MaxFrame)
+		size := 0
+		fr, err := s.Next(wire.MaxFrame, func(n int) error {
+			size = n
+			return hold.Grow(n)
+		})
+		if hold.Dropped() {
+			return nil, held.ErrFull
+		}
+		// The sink accounts for what it keeps.
+		_ = hold.Grow(-size)
 		if err != nil {
 			err = silence.explain(ctx, err, acked)
 			if !acked {
--- a/internal/serve/flow/remote_test.go
+++ b/internal/serve/flow/remote_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/ops/meter"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 )
 
 // newLink returns a link on a loopback address with credentials of the authority.
@@ -463,3 +465,63 @@
 		}
 	}
 }
+
+// TestFramesOfRelaysTakeHostsMemory guards against a host that keeps all frames that other hosts send at the same
+// time: they count with what waits for callers, and beyond the limit an attempt fails without a failure of its relay.
+func TestFramesOfRelaysTakeHostsMemory(t *testing.T) {
+	const limit, frameBytes, calls = 10 << 20, 4 << 20, 8
+	ca, err := certs.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := func() time.Time { return time.Now().Add(10 * time.Second) }
+	relay := newLink(t, ca, "relay", link.Handlers{Stream: func(_ context.Context, _ string, s *link.Stream) {
+		if _, err := s.Read(wire.MaxFrame, later()); err == nil {
+			for _, f := range []wire.Frame{{KeepAlive: true}, {Head: &wire.Head{Status: 200}}, {Data: make([]byte, frameBytes)}, {End: &wire.End{}}} {
+				_ = s.Write(f, later())
+			}
+		}
+		s.Finish()
+	}})
+	entry := newLink(t, ca, "entry", link.Handlers{})
+	var level, most atomic.Int64
+	account := held.New(limit, limit, func(n int) {
+		level.Store(int64(n))
+		most.Store(max(most.Load(), int64(n)))
+	})
+	waits := Waits{Ack: 10 * time.Second, GiveUp: func(bool) bool { return true }, Held: account}
+	discard := client.Sink{Head: func(wire.Head) error { return nil }, Data: func([]byte) error { return nil }}
+	if end, err := ExchangeWithin(t.Context(), entry, "relay", relay.Address(), wire.Request{ID: "r"}, discard, waits); end == nil || err != nil {
+		t.Fatalf("got end %+v, error %v", end, err)
+	}
+	if n := most.Load(); n < frameBytes {
+		t.Errorf("%d bytes counted at most while a frame of %d arrived", n, frameBytes)
+	}
+	var exchanges sync.WaitGroup
+	var whole, full atomic.Int64
+	for range calls {
+		exchanges.Go(func() {
+			waiting := held.NewWaiting(account, func() {})
+			defer waiting.Close()
+			sink := client.Sink{Head: func(wire.Head) error { return nil }, Data: waiting.Add}
+			end, err := ExchangeWithin(t.Context(), entry, "relay", relay.Address(), wire.Request{ID: "r"}, sink, waits)
+			switch {
+			case end != nil && err == nil && len(waiting.Body()) == frameBytes:
+				whole.Add(1)
+			case errors.Is(err, held.ErrFull) && !HostFailed(err):
+				full.Add(1)
+			default:
+				t.Errorf("got end %+v, error %v, %d bytes", end, err, len(waiting.Body()))
+			}
+			// The caller reads its answer while the others arrive.
+			time.Sleep(200 * time.Millisecond)
+		})
+	}
+	exchanges.Wait()
+	if n := most.Load(); n > limit+frameBytes+1<<10 {
+		t.Errorf("held %d bytes at most, want one frame beyond the limit of %d at most", n, limit)
+	}
+	if whole.Load() == 0 || full.Load() == 0 || whole.Load()+full.Load() != calls || level.Load() != 0 {
+		t.Errorf("%d answers arrived and %d found no room, %d bytes are left", whole.Load(), full.Load(), level.Load())
+	}
+}
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -133,9 +133,9 @@
 	handler := &relay.Handler{
 		Board: h.board, Flow: h.flow, Signer: signer,
 		Guard: &dedup.Guard{
-			Home: h.home, Now: h.now, Enter: h.board.Health.Enter, Exit: h.board.Health.Exit, Retried: h.meter.DedupHits.Inc,
+			Home: h.home, Now: h.now, Enter: h.board.Health.Enter, Exit: h.board.Health.Exit, Retried: h.meter.DedupHits.Inc, Held: h.held,
 		},
-		Meter: h.meter, Log: h.log, Pool: h.relays, MaxBody: h.settings.Limits.Body, Bodies: h.bodies, Now: h.now,
+		Meter: h.meter, Log: h.log, Pool: h.relays, MaxBody: h.settings.Limits.Body, Bodies: h.bodies, Held: h.held, Now: h.now,
 		OnNewerRevision: func(string) { h.runner.Trigger(syncName) },
 	}
 	h.front = &front.Front{
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -235,14 +235,14 @@
 	n.proxy.RoomShare = n.roomShare
 	n.shares = quota.New(n.started, quota.Host{Name: n.settings.Peers, Cores: n.settings.Machine.Capacity()})
 	n.usage = n.newUsage()
-	n.proxy.Usage = n.usage
+	n.proxy.Usage, n.proxy.Held = n.usage, n.held
 	n.proxy.AskOrigin, n.proxy.StoreAge = n.askOrigin, n.storeAge
 	n.proxy.ReadReleases, n.proxy.VerifyEndpoint = n.readReleases, n.verifyEndpoint
 	n.proxy.KeysValid = n.keysValid
 	n.proxy.OnNews = func() { n.runner.Trigger(inFlightName) }
 	handler := &relay.Handler{
 		Board: n.board, Meter: n.meter, Log: n.log, Pool: n.relays, MaxBody: maxBodyBytes, Now: n.now, ServeRouted: n.serveRelayed,
-		StoreChanges: n.itemsSince, Bodies: n.bodies,
+		StoreChanges: n.itemsSince, Bodies: n.bodies, Held: n.held,
 	}
 	n.front = &edge.Server{
 		Board: n.board, Proxy: n.proxy, Terms: t, Meter: n.meter, Log: n.log, Settings: n.settings, Now: n.now,
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -29,6 +29,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/route/usage"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/pool"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/splice"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
@@ -122,6 +123,8 @@
 	Terms  *terms.Terms
 	Log    zerolog.Logger
 	Now    func() time.Time
+	// Held is the account of the answers that the host keeps; nil means no limit.
+	Held *held.Account
 	// Usage bounds what customers use; nil means that they have no limits.
 	Usage *usage.Table
 	// Budget limits retries.
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/splice"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/stream"
 )
@@ -44,7 +45,7 @@
 	defer open.Close()
 	sink.Received = func() { open.Receive(p.Now()) }
 	giveUp := func(acked bool) bool { return p.givesUpRelay(t, m, start, acked) }
-	waits := flow.Waits{Ack: timeout, GiveUp: giveUp}
+	waits := flow.Waits{Ack: timeout, GiveUp: giveUp, Held: p.Held}
 	if idle := idleTimeout(t.Route); idle > 0 {
 		// The relay gives up a silent endpoint after idle, and has the time for a frame then.
 		waits.Event = idle + flow.FrameTimeout
@@ -194,6 +195,8 @@
 		return failed(retry.Status, fault.RanYes, fault.EndpointError, "endpoint failed")
 	case errors.Is(err, head.ErrBroken):
 		return failed(retry.Broken, fault.RanUnknown, fault.EndpointError, "endpoint failed")
+	case errors.Is(err, held.ErrFull) && !errors.Is(err, flow.ErrSink):
+		return failed(retry.Oversize, fault.RanUnknown, fault.RelayError, "no room for the answer")
 	case errors.Is(err, flow.ErrSink):
 		res := failed(retry.Broken, fault.RanUnknown, fault.Cancelled, "caller disconnected")
 		res.callerLeft = true
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/dedup"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/flow"
+	"github.com/hyssopspindle/hyssopspindle/internal/serve/held"
 )
 
 // maxRequestOverhead is the largest size of the first frame without the request body,
@@ -58,7 +59,9 @@
 	MaxBody int
 	// Bodies is the account of the bodies of requests.
 	Bodies *memory.Account
-	Now    func() time.Time
+	// Held is the account of the answers that the host keeps; nil means no limit.
+	Held *held.Account
+	Now  func() time.Time
 }
 
 // Result is the outcome of a request of a published route.
@@ -152,9 +155,13 @@
 	w := &frameWriter{s: s}
 	// The peer detects a dead link by the lack of these frames.
 	stop := ctrl.Every(flow.AliveInterval, func() bool { return w.write(wire.Frame{KeepAlive: true}) == nil })
+	waiting := held.NewWaiting(h.Held, s.Abort)
+	defer waiting.Close()
 	sink := client.Sink{
 		Head: func(hd wire.Head) error { return w.write(wire.Frame{Head: &hd}) },
-		Data: func(p []byte) error { return w.write(wire.Frame{Data: p}) },
+		Data: func(p []byte) error {
+			return waiting.Pass(p, func(p []byte) error { return w.write(wire.Frame{Data: p}) })
+		},
 	}
 	done := Result{Refusal: fault.New(fault.Cancelled, fault.RanNo, "peer host disconnected")}
 	if w.write(wire.Frame{KeepAlive: true}) == nil {
