Log failed attempts at services of the inventory

What on-call engineers saw: an attempt that failed and was repeated left no line for services of the inventory, so which endpoint sent a broken head, and what was broken in it, showed only if the request failed as a whole.

Change: package flow logs each failed attempt like package proxy does, with the request, the endpoint, the reason, the cause and the outcome.

Evidence: TestBrokenHeadReachesCallerOfInventory wants the line with status "000" and the endpoint's name, local and relayed; it passes 2 of 2 with -race, and without the line there is none.

--- a/internal/serve/flow/flow.go
+++ b/internal/serve/flow/flow.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
@@ -74,6 +76,7 @@
 	now       func() time.Time
 	maxAnswer int
 	held      *held.Account
+	log       zerolog.Logger
 	// roundRobin counts the decisions, for the round-robin policy.
 	roundRobin atomic.Uint64
 
@@ -95,13 +98,16 @@
 // WithHeld sets the account of the answers that are kept until they are passed on.
 func WithHeld(a *held.Account) Option { return func(f *Flow) { f.held = a } }
 
+// WithLog sets the log of failed attempts.
+func WithLog(log zerolog.Logger) Option { return func(f *Flow) { f.log = log } }
+
 // defaultMaxAnswer is the default of the largest answer, in bytes.
 const defaultMaxAnswer = 64 << 20
 
 // New returns the flow of a host.
 func New(b *board.Board, m *meter.Meter, l *link.Link, opts ...Option) *Flow {
 	f := &Flow{
-		board: b, meter: m, link: l, now: time.Now, maxAnswer: defaultMaxAnswer,
+		board: b, meter: m, link: l, now: time.Now, maxAnswer: defaultMaxAnswer, log: zerolog.Nop(),
 		rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		scratchPool: sync.Pool{New: func() any { return &scratch{} }},
 	}
@@ -257,6 +263,13 @@
 	if verdict.Retry && !res.uncharged && !f.board.Retries.Spend(t.Service.Name) {
 		verdict = retry.Verdict{DenyReason: "retry budget used up"}
 	}
+	outcome := verdict.DenyReason
+	if verdict.Retry {
+		outcome = "retried"
+	}
+	f.log.Info().Str("request", t.ID).Str("service", t.Service.Name).Str("reason", string(res.reason)).Str("ran", string(res.ran)).
+		Str("endpoint", t.report.Endpoint).Str("region", t.report.Region).Int("tries", t.report.Attempts).
+		AnErr("cause", res.refusal.Cause).Str("outcome", outcome).Msg("attempt failed")
 	if verdict.Retry {
 		f.meter.CountRetry(res.reason)
 		return nil
--- a/internal/serve/host/broken_test.go
+++ b/internal/serve/host/broken_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,6 +36,33 @@
 	return resp.StatusCode, string(data), err
 }
 
+// logText collects log lines.
+type logText struct {
+	mu   sync.Mutex
+	text []string
+}
+
+// Write implements io.Writer. It gets a line at a time.
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text = append(l.text, string(p))
+	return len(p), nil
+}
+
+// lines returns the lines with a message.
+func (l *logText) lines(message string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for _, line := range l.text {
+		if strings.Contains(line, `"message":"`+message+`"`) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 // TestBrokenHeadReachesCallerOfInventory guards against an answer whose head HTTP does not allow that reaches a
 // caller of a service of the inventory, in the region of its endpoint or in another one. A request that may be
 // repeated gets the answer of another endpoint, and the connection is closed.
@@ -53,8 +81,9 @@
 	for region, where := range map[string]string{"a": "local", "b": "relayed"} {
 		t.Run(where, func(t *testing.T) {
 			t.Parallel()
+			log := &logText{}
 			f := newFleet(t, plan{
-				hosts:   map[string]string{"a1": "a", "b1": "b"},
+				hosts: map[string]string{"a1": "a", "b1": "b"}, log: log,
 				engines: map[string]string{"e1": region, "e2": region}, plains: map[string]string{"p1": region},
 			})
 			left := func() int { return f.engines["e1"].Left() + f.engines["e2"].Left() + f.plains["p1"].Left() }
@@ -81,6 +110,9 @@
 			if f.engines["e1"].Left() == 0 {
 				t.Error("no request reached the broken engine")
 			}
+			if failed := log.lines("attempt failed"); len(failed) == 0 || !strings.Contains(failed[0], `status \"000\"`) || !strings.Contains(failed[0], `"endpoint":"e1"`) {
+				t.Errorf("the log does not show what was broken: %q", failed)
+			}
 			prefix := f.operationPrefix("a1")
 			for name, head := range heads {
 				raw := httpd.Raw{Text: head + "\r\nbroken", Stay: true}
--- a/internal/serve/host/fleet_test.go
+++ b/internal/serve/host/fleet_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -50,6 +51,8 @@
 	processes bool
 	// change changes the settings of each host; it may be nil.
 	change func(s *setup.Settings)
+	// log receives the log lines of all hosts; it may be nil.
+	log io.Writer
 }
 
 // fleet is a deployment of a few hosts on loopback, each behind a UDP relay that
@@ -339,6 +342,9 @@
 	if os.Getenv("HYSSOPSPINDLE_TEST_LOG") == "" {
 		log = zerolog.Nop()
 	}
+	if f.plan.log != nil {
+		log = zerolog.New(f.plan.log).With().Str("host", name).Logger()
+	}
 	h, err := New(f.settings[name], log)
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -101,7 +101,7 @@
 	limit := h.machine.AnswerBytes(max(maxHeld, s.Limits.Answer))
 	// One endpoint may send the largest answer, or many at a time.
 	h.held = held.New(limit, max(limit/2, min(limit, s.Limits.Answer)), func(bytes int) { h.meter.HeldBytes.Set(float64(bytes)) })
-	h.flow = flow.New(h.board, h.meter, l, flow.WithMaxAnswer(s.Limits.Answer), flow.WithNow(h.now), flow.WithHeld(h.held))
+	h.flow = flow.New(h.board, h.meter, l, flow.WithMaxAnswer(s.Limits.Answer), flow.WithNow(h.now), flow.WithHeld(h.held), flow.WithLog(log))
 	h.home = dedup.NewHome(s.Limits.Operations)
 	if err := h.assemble(creds); err != nil {
 		_ = l.Close()
