Relay header fields whose bytes are no UTF-8

What callers saw: an answer with a byte over 0x7f in the value of a field that is no UTF-8, such as "caf\xe9", reached callers in the region of its endpoint and not those in another one: they got 502 "other region did not answer", the link to the relay was closed, and the region counted as failed. A request with such a field failed in the same way.

Cause: frames between hosts are CBOR, whose decoder refuses text that is no UTF-8, while HTTP allows any byte over 0x7f in a value (RFC 9110, 5.5). Found by the test of mixed answers that follows.

Change: the decoder takes such text as it is.

Evidence: TestFieldWithBytesOfNoUTF8IsReceived and TestUnusualAnswerReachesCaller/relayed failed before (502), and pass. The other rows of the latter hold what is only unusual and passes as it did: bare LF, a folded line, 204 and 205 with a body, a length beside chunks, and so on.

--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -238,6 +238,8 @@
 	dec, err = cbor.DecOptions{
 		MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: maxNesting,
 		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+		// The values of header fields may have any bytes over 0x7f.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -152,3 +152,22 @@
 		t.Errorf("%d bytes are left, want %d", b.Len(), size)
 	}
 }
+
+// TestFieldWithBytesOfNoUTF8IsReceived guards against a frame that the other host can't decode, as a header field has
+// bytes that HTTP allows and UTF-8 does not.
+func TestFieldWithBytesOfNoUTF8IsReceived(t *testing.T) {
+	const value = "caf\xe9 \xff\x80"
+	for name, f := range map[string]Frame{
+		"answer":  {Head: &Head{Status: 200, Fields: []Field{{Name: "X-Odd", Value: value}}}},
+		"request": {Request: &Request{ID: "r", Path: "/" + value, Fields: []Field{{Name: "X-Odd", Value: value}}}},
+	} {
+		var b bytes.Buffer
+		if err := Write(&b, f); err != nil {
+			t.Fatal(err)
+		}
+		got, err := Read(&b, MaxFrame)
+		if err != nil || !reflect.DeepEqual(got, f) {
+			t.Errorf("%s: got %+v, error %v, want %+v", name, got, err, f)
+		}
+	}
+}
--- a/internal/serve/node/broken_test.go
+++ b/internal/serve/node/broken_test.go
@@ -206,3 +206,45 @@
 		})
 	}
 }
+
+// TestUnusualAnswerReachesCaller guards against an answer that is only unusual and does not reach its caller as its
+// endpoint wrote it.
+func TestUnusualAnswerReachesCaller(t *testing.T) {
+	const ok, fields = "HTTP/1.1 200 OK\r\n", routed.FieldsMark
+	for region, where := range map[string]string{"a": "local", "b": "relayed"} {
+		t.Run(where, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t)
+			f.onlyIn(region, "plain")
+			for name, tt := range map[string]struct {
+				text   string
+				status int
+				odd    string
+				body   string
+			}{
+				"bare line feeds":                  {"HTTP/1.1 200 OK\n" + fields + "X-Odd: 1\nContent-Length: 4\n\nbody", 200, "1", "body"},
+				"folded line":                      {ok + fields + "X-Odd: 1\r\n 2\r\nContent-Length: 4\r\n\r\nbody", 200, "1 2", "body"},
+				"byte over 0x7f in a value":        {ok + fields + "X-Odd: caf\xe9\r\nContent-Length: 4\r\n\r\nbody", 200, "caf\xe9", "body"},
+				"no reason":                        {"HTTP/1.1 200\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 200, "", "body"},
+				"control byte in the reason":       {"HTTP/1.1 200 a\rb\x01\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 200, "", "body"},
+				"length beside chunks":             {ok + fields + "Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200, "", "body"},
+				"trailer":                          {ok + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Odd: 1\r\n\r\n", 200, "", "body"},
+				"204 with a body":                  {"HTTP/1.1 204 No Content\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 204, "", ""},
+				"205 with a body":                  {"HTTP/1.1 205 Reset Content\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 205, "", "body"},
+				"unknown status":                   {"HTTP/1.1 299 x\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 299, "", "body"},
+				"neither a length nor chunks":      {ok + fields + "\r\nbody", 200, "", "body"},
+				"HTTP/1.0":                         {"HTTP/1.0 200 OK\r\n" + fields + "\r\nbody", 200, "", "body"},
+				"identity":                         {ok + fields + "Content-Encoding: identity\r\nContent-Length: 4\r\n\r\nbody", 200, "", "body"},
+				"a token of unusual bytes":         {ok + fields + "!#$%&'*+-.^_`|~: 1\r\nContent-Length: 4\r\n\r\nbody", 200, "", "body"},
+				"a name with a blank in a trailer": {ok + fields + "Trailer: X Odd\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200, "", "body"},
+			} {
+				f.answerOnce(httpd.Raw{Text: tt.text})
+				var header http.Header
+				status, body, err := f.callResponse("a", http.MethodPost, "/unsafe/x", name, func(r *http.Response) { header = r.Header }, nil)
+				if status != tt.status || body != tt.body || err != nil || header.Get("X-Odd") != tt.odd || header.Get(routed.SignedBy) == "" {
+					t.Errorf("%s: got status %d, header %v, body %q, error %v, want status %d, body %q, X-Odd %q", name, status, header, body, err, tt.status, tt.body, tt.odd)
+				}
+			}
+		})
+	}
+}
