Pass a 404 without a body on as it is

What callers saw: an endpoint's 404 without a body reached them with the body "Not Found" and the media type text/plain, under the endpoint's signature, on published routes.

Cause: callers' requests are served by the handler that the HTTP library calls where no route of its own matches, and the library gives such an answer a text if it has the status 404 and no body. Found by the test of mixed answers that follows.

Change: an answer without a body has an empty stream as its body, which the library leaves alone.

Evidence: TestUnusualAnswerReachesCaller, "404 without a body", failed before, local and relayed, and passes.

--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -293,7 +293,7 @@
 	r := report.Refusal
 	switch {
 	case r == nil && !a.streaming:
-		c.Response.SetBodyRaw(a.waiting.Body())
+		setBody(c, a.waiting.Body())
 	case r == nil:
 	case r.Code == fault.Cancelled:
 		_ = c.GetConn().Close()
@@ -308,6 +308,16 @@
 	}
 }
 
+// setBody sets the body of an answer. The library gives a 404 without a body a text of its own, unless the body is
+// a stream.
+func setBody(c *app.RequestContext, body []byte) {
+	if len(body) == 0 {
+		c.Response.SetBodyStream(http.NoBody, 0)
+		return
+	}
+	c.Response.SetBodyRaw(body)
+}
+
 // recordRequest counts and logs one request.
 func (s *Server) recordRequest(r proxy.Request, report proxy.Report, start time.Time) {
 	outcome, service, route := "answered", "none", ""
--- a/internal/serve/node/broken_test.go
+++ b/internal/serve/node/broken_test.go
@@ -231,6 +231,7 @@
 				"trailer":                          {ok + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Odd: 1\r\n\r\n", 200, "", "body"},
 				"204 with a body":                  {"HTTP/1.1 204 No Content\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 204, "", ""},
 				"205 with a body":                  {"HTTP/1.1 205 Reset Content\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 205, "", "body"},
+				"404 without a body":               {"HTTP/1.1 404 Not Found\r\n" + fields + "Content-Length: 0\r\n\r\n", 404, "", ""},
 				"unknown status":                   {"HTTP/1.1 299 x\r\n" + fields + "Content-Length: 4\r\n\r\nbody", 299, "", "body"},
 				"neither a length nor chunks":      {ok + fields + "\r\nbody", 200, "", "body"},
 				"HTTP/1.0":                         {"HTTP/1.0 200 OK\r\n" + fields + "\r\nbody", 200, "", "body"},
