--- a/internal/stand/routed/routed.go
+++ b/internal/stand/routed/routed.go
@@ -344,6 +344,19 @@
 	return append([]Run(nil), e.runs...)
 }
 
+// RunsOf returns the number of runs of the request with an id.
+func (e *Endpoint) RunsOf(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, r := range e.runs {
+		if r.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
 // Cancelled returns the number of runs whose client disconnected.
 func (e *Endpoint) Cancelled() int {
 	e.mu.Lock()
