--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -213,14 +213,12 @@
 	written func()
 }
 
-// OnWritten calls a function once the answer to a request has been written, or its connection has ended. It is
-// called by the handler of the request, at most once. It returns false if the connection is not of this package.
-func OnWritten(c *app.RequestContext, f func()) bool {
-	b, ok := c.GetConn().(*boundedConn)
-	if ok {
+// OnWritten calls a function once the answer to a request has been written, or its connection has ended. The
+// handler of a request may set one function, on a connection of this package.
+func OnWritten(c *app.RequestContext, f func()) {
+	if b, ok := c.GetConn().(*boundedConn); ok {
 		b.written = f
 	}
-	return ok
 }
 
 // endAnswer calls the function of OnWritten.
--- a/internal/serve/head/judge.go
+++ b/internal/serve/head/judge.go
@@ -110,6 +110,9 @@
 // the body that the caller reads.
 var ErrEncoded = errors.New("answer has an encoding that the request does not ask for")
 
+// identity is the name of no encoding.
+const identity = "identity"
+
 // Encoding returns the encoding of the body of an answer, empty for none.
 func Encoding(h wire.Head) string {
 	encoding := h.Field("Content-Encoding")
@@ -119,9 +122,6 @@
 	return encoding
 }
 
-// identity is the name of no encoding.
-const identity = "identity"
-
 // CheckEncoding returns ErrEncoded if an answer is encoded and the fields of the request ask for no encoding. Which
 // of the encodings that it asks for a request gets is left to the endpoint.
 func CheckEncoding(h wire.Head, request []wire.Field) error {
--- a/internal/serve/held/body.go
+++ b/internal/serve/held/body.go
@@ -43,7 +43,11 @@
 
 // Bytes returns the body, which takes no further bytes.
 func (b *Body) Bytes() []byte {
-	if len(b.blocks) == 0 {
+	switch {
+	case len(b.blocks) == 0 && len(b.last) <= cap(b.last)/2:
+		// Who keeps the body accounts for its length, and not for the rest of a block.
+		return bytes.Clone(b.last)
+	case len(b.blocks) == 0:
 		return b.last
 	}
 	return bytes.Join(append(b.blocks, b.last), nil)
