--- a/review/second/kit.go
+++ b/review/second/kit.go
@@ -555,6 +555,7 @@
 func main() {
 	cases := map[string]func(d *deployment) error{
 		"smuggled": smuggled,
+		"memory":   memoryBurst,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: second CASE FOLDER")
