--- a/review/second/kit.go
+++ b/review/second/kit.go
@@ -556,6 +556,7 @@
 	cases := map[string]func(d *deployment) error{
 		"smuggled": smuggled,
 		"memory":   memoryBurst,
+		"signed":   signedFailure,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: second CASE FOLDER")
