review: show that large answers of one service break the streams of another

Beyond the limit of the held account, worst() drops answers without a length first, so all open streams of the host are cut although they hold nothing.

--- a/review/second/kit.go
+++ b/review/second/kit.go
@@ -516,8 +516,11 @@
 func (d *deployment) publish(version int, routes ...map[string]any) {
 	d.store.put("op/config", map[string]any{
 		"version": version, "routes": routes,
-		"services": []map[string]any{{"name": "rental-app", "health-check-path": "/health", "connection-limit": 100}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 30000},
+		"services": []map[string]any{
+			{"name": "rental-app", "health-check-path": "/health", "connection-limit": 100},
+			{"name": "advisor-models", "health-check-path": "/health", "connection-limit": 490},
+		},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 30000},
 	})
 }
 
@@ -557,6 +560,7 @@
 		"smuggled": smuggled,
 		"memory":   memoryBurst,
 		"signed":   signedFailure,
+		"streams":  streamBurst,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: second CASE FOLDER")
