Refuse requests whose readers could disagree on what they are or where they end

Cause: the HTTP library parses any Transfer-Encoding but identity as chunks, takes the last of several lengths, lets chunks win over a length and takes bare LF among other line ends. A search in the raw head behind it (hasConflictingLengths) missed the first line, and lengths; the port of the inventory had no check.

Change: one judge, base/syntax, sees the bytes of a head, of chunks and of trailers on every HTTP listener before the library does (base/socket, check.go); what the library then takes is compared with what was checked. A refused request gets 400, its connection ends, nothing behind it is read; malformed_requests_total counts it by reason and a bounded, quoted line says what was wrong. Relays judge what other hosts send, also of older releases. The table of what is refused and what passes, with the sections of RFC 9112 and 9110, stands at syntax.CheckHead.

Changed tests: those of package relay sent messages without a method and a path, which no host does; they have both now, and check the same.

--- a/internal/base/socket/bounds.go
+++ b/internal/base/socket/bounds.go
@@ -138,7 +138,7 @@
 		nc, _ := inner.(network.Conn)
 		accepted, _ := ctx.Value(acceptedKey{}).(*conn)
 		c := &boundedConn{
-			Conn: nc, accepted: accepted, limit: t.limit, readTimeout: t.readTimeout, writeTimeout: t.writeTimeout, requests: t.requests,
+			Conn: nc, accepted: accepted, conns: t.conns, limit: t.limit, readTimeout: t.readTimeout, writeTimeout: t.writeTimeout, requests: t.requests,
 			in: input{source: nc},
 		}
 		if t.account != nil && accepted != nil {
@@ -189,8 +189,10 @@
 type boundedConn struct {
 	network.Conn
 	accepted *conn
+	conns    *Conns
 	in       input
 	header   header
+	check    check
 	limit    int
 	// looks counts the waits of Peek beyond the limit since bytes were taken last, looked the bytes that all
 	// its calls since then returned.
@@ -234,6 +236,7 @@
 func (c *boundedConn) bound(timeout time.Duration) {
 	c.endAnswer()
 	c.whole = false
+	c.endCheck()
 	c.header, c.looked = header{arriving: timeout == c.readTimeout}, 0
 	c.setOpen(timeout == c.readTimeout)
 	c.readBy = time.Time{}
@@ -333,6 +336,9 @@
 // buffered.
 func (c *boundedConn) Peek(n int) ([]byte, error) {
 	c.single = 0
+	if c.check.err != nil {
+		return nil, c.check.err
+	}
 	if c.in.len() < n {
 		if c.looked > maxLooks*c.limit {
 			return nil, ErrTooLong
@@ -346,6 +352,9 @@
 			return nil, err
 		}
 	}
+	if err := c.checkInput(); err != nil {
+		return nil, err
+	}
 	c.looked += n
 	return c.in.bytes()[:n], nil
 }
@@ -359,6 +368,7 @@
 	if err := c.in.skip(n); err != nil {
 		return err
 	}
+	c.checkTaken(n)
 	if c.header.arriving {
 		c.header.arriving = false
 		if c.in.accept() != nil {
@@ -384,7 +394,11 @@
 	if err := c.await(1); err != nil {
 		return 0, err
 	}
+	if err := c.checkInput(); err != nil {
+		return 0, err
+	}
 	b := c.in.bytes()[0]
+	c.checkTaken(1)
 	return b, c.in.skip(1)
 }
 
@@ -401,13 +415,21 @@
 func (c *boundedConn) Read(p []byte) (int, error) {
 	c.looks, c.looked, c.single = 0, 0, 0
 	if c.in.len() > 0 {
+		if err := c.checkInput(); err != nil {
+			return 0, err
+		}
 		n := copy(p, c.in.bytes())
+		c.checkTaken(n)
 		return n, c.in.skip(n)
 	}
 	if err := c.setReadDeadline(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if bodyErr := c.checkRead(p[:n]); bodyErr != nil {
+		return 0, bodyErr
+	}
+	return n, err
 }
 
 // Write implements net.Conn. The write timeout bounds each write.
--- a/internal/base/socket/conns.go
+++ b/internal/base/socket/conns.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/hyssopspindle/hyssopspindle/internal/base/syntax"
 )
 
 // state is what a connection does.
@@ -27,6 +29,10 @@
 	limit     int
 	onRefused func(client string)
 	onPanic   func(client string, v any, stack []byte)
+	// single are the fields of a request that may be sent once at most.
+	single      []string
+	onMalformed func(client string, err *syntax.Error)
+	refusal     func(err *syntax.Error) (mediaType string, body []byte)
 
 	mu      sync.Mutex
 	open    map[*conn]bool
@@ -63,6 +69,24 @@
 	return func(t *Conns) { t.onPanic = f }
 }
 
+// WithSingle sets the fields that a request may have once at most, besides those of which HTTP requires it.
+func WithSingle(names ...string) ConnsOption { return func(t *Conns) { t.single = names } }
+
+// WithMalformed sets the function that is called for each request that is refused by package syntax.
+func WithMalformed(f func(client string, err *syntax.Error)) ConnsOption {
+	return func(t *Conns) { t.onMalformed = f }
+}
+
+// WithRefusal sets the function that returns the body of the answer to a request whose head is malformed.
+func WithRefusal(f func(err *syntax.Error) (mediaType string, body []byte)) ConnsOption {
+	return func(t *Conns) { t.refusal = f }
+}
+
+// textRefusal returns the text of an error as the body of an answer.
+func textRefusal(err *syntax.Error) (mediaType string, body []byte) {
+	return "text/plain; charset=utf-8", []byte(err.Error() + "\n")
+}
+
 // LogPanic returns a function for WithPanic that logs the panic.
 func LogPanic(log zerolog.Logger) func(client string, v any, stack []byte) {
 	return func(client string, v any, stack []byte) {
@@ -73,7 +97,8 @@
 // NewConns returns a table of at most limit connections; 0 means no limit.
 func NewConns(limit int, opts ...ConnsOption) *Conns {
 	t := &Conns{
-		limit: limit, onRefused: func(string) {}, onPanic: func(string, any, []byte) {}, open: map[*conn]bool{}, clients: map[string]int{},
+		limit: limit, onRefused: func(string) {}, onPanic: func(string, any, []byte) {}, onMalformed: func(string, *syntax.Error) {},
+		refusal: textRefusal, open: map[*conn]bool{}, clients: map[string]int{},
 	}
 	for _, o := range opts {
 		o(t)
--- a/internal/base/socket/read.go
+++ b/internal/base/socket/read.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/syntax"
 )
 
 // ErrTooLarge is the error of a body that exceeds its limit.
@@ -33,6 +34,9 @@
 	case errors.Is(err, memory.ErrFull):
 		return fault.New(fault.Busy, fault.RanNo, "host has no room for the body").WithCause(err).WithRetryAfter(memory.RetryAfter)
 	}
+	if e := syntax.As(err); e != nil {
+		return fault.New(fault.BadRequest, fault.RanNo, "%v", e)
+	}
 	return fault.New(fault.BadRequest, fault.RanNo, "body of the request can't be read").WithCause(err)
 }
 
@@ -41,6 +45,10 @@
 // connection is closed behind the answer.
 func ReadBody(c *app.RequestContext, limit int, hold *memory.Hold) ([]byte, error) {
 	body, err := readBody(c, limit, hold)
+	b, bounded := c.GetConn().(*boundedConn)
+	if err == nil && bounded {
+		err = b.check.err
+	}
 	switch {
 	case err == nil:
 		err = hold.Accept()
@@ -51,7 +59,7 @@
 		stopReading(c)
 		return nil, err
 	}
-	if b, ok := c.GetConn().(*boundedConn); ok {
+	if bounded {
 		b.whole = true
 		if b.accepted != nil && !b.accepted.set(time.Now(), serving) {
 			return nil, errClosed
--- a/internal/conf/terms/terms.go
+++ b/internal/conf/terms/terms.go
@@ -70,6 +70,8 @@
 	// customer, which the gateway sets in requests to endpoints.
 	Key          string
 	CustomerName string
+	// Single lists further fields that a caller's request may have once at most.
+	Single []string
 	// Reserved lists the fields that only the gateway may set in requests to endpoints.
 	Reserved []string
 	// ReadyPath and ResolvePath are the paths of the readiness check and the directory.
@@ -90,3 +92,17 @@
 	// EncodeAddresses encodes the directory's answer: listen addresses of hosts and their time to live.
 	EncodeAddresses func(addresses []string, ttl time.Duration) ([]byte, error)
 }
+
+// SingleFields returns the fields of a caller's request that state which request it is and what it is for, so
+// that it may have each of them once at most.
+func (t *Terms) SingleFields() []string {
+	var out []string
+	for _, name := range []string{
+		t.RequestID, t.Deadline, t.Tokens, t.Parts, t.LastEvent, t.Resumes, t.ExpectedEndpoint, t.Key, "Authorization",
+	} {
+		if name != "" {
+			out = append(out, name)
+		}
+	}
+	return append(out, t.Single...)
+}
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -20,6 +20,7 @@
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/syntax"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/member"
@@ -129,7 +130,9 @@
 		return fmt.Errorf("start admin listener: %w", err)
 	}
 	conns := socket.NewConns(a.Machine.OtherConns(), socket.WithRefused(func(string) { a.Meter.CountClosedConn("admin") }),
-		socket.WithPanic(socket.LogPanic(a.Log)))
+		socket.WithPanic(socket.LogPanic(a.Log)), socket.WithSingle("Authorization"), socket.WithMalformed(func(client string, err *syntax.Error) {
+			a.Meter.RecordMalformed(a.Log, "admin", client, err)
+		}))
 	a.server = server.New(
 		server.WithListener(l), server.WithTransport(socket.Transport(&socket.Requests{}, conns, a.Bodies)), server.WithStreamBody(true),
 		server.WithDisablePrintRoute(true), server.WithReadTimeout(readTimeout), server.WithIdleTimeout(idleTimeout),
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -9,8 +9,10 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
 
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/syntax"
 	"github.com/hyssopspindle/hyssopspindle/internal/route/retry"
 )
 
@@ -57,6 +59,7 @@
 	// RefusedAttempts counts the attempts that found no room for a connection to an endpoint.
 	RefusedAttempts prometheus.Counter
 	closedConns     *prometheus.CounterVec
+	malformed       *prometheus.CounterVec
 	// LimitedEndpoints and LimitedAttempts are the endpoints of the region that name a rate
 	// limit and this host's attempts at them.
 	LimitedEndpoints prometheus.Gauge
@@ -145,6 +148,7 @@
 		RefusedBodies:        counter("refused_bodies_total", "Request bodies that were refused or dropped for want of room."),
 		RefusedAttempts:      counter("refused_attempts_total", "Attempts that found no room for a connection to an endpoint."),
 		closedConns:          counters("closed_connections_total", "Connections that were closed because a listener had too many, by listener.", "listener"),
+		malformed:            counters("malformed_requests_total", "Requests that were refused because they are not of HTTP/1 or their readers could disagree on them, by listener and reason.", "listener", "reason"),
 		customerRefusals:     counters("customer_refusals_total", "Refused requests to routes that need a key, by reason and customer; without customer if the key is not known.", "reason", "customer"),
 		customerRequests:     counters("customer_requests_total", "Requests of customers with a limit by whether they were admitted.", "customer", "outcome"),
 		customerLevels: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -154,7 +158,7 @@
 	m.Registry.MustRegister(m.refusals, m.retries, m.retriesDenied, m.crossings, m.promptCrossings, m.placements, m.requests, m.firstToken, m.tokenGap,
 		m.queueTime, m.requestTime, m.controlBytes, m.Pauses, m.DedupHits, m.StaleHeads, m.RejectedHeads, m.InFlight, m.Revision,
 		m.UnreachableEndpoints, m.LimitedEndpoints, m.LimitedAttempts, m.EndedRequests, m.HeldBytes, m.SuspectParts, m.QuarantinedParts, m.QuarantineRefusals, m.ConfirmationAge, m.customerRefusals, m.resumed, m.streamParts, m.coldRequests,
-		m.BodyBytes, m.RefusedBodies, m.RefusedAttempts, m.closedConns,
+		m.BodyBytes, m.RefusedBodies, m.RefusedAttempts, m.closedConns, m.malformed,
 		m.customerRequests, m.customerLevels,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	for _, c := range fault.Codes() {
@@ -222,6 +226,12 @@
 // CountClosedConn counts a connection that was closed because a listener had too many.
 func (m *Meter) CountClosedConn(listener string) { m.closedConns.WithLabelValues(listener).Inc() }
 
+// RecordMalformed counts and logs a request of a client that a listener refused by package syntax.
+func (m *Meter) RecordMalformed(log zerolog.Logger, listener, client string, err *syntax.Error) {
+	m.malformed.WithLabelValues(listener, string(err.Reason)).Inc()
+	log.Info().Str("listener", listener).Str("client", client).Str("reason", string(err.Reason)).Str("detail", err.Detail).Msg("malformed request refused")
+}
+
 // CountColdRequest counts a request to an endpoint that may be cold.
 func (m *Meter) CountColdRequest(endpoint, reason string) {
 	m.mu.Lock()
--- a/internal/serve/edge/edge.go
+++ b/internal/serve/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/syntax"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/terms"
@@ -118,6 +119,8 @@
 	return socket.NewConns(limit, socket.WithPanic(socket.LogPanic(s.Log)), socket.WithRefused(func(client string) {
 		s.Meter.CountClosedConn(use)
 		notice(client)
+	}), socket.WithSingle(s.Terms.SingleFields()...), socket.WithMalformed(func(client string, err *syntax.Error) {
+		s.Meter.RecordMalformed(s.Log, use, client, err)
 	}))
 }
 
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -18,6 +17,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/syntax"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/rules"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
@@ -95,7 +95,7 @@
 func (s *Server) routedRequest(c *app.RequestContext, now time.Time) (proxy.Request, *fault.Refusal) {
 	h := &c.Request.Header
 	r := proxy.Request{
-		ID: string(h.Peek(s.Terms.RequestID)), Method: string(c.Method()), Target: string(h.RequestURI()),
+		ID: string(h.Peek(s.Terms.RequestID)), Method: string(c.Method()), Target: syntax.OriginForm(string(h.RequestURI())),
 		Host: string(c.Host()), Caller: callerAddress(c), Arrived: now, EntryRegion: s.Board.Region, LastEventID: stream.NoID,
 	}
 	published := s.Board.Routes.Rules()
@@ -108,10 +108,6 @@
 	if s.takenForEndpoint(c) {
 		return r, fault.New(fault.Misdirected, fault.RanNo, "a host is no endpoint")
 	}
-	if hasConflictingLengths(c) {
-		c.SetConnectionClose()
-		return r, fault.New(fault.BadRequest, fault.RanNo, "request has both Transfer-Encoding and Content-Length")
-	}
 	path, _, _ := strings.Cut(r.Target, "?")
 	r.Version = published.Version
 	r.Route = published.Match(r.Host, path)
@@ -169,13 +165,6 @@
 	return host
 }
 
-// hasConflictingLengths reports whether a chunked request also has a Content-Length. The
-// two can disagree on where the request ends, which allows request smuggling.
-func hasConflictingLengths(c *app.RequestContext) bool {
-	raw := bytes.ToLower(c.Request.Header.RawHeaders())
-	return bytes.Contains(raw, []byte("\ntransfer-encoding")) && bytes.Contains(raw, []byte("\ncontent-length"))
-}
-
 // parseRequest adds the service, the deadline, the prompt and the fields for the
 // endpoint to a request that has its route.
 func (s *Server) parseRequest(c *app.RequestContext, published *rules.Rules, r proxy.Request, now time.Time) (proxy.Request, *fault.Refusal) {
@@ -220,7 +209,10 @@
 // endpointFields returns the header fields that are passed to the endpoint.
 func (s *Server) endpointFields(c *app.RequestContext, published *rules.Rules) []wire.Field {
 	keyed := published.HasCustomers()
-	listed := strings.Split(string(c.Request.Header.Peek("Connection")), ",")
+	var listed []string
+	for _, value := range c.Request.Header.PeekAll("Connection") {
+		listed = append(listed, strings.Split(string(value), ",")...)
+	}
 	var out []wire.Field
 	c.Request.Header.VisitAll(func(k, v []byte) {
 		name := string(k)
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -26,6 +27,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/syntax"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/setup"
@@ -48,6 +50,9 @@
 	ServedByField        = "X-Served-By"
 )
 
+// callPrefix begins the paths of calls of plain services.
+const callPrefix = "/v1/call/"
+
 const (
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 75 * time.Second
@@ -94,7 +99,8 @@
 	conns := socket.NewConns(limit, socket.WithPanic(socket.LogPanic(f.Log)), socket.WithRefused(func(client string) {
 		f.Meter.CountClosedConn("callers")
 		notice(client)
-	}))
+	}), socket.WithSingle("Authorization", KeyField, RequestIDField, TimeoutField, AttemptField), socket.WithRefusal(malformedBody),
+		socket.WithMalformed(func(client string, err *syntax.Error) { f.Meter.RecordMalformed(f.Log, "callers", client, err) }))
 	opts := []config.Option{
 		server.WithListener(l), server.WithTransport(socket.Transport(&f.requests, conns, f.Bodies)), server.WithStreamBody(true),
 		server.WithMaxRequestBodySize(f.Settings.Limits.Body),
@@ -127,8 +133,8 @@
 	h.GET("/v1/models", f.serveModels)
 	h.POST("/v1/chat/completions", f.serveInference)
 	h.POST("/v1/completions", f.serveInference)
-	h.Any("/v1/call/:service", f.serveCall)
-	h.Any("/v1/call/:service/*path", f.serveCall)
+	h.Any(callPrefix+":service", f.serveCall)
+	h.Any(callPrefix+":service/*path", f.serveCall)
 	h.NoRoute(func(_ context.Context, c *app.RequestContext) {
 		f.refuse(c, fault.New(fault.NoRoute, fault.RanNo, "no such path"))
 	})
@@ -182,6 +188,13 @@
 	return errorBody{Error: errorDetail{Code: r.Code, Message: r.Message, Ran: r.Ran}}
 }
 
+// malformedBody returns the body of the answer to a request whose head is malformed.
+func malformedBody(err *syntax.Error) (mediaType string, body []byte) {
+	// The error is ignored: the body has only text.
+	body, _ = json.Marshal(newErrorBody(fault.New(fault.BadRequest, fault.RanNo, "%v", err)))
+	return "application/json; charset=utf-8", body
+}
+
 // refuse answers the request with a refusal.
 func (f *Front) refuse(c *app.RequestContext, r *fault.Refusal) {
 	f.Meter.CountRefusal(r)
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/syntax"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/board"
 	"github.com/hyssopspindle/hyssopspindle/internal/board/revis"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
@@ -178,6 +179,10 @@
 
 // dispatch serves a request by its published route or by the inventory.
 func (h *Handler) dispatch(ctx context.Context, peer string, msg *wire.Request, sink client.Sink) Result {
+	if err := syntax.As(checkSyntax(msg)); err != nil {
+		h.Meter.RecordMalformed(h.Log, "peers", peer, err)
+		return Result{Refusal: fault.New(fault.BadRequest, fault.RanNo, "%v", err)}
+	}
 	switch {
 	case msg.Routing == nil || h.ServeRouted == nil:
 		return Result{Refusal: h.serveByInventory(ctx, peer, msg, sink)}
@@ -187,6 +192,31 @@
 	return h.ServeRouted(ctx, msg, sink)
 }
 
+// checkSyntax returns an error of package syntax unless a request may be sent to an endpoint as it is. Hosts of older
+// releases relay what they did not check.
+func checkSyntax(msg *wire.Request) error {
+	if err := syntax.CheckTarget(msg.Method, msg.Path); err != nil {
+		return err
+	}
+	if err := syntax.CheckField("id", msg.ID); err != nil {
+		return err
+	}
+	if msg.Routing != nil {
+		if err := syntax.CheckHost(msg.Routing.Host); err != nil {
+			return err
+		}
+	}
+	for _, f := range msg.Fields {
+		if err := syntax.CheckField(f.Name, f.Value); err != nil {
+			return err
+		}
+		if syntax.FramesOrRoutes(f.Name) {
+			return &syntax.Error{Reason: syntax.FieldLine, Detail: "relayed request has the field " + f.Name}
+		}
+	}
+	return nil
+}
+
 // serveByInventory serves a request by this host's inventory, in the role that the
 // peer asks for.
 func (h *Handler) serveByInventory(ctx context.Context, peer string, msg *wire.Request, sink client.Sink) *fault.Refusal {
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -88,7 +88,7 @@
 		relay, entry := open("relay", link.Handlers{Stream: h.Stream}), open("entry", link.Handlers{})
 		body := ""
 		sink := client.Sink{Head: func(wire.Head) error { return nil }, Data: func(p []byte) error { body += string(p); return nil }}
-		end, err := flow.Exchange(t.Context(), entry, "relay", relay.Address(), wire.Request{ID: "r", Routing: &wire.Routing{}}, sink, 10*time.Second)
+		end, err := flow.Exchange(t.Context(), entry, "relay", relay.Address(), wire.Request{ID: "r", Method: "POST", Path: "/x", Routing: &wire.Routing{}}, sink, 10*time.Second)
 		if whole := err == nil && end.Code == ""; whole != tt.whole || body != "id: 0\ndata: x\n\n" {
 			t.Errorf("%s: got end %+v, error %v, body %q, want whole %v", tt.name, end, err, body, tt.whole)
 		}
@@ -121,7 +121,7 @@
 	relay, entry := open("relay", link.Handlers{Stream: h.Stream}), open("entry", link.Handlers{})
 	sink := client.Sink{Head: func(wire.Head) error { return nil }, Data: func([]byte) error { return nil }}
 	send := func(bytes int) (*wire.End, error) {
-		msg := wire.Request{ID: "r", Routing: &wire.Routing{}, Body: make([]byte, bytes)}
+		msg := wire.Request{ID: "r", Method: "POST", Path: "/x", Routing: &wire.Routing{}, Body: make([]byte, bytes)}
 		return flow.Exchange(t.Context(), entry, "relay", relay.Address(), msg, sink, 10*time.Second)
 	}
 	type outcome struct {
@@ -158,3 +158,56 @@
 		t.Errorf("%d bytes were held, limit %d", most.Load(), limit)
 	}
 }
+
+// TestRelayedRequestOfOlderReleaseRuns guards against a request that a host of an older release relays without a check, and that
+// would be two requests, or another one, where its endpoint reads it.
+func TestRelayedRequestOfOlderReleaseRuns(t *testing.T) {
+	open := newLinks(t)
+	pool, err := ants.NewPool(4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pool.Release()
+	h := &Handler{Board: board.New(time.Now(), "relay", "b", "b-1", 1), Meter: meter.New(), Pool: pool, MaxBody: 1 << 20, Bodies: memory.NewAccount(2 << 20), Now: time.Now}
+	h.Board.Health.MarkFresh()
+	var runs atomic.Int32
+	h.ServeRouted = func(_ context.Context, _ *wire.Request, sink client.Sink) Result {
+		runs.Add(1)
+		_ = sink.Head(wire.Head{Status: 200})
+		return Result{}
+	}
+	relay, entry := open("relay", link.Handlers{Stream: h.Stream}), open("entry", link.Handlers{})
+	sound := func() wire.Request {
+		return wire.Request{ID: "r", Method: "POST", Path: "/x?y=\xc3\xa9", Fields: []wire.Field{{Name: "X", Value: "caf\xe9"}}, Routing: &wire.Routing{Host: "h:1"}}
+	}
+	for name, change := range map[string]func(r *wire.Request){
+		"sound":                  func(*wire.Request) {},
+		"line end in the method": func(r *wire.Request) { r.Method = "GET / HTTP/1.1\r\n" },
+		"blank in the target":    func(r *wire.Request) { r.Path = "/x HTTP/1.1" },
+		"line end in the target": func(r *wire.Request) { r.Path = "/x\r\nA:b" },
+		"line end in the host":   func(r *wire.Request) { r.Routing.Host = "h\r\nA: b" },
+		"blank in a name":        func(r *wire.Request) { r.Fields[0].Name = "Content-Length " },
+		"NUL in a name":          func(r *wire.Request) { r.Fields[0].Name = "X\x00" },
+		"line end in a value":    func(r *wire.Request) { r.Fields[0].Value = "x\r\nContent-Length: 5" },
+		"line end in the id":     func(r *wire.Request) { r.ID = "r\r\nA: b" },
+		"length":                 func(r *wire.Request) { r.Fields[0].Name = "content-length" },
+		"chunks":                 func(r *wire.Request) { r.Fields[0].Name = "Transfer-Encoding" },
+		"host among the fields":  func(r *wire.Request) { r.Fields[0].Name = "Host" },
+		"by the inventory":       func(r *wire.Request) { r.Role, r.Routing, r.Path = wire.Home, nil, "/x\ny" },
+	} {
+		r := sound()
+		change(&r)
+		runs.Store(0)
+		sink := client.Sink{Head: func(wire.Head) error { return nil }, Data: func([]byte) error { return nil }}
+		end, err := flow.Exchange(t.Context(), entry, "relay", relay.Address(), r, sink, 10*time.Second)
+		if name == "sound" {
+			if err != nil || end.Code != "" || runs.Load() != 1 {
+				t.Errorf("%s: got end %+v, error %v", name, end, err)
+			}
+			continue
+		}
+		if err != nil || end.Code != fault.BadRequest || end.Ran != fault.RanNo || runs.Load() != 0 {
+			t.Errorf("%s: got end %+v, error %v, %d runs, want %s", name, end, err, runs.Load(), fault.BadRequest)
+		}
+	}
+}
