Send calls of plain services with the path and query of their callers

Cause: serve/front took the path from the router's parameter and the inference path from the parsed URI, and the client wrote requests by net/http, whose URL has forms of its own (a path that begins with // is written with a scheme).

Change: the path and query are those of the request line (callPath, syntax.OriginForm); the client writes its own head (requestHead). A service named by escapes gets 400. As endpoints may resolve what is now sent as it came, a call may be repeated only if both that path and what an endpoint makes of it may be (invent.MayRetry): /stock/../order is not a read of /stock.

The plain stand-in serves calls without its multiplexer, which redirected such paths.

--- a/internal/conf/invent/model.go
+++ b/internal/conf/invent/model.go
@@ -3,6 +3,8 @@
 package invent
 
 import (
+	"net/url"
+	"path"
 	"slices"
 	"strings"
 	"time"
@@ -261,8 +263,30 @@
 }
 
 // MayRetry reports whether a request may be retried when it is unknown whether an
-// earlier attempt ran.
+// earlier attempt ran. The path, with its query, is as the caller sent it: both that and the path that an endpoint
+// makes of it must be repeatable.
 func (s *Service) MayRetry(method, path string) bool {
+	return s.mayRetry(method, path) && s.mayRetry(method, resolvedPath(path))
+}
+
+// resolvedPath returns a path without escapes, dot segments and empty segments.
+func resolvedPath(sent string) string {
+	raw, query, _ := strings.Cut(sent, "?")
+	decoded, err := url.PathUnescape(raw)
+	if err != nil {
+		decoded = raw
+	}
+	out := path.Clean("/" + decoded)
+	if strings.HasSuffix(decoded, "/") && out != "/" {
+		out += "/"
+	}
+	if query != "" {
+		out += "?" + query
+	}
+	return out
+}
+
+func (s *Service) mayRetry(method, path string) bool {
 	for _, c := range s.Calls {
 		if c.Method == method && strings.HasPrefix(path, c.Path) {
 			return c.Repeatable
--- a/internal/serve/client/exchange.go
+++ b/internal/serve/client/exchange.go
@@ -1,17 +1,15 @@
 package client
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/base/syntax"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/head"
 )
@@ -84,7 +82,8 @@
 	}
 	e.conn = conn
 	context.AfterFunc(e.ctx, func() { _ = conn.Close() })
-	if err := newRequest(e.address, method, path, fields, body).Write(conn); err != nil {
+	request := net.Buffers{requestHead(e.address, method, path, fields, len(body)), body}
+	if _, err := request.WriteTo(conn); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
 	if e.resp, err = head.NewReader(conn, readChunkBytes).ReadAnswer(method); err != nil { //nolint:bodyclose // Method close does.
@@ -93,24 +92,24 @@
 	return nil
 }
 
-// newRequest returns a request that ends its connection. The path is sent as it is.
-func newRequest(address, method, path string, fields []wire.Field, body []byte) *http.Request {
-	r := &http.Request{
-		Method: method, URL: &url.URL{Scheme: "http", Opaque: path}, Host: address,
-		// An empty value keeps the default from being sent.
-		Header: http.Header{"User-Agent": {""}}, Close: true,
-	}
+// requestHead returns the head of a request that ends its connection. The path is sent as it is.
+func requestHead(address, method, path string, fields []wire.Field, bodyBytes int) []byte {
+	host := address
 	for _, f := range fields {
 		if strings.EqualFold(f.Name, "Host") {
-			r.Host = f.Value
-			continue
+			host = f.Value
+		}
+	}
+	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n", method, path, host)
+	for _, f := range fields {
+		if !syntax.FramesOrRoutes(f.Name) {
+			b = fmt.Appendf(b, "%s: %s\r\n", f.Name, f.Value)
 		}
-		r.Header.Set(f.Name, f.Value)
 	}
-	if len(body) > 0 {
-		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	if bodyBytes > 0 || method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", bodyBytes)
 	}
-	return r
+	return append(b, "\r\n"...)
 }
 
 // close ends the exchange. The connection is closed before the body of the answer, which
--- a/internal/serve/front/request.go
+++ b/internal/serve/front/request.go
@@ -14,6 +14,7 @@
 	"github.com/hyssopspindle/hyssopspindle/internal/base/fault"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/memory"
 	"github.com/hyssopspindle/hyssopspindle/internal/base/socket"
+	"github.com/hyssopspindle/hyssopspindle/internal/base/syntax"
 	"github.com/hyssopspindle/hyssopspindle/internal/conf/invent"
 	"github.com/hyssopspindle/hyssopspindle/internal/fleet/wire"
 	"github.com/hyssopspindle/hyssopspindle/internal/serve/client"
@@ -49,7 +50,7 @@
 		if refusal != nil {
 			return flow.Request{}, refusal
 		}
-		return flow.Request{Service: s, Path: string(c.URI().RequestURI()), Prefix: promptPrefixHash(body), Stream: body.Stream}, nil
+		return flow.Request{Service: s, Path: target(c), Prefix: promptPrefixHash(body), Stream: body.Stream}, nil
 	})
 }
 
@@ -60,14 +61,32 @@
 		if refusal != nil {
 			return flow.Request{}, refusal
 		}
-		path := "/" + strings.TrimPrefix(c.Param("path"), "/")
-		if query := c.URI().QueryString(); len(query) > 0 {
-			path += "?" + string(query)
+		path, refusal := callPath(c, s.Name)
+		if refusal != nil {
+			return flow.Request{}, refusal
 		}
 		return flow.Request{Service: s, Path: path}, nil
 	})
 }
 
+// target returns the path and query of a request as its caller sent them.
+func target(c *app.RequestContext) string {
+	return syntax.OriginForm(string(c.Request.Header.RequestURI()))
+}
+
+// callPath returns the path and query that a call of a plain service is for, as its caller sent them: the router's
+// are decoded. The service is named by the path as it was sent, and not by one that has to be decoded first.
+func callPath(c *app.RequestContext, service string) (string, *fault.Refusal) {
+	rest, ok := strings.CutPrefix(target(c), callPrefix+service)
+	switch {
+	case ok && strings.HasPrefix(rest, "/"):
+		return rest, nil
+	case ok && (rest == "" || strings.HasPrefix(rest, "?")):
+		return "/" + rest, nil
+	}
+	return "", fault.New(fault.BadRequest, fault.RanNo, "path does not begin with %s%s as it was sent", callPrefix, service)
+}
+
 // findService returns the service of a name and kind, or a refusal if it does not exist
 // or the caller may not use it.
 func (f *Front) findService(inv *invent.Inventory, caller *invent.Caller, name string, kind invent.Kind) (*invent.Service, *fault.Refusal) {
--- a/internal/serve/host/fleet_test.go
+++ b/internal/serve/host/fleet_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -424,8 +425,12 @@
 // attemptOption changes the attempt that fleet.send makes.
 type attemptOption func(*client.Attempt)
 
+// withHeader sets a field, in the place of an earlier one of that name.
 func withHeader(name, value string) attemptOption {
-	return func(a *client.Attempt) { a.Fields = append(a.Fields, wire.Field{Name: name, Value: value}) }
+	return func(a *client.Attempt) {
+		a.Fields = slices.DeleteFunc(a.Fields, func(f wire.Field) bool { return f.Name == name })
+		a.Fields = append(a.Fields, wire.Field{Name: name, Value: value})
+	}
 }
 
 // send sends one request to a host as the inventory's caller.
--- a/internal/serve/host/forged_test.go
+++ b/internal/serve/host/forged_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -47,6 +48,47 @@
 	}
 }
 
+// TestPathOfCallIsChanged guards against calls of plain services whose path, query, method or body reach the endpoint changed:
+// an escaped question mark became the begin of a query, an escaped slash one of the path.
+func TestPathOfCallIsChanged(t *testing.T) {
+	for region, where := range map[string]string{"a": "local", "b": "relayed"} {
+		t.Run(where, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, plan{hosts: map[string]string{"a1": "a", "b1": "b"}, plains: map[string]string{"p1": region}})
+			shapes := forged.Sound()
+			for _, target := range []string{"/a%2Fb", "/a%3Fb=c", "/a%20b", "/a%0d%0aX:%20y", "//a//b/", "/?", "?a", "/a+b?c+d=%26&e=f/../g", "/caf\xc3\xa9"} {
+				shapes = append(shapes, forged.Shape{Name: target, Target: target, Last: "Content-Length: {all}\r\n"})
+			}
+			for i, s := range shapes {
+				inner := fmt.Sprintf("GET /v1/call/shop/stock HTTP/1.1\r\nHost: h\r\n%s\r\n", callFields("hidden"))
+				text := s.Text("GET /v1/call/shop/stock", "h", callFields(fmt.Sprint("sound-", i)), inner)
+				answers, _, err := forged.Send(f.settings["a1"].Callers, text, waitTimeout, 20*time.Millisecond)
+				if err != nil || len(answers) != 1 || answers[0].Status != http.StatusOK {
+					t.Errorf("%s: got answers %v, error %v, want one with 200", s.Name, answers, err)
+					continue
+				}
+				var got struct{ Target, Method, Body string }
+				if err := json.Unmarshal([]byte(answers[0].Body), &got); err != nil || got.Target != "/stock"+s.Target || got.Method != http.MethodGet || got.Body != inner {
+					t.Errorf("%s: the endpoint got %+v, error %v, want target %q", s.Name, got, err, "/stock"+s.Target)
+				}
+			}
+			// Endpoints make a path of these that may not be repeated.
+			for _, target := range []string{"/stock/../x", "/stock/%2e%2e/x", "/stock%2F..%2Fx", "//x"} {
+				answers, _, err := forged.Send(f.settings["a1"].Callers, "GET /v1/call/shop"+target+" HTTP/1.1\r\nHost: h\r\n"+callFields("resolved")+"\r\n", waitTimeout, 20*time.Millisecond)
+				if err != nil || len(answers) != 1 || answers[0].Status != http.StatusPreconditionRequired {
+					t.Errorf("%s: got answers %v, error %v, want 428", target, answers, err)
+				}
+			}
+			for _, target := range []string{"/v1/call/sh%6fp/stock", "/v1//call/shop/stock", "/v1/call/./shop/stock", "/v1/call/x/../shop/stock", "/v1/%63all/shop/stock"} {
+				answers, _, err := forged.Send(f.settings["a1"].Callers, "GET "+target+" HTTP/1.1\r\nHost: h\r\n"+callFields("odd")+"\r\n", waitTimeout, 20*time.Millisecond)
+				if err != nil || len(answers) != 1 || answers[0].Status != http.StatusBadRequest {
+					t.Errorf("%s: got answers %v, error %v, want 400", target, answers, err)
+				}
+			}
+		})
+	}
+}
+
 // TestMalformedRequestIsReadByOtherListeners guards against a listener for operators that serves a malformed request, or what
 // stands behind it.
 func TestMalformedRequestIsReadByOtherListeners(t *testing.T) {
--- a/internal/stand/plain/plain.go
+++ b/internal/stand/plain/plain.go
@@ -66,8 +66,11 @@
 type answer struct {
 	Service string `json:"service"`
 	Path    string `json:"path"`
-	Number  int    `json:"number"`
-	Body    string `json:"body,omitempty"`
+	// Target is the path and query as they were sent.
+	Target string `json:"target"`
+	Method string `json:"method"`
+	Number int    `json:"number"`
+	Body   string `json:"body,omitempty"`
 }
 
 type loadReport struct {
@@ -84,8 +87,14 @@
 	mux.HandleFunc("GET /load", s.serveLoad)
 	mux.HandleFunc("GET /effects", s.serveEffects)
 	mux.HandleFunc("POST /fault", s.serveFault)
-	mux.HandleFunc("/", s.serveCall)
-	srv, err := httpd.Serve(address, mux)
+	srv, err := httpd.Serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The multiplexer would redirect calls whose path it would write in another way.
+		if _, pattern := mux.Handler(r); pattern == "" || r.URL.Path != r.RequestURI {
+			s.serveCall(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	}))
 	if err != nil {
 		return nil, fmt.Errorf("service %s: %w", name, err)
 	}
@@ -171,7 +180,7 @@
 	case f.Raw != (httpd.Raw{}):
 		s.sendRaw(w, f.Raw)
 	default:
-		httpd.WriteJSON(w, http.StatusOK, answer{Service: s.name, Path: r.URL.Path, Number: number, Body: string(body)})
+		httpd.WriteJSON(w, http.StatusOK, answer{Service: s.name, Path: r.URL.Path, Target: r.RequestURI, Method: r.Method, Number: number, Body: string(body)})
 	}
 }
 
