Pass an endpoint's answer on whole, or answer for the host

For an endpoint's 408, 429 or 503 without the mark of a refusal they got 502 with the endpoint's body, fields and signature, which the endpoint gave for another status.

Cause: observedSink changed the status of the head that it passed on, as these statuses promise that the request has not run, and left the rest of the answer as it was; edge and front set fields by name, the last line of one counts then. Ruled out: operations, whose stored outcomes replay status, fields and body together (TestStoredOutcomeHasAnotherStatus held from the start).

Change: wire.Head is immutable, status and fields come from one constructor where an endpoint's answer is read. Where a status may not be repeated the attempt fails as one that ran, and the host answers for itself with nothing of the endpoint's (head.CheckPromise in task.accept: endpoints, relays, error answers of relays). A relayed 502 of a host that may have replaced the status (an older release, which does not send Unchanged) is not passed on. Fields are added, not set.

--- a/internal/fleet/wire/frame.go
+++ b/internal/fleet/wire/frame.go
@@ -7,7 +7,6 @@
 	"encoding/binary"
 	"fmt"
 	"io"
-	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -108,27 +107,6 @@
 	Begun *bool `cbor:"10,keyasint,omitempty"`
 }
 
-// Head is the start of an answer: status, header fields and the endpoint that
-// served it.
-type Head struct {
-	Status   int     `cbor:"1,keyasint"`
-	Fields   []Field `cbor:"2,keyasint,omitempty"`
-	Endpoint string  `cbor:"3,keyasint,omitempty"`
-	// Release is the endpoint's release; nil if the sender is of a build that does not
-	// know the field.
-	Release *string `cbor:"4,keyasint,omitempty"`
-}
-
-// Field returns the value of the first header field of a name, empty if there is none.
-func (h Head) Field(name string) string {
-	for _, f := range h.Fields {
-		if strings.EqualFold(f.Name, name) {
-			return f.Value
-		}
-	}
-	return ""
-}
-
 // End is the end of an answer. An answer without an End is truncated.
 type End struct {
 	Code         fault.Code `cbor:"1,keyasint,omitempty"`
--- a/internal/load/agent/agent.go
+++ b/internal/load/agent/agent.go
@@ -324,7 +324,7 @@
 		Deadline: r.Deadline, IdleTimeout: r.IdleTimeout, MaxAnswerBytes: maxAnswerBytes,
 	}, client.Sink{
 		Head: func(h wire.Head) error {
-			out.Status = h.Status
+			out.Status = h.Status()
 			result.retryAfter = retryAfterOf(h)
 			out.ServedBy = headerValue(h, "X-Served-By")
 			return nil
@@ -364,7 +364,7 @@
 
 // headerValue returns the value of a header field, empty if it is missing.
 func headerValue(h wire.Head, name string) string {
-	for _, f := range h.Fields {
+	for _, f := range h.Fields() {
 		if f.Name == name {
 			return f.Value
 		}
--- a/internal/serve/client/client.go
+++ b/internal/serve/client/client.go
@@ -201,16 +201,16 @@
 
 // answerHead returns the status of an answer and the header fields that callers get.
 func (r *attemptRun) answerHead(e *exchange) wire.Head {
-	h := wire.Head{Status: r.result.Status}
+	var fields []wire.Field
 	for name, values := range e.resp.Header {
 		if isDroppedField(name) {
 			continue
 		}
 		for _, v := range values {
-			h.Fields = append(h.Fields, wire.Field{Name: name, Value: v})
+			fields = append(fields, wire.Field{Name: name, Value: v})
 		}
 	}
-	return h
+	return wire.NewHead(r.result.Status, fields...)
 }
 
 // isDroppedField reports whether a header field is not passed on to callers: the
--- a/internal/serve/client/get.go
+++ b/internal/serve/client/get.go
@@ -41,7 +41,7 @@
 func Collect(status *int, body *[]byte) Sink {
 	return Sink{
 		Head: func(h wire.Head) error {
-			*status = h.Status
+			*status = h.Status()
 			return nil
 		},
 		Data: func(p []byte) error {
--- a/internal/serve/edge/request.go
+++ b/internal/serve/edge/request.go
@@ -247,11 +247,11 @@
 
 func (a *answerWriter) head(h wire.Head) error {
 	a.started = true
-	a.c.SetStatusCode(h.Status)
-	for _, f := range h.Fields {
-		a.c.Response.Header.Set(f.Name, f.Value)
+	a.c.SetStatusCode(h.Status())
+	for _, f := range h.Fields() {
+		a.c.Response.Header.Add(f.Name, f.Value)
 	}
-	a.streaming = a.stream && h.Status == http.StatusOK
+	a.streaming = a.stream && h.Status() == http.StatusOK
 	if a.streaming {
 		a.closeIfLeaving()
 		socket.StartStream(a.c)
--- a/internal/serve/front/operation.go
+++ b/internal/serve/front/operation.go
@@ -30,7 +30,7 @@
 	if key.Prefix.Host == f.Board.Name {
 		out := f.Relay.RunOperation(ctx, key, r)
 		report.Refusal = f.sendOutcome(out, a, firstAttempt)
-		report.Status = out.Head.Status
+		report.Status = out.Head.Status()
 		return report
 	}
 	report.Refusal = f.forwardHome(ctx, r, key, a, firstAttempt)
--- a/internal/serve/front/request.go
+++ b/internal/serve/front/request.go
@@ -256,14 +256,14 @@
 	if a.headSent {
 		return nil
 	}
-	a.headSent, a.fields = true, h.Fields
-	a.c.SetStatusCode(h.Status)
-	for _, f := range h.Fields {
-		a.c.Response.Header.Set(f.Name, f.Value)
+	a.headSent, a.fields = true, h.Fields()
+	a.c.SetStatusCode(h.Status())
+	for _, f := range a.fields {
+		a.c.Response.Header.Add(f.Name, f.Value)
 	}
 	a.streaming = stream.IsEvents(h.Field("Content-Type"))
-	if h.Endpoint != "" {
-		a.c.Header(ServedByField, h.Endpoint)
+	if h.Endpoint() != "" {
+		a.c.Header(ServedByField, h.Endpoint())
 	}
 	if a.streaming {
 		socket.StartStream(a.c)
--- a/internal/serve/node/cold.go
+++ b/internal/serve/node/cold.go
@@ -215,7 +215,7 @@
 	terms := n.proxy.Terms
 	sink := client.Sink{
 		Head: func(h wire.Head) error {
-			for _, f := range h.Fields {
+			for _, f := range h.Fields() {
 				switch f.Name {
 				case terms.EndpointID:
 					id = f.Value
--- a/internal/serve/pool/client.go
+++ b/internal/serve/pool/client.go
@@ -97,7 +97,7 @@
 	// NewConn forces a new connection.
 	NewConn bool
 	// RetryServerErrors makes a status of 500 or above, 408 or 429 fail the attempt. Otherwise
-	// such an answer is passed on.
+	// such an answer is passed on if Accept takes it.
 	RetryServerErrors bool
 	// Verify returns an error if the request may not be sent on a connection, as the endpoint behind it
 	// may not be the one that the request was placed at. It may be nil.
@@ -617,17 +617,17 @@
 
 // answerHead returns the status and the end-to-end header fields of an answer.
 func answerHead(resp *http.Response) wire.Head {
-	h := wire.Head{Status: resp.StatusCode}
+	var fields []wire.Field
 	for name, values := range resp.Header {
 		switch name {
 		case "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade", "Proxy-Connection":
 			continue
 		}
 		for _, v := range values {
-			h.Fields = append(h.Fields, wire.Field{Name: name, Value: v})
+			fields = append(fields, wire.Field{Name: name, Value: v})
 		}
 	}
-	return h
+	return wire.NewHead(resp.StatusCode, fields...)
 }
 
 // passWhole reads the whole body of an answer that is not a stream and passes it on.
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -347,13 +348,9 @@
 				return nil
 			}
 			t.received = t.received.WithHead(h)
-			if fault.StatesNotRun(h.Status) {
-				// An endpoint's answer that is passed on may come of a run, whatever its status.
-				h.Status = http.StatusBadGateway
-			}
-			t.report.Status = h.Status
+			t.report.Status = h.Status()
 			t.report.Started = true
-			if t.Route.Kind == rules.Stream && h.Status == http.StatusOK {
+			if t.Route.Kind == rules.Stream && h.Status() == http.StatusOK {
 				p.recordStart(t, h)
 			}
 			return sink.Head(h)
@@ -472,12 +469,12 @@
 }
 
 // accept returns an error if the caller can't get an answer with the head: it is not the rest of what the
-// caller has, or has an encoding that the caller did not ask for.
+// caller has, has an encoding that the caller did not ask for, or a status that may not be repeated.
 func (t *task) accept(h wire.Head) error {
 	if err := t.received.Accept(h); err != nil {
 		return err
 	}
-	return head.CheckEncoding(h, t.Fields)
+	return cmp.Or(head.CheckEncoding(h, t.Fields), head.CheckPromise(h))
 }
 
 func (p *Proxy) attempt(ctx context.Context, t *task, d decision, sink client.Sink) result {
--- a/internal/serve/proxy/release.go
+++ b/internal/serve/proxy/release.go
@@ -198,10 +198,10 @@
 // releaseOf returns the release of the endpoint that sent an answer, and false if it is not
 // known.
 func (p *Proxy) releaseOf(h wire.Head) (string, bool) {
-	if h.Release != nil {
-		return *h.Release, true
+	if h.Release() != nil {
+		return *h.Release(), true
 	}
-	e, ok := p.Board.Registry.Get(h.Endpoint)
+	e, ok := p.Board.Registry.Get(h.Endpoint())
 	return e.Release, ok
 }
 
--- a/internal/serve/proxy/remote.go
+++ b/internal/serve/proxy/remote.go
@@ -84,8 +84,8 @@
 func (p *Proxy) remoteSink(t *task, sink client.Sink) client.Sink {
 	return client.Sink{
 		Head: func(h wire.Head) error {
-			t.report.Endpoint = h.Endpoint
-			if err := t.accept(h); err != nil {
+			t.report.Endpoint = h.Endpoint()
+			if err := cmp.Or(t.accept(h), head.CheckUnchanged(h)); err != nil {
 				return err
 			}
 			if err := p.checkRelease(t, h); err != nil {
@@ -191,7 +191,7 @@
 		return failed(retry.Relay, fault.RanUnknown, fault.RelayError, "other region would continue the stream at another release")
 	case errors.Is(err, splice.ErrOther):
 		return failed(retry.Relay, fault.RanYes, fault.RelayError, "endpoint of the other region did not continue the stream")
-	case errors.Is(err, head.ErrEncoded):
+	case errors.Is(err, head.ErrEncoded) || errors.Is(err, head.ErrStatus):
 		return failed(retry.Status, fault.RanYes, fault.EndpointError, "endpoint failed")
 	case errors.Is(err, head.ErrBroken):
 		return failed(retry.Broken, fault.RanUnknown, fault.EndpointError, "endpoint failed")
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -293,8 +293,7 @@
 func (h *Handler) withHostName(sink client.Sink) client.Sink {
 	return client.Sink{
 		Head: func(hd wire.Head) error {
-			hd.Endpoint = h.Board.Name
-			return sink.Head(hd)
+			return sink.Head(hd.WithEndpoint(h.Board.Name))
 		},
 		Data: sink.Data,
 	}
--- a/internal/serve/splice/part.go
+++ b/internal/serve/splice/part.go
@@ -21,7 +21,7 @@
 
 // WithHead returns the part with the head of its answer.
 func (p Part) WithHead(h wire.Head) Part {
-	p.Status, p.Type = h.Status, MediaType(h)
+	p.Status, p.Type = h.Status(), MediaType(h)
 	return p
 }
 
