--- a/internal/serve/host/broken_test.go
+++ b/internal/serve/host/broken_test.go
@@ -142,7 +142,7 @@
 					f.plains["p1"].SetFault(plain.Fault{Raw: httpd.Raw{
 						Text: "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart", Early: true, Read: read, Pause: pause, Reset: true,
 					}})
-					for _, size := range []int{1 << 10, 64 << 10, 300 << 10, 4 << 20} {
+					for _, size := range []int{1 << 10, 64 << 10, 300 << 10, 4 << 20, f.settings["a1"].Limits.Body} {
 						n++
 						status, text, err := f.post(orderPath, strings.Repeat("u", size), fmt.Sprint(prefix, ".", n))
 						if status != http.StatusBadGateway || strings.Contains(text, "part") || !strings.Contains(text, `"ran":"unknown"`) || err != nil {
--- a/internal/serve/node/early_test.go
+++ b/internal/serve/node/early_test.go
@@ -53,3 +53,39 @@
 		})
 	}
 }
+
+// TestEarlyAnswerToLargestUploadThatIsReset guards against the same for uploads as large as the rules allow, also after the endpoint
+// has read all of it, and for parts that fill what one read takes.
+func TestEarlyAnswerToLargestUploadThatIsReset(t *testing.T) {
+	// most is the published limit of a body, readBytes what the client of endpoints reads at a time.
+	const most, readBytes = 1 << 20, 16 << 10
+	const head = "HTTP/1.1 200 OK\r\n" + routed.FieldsMark + "\r\n"
+	for region, where := range map[string]string{"a": "local", "b": "relayed"} {
+		t.Run(where, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t)
+			first, second := f.onlyIn(region, "plain")
+			for _, part := range []int{1, readBytes / 4, readBytes - len(head), readBytes, 2 * readBytes} {
+				for _, read := range []int{0, most / 2, most - 1, most} {
+					for _, pause := range []time.Duration{0, 5 * time.Millisecond} {
+						for _, id := range []string{first, second} {
+							f.endpoints[id].SetFault(routed.Fault{Times: 8, Raw: httpd.Raw{Text: head + strings.Repeat("p", part), Early: true, Read: read, Pause: pause, Reset: true}})
+						}
+						for _, size := range []int{most - 1, most} {
+							id := fmt.Sprint(part, " ", size, " ", read, " ", pause)
+							status, body, err := f.callResponse("a", http.MethodPost, "/unsafe/x", id, nil, func(r *http.Request) {
+								r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("u", size))), int64(size)
+							})
+							if err == nil && status != http.StatusBadGateway {
+								t.Errorf("%s: got status %d and the whole body of %d bytes", id, status, len(body))
+							}
+						}
+					}
+				}
+			}
+			if n := len(f.runs(first, second)); n < 60 {
+				t.Errorf("%d requests reached an endpoint, want 80", n)
+			}
+		})
+	}
+}
