Write small requests of the inventory in one piece

The head and a body up to 8 KiB are one write now, larger bodies a second one. Before that the library wrote both in turn.

--- a/internal/serve/client/exchange.go
+++ b/internal/serve/client/exchange.go
@@ -73,6 +73,9 @@
 // connected reports whether a connection was established.
 func (e *exchange) connected() bool { return e.conn != nil }
 
+// maxJoinedBody is the size of a body up to which it is sent in one piece with its head, in bytes.
+const maxJoinedBody = 8 << 10
+
 // do sends a request and reads the head of the answer.
 func (e *exchange) do(method, path string, fields []wire.Field, body []byte) error {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -82,9 +85,17 @@
 	}
 	e.conn = conn
 	context.AfterFunc(e.ctx, func() { _ = conn.Close() })
-	request := net.Buffers{requestHead(e.address, method, path, fields, len(body)), body}
-	if _, err := request.WriteTo(conn); err != nil {
-		return fmt.Errorf("write request: %w", err)
+	request := requestHead(e.address, method, path, fields, len(body))
+	if len(body) <= maxJoinedBody {
+		request, body = append(request, body...), nil
+	}
+	for _, part := range [][]byte{request, body} {
+		if len(part) == 0 {
+			continue
+		}
+		if _, err := conn.Write(part); err != nil {
+			return fmt.Errorf("write request: %w", err)
+		}
 	}
 	if e.resp, err = head.NewReader(conn, readChunkBytes).ReadAnswer(method); err != nil { //nolint:bodyclose // Method close does.
 		return fmt.Errorf("read head of answer: %w", err)
