--- a/internal/fleet/wire/head.go
+++ b/internal/fleet/wire/head.go
@@ -49,11 +49,11 @@
 // Endpoint returns the endpoint that served the request, empty if it is not known.
 func (h Head) Endpoint() string { return h.endpoint }
 
-// Release returns the endpoint's release; nil if the head comes from a build that does not know the field.
+// Release returns the endpoint's release; nil if the sender is of a build that does not have the field.
 func (h Head) Release() *string { return h.release }
 
 // Unchanged reports whether the status is certainly the endpoint's own. A host of an older build replaces some statuses by
-// 502, and does not say so.
+// 502 without a mark.
 func (h Head) Unchanged() bool { return h.unchanged }
 
 // WithEndpoint returns a copy with the endpoint that served the request.
