Keep a body that waits for room for its own client

A client that sent a request of the largest legal size just after a crowd of its address had left saw its connection reset, or 503.

Cause: without room, the account drops the body that has not grown for longest. A body that waits for the room of dropped ones can't grow, so it soon was that body, while what the host had received of the crowd was still read and grew. Its connection was closed at once, though its handler was in the account and could have sent the refusal.

A body that waits is now dropped for another client only, if all of that client wait, and it is refused by the error of its wait.

TestWaitingBodyIsDropped fails before in its four cases.

--- a/internal/base/memory/account.go
+++ b/internal/base/memory/account.go
@@ -58,13 +58,15 @@
 	grown uint64
 	// arrived reports whether the body has arrived as a whole; then it is not dropped any more.
 	arrived bool
+	// waiting reports whether the body waits for the room of bodies that were dropped.
+	waiting bool
 	dropped bool
 	closed  bool
 	end     func()
 }
 
 // Open adds a body of a client that begins to arrive. end is called, in a goroutine of its own, if the
-// body is dropped for another one. The caller closes the hold.
+// body is dropped for another one while it does not wait for room. The caller closes the hold.
 func (a *Account) Open(client string, end func()) *Hold {
 	h := &Hold{account: a, client: client, end: end}
 	a.mu.Lock()
@@ -74,8 +76,8 @@
 }
 
 // Grow takes room for more bytes before they are read. If there is none, a body of the client that holds most is
-// dropped, of those that are still arriving the one that has not grown for longest, and Grow waits until its
-// bytes are given back: one that stops short of its end makes room for those that arrive. Grow returns
+// dropped, of those that are still arriving and do not wait for room the one that has not grown for longest, and
+// Grow waits until its bytes are given back: one that stops short of its end makes room for those that arrive. Grow returns
 // ErrFull if this body was dropped, or if there is no other to drop.
 func (h *Hold) Grow(n int) error { return h.Replace(n, 0) }
 
@@ -87,7 +89,9 @@
 	defer a.mu.Unlock()
 	for !h.dropped && !a.hasRoom(h, n, 0) {
 		if a.hasRoom(h, n, a.leaving) {
+			h.waiting = true
 			a.freed.Wait()
+			h.waiting = false
 			continue
 		}
 		a.drop(a.worst(h, n-old), h)
@@ -158,7 +162,8 @@
 }
 
 // worst returns the body to drop so that h may have n bytes more: of the client that then holds most, another
-// one rather than that of h, the one that has not grown for longest. It is h itself if there is no other.
+// one rather than that of h, the one that has not grown for longest. One that waits for room has arrived as far as
+// it may, so it is dropped only for another client, if all of its own wait. It is h itself if there is no other.
 func (a *Account) worst(h *Hold, n int) *Hold {
 	client, most := h.client, a.clients[h.client]+n
 	for o := range a.holds {
@@ -168,22 +173,34 @@
 	}
 	worst := h
 	for o := range a.holds {
-		if o != h && o.client == client && o.mayDrop() && (worst == h || o.grown < worst.grown) {
+		if o == h || o.client != client || !o.mayDrop() || o.waiting && client == h.client {
+			continue
+		}
+		if worst == h || o.leavesBefore(worst) {
 			worst = o
 		}
 	}
 	return worst
 }
 
+// leavesBefore reports whether a body is dropped rather than another one of its client.
+func (h *Hold) leavesBefore(o *Hold) bool {
+	if h.waiting != o.waiting {
+		return o.waiting
+	}
+	return h.grown < o.grown
+}
+
 func (h *Hold) mayDrop() bool { return !h.arrived && !h.dropped && h.bytes > 0 }
 
-// drop drops a body so that another one may grow.
+// drop drops a body so that another one may grow. One that waits for room gets the error of its wait, and its
+// client the refusal.
 func (a *Account) drop(h, other *Hold) {
 	h.dropped = true
 	a.leaving += h.bytes
 	a.onRefused(h.client, h.bytes)
 	a.freed.Broadcast()
-	if h != other {
+	if h != other && !h.waiting {
 		go h.end()
 	}
 }
--- a/internal/base/memory/account_test.go
+++ b/internal/base/memory/account_test.go
@@ -127,3 +127,71 @@
 		t.Error(err)
 	}
 }
+
+// TestWaitingBodyIsDropped guards against a body that is reset because it waits for room: it has not grown for
+// longest then, but has arrived as far as it may.
+func TestWaitingBodyIsDropped(t *testing.T) {
+	const size = 1 << 20
+	for _, tt := range []struct {
+		name string
+		// client is that of the body that is short of room, bytes what it has, waiting what the one that waits
+		// has, and stopped what one has that stops short of its end and has grown after that.
+		client                  string
+		waiting, stopped, bytes int
+		wantFull, wantServed    bool
+	}{
+		{"for one of its client", "a", size, 0, 3 * size, true, true},
+		{"for one of its client, beside one that stops", "a", size, size, 2 * size, false, true},
+		{"for one of another client", "b", 3 * size, 0, size, false, false},
+		{"for one of another client, beside one that stops", "b", 2 * size, size, size, false, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			a := NewAccount(8 * size)
+			left, reset := make(chan struct{}), make(chan struct{})
+			leaving, waiting := a.Open("a", func() { close(left) }), a.Open("a", func() { close(reset) })
+			var stopped *Hold
+			stopped = a.Open("a", func() { stopped.Close() })
+			other := a.Open(tt.client, func() {})
+			for _, body := range []struct {
+				hold  *Hold
+				bytes int
+			}{{leaving, 2 * size}, {waiting, tt.waiting}, {stopped, tt.stopped}, {other, tt.bytes}} {
+				if err := body.hold.Grow(body.bytes); err != nil {
+					t.Fatal(err)
+				}
+			}
+			served, full := make(chan error, 1), make(chan error, 1)
+			go func() {
+				err := waiting.Grow(size)
+				if err == nil {
+					err = waiting.Accept()
+				}
+				waiting.Close()
+				served <- err
+			}()
+			<-left
+			go func() { full <- other.Grow(2*size + 1) }()
+			for end := time.Now().Add(time.Second); len(full) == 0 && !other.waitsForRoom() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			leaving.Close()
+			if err := <-served; (err == nil) != tt.wantServed {
+				t.Errorf("the body that waited got %v, want it served: %v", err, tt.wantServed)
+			}
+			if err := <-full; errors.Is(err, ErrFull) != tt.wantFull {
+				t.Errorf("the other body got %v, want it refused: %v", err, tt.wantFull)
+			}
+			select {
+			case <-reset:
+				t.Error("the connection of a body that waited was closed, want its refusal to be sent")
+			case <-time.After(10 * time.Millisecond):
+			}
+		})
+	}
+}
+
+func (h *Hold) waitsForRoom() bool {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	return h.waiting
+}
