Apply answers of the store by their revision

A host could keep an endpoint ready that had left: requests went to an address where nobody answered, or another process, until the store was listed again.

Cause: while a host's calls of the store are slow, peer hosts supply later changes. The answer to a call that had been sent before was applied whole all the same: a listing replaced the table with an older one, a watch stored what had been registered and removed meanwhile. The removal was applied already, so nothing corrected it.

A listing that is older than the revision reached is not applied and confirms nothing; of a watch, the changes that came from peers meanwhile are dropped. Both are compared under the lock that the changes of peers take.

Evidence: TestOlderAnswerBringsEndpointBack fails in its three cases before.

--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,8 @@
 	// Revision is the ordered revision up to which the changes are complete; the next watch
 	// starts after it.
 	Revision uint64
+	// After is the ordered revision after which a watch asked for changes.
+	After uint64
 	// Events is the number of events that a watch returned, with those that are not in Changes.
 	Events int
 	// Bytes is the size of the values of these events.
@@ -154,13 +157,14 @@
 	f.startTimer(f.Now())
 	stop := f.startProofs(ctx)
 	defer stop()
-	needList := true
+	needList, relist := true, false
 	for ctx.Err() == nil {
 		if f.follows(f.Now()) {
 			ctrl.Sleep(ctx, followPoll)
 			continue
 		}
-		needList = f.takeRelist() || needList
+		relist = f.takeRelist() || relist
+		needList = needList || relist
 		began, sent, revision := f.Now(), f.Proofs.now(), f.currentRevision()
 		b, err := f.listOrWatch(ctx, needList, revision)
 		now := f.Now()
@@ -185,20 +189,33 @@
 			// asks for; that watch then fails with ErrCompacted.
 			continue
 		}
-		f.recordSuccess(now, b, needList, needList && now.Sub(began) > slowListing)
-		if needList {
-			f.markViewed(began)
-		} else {
-			f.markViewed(now)
+		b.After = revision
+		if f.accept(now, b, needList, began, sent) && needList {
+			relist = false
 		}
-		if needList || b.Events > 0 {
-			f.confirmRules(sent)
-		}
-		needList = false
+		// What a watch lacks, the changes of peer hosts may lack too.
+		needList = relist
 		ctrl.Sleep(ctx, f.MinInterval-now.Sub(began))
 	}
 }
 
+// accept records an answer to a call that began at a time, and what it confirms. It returns false if the answer is
+// a listing that is not applied.
+func (f *Feed) accept(now time.Time, b Batch, listing bool, began time.Time, sent time.Duration) (applied bool) {
+	if !f.recordSuccess(now, b, listing, listing && now.Sub(began) > slowListing) {
+		return false
+	}
+	if listing {
+		f.markViewed(began)
+	} else {
+		f.markViewed(now)
+	}
+	if listing || b.Events > 0 {
+		f.confirmRules(sent)
+	}
+	return true
+}
+
 // startTimer starts the time within which the store must answer for the first
 // time to count as reachable.
 func (f *Feed) startTimer(now time.Time) {
@@ -243,8 +260,10 @@
 	return min(maxRetryDelay, minRetryDelay<<min(f.failures-1, 8))
 }
 
-// recordSuccess records an answer of the store and applies its changes.
-func (f *Feed) recordSuccess(now time.Time, b Batch, listing, slow bool) {
+// recordSuccess records an answer of the store and applies the changes in it that are later than those that
+// peer hosts have supplied meanwhile: an older registration would bring an endpoint back that has left.
+// It returns false if the answer is a listing that is older than these.
+func (f *Feed) recordSuccess(now time.Time, b Batch, listing, slow bool) (applied bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failures > 0 {
@@ -256,7 +275,15 @@
 	// A watch returns every write since its revision, however long ago that was.
 	b.Gap = listing && f.mayLack(now, b.Revision)
 	f.failures, f.lastSuccess = 0, now
+	if listing && b.Revision < f.revision {
+		f.Log.Info().Str("feed", f.Name).Uint64("listed", eras.Revision(b.Revision)).Uint64("at", eras.Revision(f.revision)).Msg("listing is older than the changes of peer hosts")
+		return false
+	}
+	if !listing {
+		b.Changes = slices.DeleteFunc(b.Changes, func(c Change) bool { return c.Revision > b.After && c.Revision <= f.revision })
+	}
 	f.apply(now, b, listing)
+	return true
 }
 
 // mayLack reports whether a view of the store at a revision may lack items that were written and
--- a/internal/plat/feed/feed_test.go
+++ b/internal/plat/feed/feed_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopspindle/hyssopspindle/internal/board/regis"
 	"github.com/hyssopspindle/hyssopspindle/internal/plat/items"
 )
 
@@ -180,6 +181,91 @@
 	}
 }
 
+// TestOlderAnswerBringsEndpointBack guards against an endpoint that left and is in use again, because an answer
+// of the store arrives after the later changes of a peer host.
+func TestOlderAnswerBringsEndpointBack(t *testing.T) {
+	older := []Change{endpointChange("left", 6, 1), endpointChange("stays", 7, 1)}
+	for _, tt := range []struct {
+		name string
+		// answer is the answer during which the changes arrive, relist whether the host lists the store as
+		// its watch lacks a change. next is the call after that.
+		answer string
+		relist bool
+		next   string
+	}{
+		{"listing", "list", false, "watch after 8"},
+		{"listing for lack of a change", "list", true, "list"},
+		{"watch", "watch", false, "watch after 9"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			table := regis.NewTable()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var calls []string
+			var f *Feed
+			// The second call is answered late; the call after it ends the test.
+			answer := func(call string) (Batch, error) {
+				calls = append(calls, call)
+				switch {
+				case len(calls) == 1:
+					return Batch{Revision: 5}, nil
+				case len(calls) == 2 && tt.answer == "list" && tt.relist:
+					f.proofs.relist = true
+					return Batch{Revision: 5}, nil
+				case len(calls) == 2 && tt.answer == "list":
+					return Batch{}, ErrCompacted
+				case len(calls) > 3 || len(calls) == 3 && tt.answer == "watch":
+					cancel()
+					return Batch{}, ctx.Err()
+				}
+				f.ApplyFromPeer(noon, []items.Item{{Key: "stays", Revision: 7, Value: []byte("1")}, {Key: "left", Revision: 8, Deleted: true}}, 8, false, time.Hour)
+				if tt.answer == "watch" {
+					return Batch{Revision: 9, Changes: append(slices.Clone(older), endpointChange("new", 9, 1)), Events: 3}, nil
+				}
+				return Batch{Revision: 7, Changes: older}, nil
+			}
+			f = &Feed{
+				List:  func(context.Context) (Batch, error) { return answer("list") },
+				Watch: func(_ context.Context, after uint64) (Batch, error) { return answer(fmt.Sprint("watch after ", after)) },
+				Decode: func(it items.Item) (Change, bool) {
+					if it.Deleted {
+						return Change{Key: it.Key, Revision: it.Revision, RemovedEndpoint: it.Key}, true
+					}
+					return endpointChange(it.Key, it.Revision, len(it.Value)), true
+				},
+				OnList: func(_ time.Time, b Batch, until time.Time) {
+					var list []regis.Endpoint
+					for _, c := range b.Changes {
+						list = append(list, *c.Endpoint)
+					}
+					table.Replace(list, b.Revision, until)
+				},
+				OnChange: func(_ time.Time, b Batch, until time.Time) {
+					for _, c := range b.Changes {
+						if c.Endpoint != nil {
+							table.Put(*c.Endpoint)
+						} else {
+							table.Remove(c.RemovedEndpoint, c.Revision, until)
+						}
+					}
+				},
+				OnFailure: func(time.Time, error) {}, Now: func() time.Time { return noon }, Log: zerolog.Nop(),
+			}
+			f.Run(ctx)
+			want := []string{"stays"}
+			if tt.answer == "watch" {
+				want = []string{"new", "stays"}
+			}
+			if got := table.AllIDs(); !slices.Equal(got, want) {
+				t.Errorf("endpoints are %v after %v, want %v", got, calls, want)
+			}
+			if last := calls[len(calls)-1]; last != tt.next {
+				t.Errorf("calls are %v, want %s last", calls, tt.next)
+			}
+		})
+	}
+}
+
 func TestStoreUnreachable(t *testing.T) {
 	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
 	f := &Feed{OnList: func(time.Time, Batch, time.Time) {}, Log: zerolog.Nop()}
