Stand-in announces the end of connections after whole answers

No answer was wrong: PROTOCOL lets an endpoint close idle connections, and a stream without its last chunk may not be shown as whole.

An answer without parts now announces the close, so that each attempt meets the fault that the case sets. All checks stay.

--- a/internal/stand/routed/ending.go
+++ b/internal/stand/routed/ending.go
@@ -98,8 +98,12 @@
 	return list
 }
 
-// frame sets the header field that frames an answer with this ending.
+// frame sets the header fields that frame an answer with this ending. Without parts the framing is whole, so the
+// answer announces that its connection ends: another request may be sent on it else.
 func (f Ending) frame(h http.Header, parts []string) {
+	if len(parts) == 0 {
+		h.Set("Connection", "close")
+	}
 	switch f {
 	case EndShort, EndShortEvent:
 		h.Set("Content-Length", strconv.Itoa(len(strings.Join(parts, ""))))
